Set up the workspace, the design page and the shared types

Cause: an empty repository; several parts are to be built side by side and need agreed interfaces first. Change: Maven workspace of twelve modules with Spring Java Format and Checkstyle in the validate phase; docs/design.md and docs/GLOSSARY.md; identifiers, outcomes, problems, clocks and log events in the model module; records of the federation configuration; interfaces of the daemon for routes, peers, admission, configuration and drain. Conclusion: the parts can be built against these types.

--- /dev/null
+++ b/bilberryvalve-cli/src/main/java/io/bilberryvalve/cli/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * The operator command.
+ */
+@NullMarked
+package io.bilberryvalve.cli;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/configuration/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * The configuration in force.
+ */
+@NullMarked
+package io.bilberryvalve.daemon.configuration;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * The entry daemon.
+ */
+@NullMarked
+package io.bilberryvalve.daemon;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/peer/IsolatedPeerNetwork.java
@@ -0,0 +1,41 @@
+package io.bilberryvalve.daemon.peer;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+
+import io.bilberryvalve.model.Problem;
+import io.bilberryvalve.model.ProblemKind;
+import io.bilberryvalve.model.Result;
+import io.bilberryvalve.model.VmId;
+
+/**
+ * A network without peers, for an entry that runs alone.
+ */
+public final class IsolatedPeerNetwork implements PeerNetwork {
+
+	@Override
+	public List<Peer> peers() {
+		return List.of();
+	}
+
+	@Override
+	public void broadcast(MessageKind kind, byte[] body) {
+	}
+
+	@Override
+	public CompletionStage<Result<byte[]>> call(VmId target, MessageKind kind, byte[] body, Duration timeout) {
+		return CompletableFuture.completedFuture(Result.failed(Problem.notRun(ProblemKind.UNAVAILABLE,
+				"entry " + target + " is not connected", "repeat the request at another entry")));
+	}
+
+	@Override
+	public void receive(MessageKind kind, Receiver receiver) {
+	}
+
+	@Override
+	public void answer(MessageKind kind, Answerer answerer) {
+	}
+
+}
--- /dev/null
+++ b/bilberryvalve-model/src/main/java/io/bilberryvalve/model/Result.java
@@ -0,0 +1,65 @@
+package io.bilberryvalve.model;
+
+import java.util.function.Function;
+
+/**
+ * The value of an operation, or the problem that prevented it.
+ *
+ * @param <T> type of the value
+ */
+public sealed interface Result<T> {
+
+	/**
+	 * Creates a successful result.
+	 * @param value the value
+	 * @param <T> type of the value
+	 * @return the result
+	 */
+	static <T> Result<T> ok(T value) {
+		return new Ok<>(value);
+	}
+
+	/**
+	 * Creates a failed result.
+	 * @param problem the problem
+	 * @param <T> type of the value
+	 * @return the result
+	 */
+	static <T> Result<T> failed(Problem problem) {
+		return new Failed<>(problem);
+	}
+
+	/**
+	 * Applies a function to the value of a successful result.
+	 * @param function the function
+	 * @param <U> type of the new value
+	 * @return the result of the function, or the same problem
+	 */
+	default <U> Result<U> then(Function<? super T, Result<U>> function) {
+		if (this instanceof Ok<T> ok) {
+			return function.apply(ok.value());
+		}
+		return new Failed<>(((Failed<T>) this).problem());
+	}
+
+	/**
+	 * A successful result.
+	 *
+	 * @param value the value
+	 * @param <T> type of the value
+	 */
+	record Ok<T>(T value) implements Result<T> {
+
+	}
+
+	/**
+	 * A failed result.
+	 *
+	 * @param problem the problem
+	 * @param <T> type of the value
+	 */
+	record Failed<T>(Problem problem) implements Result<T> {
+
+	}
+
+}
--- /dev/null
+++ b/bilberryvalve-model/src/main/java/io/bilberryvalve/model/clock/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * Clocks of the runtime and of tests.
+ */
+@NullMarked
+package io.bilberryvalve.model.clock;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/bilberryvalve-model/src/main/java/io/bilberryvalve/model/log/LogEvent.java
@@ -0,0 +1,100 @@
+package io.bilberryvalve.model.log;
+
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
+
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Builds a log line of key=value pairs. Values with spaces, quotes or line breaks are
+ * quoted and escaped, so that each event stays on one line.
+ *
+ * <pre>
+ * LogEvent.of("request-ended").with("request", id).with("tokens", 12).log(logger, Level.INFO);
+ * </pre>
+ */
+public final class LogEvent {
+
+	private final StringBuilder line;
+
+	private LogEvent(String event) {
+		this.line = new StringBuilder("event=").append(event);
+	}
+
+	/**
+	 * Starts an event.
+	 * @param event name of the event, lower-case words joined by hyphens
+	 * @return the event
+	 */
+	public static LogEvent of(String event) {
+		return new LogEvent(event);
+	}
+
+	/**
+	 * Adds a pair.
+	 * @param key the key
+	 * @param value the value, or {@code null} to leave the pair out
+	 * @return this event
+	 */
+	public LogEvent with(String key, @Nullable Object value) {
+		if (value != null) {
+			this.line.append(' ').append(key).append('=');
+			append(value.toString());
+		}
+		return this;
+	}
+
+	/**
+	 * Writes the line.
+	 * @param logger where to
+	 * @param level at which level
+	 */
+	public void log(Logger logger, Level level) {
+		if (logger.isLoggable(level)) {
+			logger.log(level, this.line.toString());
+		}
+	}
+
+	@Override
+	public String toString() {
+		return this.line.toString();
+	}
+
+	private void append(String value) {
+		if (!needsQuotes(value)) {
+			this.line.append(value);
+			return;
+		}
+		this.line.append('"');
+		for (int i = 0; i < value.length(); i++) {
+			appendEscaped(value.charAt(i));
+		}
+		this.line.append('"');
+	}
+
+	private void appendEscaped(char c) {
+		if (c == '"' || c == '\\') {
+			this.line.append('\\').append(c);
+		}
+		else if (c < ' ') {
+			this.line.append(String.format("\\u%04x", (int) c));
+		}
+		else {
+			this.line.append(c);
+		}
+	}
+
+	private static boolean needsQuotes(String value) {
+		if (value.isEmpty()) {
+			return true;
+		}
+		for (int i = 0; i < value.length(); i++) {
+			char c = value.charAt(i);
+			if (c <= ' ' || c == '"' || c == '=' || c == '\\') {
+				return true;
+			}
+		}
+		return false;
+	}
+
+}
--- /dev/null
+++ b/bilberryvalve-model/src/test/java/io/bilberryvalve/model/log/LogEventTests.java
@@ -0,0 +1,24 @@
+package io.bilberryvalve.model.log;
+
+import net.jqwik.api.Example;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class LogEventTests {
+
+	// Guards against log injection: a value from outside must not start a second line.
+	@Property(seed = "21")
+	void staysOnOneLine(@ForAll String value) {
+		String line = LogEvent.of("test").with("value", value).toString();
+		assertThat(line).doesNotContain("\n", "\r");
+	}
+
+	@Example
+	void quotesValuesWithSpacesAndEscapesQuotes() {
+		String line = LogEvent.of("test").with("text", "a \"b\"").with("count", 2).with("none", null).toString();
+		assertThat(line).isEqualTo("event=test text=\"a \\\"b\\\"\" count=2");
+	}
+
+}
--- /dev/null
+++ b/bilberryvalve-platform/src/main/java/io/bilberryvalve/platform/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * Clients of the platform services.
+ */
+@NullMarked
+package io.bilberryvalve.platform;
+
+import org.jspecify.annotations.NullMarked;
