Add the platform interfaces, their HTTP clients and in-memory versions

Change: TableService, ObjectStore, WeightStore and VmList with sealed results that separate committed, conflict, refused and unknown; ServiceTalk clients that use the next address only after a refused connection; services in memory with seven faults. Conclusion: other modules can program against the interfaces.

--- /dev/null
+++ b/bilberryvalve-platform/src/main/java/io/bilberryvalve/platform/Fetched.java
@@ -0,0 +1,39 @@
+package io.bilberryvalve.platform;
+
+/**
+ * Result of a read.
+ *
+ * @param <T> type of the value
+ */
+public sealed interface Fetched<T> {
+
+	/**
+	 * The value exists.
+	 *
+	 * @param value the value
+	 * @param <T> type of the value
+	 */
+	record Found<T>(T value) implements Fetched<T> {
+
+	}
+
+	/**
+	 * The service answered that the value does not exist.
+	 *
+	 * @param <T> type of the value
+	 */
+	record Missing<T>() implements Fetched<T> {
+
+	}
+
+	/**
+	 * The service did not answer; nothing is known about the value.
+	 *
+	 * @param failure why
+	 * @param <T> type of the value
+	 */
+	record Failed<T>(StoreFailure failure) implements Fetched<T> {
+
+	}
+
+}
--- /dev/null
+++ b/bilberryvalve-platform/src/main/java/io/bilberryvalve/platform/Operation.java
@@ -0,0 +1,66 @@
+package io.bilberryvalve.platform;
+
+import org.jspecify.annotations.Nullable;
+
+/**
+ * One operation of a transaction.
+ */
+public sealed interface Operation {
+
+	/** Expected version of an absent row. */
+	long ABSENT = 0;
+
+	/**
+	 * Returns the table.
+	 * @return the table
+	 */
+	String table();
+
+	/**
+	 * Returns the key.
+	 * @return the key
+	 */
+	String key();
+
+	/**
+	 * Returns the version that the row must have.
+	 * @return the version, {@link #ABSENT} for an absent row, or {@code null} for any
+	 */
+	@Nullable Long expectVersion();
+
+	/**
+	 * Writes a row.
+	 *
+	 * @param table the table
+	 * @param key the key
+	 * @param expectVersion version that the row must have, 0 for absent, {@code null} for
+	 * any
+	 * @param value the new value
+	 */
+	record Put(String table, String key, @Nullable Long expectVersion, String value) implements Operation {
+
+	}
+
+	/**
+	 * Deletes a row.
+	 *
+	 * @param table the table
+	 * @param key the key
+	 * @param expectVersion version that the row must have, or {@code null} for any
+	 */
+	record Delete(String table, String key, @Nullable Long expectVersion) implements Operation {
+
+	}
+
+	/**
+	 * Checks the version of a row without changing it.
+	 *
+	 * @param table the table
+	 * @param key the key
+	 * @param expectVersion version that the row must have, 0 for absent
+	 */
+	record Check(String table, String key, @Nullable Long expectVersion) implements Operation {
+
+	}
+
+}
--- /dev/null
+++ b/bilberryvalve-platform/src/main/java/io/bilberryvalve/platform/Platform.java
@@ -0,0 +1,13 @@
+package io.bilberryvalve.platform;
+
+/**
+ * All platform services.
+ *
+ * @param tables transactional table service
+ * @param objects object store
+ * @param weights weight store
+ * @param vms VM list
+ */
+public record Platform(TableService tables, ObjectStore objects, WeightStore weights, VmList vms) {
+
+}
--- /dev/null
+++ b/bilberryvalve-platform/src/main/java/io/bilberryvalve/platform/http/HttpVmList.java
@@ -0,0 +1,55 @@
+package io.bilberryvalve.platform.http;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletionStage;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import io.bilberryvalve.model.Address;
+import io.bilberryvalve.model.DataCentreId;
+import io.bilberryvalve.model.VmId;
+import io.bilberryvalve.platform.Fetched;
+import io.bilberryvalve.platform.VmList;
+import io.servicetalk.http.api.HttpRequestMethod;
+
+/**
+ * VM list over HTTP.
+ */
+public final class HttpVmList implements VmList {
+
+	private static final ObjectMapper JSON = new ObjectMapper();
+
+	private final HttpService service;
+
+	/**
+	 * Creates the client.
+	 * @param service connection to the service
+	 */
+	public HttpVmList(HttpService service) {
+		this.service = service;
+	}
+
+	@Override
+	public CompletionStage<Fetched<List<Vm>>> read() {
+		return this.service.send(HttpRequestMethod.GET, "/v1/vms", null)
+			.thenApply((answer) -> Reading.parse(answer, (bytes) -> vms(JSON.readTree(bytes))));
+	}
+
+	private static List<Vm> vms(JsonNode json) {
+		List<Vm> vms = new ArrayList<>();
+		json.path("vms").forEach((node) -> vms.add(vm(node)));
+		return vms;
+	}
+
+	private static Vm vm(JsonNode node) {
+		return new Vm(new VmId(text(node, "vm")), new DataCentreId(text(node, "dataCentre")),
+				Address.parse(text(node, "address")), Address.parse(text(node, "peerAddress")),
+				"leaving".equals(text(node, "state")));
+	}
+
+	private static String text(JsonNode node, String field) {
+		return node.path(field).asText();
+	}
+
+}
--- /dev/null
+++ b/bilberryvalve-platform/src/main/java/io/bilberryvalve/platform/memory/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * Platform services in memory with fault injection, for tests and simulations.
+ */
+@NullMarked
+package io.bilberryvalve.platform.memory;
+
+import org.jspecify.annotations.NullMarked;
