--- /dev/null
+++ b/bilberryvalve-policy/src/main/java/io/bilberryvalve/policy/once/ExecutionLedger.java
@@ -0,0 +1,27 @@
+package io.bilberryvalve.policy.once;
+
+import java.time.Instant;
+import java.util.List;
+
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Decides which calls may be dispatched. An instance is not safe for use by several
+ * threads.
+ */
+public interface ExecutionLedger {
+
+	/**
+	 * Takes an event.
+	 * @param event the event
+	 * @return what to do, in order
+	 */
+	List<OnceAction> on(OnceEvent event);
+
+	/**
+	 * Returns when the next {@link OnceEvent.Tick} is due.
+	 * @return the time, or {@code null} if nothing is due
+	 */
+	@Nullable Instant nextTick();
+
+}
--- /dev/null
+++ b/bilberryvalve-policy/src/main/java/io/bilberryvalve/policy/once/GroupCommit.java
@@ -0,0 +1,114 @@
+package io.bilberryvalve.policy.once;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Collects the writes of many keys into transactions. A key is in at most one unresolved
+ * batch, so its writes keep their order.
+ */
+final class GroupCommit {
+
+	private final OnceLimits limits;
+
+	private final Set<ExecutionKey> waiting = new LinkedHashSet<>();
+
+	private final Map<Long, List<RecordWrite>> batches = new HashMap<>();
+
+	private final Map<Long, Instant> rereads = new TreeMap<>();
+
+	private Duration spacing;
+
+	private Instant earliest = Instant.MIN;
+
+	private long sequence;
+
+	GroupCommit(OnceLimits limits) {
+		this.limits = limits;
+		this.spacing = limits.spacing();
+	}
+
+	void spacing(Duration time) {
+		this.spacing = time;
+	}
+
+	void add(ExecutionKey key) {
+		this.waiting.add(key);
+	}
+
+	void cancel(ExecutionKey key) {
+		this.waiting.remove(key);
+	}
+
+	boolean ready(Instant now) {
+		return !this.waiting.isEmpty() && this.batches.size() < this.limits.batchesInProgress()
+				&& !now.isBefore(this.earliest);
+	}
+
+	List<ExecutionKey> take(Instant now) {
+		List<ExecutionKey> keys = new ArrayList<>();
+		Iterator<ExecutionKey> iterator = this.waiting.iterator();
+		while (iterator.hasNext() && keys.size() < this.limits.batchSize()) {
+			keys.add(iterator.next());
+			iterator.remove();
+		}
+		this.earliest = now.plus(this.spacing);
+		return keys;
+	}
+
+	long start(List<RecordWrite> writes) {
+		long batch = this.sequence++;
+		this.batches.put(batch, List.copyOf(writes));
+		return batch;
+	}
+
+	List<RecordWrite> writes(long batch) {
+		return this.batches.getOrDefault(batch, List.of());
+	}
+
+	List<RecordWrite> end(long batch) {
+		this.rereads.remove(batch);
+		List<RecordWrite> writes = this.batches.remove(batch);
+		return (writes != null) ? writes : List.of();
+	}
+
+	void backOff(Instant now, @Nullable Duration time) {
+		Instant until = now.plus((time != null) ? time : this.limits.backOff());
+		if (until.isAfter(this.earliest)) {
+			this.earliest = until;
+		}
+	}
+
+	void readAgain(long batch, Instant now) {
+		if (this.batches.containsKey(batch)) {
+			this.rereads.put(batch, now.plus(this.limits.backOff()));
+		}
+	}
+
+	List<Long> takeRereads(Instant now) {
+		List<Long> due = this.rereads.entrySet()
+			.stream()
+			.filter((entry) -> !entry.getValue().isAfter(now))
+			.map(Map.Entry::getKey)
+			.toList();
+		due.forEach(this.rereads::remove);
+		return due;
+	}
+
+	@Nullable Instant nextTick() {
+		Instant next = this.rereads.values().stream().min(Instant::compareTo).orElse(null);
+		boolean open = !this.waiting.isEmpty() && this.batches.size() < this.limits.batchesInProgress();
+		return (open && (next == null || this.earliest.isBefore(next))) ? this.earliest : next;
+	}
+
+}
--- /dev/null
+++ b/bilberryvalve-policy/src/main/java/io/bilberryvalve/policy/once/KeyAttempt.java
@@ -0,0 +1,313 @@
+package io.bilberryvalve.policy.once;
+
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.Iterator;
+import java.util.List;
+
+import org.jspecify.annotations.Nullable;
+
+/**
+ * State machine of one key at the entry that makes an attempt.
+ */
+final class KeyAttempt {
+
+	private final ExecutionKey key;
+
+	private final String requestDigest;
+
+	private final List<Waiter> waiters = new ArrayList<>();
+
+	private Phase phase = Phase.RESERVING;
+
+	private ExecutionRecord target;
+
+	private long expectVersion;
+
+	private boolean inBatch;
+
+	private boolean mayBeWritten;
+
+	private @Nullable String result;
+
+	private Instant forgetAt = Instant.MAX;
+
+	private long dispatched = -1;
+
+	KeyAttempt(ExecutionKey key, String requestDigest, Effects effects) {
+		this.key = key;
+		this.requestDigest = requestDigest;
+		this.target = reservation(effects);
+	}
+
+	private ExecutionRecord reservation(Effects effects) {
+		return new ExecutionRecord(this.requestDigest, effects.nextToken(), ExecutionRecord.State.RESERVED,
+				effects.now(), null);
+	}
+
+	void call(OnceEvent.Called call, Effects effects) {
+		if (!this.requestDigest.equals(call.requestDigest())) {
+			effects.answer(call.call(), new ExecutionAnswer.KeyReused());
+		}
+		else if (this.result != null) {
+			effects.answer(call.call(), new ExecutionAnswer.Completed(this.result, true));
+		}
+		else if (this.phase == Phase.SETTLED) {
+			effects.answer(call.call(), new ExecutionAnswer.Lost());
+		}
+		else {
+			this.waiters.add(new Waiter(call.call(), call.deadline()));
+		}
+	}
+
+	RecordWrite beginWrite() {
+		this.inBatch = true;
+		return new RecordWrite(this.key, this.expectVersion, this.target);
+	}
+
+	void committed(ExecutionRecord sent, long version, Effects effects) {
+		this.inBatch = false;
+		this.expectVersion = version;
+		this.mayBeWritten = true;
+		if (sent.state() == ExecutionRecord.State.COMPLETED) {
+			settle(effects);
+		}
+		else if (sent.state() == ExecutionRecord.State.RELEASED) {
+			released(effects);
+		}
+		else if (this.phase == Phase.RESERVING) {
+			reserved(effects);
+		}
+		else {
+			effects.write(this.key);
+		}
+	}
+
+	private void reserved(Effects effects) {
+		expire(effects);
+		if (this.phase == Phase.RESERVING) {
+			this.phase = Phase.DISPATCHED;
+			this.dispatched = this.waiters.get(0).call();
+			effects.dispatch(this.dispatched, this.key);
+		}
+	}
+
+	private void released(Effects effects) {
+		expire(effects);
+		if (this.waiters.isEmpty()) {
+			effects.forget(this.key);
+		}
+		else {
+			reserveAgain(effects);
+		}
+	}
+
+	private void reserveAgain(Effects effects) {
+		this.phase = Phase.RESERVING;
+		this.mayBeWritten = false;
+		this.target = reservation(effects);
+		effects.write(this.key);
+	}
+
+	// Compares the row in the store with a write whose fate is unknown or that
+	// conflicted.
+	void resolve(ExecutionRecord sent, @Nullable StoredRecord row, Effects effects) {
+		this.inBatch = false;
+		if (row == null) {
+			absent(effects);
+		}
+		else if (row.record().token().equals(sent.token())) {
+			own(sent, row, effects);
+		}
+		else {
+			foreign(row, effects);
+		}
+	}
+
+	private void absent(Effects effects) {
+		boolean removed = this.expectVersion > 0;
+		this.expectVersion = 0;
+		if (removed && this.phase == Phase.RECORDING) {
+			settle(effects);
+		}
+		else if (removed && this.phase == Phase.RELEASING) {
+			released(effects);
+		}
+		else {
+			effects.write(this.key);
+		}
+	}
+
+	private void own(ExecutionRecord sent, StoredRecord row, Effects effects) {
+		if (row.record().state() == sent.state()) {
+			committed(sent, row.version(), effects);
+			return;
+		}
+		this.expectVersion = row.version();
+		effects.write(this.key);
+	}
+
+	private void foreign(StoredRecord row, Effects effects) {
+		if (this.phase == Phase.RECORDING) {
+			settle(effects);
+			return;
+		}
+		if (this.phase == Phase.RELEASING && this.waiters.isEmpty()) {
+			effects.forget(this.key);
+			return;
+		}
+		if (this.phase == Phase.RELEASING) {
+			this.phase = Phase.RESERVING;
+			this.mayBeWritten = false;
+			this.target = reservation(effects);
+		}
+		reserveOver(row, effects);
+	}
+
+	private void reserveOver(StoredRecord row, Effects effects) {
+		ExecutionRecord record = row.record();
+		boolean same = record.requestDigest().equals(this.requestDigest);
+		if (effects.expired(record) || (same && record.state() == ExecutionRecord.State.RELEASED)) {
+			this.expectVersion = row.version();
+			effects.write(this.key);
+			return;
+		}
+		if (!same) {
+			answerAll(new ExecutionAnswer.KeyReused(), effects);
+			effects.forget(this.key);
+		}
+		else if (record.result() != null) {
+			this.result = record.result();
+			answerAll(new ExecutionAnswer.Completed(this.result, true), effects);
+			settle(effects);
+		}
+		else {
+			answerAll(new ExecutionAnswer.InProgress(), effects);
+			effects.forget(this.key);
+		}
+	}
+
+	void refused(boolean retry, Effects effects) {
+		this.inBatch = false;
+		if (this.phase == Phase.RESERVING && !retry) {
+			giveUp(ExecutionAnswer.Reason.STORE_UNAVAILABLE, effects);
+		}
+		else if (this.phase == Phase.RELEASING && !this.mayBeWritten && this.waiters.isEmpty()) {
+			effects.forget(this.key);
+		}
+		else {
+			effects.write(this.key);
+		}
+	}
+
+	// Other rows of the transaction conflicted, so this write had no effect.
+	void writeAgain(Effects effects) {
+		refused(true, effects);
+	}
+
+	void fateUnknown() {
+		this.mayBeWritten = true;
+	}
+
+	private void giveUp(ExecutionAnswer.Reason reason, Effects effects) {
+		answerAll(new ExecutionAnswer.NotRun(reason), effects);
+		withdraw(effects);
+	}
+
+	private void withdraw(Effects effects) {
+		if (!this.inBatch && !this.mayBeWritten) {
+			effects.forget(this.key);
+			return;
+		}
+		this.phase = Phase.RELEASING;
+		this.target = this.target.released();
+		if (!this.inBatch) {
+			effects.write(this.key);
+		}
+	}
+
+	void ended(long call, DispatchEnd end, Effects effects) {
+		if (this.phase != Phase.DISPATCHED || call != this.dispatched) {
+			return;
+		}
+		if (end instanceof DispatchEnd.Replied replied) {
+			replied(replied.result(), effects);
+		}
+		else if (end instanceof DispatchEnd.NotSent) {
+			giveUp(ExecutionAnswer.Reason.NO_UPSTREAM, effects);
+		}
+		else {
+			answerAll(new ExecutionAnswer.Lost(), effects);
+			settle(effects);
+		}
+	}
+
+	private void replied(String value, Effects effects) {
+		this.result = value;
+		for (Waiter waiter : this.waiters) {
+			boolean repeated = waiter.call() != this.dispatched;
+			effects.answer(waiter.call(), new ExecutionAnswer.Completed(value, repeated));
+		}
+		this.waiters.clear();
+		this.phase = Phase.RECORDING;
+		this.target = this.target.completed(value);
+		effects.write(this.key);
+	}
+
+	void expire(Effects effects) {
+		ExecutionAnswer answer = (this.phase == Phase.DISPATCHED) ? new ExecutionAnswer.Lost()
+				: new ExecutionAnswer.NotRun(ExecutionAnswer.Reason.DEADLINE);
+		Iterator<Waiter> iterator = this.waiters.iterator();
+		while (iterator.hasNext()) {
+			Waiter waiter = iterator.next();
+			if (!waiter.deadline().isAfter(effects.now())) {
+				iterator.remove();
+				effects.answer(waiter.call(), answer);
+			}
+		}
+		if (this.phase == Phase.RESERVING && this.waiters.isEmpty()) {
+			withdraw(effects);
+		}
+		if (this.phase == Phase.SETTLED && !this.forgetAt.isAfter(effects.now())) {
+			effects.forget(this.key);
+		}
+	}
+
+	private void settle(Effects effects) {
+		this.phase = Phase.SETTLED;
+		this.forgetAt = effects.forgetAt();
+	}
+
+	private void answerAll(ExecutionAnswer answer, Effects effects) {
+		this.waiters.forEach((waiter) -> effects.answer(waiter.call(), answer));
+		this.waiters.clear();
+	}
+
+	boolean settled() {
+		return this.phase == Phase.SETTLED;
+	}
+
+	private enum Phase {
+
+		/** The insert of the record has no result yet. */
+		RESERVING,
+
+		/** The record is written; the call may have been sent. */
+		DISPATCHED,
+
+		/** The result is known and is being written. */
+		RECORDING,
+
+		/** Nothing was sent; the record is being released. */
+		RELEASING,
+
+		/** Nothing more to do but to remember the result. */
+		SETTLED
+
+	}
+
+	private record Waiter(long call, Instant deadline) {
+
+	}
+
+}
