--- /dev/null
+++ b/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/report/BurnTracker.java
@@ -0,0 +1,67 @@
+package io.bilberryvalve.daemon.report;
+
+import java.time.Clock;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.EnumMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ConcurrentSkipListMap;
+
+import io.bilberryvalve.model.ClubId;
+
+/**
+ * Tracks how fast each club consumes the error budgets of its objectives, over several
+ * windows. A burn rate of 1 consumes the budget exactly; above 1 the objective is missed.
+ */
+public final class BurnTracker implements ServiceLevelRecorder {
+
+	private static final List<Duration> WINDOWS = List.of(Duration.ofMinutes(5), Duration.ofHours(1),
+			Duration.ofHours(6), Duration.ofDays(3));
+
+	private final Clock clock;
+
+	private final Map<ClubId, Map<Objective, List<RollingCounter>>> counters = new ConcurrentHashMap<>();
+
+	/**
+	 * Creates a tracker.
+	 * @param clock gives the time of events
+	 */
+	public BurnTracker(Clock clock) {
+		this.clock = clock;
+	}
+
+	@Override
+	public void record(ClubId club, Objective objective, long good, long bad) {
+		for (RollingCounter counter : this.counters.computeIfAbsent(club, this::create).get(objective)) {
+			counter.add(good, bad);
+		}
+	}
+
+	/**
+	 * Returns the burn rates.
+	 * @return a row for each club, objective and window, in that order
+	 */
+	public List<BurnRow> rows() {
+		List<BurnRow> rows = new ArrayList<>();
+		new ConcurrentSkipListMap<>(this.counters)
+			.forEach((club, objectives) -> objectives.forEach((objective, windows) -> {
+				for (int i = 0; i < WINDOWS.size(); i++) {
+					RollingCounter counter = windows.get(i);
+					rows.add(new BurnRow(club, objective, WINDOWS.get(i), counter.good(), counter.bad()));
+				}
+			}));
+		return rows;
+	}
+
+	private Map<Objective, List<RollingCounter>> create(ClubId club) {
+		Map<Objective, List<RollingCounter>> objectives = new EnumMap<>(Objective.class);
+		for (Objective objective : Objective.values()) {
+			objectives.put(objective,
+					WINDOWS.stream().map((window) -> new RollingCounter(this.clock, window)).toList());
+		}
+		return objectives;
+	}
+
+}
