--- a/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/http/EntryServer.java
+++ b/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/http/EntryServer.java
@@ -1,10 +1,8 @@
 package io.bilberryvalve.daemon.http;
 
 import java.net.InetSocketAddress;
-import java.net.SocketAddress;
 import java.time.Duration;
 
-import io.bilberryvalve.model.Address;
 import io.servicetalk.http.api.HttpProtocolConfig;
 import io.servicetalk.http.api.StreamingHttpService;
 import io.servicetalk.http.netty.H1ProtocolConfig;
@@ -32,12 +30,12 @@
 
 	/**
 	 * Starts a server for HTTP/1.1.
-	 * @param address where to listen
+	 * @param address where to listen; port 0 takes a free port
 	 * @param service answers the requests
 	 * @return the server
 	 * @throws Exception if the address cannot be used
 	 */
-	public static EntryServer start(Address address, StreamingHttpService service) throws Exception {
+	public static EntryServer start(InetSocketAddress address, StreamingHttpService service) throws Exception {
 		H1ProtocolConfig protocol = HttpProtocolConfigs.h1()
 			.maxStartLineLength(MAX_START_LINE_BYTES)
 			.maxHeaderFieldLength(MAX_HEADER_BYTES)
@@ -47,18 +45,18 @@
 
 	/**
 	 * Starts a server for HTTP/2 with prior knowledge.
-	 * @param address where to listen
+	 * @param address where to listen; port 0 takes a free port
 	 * @param service answers the requests
 	 * @return the server
 	 * @throws Exception if the address cannot be used
 	 */
-	public static EntryServer startHttp2(Address address, StreamingHttpService service) throws Exception {
+	public static EntryServer startHttp2(InetSocketAddress address, StreamingHttpService service) throws Exception {
 		return start(address, service, HttpProtocolConfigs.h2Default());
 	}
 
-	private static EntryServer start(Address address, StreamingHttpService service, HttpProtocolConfig protocol)
-			throws Exception {
-		ServerContext context = HttpServers.forAddress(new InetSocketAddress(address.host(), address.port()))
+	private static EntryServer start(InetSocketAddress address, StreamingHttpService service,
+			HttpProtocolConfig protocol) throws Exception {
+		ServerContext context = HttpServers.forAddress(address)
 			.protocols(protocol)
 			.socketOption(ServiceTalkSocketOptions.IDLE_TIMEOUT, IDLE_TIMEOUT_MILLIS)
 			.listenStreamingAndAwait(service);
@@ -69,8 +67,8 @@
 	 * Returns where the server listens.
 	 * @return the address
 	 */
-	public SocketAddress address() {
-		return this.context.listenAddress();
+	public InetSocketAddress address() {
+		return (InetSocketAddress) this.context.listenAddress();
 	}
 
 	@Override
