--- /dev/null
+++ b/bilberryvalve-policy/src/main/java/io/bilberryvalve/policy/chain/BoundarySearch.java
@@ -0,0 +1,189 @@
+package io.bilberryvalve.policy.chain;
+
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.Collections;
+import java.util.List;
+import java.util.TreeSet;
+
+import io.bilberryvalve.model.DataCentreId;
+import io.bilberryvalve.model.LayerRange;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Dynamic programming over layer boundaries. A state is a boundary together with the data
+ * centre of the stage that ends there, because the link to the next stage depends on it.
+ */
+final class BoundarySearch {
+
+	private final ModelShape model;
+
+	private final List<Candidate> candidates;
+
+	private final int[] boundaries;
+
+	private final int[] centreOf;
+
+	private final double[][] linkSeconds;
+
+	BoundarySearch(ModelShape model, List<Candidate> candidates, LinkTable links) {
+		this.model = model;
+		this.candidates = candidates;
+		this.boundaries = boundaries(model, candidates);
+		List<DataCentreId> centres = candidates.stream().map((c) -> c.runner().dataCentre()).distinct().toList();
+		this.centreOf = candidates.stream().mapToInt((c) -> centres.indexOf(c.runner().dataCentre())).toArray();
+		this.linkSeconds = linkSeconds(model, centres, links);
+	}
+
+	/**
+	 * Finds the cheapest path. The path may use a candidate twice.
+	 * @param starts for each candidate the layers at which its stage may start
+	 * @return the path, or {@code null} if the candidates do not cover the model
+	 */
+	@Nullable Path search(LayerRange[] starts) {
+		int last = this.boundaries.length - 1;
+		if (last < 1 || this.boundaries[0] != 0 || this.boundaries[last] != this.model.layers()) {
+			return null;
+		}
+		Table table = new Table(this.boundaries.length, this.linkSeconds.length);
+		for (int from = 0; from < last; from++) {
+			table.arrive(from, this.linkSeconds);
+			for (int c = 0; c < this.candidates.size(); c++) {
+				extend(table, from, c, starts[c]);
+			}
+		}
+		return path(table, last);
+	}
+
+	private void extend(Table table, int from, int candidate, LayerRange start) {
+		Candidate c = this.candidates.get(candidate);
+		LayerRange held = c.runner().layers();
+		int layer = this.boundaries[from];
+		double arrival = table.arrival[from][this.centreOf[candidate]];
+		if (layer < Math.max(held.first(), start.first()) || layer >= start.end() || arrival == Double.MAX_VALUE) {
+			return;
+		}
+		for (int to = from + 1; to < this.boundaries.length && this.boundaries[to] <= held.end(); to++) {
+			double seconds = arrival + c.seconds(this.boundaries[to] - layer);
+			table.offer(to, this.centreOf[candidate], seconds, candidate, from);
+		}
+	}
+
+	private @Nullable Path path(Table table, int last) {
+		int centre = 0;
+		for (int d = 1; d < this.linkSeconds.length; d++) {
+			centre = (table.seconds[last][d] < table.seconds[last][centre]) ? d : centre;
+		}
+		double seconds = table.seconds[last][centre];
+		if (seconds == Double.MAX_VALUE) {
+			return null;
+		}
+		List<Hop> hops = new ArrayList<>();
+		for (int at = last; at > 0;) {
+			int from = table.from[at][centre];
+			int candidate = table.candidate[at][centre];
+			hops.add(new Hop(candidate, new LayerRange(this.boundaries[from], this.boundaries[at])));
+			centre = table.before[from][centre];
+			at = from;
+		}
+		Collections.reverse(hops);
+		return new Path(hops, seconds);
+	}
+
+	private static int[] boundaries(ModelShape model, List<Candidate> candidates) {
+		TreeSet<Integer> set = new TreeSet<>();
+		for (Candidate candidate : candidates) {
+			LayerRange held = candidate.runner().layers();
+			set.add(held.first());
+			set.add(Math.min(held.end(), model.layers()));
+		}
+		return set.headSet(model.layers(), true).stream().mapToInt(Integer::intValue).toArray();
+	}
+
+	private static double[][] linkSeconds(ModelShape model, List<DataCentreId> centres, LinkTable links) {
+		double[][] seconds = new double[centres.size()][centres.size()];
+		for (int i = 0; i < seconds.length; i++) {
+			for (int j = 0; j < seconds.length; j++) {
+				seconds[i][j] = links.seconds(centres.get(i), centres.get(j), model.activationBytes());
+			}
+		}
+		return seconds;
+	}
+
+	/**
+	 * A stage of a path.
+	 *
+	 * @param candidate position of the candidate
+	 * @param layers its layers
+	 */
+	record Hop(int candidate, LayerRange layers) {
+
+	}
+
+	/**
+	 * A path through all layers.
+	 *
+	 * @param hops its stages
+	 * @param seconds its cost in seconds
+	 */
+	record Path(List<Hop> hops, double seconds) {
+
+	}
+
+	private static final class Table {
+
+		private final double[][] seconds;
+
+		private final double[][] arrival;
+
+		private final int[][] candidate;
+
+		private final int[][] from;
+
+		private final int[][] before;
+
+		Table(int boundaries, int centres) {
+			this.seconds = filled(boundaries, centres);
+			this.arrival = filled(boundaries, centres);
+			this.candidate = new int[boundaries][centres];
+			this.from = new int[boundaries][centres];
+			this.before = new int[boundaries][centres];
+		}
+
+		// Computes the cost to have the activation of a boundary in each data centre.
+		void arrive(int boundary, double[][] linkSeconds) {
+			for (int to = 0; to < linkSeconds.length; to++) {
+				if (boundary == 0) {
+					this.arrival[0][to] = 0;
+					continue;
+				}
+				for (int d = 0; d < linkSeconds.length; d++) {
+					double cost = this.seconds[boundary][d];
+					double total = (cost != Double.MAX_VALUE) ? cost + linkSeconds[d][to] : cost;
+					if (total < this.arrival[boundary][to]) {
+						this.arrival[boundary][to] = total;
+						this.before[boundary][to] = d;
+					}
+				}
+			}
+		}
+
+		void offer(int boundary, int centre, double cost, int byCandidate, int fromBoundary) {
+			if (cost < this.seconds[boundary][centre]) {
+				this.seconds[boundary][centre] = cost;
+				this.candidate[boundary][centre] = byCandidate;
+				this.from[boundary][centre] = fromBoundary;
+			}
+		}
+
+		private static double[][] filled(int rows, int columns) {
+			double[][] values = new double[rows][columns];
+			for (double[] row : values) {
+				Arrays.fill(row, Double.MAX_VALUE);
+			}
+			return values;
+		}
+
+	}
+
+}
--- /dev/null
+++ b/bilberryvalve-policy/src/main/java/io/bilberryvalve/policy/chain/CapacityBound.java
@@ -0,0 +1,88 @@
+package io.bilberryvalve.policy.chain;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.List;
+
+/**
+ * Upper bound of the tokens a second that runners can deliver for a model.
+ * <p>
+ * Each token needs each layer once, so at a rate of T tokens a second each layer takes T
+ * layer computations a second from the runners that hold it. A runner computes at most
+ * its layers a second, whichever of its layers they are. The bound is the largest T for
+ * which the demand of every layer can be served. For a given T this is decided exactly by
+ * going through the layers in order and taking capacity first from the runner whose range
+ * ends first, because it has the fewest later layers to serve. The largest T is found by
+ * bisection. Links and queues only add latency and do not enter the bound; prefill work
+ * is not counted.
+ */
+public final class CapacityBound {
+
+	private static final int BISECTIONS = 60;
+
+	/** Relative tolerance for rounding when capacity is subtracted. */
+	private static final double ROUNDING = 1e-12;
+
+	private CapacityBound() {
+	}
+
+	/**
+	 * Computes the bound.
+	 * @param layers number of layers of the model, positive
+	 * @param candidates the runners
+	 * @return tokens a second, 0 if the runners do not cover the model
+	 */
+	public static double tokensPerSecond(int layers, Collection<Candidate> candidates) {
+		double high = candidates.stream().mapToDouble(Candidate::layersPerSecond).sum() / layers;
+		double low = 0;
+		for (int i = 0; i < BISECTIONS; i++) {
+			double middle = (low + high) / 2;
+			if (feasible(layers, candidates, middle)) {
+				low = middle;
+			}
+			else {
+				high = middle;
+			}
+		}
+		return low;
+	}
+
+	private static boolean feasible(int layers, Collection<Candidate> candidates, double rate) {
+		List<Left> runners = new ArrayList<>();
+		candidates.forEach((candidate) -> runners.add(new Left(candidate)));
+		runners.sort(Comparator.comparingInt((left) -> left.candidate.runner().layers().end()));
+		for (int layer = 0; layer < layers; layer++) {
+			double missing = rate;
+			for (Left runner : runners) {
+				missing -= runner.take(layer, missing);
+			}
+			if (missing > rate * ROUNDING) {
+				return false;
+			}
+		}
+		return true;
+	}
+
+	private static final class Left {
+
+		private final Candidate candidate;
+
+		private double capacity;
+
+		Left(Candidate candidate) {
+			this.candidate = candidate;
+			this.capacity = candidate.layersPerSecond();
+		}
+
+		double take(int layer, double wanted) {
+			boolean holds = this.candidate.runner().layers().first() <= layer
+					&& layer < this.candidate.runner().layers().end();
+			double taken = holds ? Math.min(wanted, this.capacity) : 0;
+			this.capacity -= taken;
+			return taken;
+		}
+
+	}
+
+}
--- /dev/null
+++ b/bilberryvalve-policy/src/main/java/io/bilberryvalve/policy/chain/ChainSet.java
@@ -0,0 +1,122 @@
+package io.bilberryvalve.policy.chain;
+
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+import io.bilberryvalve.model.LayerRange;
+
+/**
+ * The planned chains of one model, with their weights and the runners that can replace a
+ * stage. Immutable.
+ */
+public final class ChainSet {
+
+	/** Replacements kept for each range of layers. */
+	private static final int MAX_REPLACEMENTS = 16;
+
+	private final List<Chain> chains;
+
+	private final double[] cumulative;
+
+	private final Map<LayerRange, List<Candidate>> replacements;
+
+	/**
+	 * Creates a set.
+	 * @param chains the chains; each is chosen in proportion to its tokens a second
+	 * @param candidates runners that can replace a stage
+	 */
+	public ChainSet(List<Chain> chains, Collection<Candidate> candidates) {
+		this.chains = List.copyOf(chains);
+		this.cumulative = new double[chains.size()];
+		double sum = 0;
+		for (int i = 0; i < this.cumulative.length; i++) {
+			sum += this.chains.get(i).tokensPerSecond();
+			this.cumulative[i] = sum;
+		}
+		this.replacements = replacements(this.chains, candidates);
+	}
+
+	/**
+	 * Returns the number of chains.
+	 * @return the number
+	 */
+	public int size() {
+		return this.chains.size();
+	}
+
+	/**
+	 * Returns a chain.
+	 * @param index its position
+	 * @return the chain
+	 */
+	public Chain chain(int index) {
+		return this.chains.get(index);
+	}
+
+	/**
+	 * Returns all chains.
+	 * @return the chains in order of the plan
+	 */
+	public List<Chain> chains() {
+		return this.chains;
+	}
+
+	/**
+	 * Returns the planned rate of all chains.
+	 * @return tokens a second
+	 */
+	public double tokensPerSecond() {
+		return (this.cumulative.length > 0) ? this.cumulative[this.cumulative.length - 1] : 0;
+	}
+
+	/**
+	 * Maps a uniform number to a chain in proportion to the planned rates. The time grows
+	 * with the logarithm of the number of chains.
+	 * @param uniform number from 0 (inclusive) to 1 (exclusive)
+	 * @return position of the chain
+	 * @throws IllegalStateException if the set is empty
+	 */
+	public int sample(double uniform) {
+		if (this.chains.isEmpty()) {
+			throw new IllegalStateException("no chain to choose from");
+		}
+		int found = Arrays.binarySearch(this.cumulative, uniform * tokensPerSecond());
+		return Math.min((found >= 0) ? found + 1 : -found - 1, this.chains.size() - 1);
+	}
+
+	/**
+	 * Returns runners that hold the layers of a planned stage, the fastest first.
+	 * @param layers layers of a stage of one of the chains
+	 * @return at most 16 runners; empty for other layers
+	 */
+	public List<Candidate> replacements(LayerRange layers) {
+		return this.replacements.getOrDefault(layers, List.of());
+	}
+
+	private static Map<LayerRange, List<Candidate>> replacements(List<Chain> chains, Collection<Candidate> candidates) {
+		Map<LayerRange, List<Candidate>> map = new HashMap<>();
+		for (Chain chain : chains) {
+			for (Stage stage : chain.stages()) {
+				map.computeIfAbsent(stage.layers(), (layers) -> holders(layers, candidates));
+			}
+		}
+		return map;
+	}
+
+	private static List<Candidate> holders(LayerRange layers, Collection<Candidate> candidates) {
+		List<Candidate> holders = new ArrayList<>();
+		for (Candidate candidate : candidates) {
+			if (candidate.runner().layers().contains(layers)) {
+				holders.add(candidate);
+			}
+		}
+		holders.sort(Comparator.comparingDouble((candidate) -> candidate.seconds(layers.size())));
+		return List.copyOf(holders.subList(0, Math.min(MAX_REPLACEMENTS, holders.size())));
+	}
+
+}
--- /dev/null
+++ b/bilberryvalve-policy/src/main/java/io/bilberryvalve/policy/chain/ModelShape.java
@@ -0,0 +1,24 @@
+package io.bilberryvalve.policy.chain;
+
+import io.bilberryvalve.model.ModelVersion;
+
+/**
+ * Sizes of a model version that matter for planning.
+ *
+ * @param model the model version
+ * @param layers number of layers, positive
+ * @param activationBytes bytes passed from stage to stage for one token
+ */
+public record ModelShape(ModelVersion model, int layers, long activationBytes) {
+
+	/**
+	 * Checks the sizes.
+	 * @throws IllegalArgumentException if a size is out of range
+	 */
+	public ModelShape {
+		if (layers < 1 || activationBytes < 0) {
+			throw new IllegalArgumentException("model " + model + " needs at least 1 layer and no negative size");
+		}
+	}
+
+}
--- /dev/null
+++ b/bilberryvalve-policy/src/main/java/io/bilberryvalve/policy/choice/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * Decides which of several candidates receives a request.
+ */
+@NullMarked
+package io.bilberryvalve.policy.choice;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/bilberryvalve-policy/src/main/java/io/bilberryvalve/policy/outcome/ReplyLedger.java
@@ -0,0 +1,163 @@
+package io.bilberryvalve.policy.outcome;
+
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.concurrent.atomic.AtomicLongArray;
+
+/**
+ * Decides which token events of a reply are delivered. It accepts only the next index of
+ * the current epoch, and only if the trace covers the model exactly once and in order.
+ * Epoch and index share one atomic word, so that an event of an old epoch cannot be
+ * accepted after the ledger has moved on, whichever thread brings it.
+ */
+public final class ReplyLedger {
+
+	private static final int EPOCH_SHIFT = 32;
+
+	private static final long INDEX_MASK = 0x7fff_ffffL;
+
+	private static final long ENDED_BIT = 1L << 31;
+
+	private final int layers;
+
+	private final AtomicLong word;
+
+	private final AtomicLongArray verdicts = new AtomicLongArray(Verdict.values().length);
+
+	/**
+	 * Creates a ledger at the start of a reply.
+	 * @param layers number of layers of the model, positive
+	 */
+	public ReplyLedger(int layers) {
+		this(layers, new ReplyPosition(1, 0));
+	}
+
+	/**
+	 * Creates a ledger in the middle of a reply.
+	 * @param layers number of layers of the model, positive
+	 * @param start epoch and index to start at
+	 * @throws IllegalArgumentException if a number is out of range
+	 */
+	public ReplyLedger(int layers, ReplyPosition start) {
+		if (layers < 1 || start.epoch() < 1 || start.next() < 0) {
+			throw new IllegalArgumentException("layers and epoch start at 1 and the index at 0");
+		}
+		this.layers = layers;
+		this.word = new AtomicLong(word(start.epoch(), start.next()));
+	}
+
+	/**
+	 * Judges an event and, if it is the next one, counts it as delivered.
+	 * @param event the event
+	 * @return the verdict; the caller delivers the event only for {@link Verdict#DELIVER}
+	 */
+	public Verdict accept(TokenEvent event) {
+		Verdict verdict = judge(event);
+		this.verdicts.incrementAndGet(verdict.ordinal());
+		return verdict;
+	}
+
+	private Verdict judge(TokenEvent event) {
+		boolean covers = event.covers(this.layers);
+		while (true) {
+			long current = this.word.get();
+			Verdict verdict = compare(current, event);
+			if (verdict != Verdict.DELIVER) {
+				return verdict;
+			}
+			if (!covers) {
+				return Verdict.BAD_TRACE;
+			}
+			long next = word(event.epoch(), event.index() + 1) | (event.last() ? ENDED_BIT : 0);
+			if (this.word.compareAndSet(current, next)) {
+				return Verdict.DELIVER;
+			}
+		}
+	}
+
+	private static Verdict compare(long current, TokenEvent event) {
+		if ((current & ENDED_BIT) != 0) {
+			return Verdict.ENDED;
+		}
+		if (event.epoch() != epoch(current)) {
+			return (event.epoch() < epoch(current)) ? Verdict.OLD_EPOCH : Verdict.FUTURE_EPOCH;
+		}
+		if (event.index() != next(current)) {
+			return (event.index() < next(current)) ? Verdict.DUPLICATE : Verdict.GAP;
+		}
+		return Verdict.DELIVER;
+	}
+
+	/**
+	 * Moves to the next epoch, so that no event of the current one is accepted any more.
+	 * @return the new epoch and the index at which it continues
+	 * @throws IllegalStateException if the reply has ended
+	 */
+	public ReplyPosition advance() {
+		long moved = this.word.updateAndGet(
+				(current) -> ((current & ENDED_BIT) != 0) ? current : word(epoch(current) + 1, next(current)));
+		if ((moved & ENDED_BIT) != 0) {
+			throw new IllegalStateException("the reply has ended; no epoch follows");
+		}
+		return new ReplyPosition(epoch(moved), next(moved));
+	}
+
+	/**
+	 * Ends the reply; no event is accepted any more.
+	 * @return the position at which it ended
+	 */
+	public ReplyPosition end() {
+		long ended = this.word.updateAndGet((current) -> current | ENDED_BIT);
+		return new ReplyPosition(epoch(ended), next(ended));
+	}
+
+	/**
+	 * Returns the current position.
+	 * @return epoch and next index
+	 */
+	public ReplyPosition position() {
+		long current = this.word.get();
+		return new ReplyPosition(epoch(current), next(current));
+	}
+
+	/**
+	 * Tells whether the reply has ended.
+	 * @return whether the last token was delivered or {@link #end()} was called
+	 */
+	public boolean ended() {
+		return (this.word.get() & ENDED_BIT) != 0;
+	}
+
+	/**
+	 * Returns how often a verdict was given.
+	 * @param verdict the verdict
+	 * @return number of events
+	 */
+	public long count(Verdict verdict) {
+		return this.verdicts.get(verdict.ordinal());
+	}
+
+	/**
+	 * Returns the number of events that were not delivered.
+	 * @return number of dropped events
+	 */
+	public long dropped() {
+		long sum = 0;
+		for (Verdict verdict : Verdict.values()) {
+			sum += (verdict != Verdict.DELIVER) ? count(verdict) : 0;
+		}
+		return sum;
+	}
+
+	private static long word(int epoch, int next) {
+		return ((long) epoch << EPOCH_SHIFT) | next;
+	}
+
+	private static int epoch(long word) {
+		return (int) (word >>> EPOCH_SHIFT);
+	}
+
+	private static int next(long word) {
+		return (int) (word & INDEX_MASK);
+	}
+
+}
--- /dev/null
+++ b/bilberryvalve-policy/src/main/java/io/bilberryvalve/policy/outcome/Verdict.java
@@ -0,0 +1,43 @@
+package io.bilberryvalve.policy.outcome;
+
+/**
+ * What happens to a token event.
+ */
+public enum Verdict {
+
+	/** The event is the next one and is delivered. */
+	DELIVER,
+
+	/** The event belongs to an earlier epoch and is dropped. */
+	OLD_EPOCH,
+
+	/** The event belongs to an epoch that has not started and is dropped. */
+	FUTURE_EPOCH,
+
+	/** The token was delivered before; the event is dropped. */
+	DUPLICATE,
+
+	/**
+	 * An event before this one is missing; the event is dropped and the attempt cannot
+	 * continue.
+	 */
+	GAP,
+
+	/**
+	 * A layer is missing, repeated or out of order; the event is dropped and the attempt
+	 * cannot continue.
+	 */
+	BAD_TRACE,
+
+	/** The reply has ended; the event is dropped. */
+	ENDED;
+
+	/**
+	 * Tells whether the attempt that sent the event must be replaced.
+	 * @return whether the event shows a fault of the current attempt
+	 */
+	public boolean fault() {
+		return this == GAP || this == BAD_TRACE;
+	}
+
+}
