--- /dev/null
+++ b/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/call/CallDispatcher.java
@@ -0,0 +1,93 @@
+package io.bilberryvalve.daemon.call;
+
+import java.time.Clock;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+
+import io.bilberryvalve.model.ApplicationRunner;
+
+/**
+ * Sends a call to the runners of its application until one accepts it.
+ */
+public final class CallDispatcher {
+
+	/** Smallest part of the time that a retry of an idempotent call leaves to others. */
+	private static final int ATTEMPT_FRACTION = 2;
+
+	private final RunnerRotation rotation;
+
+	private final ApplicationClient client;
+
+	private final RetryAllowance retries;
+
+	private final Clock clock;
+
+	/**
+	 * Creates a dispatcher.
+	 * @param rotation chooses runners
+	 * @param client sends calls
+	 * @param retries limits the retries of idempotent calls
+	 * @param clock monotonic clock
+	 */
+	public CallDispatcher(RunnerRotation rotation, ApplicationClient client, RetryAllowance retries, Clock clock) {
+		this.rotation = rotation;
+		this.client = client;
+		this.retries = retries;
+		this.clock = clock;
+	}
+
+	/**
+	 * Dispatches a call that must not be repeated. It goes to the next runner only after
+	 * a runner refused the connection before any byte was sent.
+	 * @param call the call
+	 * @param deadline when the caller stops waiting
+	 * @return the reply
+	 */
+	public CompletionStage<ApplicationClient.Reply> once(ApplicationCall call, Instant deadline) {
+		return attempt(call, deadline, this.rotation.candidates(call.application()), 0, false);
+	}
+
+	/**
+	 * Dispatches an idempotent call. A lost answer is retried at the next runner if the
+	 * retry allowance and the deadline permit.
+	 * @param call the call
+	 * @param deadline when the caller stops waiting
+	 * @return the reply
+	 */
+	public CompletionStage<ApplicationClient.Reply> idempotent(ApplicationCall call, Instant deadline) {
+		this.retries.attempted();
+		return attempt(call, deadline, this.rotation.candidates(call.application()), 0, true);
+	}
+
+	private CompletionStage<ApplicationClient.Reply> attempt(ApplicationCall call, Instant deadline,
+			List<ApplicationRunner> runners, int index, boolean idempotent) {
+		Duration left = Duration.between(this.clock.instant(), deadline);
+		if (index >= runners.size() || left.isNegative() || left.isZero()) {
+			return CompletableFuture.completedFuture(new ApplicationClient.Reply.NotSent(
+					(index >= runners.size()) ? "no runner accepted a connection" : "the deadline passed"));
+		}
+		ApplicationRunner runner = runners.get(index);
+		boolean last = index + 1 == runners.size();
+		Duration timeout = (idempotent && !last) ? left.dividedBy(ATTEMPT_FRACTION) : left;
+		return this.client.send(runner, call, timeout).thenCompose((reply) -> {
+			boolean notSent = reply instanceof ApplicationClient.Reply.NotSent;
+			this.rotation.report(runner.id(), !notSent);
+			if (notSent) {
+				return attempt(call, deadline, runners, index + 1, idempotent);
+			}
+			if (reply instanceof ApplicationClient.Reply.Lost && mayRetry(idempotent, last, deadline)) {
+				return attempt(call, deadline, runners, index + 1, true)
+					.thenApply((next) -> (next instanceof ApplicationClient.Reply.NotSent) ? reply : next);
+			}
+			return CompletableFuture.completedFuture(reply);
+		});
+	}
+
+	private boolean mayRetry(boolean idempotent, boolean last, Instant deadline) {
+		return idempotent && !last && this.clock.instant().isBefore(deadline) && this.retries.tryRetry();
+	}
+
+}
--- /dev/null
+++ b/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/call/CallHandler.java
@@ -0,0 +1,216 @@
+package io.bilberryvalve.daemon.call;
+
+import java.time.Clock;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.atomic.AtomicReference;
+
+import io.bilberryvalve.daemon.configuration.ConfigurationSource;
+import io.bilberryvalve.daemon.http.Access;
+import io.bilberryvalve.daemon.http.Bodies;
+import io.bilberryvalve.daemon.http.Exchange;
+import io.bilberryvalve.daemon.http.Problems;
+import io.bilberryvalve.daemon.http.Route;
+import io.bilberryvalve.model.Problem;
+import io.bilberryvalve.model.ProblemKind;
+import io.bilberryvalve.model.Result;
+import io.bilberryvalve.model.VmId;
+import io.bilberryvalve.policy.once.ExecutionAnswer;
+import io.bilberryvalve.policy.once.ExecutionKey;
+import io.bilberryvalve.policy.once.IssuedKeys;
+import io.servicetalk.buffer.netty.BufferAllocators;
+import io.servicetalk.concurrent.api.Publisher;
+import io.servicetalk.concurrent.api.Single;
+import io.servicetalk.http.api.HttpRequestMethod;
+import io.servicetalk.http.api.HttpResponseStatus;
+import io.servicetalk.http.api.StreamingHttpResponse;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Answers calls of applications and requests for keys.
+ */
+public final class CallHandler {
+
+	/** Largest answer kept for repeated requests, in characters of its text form. */
+	static final int MAX_STORED_RESULT = 256 << 10;
+
+	/** Status of a stored answer whose body was too large to keep. */
+	private static final int NOT_KEPT = 0;
+
+	private final CallRights rights;
+
+	private final Bodies bodies;
+
+	private final CallDispatcher dispatcher;
+
+	private final ExecutionStore store;
+
+	private final IssuedCalls issued;
+
+	private final CallTimeouts timeouts;
+
+	/**
+	 * Creates a handler.
+	 * @param configuration gives the rights of callers
+	 * @param bodies reads request bodies
+	 * @param dispatcher sends calls to runners
+	 * @param store makes calls with keys chosen by callers
+	 * @param issued makes calls with issued keys
+	 * @param timeout deadline of a request that states none
+	 * @param clock monotonic clock
+	 */
+	public CallHandler(ConfigurationSource configuration, Bodies bodies, CallDispatcher dispatcher,
+			ExecutionStore store, IssuedCalls issued, Duration timeout, Clock clock) {
+		this.rights = new CallRights(configuration);
+		this.bodies = bodies;
+		this.dispatcher = dispatcher;
+		this.store = store;
+		this.issued = issued;
+		this.timeouts = new CallTimeouts(timeout, clock);
+	}
+
+	/**
+	 * Returns the routes.
+	 * @return the routes for calls and keys
+	 */
+	public List<Route> routes() {
+		return List.of(Route.of(HttpRequestMethod.POST, "/v1/applications/{application}/{operation}", Access.CALLER,
+				true, this::call), Route.of(HttpRequestMethod.POST, "/v1/keys", Access.CALLER, true, this::issue));
+	}
+
+	private Single<StreamingHttpResponse> issue(Exchange exchange) {
+		Optional<String> key = this.issued.issue(exchange.caller().club());
+		if (key.isEmpty()) {
+			Problem problem = Problem
+				.notRun(ProblemKind.OVERLOADED, "this entry has issued too many keys", "repeat the request later")
+				.retryAfter(Duration.ofSeconds(1));
+			return Single.succeeded(Problems.response(exchange.responses(), problem));
+		}
+		String body = "{\"key\":\"" + key.get() + "\",\"ttlSeconds\":" + IssuedKeys.LIFETIME.toSeconds() + "}";
+		StreamingHttpResponse response = exchange.responses().created();
+		response.headers().set("content-type", "application/json");
+		return Single
+			.succeeded(response.payloadBody(Publisher.from(BufferAllocators.DEFAULT_ALLOCATOR.fromUtf8(body))));
+	}
+
+	private Single<StreamingHttpResponse> call(Exchange exchange) {
+		Result<CallRights.Grant> grant = this.rights.check(exchange.caller(), exchange.segments().get(2),
+				exchange.segments().get(3));
+		if (grant instanceof Result.Failed<CallRights.Grant> failed) {
+			return Single.succeeded(Problems.response(exchange.responses(), failed.problem()));
+		}
+		CallRights.Grant granted = ((Result.Ok<CallRights.Grant>) grant).value();
+		Result<Instant> deadline = this.timeouts.deadline(exchange);
+		if (deadline instanceof Result.Failed<Instant> failed) {
+			return Single.succeeded(Problems.response(exchange.responses(), failed.problem()));
+		}
+		Instant until = ((Result.Ok<Instant>) deadline).value();
+		return this.bodies.read(exchange).flatMap((body) -> {
+			CompletionStage<Result<CallReply>> reply = (body instanceof Result.Ok<byte[]> ok)
+					? run(exchange, granted, ok.value(), until)
+					: CompletableFuture.completedFuture(Result.failed(((Result.Failed<byte[]>) body).problem()));
+			return Single.fromStage(reply).map((result) -> response(exchange, result));
+		});
+	}
+
+	private CompletionStage<Result<CallReply>> run(Exchange exchange, CallRights.Grant grant, byte[] body,
+			Instant deadline) {
+		CharSequence header = exchange.request().headers().get("idempotency-key");
+		String key = (header != null) ? header.toString() : null;
+		CharSequence type = exchange.request().headers().get("content-type", "application/octet-stream");
+		ApplicationCall call = new ApplicationCall(exchange.caller().club(), grant.application(), grant.operation(),
+				type.toString(), body, key);
+		if (grant.idempotent()) {
+			return this.dispatcher.idempotent(call, deadline).thenApply(CallHandler::idempotentResult);
+		}
+		if (key == null) {
+			return failed(Problem.notRun(ProblemKind.BAD_REQUEST,
+					"operation " + grant.operation() + " must not be repeated, and the request has no Idempotency-Key",
+					"add the header Idempotency-Key with a key of your choice or one from POST /v1/keys"));
+		}
+		return once(key, call, deadline);
+	}
+
+	private CompletionStage<Result<CallReply>> once(String key, ApplicationCall call, Instant deadline) {
+		if (key.startsWith(IssuedKeys.PREFIX)) {
+			VmId issuer = IssuedKeys.issuer(key).orElse(null);
+			return (issuer != null) ? this.issued.call(issuer, key, call, deadline)
+					: failed(Problem.notRun(ProblemKind.BAD_REQUEST, "the issued key is malformed",
+							"send the key from POST /v1/keys unchanged"));
+		}
+		ExecutionKey execution;
+		try {
+			execution = new ExecutionKey(call.club(), key);
+		}
+		catch (IllegalArgumentException ex) {
+			return failed(CallProblems.malformed(ex));
+		}
+		return recorded(execution, call, deadline);
+	}
+
+	private CompletionStage<Result<CallReply>> recorded(ExecutionKey key, ApplicationCall call, Instant deadline) {
+		AtomicReference<@Nullable CallResult> full = new AtomicReference<>();
+		return this.store
+			.call(key, call.digest(), deadline, () -> this.dispatcher.once(call, deadline).thenApply((reply) -> {
+				if (reply instanceof ApplicationClient.Reply.Answered answered) {
+					full.set(answered.result());
+				}
+				return IssuedCalls.DispatchEnds.of(stored(reply));
+			}))
+			.thenApply((answer) -> recordedResult(answer, full.get()));
+	}
+
+	private static ApplicationClient.Reply stored(ApplicationClient.Reply reply) {
+		if (reply instanceof ApplicationClient.Reply.Answered answered
+				&& answered.result().encode().length() > MAX_STORED_RESULT) {
+			return new ApplicationClient.Reply.Answered(new CallResult(NOT_KEPT, "", new byte[0]));
+		}
+		return reply;
+	}
+
+	private static Result<CallReply> recordedResult(ExecutionAnswer answer, @Nullable CallResult full) {
+		if (!(answer instanceof ExecutionAnswer.Completed completed)) {
+			return Result.failed(CallProblems.of(answer));
+		}
+		CallResult result = (full != null) ? full : CallResult.decode(completed.result());
+		return (result.status() != NOT_KEPT) ? Result.ok(new CallReply(result, completed.repeated()))
+				: Result.failed(CallProblems.completedWithoutBody());
+	}
+
+	private static Result<CallReply> idempotentResult(ApplicationClient.Reply reply) {
+		if (reply instanceof ApplicationClient.Reply.Answered answered) {
+			return Result.ok(new CallReply(answered.result(), false));
+		}
+		if (reply instanceof ApplicationClient.Reply.NotSent) {
+			return Result.failed(CallProblems.noUpstream());
+		}
+		return Result.failed(
+				Problem
+					.unknown(ProblemKind.RUNNER_FAILED, "the runner did not answer",
+							"repeat the request; the operation is idempotent")
+					.retryAfter(Duration.ofSeconds(1)));
+	}
+
+	private static StreamingHttpResponse response(Exchange exchange, Result<CallReply> result) {
+		if (result instanceof Result.Failed<CallReply> failed) {
+			return Problems.response(exchange.responses(), failed.problem());
+		}
+		CallReply reply = ((Result.Ok<CallReply>) result).value();
+		CallResult value = reply.result();
+		StreamingHttpResponse response = exchange.responses().newResponse(HttpResponseStatus.of(value.status(), ""));
+		response.headers().set("content-type", value.contentType());
+		if (reply.repeated()) {
+			response.headers().set("idempotency-replayed", "true");
+		}
+		return response.payloadBody(Publisher.from(BufferAllocators.DEFAULT_ALLOCATOR.wrap(value.body())));
+	}
+
+	private static CompletionStage<Result<CallReply>> failed(Problem problem) {
+		return CompletableFuture.completedFuture(Result.failed(problem));
+	}
+
+}
--- /dev/null
+++ b/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/call/CallRights.java
@@ -0,0 +1,69 @@
+package io.bilberryvalve.daemon.call;
+
+import io.bilberryvalve.config.ClubPart;
+import io.bilberryvalve.daemon.configuration.ConfigurationSource;
+import io.bilberryvalve.daemon.http.Principal;
+import io.bilberryvalve.model.ApplicationId;
+import io.bilberryvalve.model.OperationId;
+import io.bilberryvalve.model.Problem;
+import io.bilberryvalve.model.ProblemKind;
+import io.bilberryvalve.model.Result;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Checks whether a caller may call an operation.
+ */
+final class CallRights {
+
+	private final ConfigurationSource configuration;
+
+	CallRights(ConfigurationSource configuration) {
+		this.configuration = configuration;
+	}
+
+	Result<Grant> check(Principal.Caller caller, String application, String operation) {
+		ClubPart.Application found = application(caller, application);
+		if (found == null) {
+			return Result.failed(Problem.notRun(ProblemKind.NOT_FOUND,
+					"club " + caller.club() + " has no application '" + application + "'",
+					"use an application of the club's configuration"));
+		}
+		if (!found.callers().contains(caller.caller())) {
+			return Result.failed(Problem.notRun(ProblemKind.FORBIDDEN,
+					"caller " + caller.caller() + " may not use application " + application,
+					"ask an operator of the club to add the caller to the application"));
+		}
+		for (ClubPart.Operation candidate : found.operations()) {
+			if (candidate.operation().value().equals(operation)) {
+				return Result.ok(new Grant(found.application(), candidate.operation(), candidate.idempotent()));
+			}
+		}
+		return Result.failed(Problem.notRun(ProblemKind.NOT_FOUND,
+				"application " + application + " has no operation '" + operation + "'",
+				"use an operation of the club's configuration"));
+	}
+
+	private ClubPart.@Nullable Application application(Principal.Caller caller, String name) {
+		ClubPart part = this.configuration.current().clubs().get(caller.club());
+		if (part == null) {
+			return null;
+		}
+		return part.applications()
+			.stream()
+			.filter((application) -> application.application().value().equals(name))
+			.findFirst()
+			.orElse(null);
+	}
+
+	/**
+	 * The right to call an operation.
+	 *
+	 * @param application the application
+	 * @param operation the operation
+	 * @param idempotent whether repeating a call is harmless
+	 */
+	record Grant(ApplicationId application, OperationId operation, boolean idempotent) {
+
+	}
+
+}
--- /dev/null
+++ b/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/call/CallTimeouts.java
@@ -0,0 +1,46 @@
+package io.bilberryvalve.daemon.call;
+
+import java.time.Clock;
+import java.time.Duration;
+import java.time.Instant;
+
+import io.bilberryvalve.daemon.http.Exchange;
+import io.bilberryvalve.model.Problem;
+import io.bilberryvalve.model.ProblemKind;
+import io.bilberryvalve.model.Result;
+
+/**
+ * Reads the deadline of a request.
+ */
+final class CallTimeouts {
+
+	private static final long MAX_MILLIS = Duration.ofMinutes(10).toMillis();
+
+	private final Duration timeout;
+
+	private final Clock clock;
+
+	CallTimeouts(Duration timeout, Clock clock) {
+		this.timeout = timeout;
+		this.clock = clock;
+	}
+
+	Result<Instant> deadline(Exchange exchange) {
+		CharSequence header = exchange.request().headers().get("x-request-timeout");
+		if (header == null) {
+			return Result.ok(this.clock.instant().plus(this.timeout));
+		}
+		try {
+			long millis = Long.parseLong(header.toString().trim());
+			if (millis > 0) {
+				return Result.ok(this.clock.instant().plusMillis(Math.min(millis, MAX_MILLIS)));
+			}
+		}
+		catch (NumberFormatException ex) {
+			// Reported below like a number that is not positive.
+		}
+		return Result.failed(Problem.notRun(ProblemKind.BAD_REQUEST, "X-Request-Timeout is not valid",
+				"give a positive number of milliseconds"));
+	}
+
+}
--- /dev/null
+++ b/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/call/HttpApplicationClient.java
@@ -0,0 +1,92 @@
+package io.bilberryvalve.daemon.call;
+
+import java.net.ConnectException;
+import java.net.InetSocketAddress;
+import java.net.URLEncoder;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.Map;
+import java.util.concurrent.CompletionException;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.ConcurrentHashMap;
+
+import io.bilberryvalve.model.Address;
+import io.bilberryvalve.model.ApplicationRunner;
+import io.servicetalk.client.api.NoActiveHostException;
+import io.servicetalk.client.api.NoAvailableHostException;
+import io.servicetalk.http.api.HttpClient;
+import io.servicetalk.http.api.HttpRequest;
+import io.servicetalk.http.api.HttpResponse;
+import io.servicetalk.http.netty.HttpClients;
+import io.servicetalk.http.netty.RetryingHttpRequesterFilter;
+import io.servicetalk.transport.api.ServiceTalkSocketOptions;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Sends calls over HTTP/1.1. A call that times out closes its connection, so a silent
+ * connection is not used again.
+ */
+public final class HttpApplicationClient implements ApplicationClient, AutoCloseable {
+
+	private static final String OCTETS = "application/octet-stream";
+
+	private final Duration connectTimeout;
+
+	private final Map<Address, HttpClient> clients = new ConcurrentHashMap<>();
+
+	/**
+	 * Creates a client without connections.
+	 * @param connectTimeout how long opening a connection may take
+	 */
+	public HttpApplicationClient(Duration connectTimeout) {
+		this.connectTimeout = connectTimeout;
+	}
+
+	@Override
+	public CompletionStage<Reply> send(ApplicationRunner runner, ApplicationCall call, Duration timeout) {
+		HttpClient client = this.clients.computeIfAbsent(runner.address(), this::client);
+		String operation = URLEncoder.encode(call.operation().value(), StandardCharsets.UTF_8);
+		HttpRequest request = client.post("/v1/operations/" + operation);
+		request.headers().set("content-type", call.contentType());
+		if (call.key() != null) {
+			request.headers().set("idempotency-key", upstreamKey(call, call.key()));
+		}
+		request.payloadBody(client.executionContext().bufferAllocator().wrap(call.body()));
+		return client.request(request).timeout(timeout).toCompletionStage().handle(HttpApplicationClient::reply);
+	}
+
+	// Two clubs may choose the same key for calls of the same runner.
+	private static String upstreamKey(ApplicationCall call, String key) {
+		return call.club() + "/" + key;
+	}
+
+	private static Reply reply(@Nullable HttpResponse response, @Nullable Throwable error) {
+		if (response != null) {
+			byte[] body = new byte[response.payloadBody().readableBytes()];
+			response.payloadBody().readBytes(body);
+			CharSequence type = response.headers().get("content-type", OCTETS);
+			return new Reply.Answered(new CallResult(response.status().code(), type.toString(), body));
+		}
+		Throwable cause = (error instanceof CompletionException) ? error.getCause() : error;
+		return notSent(cause) ? new Reply.NotSent(String.valueOf(cause)) : new Reply.Lost(String.valueOf(cause));
+	}
+
+	// Only a failure to connect proves that no byte of the request was sent.
+	private static boolean notSent(@Nullable Throwable cause) {
+		return cause instanceof ConnectException || cause instanceof NoAvailableHostException
+				|| cause instanceof NoActiveHostException;
+	}
+
+	private HttpClient client(Address address) {
+		return HttpClients.forResolvedAddress(new InetSocketAddress(address.host(), address.port()))
+			.socketOption(ServiceTalkSocketOptions.CONNECT_TIMEOUT, (int) this.connectTimeout.toMillis())
+			.appendClientFilter(RetryingHttpRequesterFilter.disableAutoRetries())
+			.build();
+	}
+
+	@Override
+	public void close() {
+		this.clients.values().forEach((client) -> client.closeAsync().subscribe());
+	}
+
+}
--- /dev/null
+++ b/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/call/IssuedCalls.java
@@ -0,0 +1,165 @@
+package io.bilberryvalve.daemon.call;
+
+import java.time.Clock;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+
+import com.google.protobuf.ByteString;
+import com.google.protobuf.InvalidProtocolBufferException;
+import io.bilberryvalve.daemon.peer.MessageKind;
+import io.bilberryvalve.daemon.peer.PeerNetwork;
+import io.bilberryvalve.model.ApplicationId;
+import io.bilberryvalve.model.ClubId;
+import io.bilberryvalve.model.OperationId;
+import io.bilberryvalve.model.Problem;
+import io.bilberryvalve.model.Result;
+import io.bilberryvalve.model.VmId;
+import io.bilberryvalve.policy.once.DispatchEnd;
+import io.bilberryvalve.policy.once.IssuedKeys;
+import io.bilberryvalve.wire.proto.CallMessages.KeyCall;
+import io.bilberryvalve.wire.proto.CallMessages.KeyReply;
+
+/**
+ * Makes calls with issued keys: those of this entry here, those of other entries through
+ * their issuers.
+ */
+public final class IssuedCalls {
+
+	/** Time for the messages between the entries, taken off the caller's deadline. */
+	private static final Duration FORWARDING = Duration.ofMillis(50);
+
+	private final VmId vm;
+
+	private final IssuedKeys keys;
+
+	private final CallDispatcher dispatcher;
+
+	private final PeerNetwork peers;
+
+	private final Clock clock;
+
+	/**
+	 * Creates the calls of an entry and answers the calls of other entries.
+	 * @param vm the VM of this entry
+	 * @param keys keys of this incarnation; this object must be their only user
+	 * @param dispatcher sends calls to runners
+	 * @param peers the other entries
+	 * @param clock monotonic clock
+	 */
+	public IssuedCalls(VmId vm, IssuedKeys keys, CallDispatcher dispatcher, PeerNetwork peers, Clock clock) {
+		this.vm = vm;
+		this.keys = keys;
+		this.dispatcher = dispatcher;
+		this.peers = peers;
+		this.clock = clock;
+		peers.answer(MessageKind.KEY_CALL, (sender, body) -> answer(body));
+	}
+
+	Optional<String> issue(ClubId club) {
+		synchronized (this.keys) {
+			return this.keys.issue(club);
+		}
+	}
+
+	CompletionStage<Result<CallReply>> call(VmId issuer, String key, ApplicationCall call, Instant deadline) {
+		return issuer.equals(this.vm) ? local(key, call, call.digest(), deadline)
+				: forward(issuer, key, call, deadline);
+	}
+
+	private CompletionStage<Result<CallReply>> local(String key, ApplicationCall call, String digest,
+			Instant deadline) {
+		IssuedKeys.Decision decision;
+		String result;
+		synchronized (this.keys) {
+			decision = this.keys.call(key, call.club(), digest);
+			result = this.keys.result(key);
+		}
+		if (decision == IssuedKeys.Decision.DISPATCH) {
+			return dispatch(key, call, deadline);
+		}
+		if (decision == IssuedKeys.Decision.COMPLETED && result != null) {
+			return CompletableFuture.completedFuture(Result.ok(new CallReply(CallResult.decode(result), true)));
+		}
+		return CompletableFuture.completedFuture(Result.failed(CallProblems.issued(decision)));
+	}
+
+	private CompletionStage<Result<CallReply>> dispatch(String key, ApplicationCall call, Instant deadline) {
+		return this.dispatcher.once(call, deadline)
+			.exceptionally((error) -> new ApplicationClient.Reply.Lost(error.toString()))
+			.thenApply((reply) -> {
+				synchronized (this.keys) {
+					this.keys.end(key, DispatchEnds.of(reply));
+				}
+				if (reply instanceof ApplicationClient.Reply.Answered answered) {
+					return Result.ok(new CallReply(answered.result(), false));
+				}
+				boolean notSent = reply instanceof ApplicationClient.Reply.NotSent;
+				return Result.failed(notSent ? CallProblems.noUpstream() : CallProblems.lost());
+			});
+	}
+
+	private CompletionStage<Result<CallReply>> forward(VmId issuer, String key, ApplicationCall call,
+			Instant deadline) {
+		Duration left = Duration.between(this.clock.instant(), deadline);
+		KeyCall message = KeyCall.newBuilder()
+			.setClub(call.club().value())
+			.setApplication(call.application().value())
+			.setOperation(call.operation().value())
+			.setKey(key)
+			.setRequestDigest(call.digest())
+			.setContentType(call.contentType())
+			.setBody(ByteString.copyFrom(call.body()))
+			.setTimeoutMillis(Math.max(0, left.minus(FORWARDING).toMillis()))
+			.build();
+		return this.peers.call(issuer, MessageKind.KEY_CALL, message.toByteArray(), left)
+			.handle((result, error) -> (result instanceof Result.Ok<byte[]> ok) ? received(issuer, ok.value())
+					: Result.failed(CallProblems.issuerLost(issuer)));
+	}
+
+	private static Result<CallReply> received(VmId issuer, byte[] bytes) {
+		try {
+			return CallMessageCodec.result(KeyReply.parseFrom(bytes));
+		}
+		catch (InvalidProtocolBufferException | IllegalArgumentException ex) {
+			return Result.failed(CallProblems.issuerLost(issuer));
+		}
+	}
+
+	private CompletionStage<byte[]> answer(byte[] body) {
+		try {
+			KeyCall message = KeyCall.parseFrom(body);
+			ApplicationCall call = new ApplicationCall(new ClubId(message.getClub()),
+					new ApplicationId(message.getApplication()), new OperationId(message.getOperation()),
+					message.getContentType(), message.getBody().toByteArray(), message.getKey());
+			Instant deadline = this.clock.instant().plusMillis(message.getTimeoutMillis());
+			return local(message.getKey(), call, message.getRequestDigest(), deadline)
+				.thenApply((result) -> CallMessageCodec.reply(result).toByteArray());
+		}
+		catch (InvalidProtocolBufferException | IllegalArgumentException ex) {
+			Problem problem = CallProblems.malformed(ex);
+			return CompletableFuture.completedFuture(CallMessageCodec.reply(Result.failed(problem)).toByteArray());
+		}
+	}
+
+	/**
+	 * Translates replies.
+	 */
+	static final class DispatchEnds {
+
+		private DispatchEnds() {
+		}
+
+		static DispatchEnd of(ApplicationClient.Reply reply) {
+			if (reply instanceof ApplicationClient.Reply.Answered answered) {
+				return new DispatchEnd.Replied(answered.result().encode());
+			}
+			return (reply instanceof ApplicationClient.Reply.NotSent) ? new DispatchEnd.NotSent()
+					: new DispatchEnd.Lost();
+		}
+
+	}
+
+}
--- /dev/null
+++ b/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/call/RecordCodec.java
@@ -0,0 +1,64 @@
+package io.bilberryvalve.daemon.call;
+
+import java.io.IOException;
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
+import java.time.Instant;
+import java.util.Locale;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.bilberryvalve.model.log.LogEvent;
+import io.bilberryvalve.policy.once.ExecutionRecord;
+
+/**
+ * Text form of execution records in the table service.
+ */
+final class RecordCodec {
+
+	private static final Logger LOGGER = System.getLogger(RecordCodec.class.getName());
+
+	private static final ObjectMapper JSON = new ObjectMapper();
+
+	private RecordCodec() {
+	}
+
+	static String encode(ExecutionRecord record) {
+		ObjectNode node = JSON.createObjectNode()
+			.put("digest", record.requestDigest())
+			.put("token", record.token())
+			.put("state", record.state().name().toLowerCase(Locale.ROOT))
+			.put("createdAtMillis", record.createdAt().toEpochMilli());
+		if (record.result() != null) {
+			node.put("result", record.result());
+		}
+		return node.toString();
+	}
+
+	/**
+	 * Parses a record. A damaged one counts as a young reservation of an unknown request,
+	 * so that its key is not used again.
+	 * @param text the text
+	 * @param now the time
+	 * @return the record
+	 */
+	static ExecutionRecord decode(String text, Instant now) {
+		try {
+			return parse(text);
+		}
+		catch (IOException | IllegalArgumentException ex) {
+			LogEvent.of("execution-record-damaged").with("error", ex).log(LOGGER, Level.ERROR);
+			return new ExecutionRecord("", "", ExecutionRecord.State.RESERVED, now, null);
+		}
+	}
+
+	private static ExecutionRecord parse(String text) throws IOException {
+		JsonNode node = JSON.readTree(text);
+		JsonNode result = node.get("result");
+		return new ExecutionRecord(node.path("digest").asText(), node.path("token").asText(),
+				ExecutionRecord.State.valueOf(node.path("state").asText().toUpperCase(Locale.ROOT)),
+				Instant.ofEpochMilli(node.path("createdAtMillis").asLong()), (result != null) ? result.asText() : null);
+	}
+
+}
--- /dev/null
+++ b/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/call/RetryAllowance.java
@@ -0,0 +1,19 @@
+package io.bilberryvalve.daemon.call;
+
+/**
+ * Limits the retries of idempotent calls.
+ */
+public interface RetryAllowance {
+
+	/**
+	 * Counts a first attempt.
+	 */
+	void attempted();
+
+	/**
+	 * Asks to send a retry.
+	 * @return whether the retry may be sent
+	 */
+	boolean tryRetry();
+
+}
--- /dev/null
+++ b/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/call/RunnerRotation.java
@@ -0,0 +1,82 @@
+package io.bilberryvalve.daemon.call;
+
+import java.time.Clock;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicInteger;
+
+import io.bilberryvalve.daemon.configuration.ConfigurationSource;
+import io.bilberryvalve.model.ApplicationId;
+import io.bilberryvalve.model.ApplicationRunner;
+import io.bilberryvalve.model.RunnerId;
+
+/**
+ * Chooses application runners in turn. A runner that refused a connection comes last for
+ * a while.
+ */
+public final class RunnerRotation {
+
+	private static final Duration PAUSE = Duration.ofSeconds(1);
+
+	private final ConfigurationSource configuration;
+
+	private final Clock clock;
+
+	private final AtomicInteger turn = new AtomicInteger();
+
+	private final Map<RunnerId, Instant> pausedUntil = new ConcurrentHashMap<>();
+
+	/**
+	 * Creates a rotation.
+	 * @param configuration gives the runners
+	 * @param clock monotonic clock
+	 */
+	public RunnerRotation(ConfigurationSource configuration, Clock clock) {
+		this.configuration = configuration;
+		this.clock = clock;
+	}
+
+	/**
+	 * Returns the runners of an application in the order in which to try them.
+	 * @param application the application
+	 * @return the runners, paused ones last; empty if the application has none
+	 */
+	public List<ApplicationRunner> candidates(ApplicationId application) {
+		List<ApplicationRunner> runners = this.configuration.current()
+			.federation()
+			.applicationRunners()
+			.stream()
+			.filter((runner) -> runner.application().equals(application))
+			.toList();
+		List<ApplicationRunner> live = new ArrayList<>();
+		List<ApplicationRunner> paused = new ArrayList<>();
+		int start = Math.floorMod(this.turn.getAndIncrement(), Math.max(1, runners.size()));
+		Instant now = this.clock.instant();
+		for (int i = 0; i < runners.size(); i++) {
+			ApplicationRunner runner = runners.get((start + i) % runners.size());
+			boolean pausing = now.isBefore(this.pausedUntil.getOrDefault(runner.id(), Instant.MIN));
+			(pausing ? paused : live).add(runner);
+		}
+		live.addAll(paused);
+		return live;
+	}
+
+	/**
+	 * Takes the result of an attempt to reach a runner.
+	 * @param runner the runner
+	 * @param connected whether it accepted a connection
+	 */
+	public void report(RunnerId runner, boolean connected) {
+		if (connected) {
+			this.pausedUntil.remove(runner);
+		}
+		else {
+			this.pausedUntil.put(runner, this.clock.instant().plus(PAUSE));
+		}
+	}
+
+}
