--- a/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/call/ExecutionStore.java
+++ b/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/call/ExecutionStore.java
@@ -186,7 +186,7 @@
 			return new OnceEvent.Refused(commit.batch(), failure.kind() == StoreFailure.Kind.RATE_LIMITED,
 					failure.retryAfter());
 		}
-		LogEvent.of("execution-write-unresolved").with("batch", commit.batch()).log(LOGGER, Level.INFO);
+		LogEvent.of("execution-write-unresolved").with("batch", commit.batch()).log(LOGGER, Level.DEBUG);
 		return new OnceEvent.Unknown(commit.batch());
 	}
 
--- /dev/null
+++ b/bilberryvalve-daemon/src/test/java/io/bilberryvalve/daemon/call/CallSimulation.java
@@ -0,0 +1,150 @@
+package io.bilberryvalve.daemon.call;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+
+import io.bilberryvalve.model.clock.ManualClock;
+import io.bilberryvalve.platform.memory.Fault;
+import io.bilberryvalve.platform.memory.MemoryTables;
+import io.bilberryvalve.policy.once.DispatchEnd;
+import io.bilberryvalve.policy.once.ExecutionAnswer;
+import io.bilberryvalve.policy.once.OnceLimits;
+
+/**
+ * Entries, a table service and an upstream under faults.
+ */
+final class CallSimulation {
+
+	static final Duration TIMEOUT = Duration.ofSeconds(2);
+
+	private final ManualClock clock = new ManualClock();
+
+	private final MemoryTables tables = new MemoryTables();
+
+	private final OnceLimits limits;
+
+	private final List<SimulatedEntry> entries = new ArrayList<>();
+
+	private final List<Dispatched> dispatched = new ArrayList<>();
+
+	private final CallHistory history = new CallHistory();
+
+	private long calls;
+
+	private int incarnations;
+
+	CallSimulation(int entries, OnceLimits limits) {
+		this.limits = limits;
+		for (int i = 0; i < entries; i++) {
+			this.entries.add(start());
+		}
+	}
+
+	private SimulatedEntry start() {
+		return new SimulatedEntry("e" + this.incarnations++, this.tables, this.clock, this.limits);
+	}
+
+	CallHistory history() {
+		return this.history;
+	}
+
+	MemoryTables tables() {
+		return this.tables;
+	}
+
+	ManualClock clock() {
+		return this.clock;
+	}
+
+	List<ExecutionAnswer> answers = new ArrayList<>();
+
+	long call(int entry, String key, String body) {
+		long call = this.calls++;
+		this.history.sent(call, key, body);
+		this.entries.get(entry)
+			.call(key, body, TIMEOUT, (upstream) -> this.dispatched.add(new Dispatched(call, upstream)), (answer) -> {
+				this.answers.add(answer);
+				this.history.answered(call, answer);
+			});
+		return call;
+	}
+
+	int inDispatch() {
+		return this.dispatched.size();
+	}
+
+	/** The oldest dispatched call is executed and answered. */
+	void reply() {
+		Dispatched next = this.dispatched.remove(0);
+		this.history.executed(next.call());
+		next.upstream().complete(new DispatchEnd.Replied(CallHistory.result(next.call())));
+	}
+
+	/** The oldest dispatched call is executed and its answer is lost. */
+	void executeAndLose() {
+		Dispatched next = this.dispatched.remove(0);
+		this.history.executed(next.call());
+		next.upstream().complete(new DispatchEnd.Lost());
+	}
+
+	/** The entry gives up on the oldest dispatched call before it is executed. */
+	void loseThenExecute() {
+		Dispatched next = this.dispatched.remove(0);
+		next.upstream().complete(new DispatchEnd.Lost());
+		this.history.executed(next.call());
+	}
+
+	/** No runner accepts a connection for the oldest dispatched call. */
+	void refuse() {
+		this.dispatched.remove(0).upstream().complete(new DispatchEnd.NotSent());
+	}
+
+	void kill(int entry) {
+		this.entries.get(entry).kill();
+		this.entries.set(entry, start());
+	}
+
+	void pause(int entry) {
+		this.entries.get(entry).pause();
+	}
+
+	void resume(int entry) {
+		this.entries.get(entry).resume();
+	}
+
+	void advance(Duration duration) {
+		this.clock.advance(duration);
+		this.entries.forEach(SimulatedEntry::runDue);
+	}
+
+	/** Ends all faults and lets everything in progress end. */
+	void settle() {
+		this.tables.writes().clear();
+		this.tables.reads().clear();
+		this.entries.forEach(SimulatedEntry::resume);
+		for (int i = 0; i < 100; i++) {
+			this.tables.writes().release();
+			this.tables.reads().release();
+			this.tables.writes().deliverLate();
+			while (inDispatch() > 0) {
+				reply();
+			}
+			advance(Duration.ofMillis(100));
+		}
+	}
+
+	void writeFaults(Fault... faults) {
+		this.tables.writes().next(faults);
+	}
+
+	void readFaults(Fault... faults) {
+		this.tables.reads().next(faults);
+	}
+
+	private record Dispatched(long call, CompletableFuture<DispatchEnd> upstream) {
+
+	}
+
+}
