--- /dev/null
+++ b/bilberryvalve-policy/src/main/java/io/bilberryvalve/policy/rollout/RefreshSchedule.java
@@ -0,0 +1,40 @@
+package io.bilberryvalve.policy.rollout;
+
+import java.time.Duration;
+import java.util.random.RandomGenerator;
+
+/**
+ * Decides when a daemon reads the version in the store, so that all daemons together stay
+ * within a read budget and do not read at the same time.
+ */
+public final class RefreshSchedule {
+
+	private static final Duration SHORTEST = Duration.ofSeconds(1);
+
+	private static final double LEAST_FACTOR = 0.5;
+
+	private final double readsPerSecond;
+
+	private final RandomGenerator random;
+
+	/**
+	 * Creates a schedule.
+	 * @param readsPerSecond reads a second of all daemons together, positive
+	 * @param random spreads the reads
+	 */
+	public RefreshSchedule(double readsPerSecond, RandomGenerator random) {
+		this.readsPerSecond = readsPerSecond;
+		this.random = random;
+	}
+
+	/**
+	 * Returns the time until the next read.
+	 * @param daemons number of daemons
+	 * @return half to one and a half times the mean, which is at least 1 s
+	 */
+	public Duration next(int daemons) {
+		double meanMillis = Math.max(SHORTEST.toMillis(), daemons * 1000.0 / this.readsPerSecond);
+		return Duration.ofMillis(Math.round(meanMillis * (LEAST_FACTOR + this.random.nextDouble())));
+	}
+
+}
--- a/bilberryvalve-wire/src/main/java/io/bilberryvalve/wire/proto/ConfigurationMessages.java
+++ b/bilberryvalve-wire/src/main/java/io/bilberryvalve/wire/proto/ConfigurationMessages.java
@@ -42,7 +42,7 @@
 
     /**
      * <pre>
-     * SHA-256 over the version and the names and digests of the parts, in hexadecimal digits.
+     * SHA-256 over the names and digests of the parts, in hexadecimal digits.
      * </pre>
      *
      * <code>string digest = 2;</code>
@@ -51,7 +51,7 @@
     java.lang.String getDigest();
     /**
      * <pre>
-     * SHA-256 over the version and the names and digests of the parts, in hexadecimal digits.
+     * SHA-256 over the names and digests of the parts, in hexadecimal digits.
      * </pre>
      *
      * <code>string digest = 2;</code>
@@ -147,7 +147,7 @@
     private volatile java.lang.Object digest_ = "";
     /**
      * <pre>
-     * SHA-256 over the version and the names and digests of the parts, in hexadecimal digits.
+     * SHA-256 over the names and digests of the parts, in hexadecimal digits.
      * </pre>
      *
      * <code>string digest = 2;</code>
@@ -168,7 +168,7 @@
     }
     /**
      * <pre>
-     * SHA-256 over the version and the names and digests of the parts, in hexadecimal digits.
+     * SHA-256 over the names and digests of the parts, in hexadecimal digits.
      * </pre>
      *
      * <code>string digest = 2;</code>
@@ -671,7 +671,7 @@
       private java.lang.Object digest_ = "";
       /**
        * <pre>
-       * SHA-256 over the version and the names and digests of the parts, in hexadecimal digits.
+       * SHA-256 over the names and digests of the parts, in hexadecimal digits.
        * </pre>
        *
        * <code>string digest = 2;</code>
@@ -691,7 +691,7 @@
       }
       /**
        * <pre>
-       * SHA-256 over the version and the names and digests of the parts, in hexadecimal digits.
+       * SHA-256 over the names and digests of the parts, in hexadecimal digits.
        * </pre>
        *
        * <code>string digest = 2;</code>
@@ -712,7 +712,7 @@
       }
       /**
        * <pre>
-       * SHA-256 over the version and the names and digests of the parts, in hexadecimal digits.
+       * SHA-256 over the names and digests of the parts, in hexadecimal digits.
        * </pre>
        *
        * <code>string digest = 2;</code>
@@ -729,7 +729,7 @@
       }
       /**
        * <pre>
-       * SHA-256 over the version and the names and digests of the parts, in hexadecimal digits.
+       * SHA-256 over the names and digests of the parts, in hexadecimal digits.
        * </pre>
        *
        * <code>string digest = 2;</code>
@@ -743,7 +743,7 @@
       }
       /**
        * <pre>
-       * SHA-256 over the version and the names and digests of the parts, in hexadecimal digits.
+       * SHA-256 over the names and digests of the parts, in hexadecimal digits.
        * </pre>
        *
        * <code>string digest = 2;</code>
@@ -1076,12 +1076,49 @@
         getNameBytes();
 
     /**
-     * <code>string text = 2;</code>
+     * <pre>
+     * SHA-256 of the text, in hexadecimal digits.
+     * </pre>
+     *
+     * <code>string digest = 2;</code>
+     * @return The digest.
+     */
+    java.lang.String getDigest();
+    /**
+     * <pre>
+     * SHA-256 of the text, in hexadecimal digits.
+     * </pre>
+     *
+     * <code>string digest = 2;</code>
+     * @return The bytes for digest.
+     */
+    com.google.protobuf.ByteString
+        getDigestBytes();
+
+    /**
+     * <pre>
+     * Absent if the receiver holds the text or can ask for it.
+     * </pre>
+     *
+     * <code>optional string text = 3;</code>
+     * @return Whether the text field is set.
+     */
+    boolean hasText();
+    /**
+     * <pre>
+     * Absent if the receiver holds the text or can ask for it.
+     * </pre>
+     *
+     * <code>optional string text = 3;</code>
      * @return The text.
      */
     java.lang.String getText();
     /**
-     * <code>string text = 2;</code>
+     * <pre>
+     * Absent if the receiver holds the text or can ask for it.
+     * </pre>
+     *
+     * <code>optional string text = 3;</code>
      * @return The bytes for text.
      */
     com.google.protobuf.ByteString
@@ -1114,6 +1151,7 @@
     }
     private Part() {
       name_ = "";
+      digest_ = "";
       text_ = "";
     }
 
@@ -1130,6 +1168,7 @@
               io.bilberryvalve.wire.proto.ConfigurationMessages.Part.class, io.bilberryvalve.wire.proto.ConfigurationMessages.Part.Builder.class);
     }
 
+    private int bitField0_;
     public static final int NAME_FIELD_NUMBER = 1;
     @SuppressWarnings("serial")
     private volatile java.lang.Object name_ = "";
@@ -1177,11 +1216,74 @@
       }
     }
 
-    public static final int TEXT_FIELD_NUMBER = 2;
+    public static final int DIGEST_FIELD_NUMBER = 2;
+    @SuppressWarnings("serial")
+    private volatile java.lang.Object digest_ = "";
+    /**
+     * <pre>
+     * SHA-256 of the text, in hexadecimal digits.
+     * </pre>
+     *
+     * <code>string digest = 2;</code>
+     * @return The digest.
+     */
+    @java.lang.Override
+    public java.lang.String getDigest() {
+      java.lang.Object ref = digest_;
+      if (ref instanceof java.lang.String) {
+        return (java.lang.String) ref;
+      } else {
+        com.google.protobuf.ByteString bs = 
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        digest_ = s;
+        return s;
+      }
+    }
+    /**
+     * <pre>
+     * SHA-256 of the text, in hexadecimal digits.
+     * </pre>
+     *
+     * <code>string digest = 2;</code>
+     * @return The bytes for digest.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString
+        getDigestBytes() {
+      java.lang.Object ref = digest_;
+      if (ref instanceof java.lang.String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        digest_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+
+    public static final int TEXT_FIELD_NUMBER = 3;
     @SuppressWarnings("serial")
     private volatile java.lang.Object text_ = "";
     /**
-     * <code>string text = 2;</code>
+     * <pre>
+     * Absent if the receiver holds the text or can ask for it.
+     * </pre>
+     *
+     * <code>optional string text = 3;</code>
+     * @return Whether the text field is set.
+     */
+    @java.lang.Override
+    public boolean hasText() {
+      return ((bitField0_ & 0x00000001) != 0);
+    }
+    /**
+     * <pre>
+     * Absent if the receiver holds the text or can ask for it.
+     * </pre>
+     *
+     * <code>optional string text = 3;</code>
      * @return The text.
      */
     @java.lang.Override
@@ -1198,7 +1300,11 @@
       }
     }
     /**
-     * <code>string text = 2;</code>
+     * <pre>
+     * Absent if the receiver holds the text or can ask for it.
+     * </pre>
+     *
+     * <code>optional string text = 3;</code>
      * @return The bytes for text.
      */
     @java.lang.Override
@@ -1233,8 +1339,11 @@
       if (!com.google.protobuf.GeneratedMessage.isStringEmpty(name_)) {
         com.google.protobuf.GeneratedMessage.writeString(output, 1, name_);
       }
-      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(text_)) {
-        com.google.protobuf.GeneratedMessage.writeString(output, 2, text_);
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(digest_)) {
+        com.google.protobuf.GeneratedMessage.writeString(output, 2, digest_);
+      }
+      if (((bitField0_ & 0x00000001) != 0)) {
+        com.google.protobuf.GeneratedMessage.writeString(output, 3, text_);
       }
       getUnknownFields().writeTo(output);
     }
@@ -1248,8 +1357,11 @@
       if (!com.google.protobuf.GeneratedMessage.isStringEmpty(name_)) {
         size += com.google.protobuf.GeneratedMessage.computeStringSize(1, name_);
       }
-      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(text_)) {
-        size += com.google.protobuf.GeneratedMessage.computeStringSize(2, text_);
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(digest_)) {
+        size += com.google.protobuf.GeneratedMessage.computeStringSize(2, digest_);
+      }
+      if (((bitField0_ & 0x00000001) != 0)) {
+        size += com.google.protobuf.GeneratedMessage.computeStringSize(3, text_);
       }
       size += getUnknownFields().getSerializedSize();
       memoizedSize = size;
@@ -1268,8 +1380,13 @@
 
       if (!getName()
           .equals(other.getName())) return false;
-      if (!getText()
-          .equals(other.getText())) return false;
+      if (!getDigest()
+          .equals(other.getDigest())) return false;
+      if (hasText() != other.hasText()) return false;
+      if (hasText()) {
+        if (!getText()
+            .equals(other.getText())) return false;
+      }
       if (!getUnknownFields().equals(other.getUnknownFields())) return false;
       return true;
     }
@@ -1283,8 +1400,12 @@
       hash = (19 * hash) + getDescriptor().hashCode();
       hash = (37 * hash) + NAME_FIELD_NUMBER;
       hash = (53 * hash) + getName().hashCode();
-      hash = (37 * hash) + TEXT_FIELD_NUMBER;
-      hash = (53 * hash) + getText().hashCode();
+      hash = (37 * hash) + DIGEST_FIELD_NUMBER;
+      hash = (53 * hash) + getDigest().hashCode();
+      if (hasText()) {
+        hash = (37 * hash) + TEXT_FIELD_NUMBER;
+        hash = (53 * hash) + getText().hashCode();
+      }
       hash = (29 * hash) + getUnknownFields().hashCode();
       memoizedHashCode = hash;
       return hash;
@@ -1421,6 +1542,7 @@
         super.clear();
         bitField0_ = 0;
         name_ = "";
+        digest_ = "";
         text_ = "";
         return this;
       }
@@ -1459,8 +1581,14 @@
           result.name_ = name_;
         }
         if (((from_bitField0_ & 0x00000002) != 0)) {
+          result.digest_ = digest_;
+        }
+        int to_bitField0_ = 0;
+        if (((from_bitField0_ & 0x00000004) != 0)) {
           result.text_ = text_;
+          to_bitField0_ |= 0x00000001;
         }
+        result.bitField0_ |= to_bitField0_;
       }
 
       @java.lang.Override
@@ -1480,11 +1608,16 @@
           bitField0_ |= 0x00000001;
           onChanged();
         }
-        if (!other.getText().isEmpty()) {
-          text_ = other.text_;
+        if (!other.getDigest().isEmpty()) {
+          digest_ = other.digest_;
           bitField0_ |= 0x00000002;
           onChanged();
         }
+        if (other.hasText()) {
+          text_ = other.text_;
+          bitField0_ |= 0x00000004;
+          onChanged();
+        }
         this.mergeUnknownFields(other.getUnknownFields());
         onChanged();
         return this;
@@ -1517,10 +1650,15 @@
                 break;
               } // case 10
               case 18: {
-                text_ = input.readStringRequireUtf8();
+                digest_ = input.readStringRequireUtf8();
                 bitField0_ |= 0x00000002;
                 break;
               } // case 18
+              case 26: {
+                text_ = input.readStringRequireUtf8();
+                bitField0_ |= 0x00000004;
+                break;
+              } // case 26
               default: {
                 if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                   done = true; // was an endgroup tag
@@ -1630,9 +1768,116 @@
         return this;
       }
 
+      private java.lang.Object digest_ = "";
+      /**
+       * <pre>
+       * SHA-256 of the text, in hexadecimal digits.
+       * </pre>
+       *
+       * <code>string digest = 2;</code>
+       * @return The digest.
+       */
+      public java.lang.String getDigest() {
+        java.lang.Object ref = digest_;
+        if (!(ref instanceof java.lang.String)) {
+          com.google.protobuf.ByteString bs =
+              (com.google.protobuf.ByteString) ref;
+          java.lang.String s = bs.toStringUtf8();
+          digest_ = s;
+          return s;
+        } else {
+          return (java.lang.String) ref;
+        }
+      }
+      /**
+       * <pre>
+       * SHA-256 of the text, in hexadecimal digits.
+       * </pre>
+       *
+       * <code>string digest = 2;</code>
+       * @return The bytes for digest.
+       */
+      public com.google.protobuf.ByteString
+          getDigestBytes() {
+        java.lang.Object ref = digest_;
+        if (ref instanceof String) {
+          com.google.protobuf.ByteString b = 
+              com.google.protobuf.ByteString.copyFromUtf8(
+                  (java.lang.String) ref);
+          digest_ = b;
+          return b;
+        } else {
+          return (com.google.protobuf.ByteString) ref;
+        }
+      }
+      /**
+       * <pre>
+       * SHA-256 of the text, in hexadecimal digits.
+       * </pre>
+       *
+       * <code>string digest = 2;</code>
+       * @param value The digest to set.
+       * @return This builder for chaining.
+       */
+      public Builder setDigest(
+          java.lang.String value) {
+        if (value == null) { throw new NullPointerException(); }
+        digest_ = value;
+        bitField0_ |= 0x00000002;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * SHA-256 of the text, in hexadecimal digits.
+       * </pre>
+       *
+       * <code>string digest = 2;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearDigest() {
+        digest_ = getDefaultInstance().getDigest();
+        bitField0_ = (bitField0_ & ~0x00000002);
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * SHA-256 of the text, in hexadecimal digits.
+       * </pre>
+       *
+       * <code>string digest = 2;</code>
+       * @param value The bytes for digest to set.
+       * @return This builder for chaining.
+       */
+      public Builder setDigestBytes(
+          com.google.protobuf.ByteString value) {
+        if (value == null) { throw new NullPointerException(); }
+        checkByteStringIsUtf8(value);
+        digest_ = value;
+        bitField0_ |= 0x00000002;
+        onChanged();
+        return this;
+      }
+
       private java.lang.Object text_ = "";
       /**
-       * <code>string text = 2;</code>
+       * <pre>
+       * Absent if the receiver holds the text or can ask for it.
+       * </pre>
+       *
+       * <code>optional string text = 3;</code>
+       * @return Whether the text field is set.
+       */
+      public boolean hasText() {
+        return ((bitField0_ & 0x00000004) != 0);
+      }
+      /**
+       * <pre>
+       * Absent if the receiver holds the text or can ask for it.
+       * </pre>
+       *
+       * <code>optional string text = 3;</code>
        * @return The text.
        */
       public java.lang.String getText() {
@@ -1648,7 +1893,11 @@
         }
       }
       /**
-       * <code>string text = 2;</code>
+       * <pre>
+       * Absent if the receiver holds the text or can ask for it.
+       * </pre>
+       *
+       * <code>optional string text = 3;</code>
        * @return The bytes for text.
        */
       public com.google.protobuf.ByteString
@@ -1665,7 +1914,11 @@
         }
       }
       /**
-       * <code>string text = 2;</code>
+       * <pre>
+       * Absent if the receiver holds the text or can ask for it.
+       * </pre>
+       *
+       * <code>optional string text = 3;</code>
        * @param value The text to set.
        * @return This builder for chaining.
        */
@@ -1673,22 +1926,30 @@
           java.lang.String value) {
         if (value == null) { throw new NullPointerException(); }
         text_ = value;
-        bitField0_ |= 0x00000002;
+        bitField0_ |= 0x00000004;
         onChanged();
         return this;
       }
       /**
-       * <code>string text = 2;</code>
+       * <pre>
+       * Absent if the receiver holds the text or can ask for it.
+       * </pre>
+       *
+       * <code>optional string text = 3;</code>
        * @return This builder for chaining.
        */
       public Builder clearText() {
         text_ = getDefaultInstance().getText();
-        bitField0_ = (bitField0_ & ~0x00000002);
+        bitField0_ = (bitField0_ & ~0x00000004);
         onChanged();
         return this;
       }
       /**
-       * <code>string text = 2;</code>
+       * <pre>
+       * Absent if the receiver holds the text or can ask for it.
+       * </pre>
+       *
+       * <code>optional string text = 3;</code>
        * @param value The bytes for text to set.
        * @return This builder for chaining.
        */
@@ -1697,7 +1958,7 @@
         if (value == null) { throw new NullPointerException(); }
         checkByteStringIsUtf8(value);
         text_ = value;
-        bitField0_ |= 0x00000002;
+        bitField0_ |= 0x00000004;
         onChanged();
         return this;
       }
@@ -1759,13 +2020,54 @@
 
     /**
      * <pre>
-     * Version of the sender; a receiver that has no higher version answers without parts.
+     * Version of the sender; a receiver without a higher version answers without parts.
      * </pre>
      *
      * <code>int64 version = 1;</code>
      * @return The version.
      */
     long getVersion();
+
+    /**
+     * <pre>
+     * Digests of the parts that the sender holds; the answer leaves out their texts.
+     * </pre>
+     *
+     * <code>repeated string held = 2;</code>
+     * @return A list containing the held.
+     */
+    java.util.List<java.lang.String>
+        getHeldList();
+    /**
+     * <pre>
+     * Digests of the parts that the sender holds; the answer leaves out their texts.
+     * </pre>
+     *
+     * <code>repeated string held = 2;</code>
+     * @return The count of held.
+     */
+    int getHeldCount();
+    /**
+     * <pre>
+     * Digests of the parts that the sender holds; the answer leaves out their texts.
+     * </pre>
+     *
+     * <code>repeated string held = 2;</code>
+     * @param index The index of the element to return.
+     * @return The held at the given index.
+     */
+    java.lang.String getHeld(int index);
+    /**
+     * <pre>
+     * Digests of the parts that the sender holds; the answer leaves out their texts.
+     * </pre>
+     *
+     * <code>repeated string held = 2;</code>
+     * @param index The index of the value to return.
+     * @return The bytes of the held at the given index.
+     */
+    com.google.protobuf.ByteString
+        getHeldBytes(int index);
   }
   /**
    * <pre>
@@ -1793,6 +2095,8 @@
       super(builder);
     }
     private ConfigurationRequest() {
+      held_ =
+          com.google.protobuf.LazyStringArrayList.emptyList();
     }
 
     public static final com.google.protobuf.Descriptors.Descriptor
@@ -1812,7 +2116,7 @@
     private long version_ = 0L;
     /**
      * <pre>
-     * Version of the sender; a receiver that has no higher version answers without parts.
+     * Version of the sender; a receiver without a higher version answers without parts.
      * </pre>
      *
      * <code>int64 version = 1;</code>
@@ -1823,6 +2127,59 @@
       return version_;
     }
 
+    public static final int HELD_FIELD_NUMBER = 2;
+    @SuppressWarnings("serial")
+    private com.google.protobuf.LazyStringArrayList held_ =
+        com.google.protobuf.LazyStringArrayList.emptyList();
+    /**
+     * <pre>
+     * Digests of the parts that the sender holds; the answer leaves out their texts.
+     * </pre>
+     *
+     * <code>repeated string held = 2;</code>
+     * @return A list containing the held.
+     */
+    public com.google.protobuf.ProtocolStringList
+        getHeldList() {
+      return held_;
+    }
+    /**
+     * <pre>
+     * Digests of the parts that the sender holds; the answer leaves out their texts.
+     * </pre>
+     *
+     * <code>repeated string held = 2;</code>
+     * @return The count of held.
+     */
+    public int getHeldCount() {
+      return held_.size();
+    }
+    /**
+     * <pre>
+     * Digests of the parts that the sender holds; the answer leaves out their texts.
+     * </pre>
+     *
+     * <code>repeated string held = 2;</code>
+     * @param index The index of the element to return.
+     * @return The held at the given index.
+     */
+    public java.lang.String getHeld(int index) {
+      return held_.get(index);
+    }
+    /**
+     * <pre>
+     * Digests of the parts that the sender holds; the answer leaves out their texts.
+     * </pre>
+     *
+     * <code>repeated string held = 2;</code>
+     * @param index The index of the value to return.
+     * @return The bytes of the held at the given index.
+     */
+    public com.google.protobuf.ByteString
+        getHeldBytes(int index) {
+      return held_.getByteString(index);
+    }
+
     private byte memoizedIsInitialized = -1;
     @java.lang.Override
     public final boolean isInitialized() {
@@ -1840,6 +2197,9 @@
       if (version_ != 0L) {
         output.writeInt64(1, version_);
       }
+      for (int i = 0; i < held_.size(); i++) {
+        com.google.protobuf.GeneratedMessage.writeString(output, 2, held_.getRaw(i));
+      }
       getUnknownFields().writeTo(output);
     }
 
@@ -1853,6 +2213,14 @@
         size += com.google.protobuf.CodedOutputStream
           .computeInt64Size(1, version_);
       }
+      {
+        int dataSize = 0;
+        for (int i = 0; i < held_.size(); i++) {
+          dataSize += computeStringSizeNoTag(held_.getRaw(i));
+        }
+        size += dataSize;
+        size += 1 * getHeldList().size();
+      }
       size += getUnknownFields().getSerializedSize();
       memoizedSize = size;
       return size;
@@ -1870,6 +2238,8 @@
 
       if (getVersion()
           != other.getVersion()) return false;
+      if (!getHeldList()
+          .equals(other.getHeldList())) return false;
       if (!getUnknownFields().equals(other.getUnknownFields())) return false;
       return true;
     }
@@ -1884,6 +2254,10 @@
       hash = (37 * hash) + VERSION_FIELD_NUMBER;
       hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
           getVersion());
+      if (getHeldCount() > 0) {
+        hash = (37 * hash) + HELD_FIELD_NUMBER;
+        hash = (53 * hash) + getHeldList().hashCode();
+      }
       hash = (29 * hash) + getUnknownFields().hashCode();
       memoizedHashCode = hash;
       return hash;
@@ -2020,6 +2394,8 @@
         super.clear();
         bitField0_ = 0;
         version_ = 0L;
+        held_ =
+            com.google.protobuf.LazyStringArrayList.emptyList();
         return this;
       }
 
@@ -2056,6 +2432,10 @@
         if (((from_bitField0_ & 0x00000001) != 0)) {
           result.version_ = version_;
         }
+        if (((from_bitField0_ & 0x00000002) != 0)) {
+          held_.makeImmutable();
+          result.held_ = held_;
+        }
       }
 
       @java.lang.Override
@@ -2073,6 +2453,16 @@
         if (other.getVersion() != 0L) {
           setVersion(other.getVersion());
         }
+        if (!other.held_.isEmpty()) {
+          if (held_.isEmpty()) {
+            held_ = other.held_;
+            bitField0_ |= 0x00000002;
+          } else {
+            ensureHeldIsMutable();
+            held_.addAll(other.held_);
+          }
+          onChanged();
+        }
         this.mergeUnknownFields(other.getUnknownFields());
         onChanged();
         return this;
@@ -2104,6 +2494,12 @@
                 bitField0_ |= 0x00000001;
                 break;
               } // case 8
+              case 18: {
+                java.lang.String s = input.readStringRequireUtf8();
+                ensureHeldIsMutable();
+                held_.add(s);
+                break;
+              } // case 18
               default: {
                 if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                   done = true; // was an endgroup tag
@@ -2124,7 +2520,7 @@
       private long version_ ;
       /**
        * <pre>
-       * Version of the sender; a receiver that has no higher version answers without parts.
+       * Version of the sender; a receiver without a higher version answers without parts.
        * </pre>
        *
        * <code>int64 version = 1;</code>
@@ -2136,7 +2532,7 @@
       }
       /**
        * <pre>
-       * Version of the sender; a receiver that has no higher version answers without parts.
+       * Version of the sender; a receiver without a higher version answers without parts.
        * </pre>
        *
        * <code>int64 version = 1;</code>
@@ -2152,7 +2548,7 @@
       }
       /**
        * <pre>
-       * Version of the sender; a receiver that has no higher version answers without parts.
+       * Version of the sender; a receiver without a higher version answers without parts.
        * </pre>
        *
        * <code>int64 version = 1;</code>
@@ -2165,6 +2561,153 @@
         return this;
       }
 
+      private com.google.protobuf.LazyStringArrayList held_ =
+          com.google.protobuf.LazyStringArrayList.emptyList();
+      private void ensureHeldIsMutable() {
+        if (!held_.isModifiable()) {
+          held_ = new com.google.protobuf.LazyStringArrayList(held_);
+        }
+        bitField0_ |= 0x00000002;
+      }
+      /**
+       * <pre>
+       * Digests of the parts that the sender holds; the answer leaves out their texts.
+       * </pre>
+       *
+       * <code>repeated string held = 2;</code>
+       * @return A list containing the held.
+       */
+      public com.google.protobuf.ProtocolStringList
+          getHeldList() {
+        held_.makeImmutable();
+        return held_;
+      }
+      /**
+       * <pre>
+       * Digests of the parts that the sender holds; the answer leaves out their texts.
+       * </pre>
+       *
+       * <code>repeated string held = 2;</code>
+       * @return The count of held.
+       */
+      public int getHeldCount() {
+        return held_.size();
+      }
+      /**
+       * <pre>
+       * Digests of the parts that the sender holds; the answer leaves out their texts.
+       * </pre>
+       *
+       * <code>repeated string held = 2;</code>
+       * @param index The index of the element to return.
+       * @return The held at the given index.
+       */
+      public java.lang.String getHeld(int index) {
+        return held_.get(index);
+      }
+      /**
+       * <pre>
+       * Digests of the parts that the sender holds; the answer leaves out their texts.
+       * </pre>
+       *
+       * <code>repeated string held = 2;</code>
+       * @param index The index of the value to return.
+       * @return The bytes of the held at the given index.
+       */
+      public com.google.protobuf.ByteString
+          getHeldBytes(int index) {
+        return held_.getByteString(index);
+      }
+      /**
+       * <pre>
+       * Digests of the parts that the sender holds; the answer leaves out their texts.
+       * </pre>
+       *
+       * <code>repeated string held = 2;</code>
+       * @param index The index to set the value at.
+       * @param value The held to set.
+       * @return This builder for chaining.
+       */
+      public Builder setHeld(
+          int index, java.lang.String value) {
+        if (value == null) { throw new NullPointerException(); }
+        ensureHeldIsMutable();
+        held_.set(index, value);
+        bitField0_ |= 0x00000002;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * Digests of the parts that the sender holds; the answer leaves out their texts.
+       * </pre>
+       *
+       * <code>repeated string held = 2;</code>
+       * @param value The held to add.
+       * @return This builder for chaining.
+       */
+      public Builder addHeld(
+          java.lang.String value) {
+        if (value == null) { throw new NullPointerException(); }
+        ensureHeldIsMutable();
+        held_.add(value);
+        bitField0_ |= 0x00000002;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * Digests of the parts that the sender holds; the answer leaves out their texts.
+       * </pre>
+       *
+       * <code>repeated string held = 2;</code>
+       * @param values The held to add.
+       * @return This builder for chaining.
+       */
+      public Builder addAllHeld(
+          java.lang.Iterable<java.lang.String> values) {
+        ensureHeldIsMutable();
+        com.google.protobuf.AbstractMessageLite.Builder.addAll(
+            values, held_);
+        bitField0_ |= 0x00000002;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * Digests of the parts that the sender holds; the answer leaves out their texts.
+       * </pre>
+       *
+       * <code>repeated string held = 2;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearHeld() {
+        held_ =
+          com.google.protobuf.LazyStringArrayList.emptyList();
+        bitField0_ = (bitField0_ & ~0x00000002);;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * Digests of the parts that the sender holds; the answer leaves out their texts.
+       * </pre>
+       *
+       * <code>repeated string held = 2;</code>
+       * @param value The bytes of the held to add.
+       * @return This builder for chaining.
+       */
+      public Builder addHeldBytes(
+          com.google.protobuf.ByteString value) {
+        if (value == null) { throw new NullPointerException(); }
+        checkByteStringIsUtf8(value);
+        ensureHeldIsMutable();
+        held_.add(value);
+        bitField0_ |= 0x00000002;
+        onChanged();
+        return this;
+      }
+
       // @@protoc_insertion_point(builder_scope:bilberryvalve.configuration.ConfigurationRequest)
     }
 
@@ -2243,11 +2786,12 @@
       "\n\023configuration.proto\022\033bilberryvalve.con" +
       "figuration\"f\n\021ConfigurationPush\022\017\n\007versi" +
       "on\030\001 \001(\003\022\016\n\006digest\030\002 \001(\t\0220\n\005parts\030\003 \003(\0132" +
-      "!.bilberryvalve.configuration.Part\"\"\n\004Pa" +
-      "rt\022\014\n\004name\030\001 \001(\t\022\014\n\004text\030\002 \001(\t\"\'\n\024Config" +
-      "urationRequest\022\017\n\007version\030\001 \001(\003B4\n\033io.bi" +
-      "lberryvalve.wire.protoB\025ConfigurationMes" +
-      "sagesb\006proto3"
+      "!.bilberryvalve.configuration.Part\"@\n\004Pa" +
+      "rt\022\014\n\004name\030\001 \001(\t\022\016\n\006digest\030\002 \001(\t\022\021\n\004text" +
+      "\030\003 \001(\tH\000\210\001\001B\007\n\005_text\"5\n\024ConfigurationReq" +
+      "uest\022\017\n\007version\030\001 \001(\003\022\014\n\004held\030\002 \003(\tB4\n\033i" +
+      "o.bilberryvalve.wire.protoB\025Configuratio" +
+      "nMessagesb\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -2264,13 +2808,13 @@
     internal_static_bilberryvalve_configuration_Part_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_bilberryvalve_configuration_Part_descriptor,
-        new java.lang.String[] { "Name", "Text", });
+        new java.lang.String[] { "Name", "Digest", "Text", });
     internal_static_bilberryvalve_configuration_ConfigurationRequest_descriptor =
       getDescriptor().getMessageType(2);
     internal_static_bilberryvalve_configuration_ConfigurationRequest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_bilberryvalve_configuration_ConfigurationRequest_descriptor,
-        new java.lang.String[] { "Version", });
+        new java.lang.String[] { "Version", "Held", });
     descriptor.resolveAllFeaturesImmutable();
   }
 
