--- /dev/null
+++ b/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/configuration/ConfigurationRollout.java
@@ -0,0 +1,319 @@
+package io.bilberryvalve.daemon.configuration;
+
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.OptionalLong;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.function.IntSupplier;
+import java.util.random.RandomGenerator;
+
+import com.google.protobuf.InvalidProtocolBufferException;
+import io.bilberryvalve.config.FederationConfiguration;
+import io.bilberryvalve.daemon.lifecycle.Timer;
+import io.bilberryvalve.daemon.peer.MessageKind;
+import io.bilberryvalve.daemon.peer.Peer;
+import io.bilberryvalve.daemon.peer.PeerNetwork;
+import io.bilberryvalve.model.Result;
+import io.bilberryvalve.model.VmId;
+import io.bilberryvalve.model.log.LogEvent;
+import io.bilberryvalve.platform.Fetched;
+import io.bilberryvalve.platform.Platform;
+import io.bilberryvalve.platform.Row;
+import io.bilberryvalve.policy.rollout.ConfigurationRegister;
+import io.bilberryvalve.policy.rollout.Head;
+import io.bilberryvalve.policy.rollout.RefreshSchedule;
+import io.bilberryvalve.policy.rollout.StartupPolicy;
+import io.bilberryvalve.wire.proto.ConfigurationMessages.ConfigurationPush;
+
+/**
+ * Brings accepted configurations into force at this daemon and passes them on. Safe for
+ * use by several threads.
+ */
+public final class ConfigurationRollout {
+
+	private static final Logger LOGGER = System.getLogger(ConfigurationRollout.class.getName());
+
+	private static final Duration PEER_TIMEOUT = Duration.ofSeconds(1);
+
+	private static final Duration PEER_INTERVAL = Duration.ofSeconds(1);
+
+	private static final Duration START_INTERVAL = Duration.ofMillis(250);
+
+	private final ConfigurationHolder holder;
+
+	private final ConfigurationParser parser;
+
+	private final Platform platform;
+
+	private final PeerNetwork peers;
+
+	private final Timer timer;
+
+	private final RefreshSchedule schedule;
+
+	private final IntSupplier daemons;
+
+	private final RandomGenerator random;
+
+	private final PartTexts texts;
+
+	private final ConfigurationRegister register = new ConfigurationRegister();
+
+	private final List<Runnable> readyListeners = new CopyOnWriteArrayList<>();
+
+	private volatile ConfigurationInForce inForce = ConfigurationInForce.empty();
+
+	private volatile boolean ready;
+
+	private volatile boolean stopped;
+
+	/**
+	 * Creates a rollout. It does nothing before {@link #start()}.
+	 * @param holder receives the configurations
+	 * @param parser parses parts
+	 * @param platform platform services
+	 * @param peers other daemons
+	 * @param timer runs due work
+	 * @param schedule times of store reads
+	 * @param daemons gives the number of daemons
+	 * @param random chooses peers
+	 */
+	public ConfigurationRollout(ConfigurationHolder holder, ConfigurationParser parser, Platform platform,
+			PeerNetwork peers, Timer timer, RefreshSchedule schedule, IntSupplier daemons, RandomGenerator random) {
+		this.holder = holder;
+		this.parser = parser;
+		this.platform = platform;
+		this.peers = peers;
+		this.timer = timer;
+		this.schedule = schedule;
+		this.daemons = daemons;
+		this.random = random;
+		this.texts = new PartTexts(platform.objects());
+		peers.receive(MessageKind.CONFIGURATION_PUSH, this::pushed);
+		peers.answer(MessageKind.CONFIGURATION_REQUEST,
+				(sender, body) -> CompletableFuture.completedFuture(ConfigurationCodec.answer(body, this.inForce)));
+	}
+
+	/**
+	 * Starts to take configurations from the store and the peers.
+	 */
+	public void start() {
+		starting();
+		this.timer.after(PEER_INTERVAL, this::askPeer);
+	}
+
+	/**
+	 * Ends the reads that are due later.
+	 */
+	public void stop() {
+		this.stopped = true;
+	}
+
+	/**
+	 * Adds a listener that is called once when the daemon may serve.
+	 * @param listener the listener
+	 */
+	public void onReady(Runnable listener) {
+		synchronized (this.readyListeners) {
+			if (!this.ready) {
+				this.readyListeners.add(listener);
+				return;
+			}
+		}
+		listener.run();
+	}
+
+	/**
+	 * Returns the configuration in force as texts.
+	 * @return the configuration
+	 */
+	public ConfigurationInForce inForce() {
+		return this.inForce;
+	}
+
+	/**
+	 * Takes the version of a peer, for example from its heartbeat. If it is higher, the
+	 * peer is asked for it.
+	 * @param peer the peer
+	 * @param version its version
+	 */
+	public void heard(VmId peer, long version) {
+		if (version > this.inForce.version()) {
+			ask(peer);
+		}
+	}
+
+	PartTexts texts() {
+		return this.texts;
+	}
+
+	CompletionStage<Fetched<Row>> readHead() {
+		return this.platform.tables().read(HeadRow.TABLE, HeadRow.KEY);
+	}
+
+	private void starting() {
+		if (this.stopped) {
+			return;
+		}
+		CompletionStage<OptionalLong> store = readStore();
+		CompletionStage<List<Long>> answers = askAll();
+		store
+			.thenCombine(answers,
+					(version, peerVersions) -> StartupPolicy.ready(this.inForce.version(), version, peerVersions))
+			.whenComplete((mayServe, error) -> {
+				if (Boolean.TRUE.equals(mayServe)) {
+					becomeReady();
+					this.timer.after(this.schedule.next(this.daemons.getAsInt()), this::refresh);
+				}
+				else {
+					this.timer.after(START_INTERVAL, this::starting);
+				}
+			});
+	}
+
+	private void becomeReady() {
+		List<Runnable> listeners;
+		synchronized (this.readyListeners) {
+			this.ready = true;
+			listeners = List.copyOf(this.readyListeners);
+			this.readyListeners.clear();
+		}
+		LogEvent.of("configuration-ready").with("version", this.inForce.version()).log(LOGGER, Level.INFO);
+		listeners.forEach(Runnable::run);
+	}
+
+	private void refresh() {
+		if (!this.stopped) {
+			readStore().whenComplete(
+					(version, error) -> this.timer.after(this.schedule.next(this.daemons.getAsInt()), this::refresh));
+		}
+	}
+
+	private CompletionStage<OptionalLong> readStore() {
+		return readHead().thenCompose((fetched) -> {
+			if (fetched instanceof Fetched.Failed<Row>) {
+				return CompletableFuture.completedFuture(OptionalLong.empty());
+			}
+			if (!(fetched instanceof Fetched.Found<Row> found)) {
+				return CompletableFuture.completedFuture(OptionalLong.of(0));
+			}
+			Head head = HeadRow.decode(found.value().value());
+			return adopt(head.version(), head.parts()).thenApply((done) -> OptionalLong.of(head.version()));
+		});
+	}
+
+	// Brings a version into force after its missing texts were loaded.
+	CompletionStage<Boolean> adopt(long version, Map<String, String> digests) {
+		if (version <= this.inForce.version()) {
+			return CompletableFuture.completedFuture(false);
+		}
+		return this.texts.load(digests).thenApply((loaded) -> {
+			if (loaded.size() != digests.size()) {
+				LogEvent.of("configuration-part-missing").with("version", version).log(LOGGER, Level.WARNING);
+				return false;
+			}
+			return force(version, digests, loaded);
+		});
+	}
+
+	private synchronized boolean force(long version, Map<String, String> digests, Map<String, String> loaded) {
+		if (version <= this.register.version()) {
+			return false;
+		}
+		Result<FederationConfiguration> parsed = this.parser.parse(version, loaded);
+		if (parsed instanceof Result.Failed<FederationConfiguration> failed) {
+			LogEvent.of("configuration-unreadable")
+				.with("version", version)
+				.with("problem", failed.problem())
+				.log(LOGGER, Level.ERROR);
+			return false;
+		}
+		String digest = PartTexts.digest(digests);
+		this.register.offer(version, digest);
+		ConfigurationInForce before = this.inForce;
+		this.inForce = new ConfigurationInForce(version, digest, digests, loaded);
+		loaded.values().forEach(this.texts::add);
+		this.texts.keepOnly(digests);
+		this.holder.offer(((Result.Ok<FederationConfiguration>) parsed).value());
+		LogEvent.of("configuration-in-force").with("version", version).log(LOGGER, Level.INFO);
+		this.peers.broadcast(MessageKind.CONFIGURATION_PUSH, ConfigurationCodec.push(this.inForce, before));
+		return true;
+	}
+
+	private void pushed(VmId sender, byte[] body) {
+		try {
+			ConfigurationPush push = ConfigurationPush.parseFrom(body);
+			if (push.getVersion() > this.inForce.version() && !take(push)) {
+				ask(sender);
+			}
+		}
+		catch (InvalidProtocolBufferException ex) {
+			LogEvent.of("configuration-push-damaged").with("sender", sender).log(LOGGER, Level.WARNING);
+		}
+	}
+
+	// Returns whether the version is in force or an older one is not needed.
+	private boolean take(ConfigurationPush push) {
+		Map<String, String> digests = ConfigurationCodec.digests(push);
+		Map<String, String> loaded = ConfigurationCodec.texts(push, this.texts);
+		if (push.getVersion() <= this.inForce.version()) {
+			return true;
+		}
+		return loaded.size() == digests.size() && PartTexts.digest(digests).equals(push.getDigest())
+				&& force(push.getVersion(), digests, loaded);
+	}
+
+	private void askPeer() {
+		if (this.stopped) {
+			return;
+		}
+		List<Peer> live = reachable();
+		if (!live.isEmpty()) {
+			ask(live.get(this.random.nextInt(live.size())).vm());
+		}
+		this.timer.after(PEER_INTERVAL, this::askPeer);
+	}
+
+	private List<Peer> reachable() {
+		return this.peers.peers().stream().filter((peer) -> peer.state() != Peer.State.ABSENT).toList();
+	}
+
+	private CompletionStage<List<Long>> askAll() {
+		List<CompletableFuture<Long>> answers = new ArrayList<>();
+		reachable().forEach((peer) -> answers.add(ask(peer.vm()).toCompletableFuture()));
+		return CompletableFuture.allOf(answers.toArray(CompletableFuture<?>[]::new))
+			.thenApply((done) -> answers.stream().map(CompletableFuture::join).toList());
+	}
+
+	// The stage gives the version of the peer, or 0 if it did not answer.
+	private CompletionStage<Long> ask(VmId peer) {
+		byte[] request = ConfigurationCodec.request(this.inForce);
+		return this.peers.call(peer, MessageKind.CONFIGURATION_REQUEST, request, PEER_TIMEOUT)
+			.handle((result, error) -> (result instanceof Result.Ok<byte[]> ok) ? answered(peer, ok.value()) : 0L);
+	}
+
+	private long answered(VmId peer, byte[] body) {
+		try {
+			ConfigurationPush push = ConfigurationPush.parseFrom(body);
+			boolean same = push.getVersion() == this.inForce.version() && push.getVersion() > 0;
+			if (same && !push.getDigest().equals(this.inForce.digest())) {
+				LogEvent.of("configuration-divergent")
+					.with("peer", peer)
+					.with("version", push.getVersion())
+					.log(LOGGER, Level.ERROR);
+			}
+			take(push);
+			return push.getVersion();
+		}
+		catch (InvalidProtocolBufferException ex) {
+			return 0;
+		}
+	}
+
+}
--- /dev/null
+++ b/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/configuration/HeadRow.java
@@ -0,0 +1,68 @@
+package io.bilberryvalve.daemon.configuration;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.bilberryvalve.platform.Operation;
+import io.bilberryvalve.policy.rollout.Head;
+
+/**
+ * Text form of the row {@code configuration/head}.
+ */
+final class HeadRow {
+
+	static final String TABLE = "configuration";
+
+	static final String KEY = "head";
+
+	private static final ObjectMapper JSON = new ObjectMapper();
+
+	private HeadRow() {
+	}
+
+	static Operation.Put put(long expectVersion, Head head) {
+		return new Operation.Put(TABLE, KEY, expectVersion, encode(head));
+	}
+
+	static String encode(Head head) {
+		ObjectNode node = JSON.createObjectNode().put("version", head.version());
+		ObjectNode parts = node.putObject("parts");
+		head.parts().forEach(parts::put);
+		var recent = node.putArray("recent");
+		for (Head.Accepted accepted : head.recent()) {
+			recent.addObject()
+				.put("submission", accepted.submission())
+				.put("version", accepted.version())
+				.put("part", accepted.part())
+				.put("digest", accepted.digest());
+		}
+		return node.toString();
+	}
+
+	static Head decode(String text) {
+		try {
+			return head(JSON.readTree(text));
+		}
+		catch (IOException ex) {
+			throw new IllegalArgumentException("row configuration/head is damaged", ex);
+		}
+	}
+
+	private static Head head(JsonNode node) {
+		Map<String, String> parts = new TreeMap<>();
+		node.path("parts").fields().forEachRemaining((part) -> parts.put(part.getKey(), part.getValue().asText()));
+		List<Head.Accepted> recent = new ArrayList<>();
+		for (JsonNode accepted : node.path("recent")) {
+			recent.add(new Head.Accepted(accepted.path("submission").asText(), accepted.path("version").asLong(),
+					accepted.path("part").asText(), accepted.path("digest").asText()));
+		}
+		return new Head(node.path("version").asLong(), parts, recent);
+	}
+
+}
--- /dev/null
+++ b/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/configuration/Submissions.java
@@ -0,0 +1,207 @@
+package io.bilberryvalve.daemon.configuration;
+
+import java.time.Clock;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+
+import io.bilberryvalve.config.FederationConfiguration;
+import io.bilberryvalve.daemon.lifecycle.Timer;
+import io.bilberryvalve.model.Problem;
+import io.bilberryvalve.model.ProblemKind;
+import io.bilberryvalve.model.Result;
+import io.bilberryvalve.platform.Commit;
+import io.bilberryvalve.platform.Fetched;
+import io.bilberryvalve.platform.Row;
+import io.bilberryvalve.platform.TableService;
+import io.bilberryvalve.policy.rollout.Head;
+import io.bilberryvalve.policy.rollout.Submission;
+import io.bilberryvalve.policy.rollout.SubmissionStep;
+
+/**
+ * Submits parts of the configuration.
+ */
+public final class Submissions {
+
+	private static final Duration PAUSE = Duration.ofMillis(100);
+
+	private final TableService tables;
+
+	private final ConfigurationRollout rollout;
+
+	private final ConfigurationParser parser;
+
+	private final Clock clock;
+
+	private final Timer timer;
+
+	private final Duration timeout;
+
+	/**
+	 * Creates the submissions of a daemon.
+	 * @param tables table service
+	 * @param rollout brings accepted configurations into force
+	 * @param parser checks configurations
+	 * @param clock monotonic clock
+	 * @param timer runs due work
+	 * @param timeout how long a submission may take
+	 */
+	public Submissions(TableService tables, ConfigurationRollout rollout, ConfigurationParser parser, Clock clock,
+			Timer timer, Duration timeout) {
+		this.tables = tables;
+		this.rollout = rollout;
+		this.parser = parser;
+		this.clock = clock;
+		this.timer = timer;
+		this.timeout = timeout;
+	}
+
+	/**
+	 * Submits a part.
+	 * @param id identifier of the submission
+	 * @param baseVersion version that the operator has seen
+	 * @param part name of the part
+	 * @param document its new text
+	 * @return the version that the submission created, or a problem
+	 */
+	public CompletionStage<Result<Long>> submit(String id, long baseVersion, String part, String document) {
+		Instant deadline = this.clock.instant().plus(this.timeout);
+		Submission submission = new Submission(id, baseVersion, part, PartTexts.digest(document), this.clock, deadline);
+		return run(new Attempt(submission, part, document), submission.start());
+	}
+
+	private CompletionStage<Result<Long>> run(Attempt attempt, SubmissionStep step) {
+		if (step instanceof SubmissionStep.ReadHead) {
+			return this.rollout.readHead().thenCompose((fetched) -> read(attempt, fetched));
+		}
+		if (step instanceof SubmissionStep.Write write) {
+			return check(attempt, write);
+		}
+		return CompletableFuture.completedFuture(result(step));
+	}
+
+	private CompletionStage<Result<Long>> later(Attempt attempt, SubmissionStep step) {
+		if (!(step instanceof SubmissionStep.ReadHead)) {
+			return run(attempt, step);
+		}
+		CompletableFuture<Result<Long>> result = new CompletableFuture<>();
+		this.timer.after(PAUSE, () -> run(attempt, step).whenComplete((value, error) -> {
+			if (error != null) {
+				result.completeExceptionally(error);
+			}
+			else {
+				result.complete(value);
+			}
+		}));
+		return result;
+	}
+
+	private CompletionStage<Result<Long>> read(Attempt attempt, Fetched<Row> fetched) {
+		if (fetched instanceof Fetched.Failed<Row>) {
+			return later(attempt, attempt.submission.readFailed());
+		}
+		if (fetched instanceof Fetched.Found<Row> found) {
+			return found(attempt, found.value().version(), HeadRow.decode(found.value().value()));
+		}
+		return run(attempt, attempt.submission.found(0, null));
+	}
+
+	private CompletionStage<Result<Long>> found(Attempt attempt, long rowVersion, Head head) {
+		SubmissionStep step = attempt.submission.found(rowVersion, head);
+		if (step instanceof SubmissionStep.Accepted) {
+			this.rollout.texts().add(attempt.document);
+		}
+		return this.rollout.adopt(head.version(), head.parts()).thenCompose((done) -> run(attempt, step));
+	}
+
+	private static Result<Long> abandoned(Attempt attempt, Problem problem) {
+		SubmissionStep step = attempt.submission.abandoned();
+		return (step instanceof SubmissionStep.Unknown) ? result(step) : Result.failed(problem);
+	}
+
+	private CompletionStage<Result<Long>> check(Attempt attempt, SubmissionStep.Write write) {
+		Map<String, String> others = new TreeMap<>(write.head().parts());
+		others.remove(attempt.part);
+		return this.rollout.texts().load(others).thenCompose((texts) -> {
+			if (texts.size() != others.size()) {
+				return CompletableFuture.completedFuture(abandoned(attempt, objectStoreDown()));
+			}
+			Map<String, String> all = new TreeMap<>(texts);
+			all.put(attempt.part, attempt.document);
+			if (this.parser.check(write.head().version(), all) instanceof Result.Failed<FederationConfiguration> bad) {
+				return CompletableFuture.completedFuture(abandoned(attempt, bad.problem()));
+			}
+			return store(attempt, write);
+		});
+	}
+
+	private CompletionStage<Result<Long>> store(Attempt attempt, SubmissionStep.Write write) {
+		return this.rollout.texts().store(attempt.document).thenCompose((stored) -> {
+			if (!stored) {
+				return CompletableFuture.completedFuture(abandoned(attempt, objectStoreDown()));
+			}
+			return this.tables.commit(List.of(HeadRow.put(write.expectVersion(), write.head())))
+				.thenCompose((commit) -> committed(attempt, write, commit));
+		});
+	}
+
+	private CompletionStage<Result<Long>> committed(Attempt attempt, SubmissionStep.Write write, Commit commit) {
+		if (commit instanceof Commit.Committed) {
+			SubmissionStep step = attempt.submission.committed();
+			this.rollout.texts().add(attempt.document);
+			return this.rollout.adopt(write.head().version(), write.head().parts())
+				.thenCompose((done) -> run(attempt, step));
+		}
+		if (commit instanceof Commit.Conflict conflict) {
+			Commit.ConflictRow row = conflict.rows().get(0);
+			return (row.value() != null) ? found(attempt, row.version(), HeadRow.decode(row.value()))
+					: run(attempt, attempt.submission.found(0, null));
+		}
+		return later(attempt,
+				(commit instanceof Commit.Refused) ? attempt.submission.refused() : attempt.submission.lost());
+	}
+
+	private static Result<Long> result(SubmissionStep step) {
+		if (step instanceof SubmissionStep.Accepted accepted) {
+			return Result.ok(accepted.version());
+		}
+		if (step instanceof SubmissionStep.Conflict conflict) {
+			return Result.failed(Problem.notRun(ProblemKind.CONFLICT,
+					"version " + conflict.version() + " is in force; changed since the base version: "
+							+ String.join(", ", conflict.changed()),
+					"read the configuration again, apply the change to version " + conflict.version()
+							+ " and submit it with a new identifier"));
+		}
+		if (step instanceof SubmissionStep.IdentifierReused reused) {
+			return Result.failed(Problem.notRun(ProblemKind.CONFLICT,
+					"the identifier belongs to the submission that created version " + reused.version(),
+					"submit with a new identifier"));
+		}
+		if (step instanceof SubmissionStep.NotAccepted) {
+			return Result.failed(Problem
+				.notRun(ProblemKind.STORE_UNAVAILABLE, "this submission was not accepted: the table service is down",
+						"repeat it later with the same identifier")
+				.retryAfter(Duration.ofSeconds(2)));
+		}
+		return Result.failed(Problem
+			.unknown(ProblemKind.STORE_UNAVAILABLE, "the submission may have been accepted; the answer was lost",
+					"repeat it with the same identifier; it takes effect at most once")
+			.retryAfter(Duration.ofSeconds(2)));
+	}
+
+	private static Problem objectStoreDown() {
+		return Problem
+			.notRun(ProblemKind.STORE_UNAVAILABLE, "this submission was not accepted: the object store is down",
+					"repeat it later with the same identifier")
+			.retryAfter(Duration.ofSeconds(2));
+	}
+
+	private record Attempt(Submission submission, String part, String document) {
+
+	}
+
+}
--- a/bilberryvalve-policy/src/main/java/io/bilberryvalve/policy/rollout/Submission.java
+++ b/bilberryvalve-policy/src/main/java/io/bilberryvalve/policy/rollout/Submission.java
@@ -117,4 +117,13 @@
 		return readFailed();
 	}
 
+	/**
+	 * The write was given up before it was sent, because the new part could not be
+	 * checked or stored.
+	 * @return what the operator is told about an earlier write
+	 */
+	public SubmissionStep abandoned() {
+		return this.mayBeWritten ? new SubmissionStep.Unknown() : new SubmissionStep.NotAccepted();
+	}
+
 }
