--- /dev/null
+++ b/bilberryvalve-bench/src/main/java/io/bilberryvalve/bench/Experiments.java
@@ -0,0 +1,17 @@
+package io.bilberryvalve.bench;
+
+import java.util.List;
+
+/**
+ * All experiments.
+ */
+final class Experiments {
+
+	private Experiments() {
+	}
+
+	static List<Experiment> all() {
+		return List.of(new DecisionTime(), new Throughput());
+	}
+
+}
