--- a/bilberryvalve-config/src/main/java/io/bilberryvalve/config/ClubPart.java
+++ b/bilberryvalve-config/src/main/java/io/bilberryvalve/config/ClubPart.java
@@ -23,12 +23,17 @@
  * @param applications applications whose calls the system routes
  */
 public record ClubPart(ClubId club, List<Team> teams, List<Caller> callers, List<Operator> operators,
-		List<Pipeline> pipelines, List<Application> applications) {
+		List<Pipeline> pipelines, List<Application> applications) implements ConfigurationPart {
 
 	/**
 	 * Copies the lists.
+	 * @throws IllegalArgumentException if the club has the name of the federation part
 	 */
 	public ClubPart {
+		if (club.value().equals(FEDERATION)) {
+			throw new IllegalArgumentException(
+					"'" + FEDERATION + "' names the part that all clubs share; give the club another identifier");
+		}
 		teams = List.copyOf(teams);
 		callers = List.copyOf(callers);
 		operators = List.copyOf(operators);
@@ -36,6 +41,20 @@
 		applications = List.copyOf(applications);
 	}
 
+	/**
+	 * Returns a part without entries.
+	 * @param club the club
+	 * @return the empty part
+	 */
+	public static ClubPart empty(ClubId club) {
+		return new ClubPart(club, List.of(), List.of(), List.of(), List.of(), List.of());
+	}
+
+	@Override
+	public String name() {
+		return this.club.value();
+	}
+
 	/**
 	 * A team.
 	 *
--- a/bilberryvalve-config/src/main/java/io/bilberryvalve/config/FederationConfiguration.java
+++ b/bilberryvalve-config/src/main/java/io/bilberryvalve/config/FederationConfiguration.java
@@ -31,4 +31,20 @@
 		return new FederationConfiguration(0, FederationPart.empty(), Map.of());
 	}
 
+	/**
+	 * Returns the configuration with one part replaced.
+	 * @param nextVersion version of the result
+	 * @param part the new part
+	 * @return the configuration
+	 */
+	public FederationConfiguration with(long nextVersion, ConfigurationPart part) {
+		if (part instanceof FederationPart next) {
+			return new FederationConfiguration(nextVersion, next, this.clubs);
+		}
+		ClubPart next = (ClubPart) part;
+		Map<ClubId, ClubPart> parts = new TreeMap<>(this.clubs);
+		parts.put(next.club(), next);
+		return new FederationConfiguration(nextVersion, this.federation, parts);
+	}
+
 }
--- a/bilberryvalve-config/src/main/java/io/bilberryvalve/config/FederationPart.java
+++ b/bilberryvalve-config/src/main/java/io/bilberryvalve/config/FederationPart.java
@@ -24,7 +24,7 @@
  */
 public record FederationPart(List<ClubShare> shares, List<DataCentre> dataCentres, List<ModelSpec> models,
 		List<AcceleratorSpec> accelerators, List<Link> links, List<Runner> runners,
-		List<ApplicationRunner> applicationRunners) {
+		List<ApplicationRunner> applicationRunners) implements ConfigurationPart {
 
 	/**
 	 * Copies the lists.
@@ -47,6 +47,11 @@
 		return new FederationPart(List.of(), List.of(), List.of(), List.of(), List.of(), List.of(), List.of());
 	}
 
+	@Override
+	public String name() {
+		return FEDERATION;
+	}
+
 	/**
 	 * Guaranteed part of a club in the accelerator budget.
 	 *
--- a/bilberryvalve-config/src/main/java/io/bilberryvalve/config/Fields.java
+++ b/bilberryvalve-config/src/main/java/io/bilberryvalve/config/Fields.java
@@ -36,6 +36,14 @@
 		this.findings = findings;
 	}
 
+	/**
+	 * Returns the object whose members are read.
+	 * @return the object
+	 */
+	JsonTree.Members object() {
+		return this.object;
+	}
+
 	/**
 	 * Tells whether a member is present with a value other than {@code null}.
 	 * @param name its key
@@ -121,7 +129,7 @@
 	 * @param max largest value
 	 * @return the value
 	 */
-	Value<Double> positive(String name, double max) {
+	Value<Double> positive(String name, long max) {
 		JsonTree tree = member(name);
 		if (tree == null) {
 			return Value.failed();
--- a/bilberryvalve-config/src/main/java/io/bilberryvalve/config/JsonTree.java
+++ b/bilberryvalve-config/src/main/java/io/bilberryvalve/config/JsonTree.java
@@ -5,6 +5,8 @@
 import java.util.List;
 import java.util.Map;
 
+import org.jspecify.annotations.Nullable;
+
 /**
  * A JSON value with its place in the text.
  */
@@ -22,6 +24,15 @@
 	 */
 	String description();
 
+	/**
+	 * Returns a direct child.
+	 * @param step key, or index followed by a closing bracket
+	 * @return the child, or {@code null} if there is none
+	 */
+	default @Nullable JsonTree child(String step) {
+		return null;
+	}
+
 	/**
 	 * An object.
 	 *
@@ -39,6 +50,25 @@
 			members = Collections.unmodifiableMap(new LinkedHashMap<>(members));
 		}
 
+		/**
+		 * Finds the place of a value in this object.
+		 * @param path keys separated by dots, with the index of a list item in brackets
+		 * @return the place, or {@code null} if there is no such value
+		 */
+		@Nullable Position locate(String path) {
+			JsonTree tree = this;
+			for (String step : path.split("[.\\[]")) {
+				tree = (tree != null) ? tree.child(step) : null;
+			}
+			return (tree != null) ? tree.position() : null;
+		}
+
+		@Override
+		public @Nullable JsonTree child(String step) {
+			Member member = this.members.get(step);
+			return (member != null) ? member.value() : null;
+		}
+
 		@Override
 		public String description() {
 			return "an object";
@@ -73,6 +103,15 @@
 			items = List.copyOf(items);
 		}
 
+		@Override
+		public @Nullable JsonTree child(String step) {
+			if (!step.endsWith("]")) {
+				return null;
+			}
+			int index = Integer.parseInt(step.substring(0, step.length() - 1));
+			return (index < this.items.size()) ? this.items.get(index) : null;
+		}
+
 		@Override
 		public String description() {
 			return "a list";
