--- a/bilberryvalve-config/src/main/java/io/bilberryvalve/config/ConfigurationDocument.java
+++ b/bilberryvalve-config/src/main/java/io/bilberryvalve/config/ConfigurationDocument.java
@@ -48,6 +48,20 @@
 				(fields) -> PartReader.part(fields).map((part) -> new ConfigurationDocument(part, fields.object())));
 	}
 
+	/**
+	 * Returns the digest of a whole configuration. It covers the name and digest of each
+	 * part, but not the version.
+	 * @param configuration the configuration
+	 * @return the digest: SHA-256, 64 lower-case hexadecimal digits
+	 */
+	public static String digest(FederationConfiguration configuration) {
+		StringBuilder text = new StringBuilder("federation " + of(configuration.federation()).digest() + "\n");
+		for (ClubPart club : configuration.clubs().values()) {
+			text.append(club.name()).append(' ').append(of(club).digest()).append('\n');
+		}
+		return KeyDigest.of(text.toString());
+	}
+
 	/**
 	 * Returns the part.
 	 * @return the part
