Check that the runners with an adapter form a chain

The chain planner serves an adapter only with runners that have loaded it, while the check accepted any runner of the model, so an accepted pipeline could have no chain. The check now covers model and adapter, and the example gives adapters to two chains of writers and to all advisors.

ConfigurationCheckTests has a case for it; without the change the case is accepted.

--- a/bilberryvalve-config/src/main/java/io/bilberryvalve/config/ClubChecks.java
+++ b/bilberryvalve-config/src/main/java/io/bilberryvalve/config/ClubChecks.java
@@ -11,9 +11,9 @@
 import io.bilberryvalve.model.ApplicationRunner;
 import io.bilberryvalve.model.CallerId;
 import io.bilberryvalve.model.LayerRange;
-import io.bilberryvalve.model.ModelVersion;
 import io.bilberryvalve.model.Runner;
 import io.bilberryvalve.model.TeamId;
+import org.jspecify.annotations.Nullable;
 
 /**
  * Checks the part of a club against itself and the part that all clubs share.
@@ -30,7 +30,7 @@
 
 	private final Set<CallerId> callers;
 
-	private final Set<ModelVersion> covered = new HashSet<>();
+	private final Set<String> covered = new HashSet<>();
 
 	ClubChecks(FederationPart federation, ClubPart part, KeyOwners owners, PartReport report) {
 		this.federation = federation;
@@ -97,11 +97,14 @@
 						"declare it in models of the federation part or use another version");
 				continue;
 			}
-			if (pipeline.adapter() != null) {
-				this.report.exists(path + ".adapter", pipeline.adapter(), spec.get().adapters(),
-						"adapters of the model in the federation part");
+			String adapter = pipeline.adapter();
+			if (adapter == null || spec.get().adapters().contains(adapter)) {
+				coverage(path, spec.get(), adapter);
+			}
+			else {
+				this.report.add(path + ".adapter", adapter + " is not declared",
+						"declare it in adapters of the model in the federation part or use another adapter");
 			}
-			coverage(path, spec.get());
 		}
 	}
 
@@ -110,23 +113,26 @@
 		this.report.exist(path, names, this.callers, "callers");
 	}
 
-	private void coverage(String path, FederationPart.ModelSpec spec) {
-		if (!this.covered.add(spec.model())) {
+	private void coverage(String path, FederationPart.ModelSpec spec, @Nullable String adapter) {
+		String needed = (adapter != null) ? spec.model() + " with adapter " + adapter : spec.model().toString();
+		if (!this.covered.add(needed)) {
 			return;
 		}
-		List<LayerRange> gaps = gaps(spec);
+		List<LayerRange> gaps = gaps(spec, adapter);
 		if (!gaps.isEmpty()) {
+			String layers = String.join(", ", gaps.stream().map(LayerRange::toString).toList());
 			this.report.add(path + ".model",
-					"no chain of runners covers " + spec.model() + "; no runner holds layers "
-							+ gaps.stream().map(LayerRange::toString).reduce((a, b) -> a + ", " + b).orElseThrow(),
+					"no chain of runners covers " + needed + "; no such runner holds layers " + layers,
 					"add runners for these layers to the federation part");
 		}
 	}
 
-	private List<LayerRange> gaps(FederationPart.ModelSpec spec) {
+	// A runner with an adapter also serves requests without one.
+	private List<LayerRange> gaps(FederationPart.ModelSpec spec, @Nullable String adapter) {
 		List<LayerRange> held = new ArrayList<>(this.federation.runners()
 			.stream()
 			.filter((runner) -> runner.model().equals(spec.model()))
+			.filter((runner) -> adapter == null || adapter.equals(runner.adapter()))
 			.map(Runner::layers)
 			.toList());
 		Collections.sort(held);
--- a/bilberryvalve-config/src/main/java/io/bilberryvalve/config/ConfigurationCheck.java
+++ b/bilberryvalve-config/src/main/java/io/bilberryvalve/config/ConfigurationCheck.java
@@ -14,8 +14,9 @@
  * <li>callers name teams; pipelines and applications name callers; runners and links name
  * data centres; runners name accelerator kinds, models and adapters;</li>
  * <li>layer ranges lie within the model;</li>
- * <li>pipelines name models and adapters that exist, and runners hold every layer of each
- * model that a pipeline uses; every declared application has a runner.</li>
+ * <li>pipelines name models and adapters that exist, and for each model and adapter that
+ * a pipeline uses, runners hold every layer; every declared application has a
+ * runner.</li>
  * </ul>
  */
 public final class ConfigurationCheck {
--- a/bilberryvalve-config/src/test/java/io/bilberryvalve/config/ConfigurationCheckTests.java
+++ b/bilberryvalve-config/src/test/java/io/bilberryvalve/config/ConfigurationCheckTests.java
@@ -42,12 +42,11 @@
 	void refusesUnknownAcceleratorsModelsAndAdaptersOfRunners() {
 		federation("\"dataCentre\": \"south-b\", \"kind\": \"a10\"", "\"dataCentre\": \"south-b\", \"kind\": \"h9\"",
 				"runners[1].kind: h9 is not declared");
-		federation("\"first\": 0, \"end\": 12, \"checksFencing\": true",
-				"\"first\": 0, \"end\": 12, \"checksFencing\": true, \"adapter\": \"x\"",
-				"runners[0].adapter: x is not declared");
+		federation("true, \"adapter\": \"orders\"", "true, \"adapter\": \"x\"", "runners[0].adapter: x is not declared",
+				"no chain of runners covers wick@2 with adapter orders; no such runner holds layers [0, 12)");
 		federation("\"model\": \"wick\", \"version\": \"2\", \"first\": 0",
 				"\"model\": \"wick\", \"version\": \"3\", \"first\": 0", "runners[0].model: wick@3 is not declared",
-				"no runner holds layers [0, 12)");
+				"no such runner holds layers [0, 12)");
 	}
 
 	@Example
@@ -57,8 +56,15 @@
 
 	@Example
 	void refusesModelsThatNoChainCovers() {
-		federation("\"end\": 12", "\"end\": 10", "no chain of runners covers wick@2; no runner holds layers [10, 12)");
-		federation("\"end\": 24", "\"end\": 20", "no runner holds layers [20, 24)");
+		federation("\"end\": 12", "\"end\": 10", "no such runner holds layers [10, 12)");
+		federation("\"end\": 24", "\"end\": 20", "no such runner holds layers [20, 24)");
+	}
+
+	// Guards against a pipeline whose adapter is on runners that do not form a chain.
+	@Example
+	void refusesAdaptersThatNoChainHas() {
+		federation("true, \"adapter\": \"orders\"", "true",
+				"no chain of runners covers wick@2 with adapter orders; no such runner holds layers [0, 12)");
 	}
 
 	@Example
--- a/bilberryvalve-config/src/test/java/io/bilberryvalve/config/Texts.java
+++ b/bilberryvalve-config/src/test/java/io/bilberryvalve/config/Texts.java
@@ -20,7 +20,7 @@
 			  "links": [{"from": "south-a", "to": "south-b", "latencyMicros": 250, "bytesPerSecond": 1250000000}],
 			  "runners": [
 			    {"runner": "r1", "address": "127.0.0.1:9001", "dataCentre": "south-a", "kind": "a10",
-			      "model": "wick", "version": "2", "first": 0, "end": 12, "checksFencing": true},
+			      "model": "wick", "version": "2", "first": 0, "end": 12, "checksFencing": true, "adapter": "orders"},
 			    // holds the upper half
 			    {"runner": "r2", "address": "127.0.0.1:9002", "dataCentre": "south-b", "kind": "a10",
 			      "model": "wick", "version": "2", "first": 12, "end": 24, "checksFencing": false, "adapter": "orders"}
--- a/bilberryvalve-operators/src/main/java/io/bilberryvalve/operators/examples/FederationExample.java
+++ b/bilberryvalve-operators/src/main/java/io/bilberryvalve/operators/examples/FederationExample.java
@@ -29,6 +29,9 @@
 
 	private static final Duration WIDE_AREA_LATENCY = Duration.ofMillis(9);
 
+	/** Two chains have the adapter, so that the loss of one runner leaves one chain. */
+	private static final int ADAPTED_WRITERS = 4;
+
 	private FederationExample() {
 	}
 
@@ -97,6 +100,9 @@
 		federation.runner("writer-" + number, (runner) -> {
 			runner.address("127.0.0.1:" + (9000 + number)).dataCentre(place).accelerator(kind);
 			runner.holds("wick-writer", "2026.1", first, end);
+			if (number <= ADAPTED_WRITERS) {
+				runner.adapter("refills");
+			}
 			if (number % 2 == 0) {
 				runner.checksFencing();
 			}
@@ -117,6 +123,7 @@
 					.dataCentre(place)
 					.accelerator(kind)
 					.holds("bell-advisor", "3", first, end)
+					.adapter("installers")
 					.checksFencing());
 	}
 
--- a/bilberryvalve-operators/src/test/java/io/bilberryvalve/operators/FederationTests.java
+++ b/bilberryvalve-operators/src/test/java/io/bilberryvalve/operators/FederationTests.java
@@ -32,7 +32,7 @@
 		assertThat(federation.print("pavio")).isEqualTo(PavioExample.document());
 		assertThat(federation.print("klokhuis")).isEqualTo(KlokhuisExample.document());
 		assertThat(KeyDigest.of(federation.print("federation")))
-			.isEqualTo("fe99e56c2160c473ed42078bbed90394659212746e99d85bfcdd5d7068039066");
+			.isEqualTo("f7b0d9c9d93335c8f037e1b38072cc1dfd8354b8c48881d275f785c82da913c4");
 		assertThat(KeyDigest.of(PavioExample.document()))
 			.isEqualTo("fe64250697e0d0f5d2a916af52b6f04977f7961884d0c59d1a0c54ef665704be");
 		assertThat(KeyDigest.of(KlokhuisExample.document()))
