--- /dev/null
+++ b/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/engine/EngineException.java
@@ -0,0 +1,23 @@
+package io.bilberryvalve.daemon.engine;
+
+import io.bilberryvalve.daemon.engine.EngineFailure.Kind;
+
+/**
+ * Carries an engine failure through a publisher.
+ */
+final class EngineException extends Exception {
+
+	private static final long serialVersionUID = 1L;
+
+	private final transient EngineFailure failure;
+
+	EngineException(Kind kind, String detail) {
+		super(detail, null, false, false);
+		this.failure = new EngineFailure(kind, null, detail);
+	}
+
+	EngineFailure failure() {
+		return this.failure;
+	}
+
+}
--- /dev/null
+++ b/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/engine/EventStreamParser.java
@@ -0,0 +1,120 @@
+package io.bilberryvalve.daemon.engine;
+
+import java.io.ByteArrayOutputStream;
+import java.nio.charset.StandardCharsets;
+
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Parses server-sent events from bytes that arrive in pieces of any size.
+ */
+final class EventStreamParser {
+
+	/** Largest line in bytes; a longer one would let an engine exhaust the memory. */
+	private static final int MAX_LINE = 1 << 18;
+
+	private final Handler handler;
+
+	private final ByteArrayOutputStream line = new ByteArrayOutputStream();
+
+	private final StringBuilder data = new StringBuilder();
+
+	private @Nullable String event;
+
+	private boolean hasData;
+
+	EventStreamParser(Handler handler) {
+		this.handler = handler;
+	}
+
+	/**
+	 * Parses more bytes.
+	 * @param bytes the bytes
+	 * @throws IllegalArgumentException if a line or an event is too long
+	 */
+	void feed(byte[] bytes) {
+		for (byte b : bytes) {
+			if (b == '\n') {
+				endLine();
+			}
+			else if (this.line.size() < MAX_LINE) {
+				this.line.write(b);
+			}
+			else {
+				throw new IllegalArgumentException("line exceeds " + MAX_LINE + " bytes");
+			}
+		}
+	}
+
+	private void endLine() {
+		String text = this.line.toString(StandardCharsets.UTF_8);
+		this.line.reset();
+		if (text.endsWith("\r")) {
+			text = text.substring(0, text.length() - 1);
+		}
+		if (text.isEmpty()) {
+			endEvent();
+		}
+		else if (text.startsWith(":")) {
+			this.handler.comment();
+		}
+		else {
+			field(text);
+		}
+	}
+
+	private void field(String text) {
+		int colon = text.indexOf(':');
+		String name = (colon < 0) ? text : text.substring(0, colon);
+		String value = (colon < 0) ? "" : text.substring(colon + 1);
+		if (value.startsWith(" ")) {
+			value = value.substring(1);
+		}
+		if (name.equals("event")) {
+			this.event = value;
+		}
+		else if (name.equals("data")) {
+			append(value);
+		}
+	}
+
+	private void append(String value) {
+		if (this.data.length() + value.length() > MAX_LINE) {
+			throw new IllegalArgumentException("event exceeds " + MAX_LINE + " characters");
+		}
+		if (this.hasData) {
+			this.data.append('\n');
+		}
+		this.data.append(value);
+		this.hasData = true;
+	}
+
+	private void endEvent() {
+		if (this.hasData) {
+			this.handler.event((this.event != null) ? this.event : "message", this.data.toString());
+		}
+		this.data.setLength(0);
+		this.hasData = false;
+		this.event = null;
+	}
+
+	/**
+	 * Receives parsed events.
+	 */
+	interface Handler {
+
+		/**
+		 * Receives an event.
+		 * @param name name of the event, {@code message} if it has none
+		 * @param data its data
+		 */
+		void event(String name, String data);
+
+		/**
+		 * Receives a comment line.
+		 */
+		void comment();
+
+	}
+
+}
--- /dev/null
+++ b/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/engine/HttpEngineStream.java
@@ -0,0 +1,123 @@
+package io.bilberryvalve.daemon.engine;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import io.bilberryvalve.daemon.engine.EngineFailure.Kind;
+import io.bilberryvalve.model.RequestId;
+import io.servicetalk.buffer.api.Buffer;
+import io.servicetalk.concurrent.PublisherSource;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Reads the server-sent events of one stream and reports them.
+ */
+final class HttpEngineStream implements EngineStream, PublisherSource.Subscriber<Buffer>, EventStreamParser.Handler {
+
+	private static final String DONE = "[DONE]";
+
+	private final RequestId stream;
+
+	private final EngineListener listener;
+
+	private final EventStreamParser parser = new EventStreamParser(this);
+
+	private volatile PublisherSource.@Nullable Subscription subscription;
+
+	private boolean finished;
+
+	HttpEngineStream(RequestId stream, EngineListener listener) {
+		this.stream = stream;
+		this.listener = listener;
+	}
+
+	@Override
+	public void read() {
+		PublisherSource.Subscription source = this.subscription;
+		if (source != null) {
+			source.request(1);
+		}
+	}
+
+	@Override
+	public void close() {
+		PublisherSource.Subscription source = this.subscription;
+		if (source != null) {
+			source.cancel();
+		}
+	}
+
+	@Override
+	public void onSubscribe(PublisherSource.Subscription source) {
+		this.subscription = source;
+	}
+
+	@Override
+	public void onNext(@Nullable Buffer buffer) {
+		if (this.finished || buffer == null) {
+			return;
+		}
+		byte[] bytes = new byte[buffer.readableBytes()];
+		buffer.readBytes(bytes);
+		try {
+			this.parser.feed(bytes);
+		}
+		catch (IllegalArgumentException ex) {
+			fail(new EngineFailure(Kind.MALFORMED, null, String.valueOf(ex.getMessage())));
+			close();
+		}
+		if (!this.finished) {
+			this.listener.consumed();
+		}
+	}
+
+	@Override
+	public void onError(Throwable error) {
+		fail(failure(error));
+	}
+
+	@Override
+	public void onComplete() {
+		fail(new EngineFailure(Kind.CLOSED, null, "the engine closed the stream before its end"));
+	}
+
+	@Override
+	public void event(String name, String data) {
+		if (this.finished) {
+			return;
+		}
+		if (data.equals(DONE)) {
+			this.finished = true;
+			this.listener.ended();
+			read();
+			return;
+		}
+		JsonNode node = EngineJson.parse(data);
+		if (name.equals("problem")) {
+			fail(new EngineFailure(Kind.STAGE, EngineJson.runner(node), node.path("detail").asText("stage failed")));
+		}
+		else if (node.path("stream").asText().equals(this.stream.toString())) {
+			this.listener.token(EngineJson.token(node));
+		}
+	}
+
+	@Override
+	public void comment() {
+		if (!this.finished) {
+			this.listener.keepAlive();
+		}
+	}
+
+	private void fail(EngineFailure failure) {
+		if (!this.finished) {
+			this.finished = true;
+			this.listener.failed(failure);
+		}
+	}
+
+	private static EngineFailure failure(Throwable error) {
+		if (error instanceof EngineException engine) {
+			return engine.failure();
+		}
+		return new EngineFailure(Kind.CLOSED, null, "connection failed: " + error);
+	}
+
+}
--- /dev/null
+++ b/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/reply/Diagnosis.java
@@ -0,0 +1,60 @@
+package io.bilberryvalve.daemon.reply;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+
+import io.bilberryvalve.daemon.engine.EngineClient;
+import io.bilberryvalve.model.Result;
+import io.bilberryvalve.model.RunnerId;
+import io.bilberryvalve.policy.chain.Chain;
+import io.bilberryvalve.policy.chain.Stage;
+import io.bilberryvalve.policy.choice.LoadReport;
+
+/**
+ * State of the stages of a chain, found by asking each for its load.
+ *
+ * @param unreachable stages that did not answer
+ * @param leaving stages that answered and accept no new work
+ */
+record Diagnosis(Set<RunnerId> unreachable, Set<RunnerId> leaving) {
+
+	/**
+	 * Asks every stage of a chain for its load.
+	 * @param engines client of the engines
+	 * @param chain the chain
+	 * @return the state of the stages
+	 */
+	static CompletionStage<Diagnosis> probe(EngineClient engines, Chain chain) {
+		List<CompletableFuture<Result<LoadReport>>> answers = new ArrayList<>();
+		for (Stage stage : chain.stages()) {
+			answers.add(engines.load(stage.runner().address()).toCompletableFuture());
+		}
+		return CompletableFuture.allOf(answers.toArray(new CompletableFuture<?>[0]))
+			.thenApply((done) -> read(chain, answers));
+	}
+
+	private static Diagnosis read(Chain chain, List<CompletableFuture<Result<LoadReport>>> answers) {
+		Set<RunnerId> unreachable = new HashSet<>();
+		Set<RunnerId> leaving = new HashSet<>();
+		for (int i = 0; i < answers.size(); i++) {
+			RunnerId runner = chain.stages().get(i).runner().id();
+			Result<LoadReport> answer = answers.get(i).join();
+			if (!(answer instanceof Result.Ok<LoadReport> ok) || !ok.value().runner().equals(runner)) {
+				unreachable.add(runner);
+			}
+			else if (ok.value().state() == LoadReport.State.LEAVING) {
+				leaving.add(runner);
+			}
+		}
+		return new Diagnosis(unreachable, leaving);
+	}
+
+	boolean healthy() {
+		return this.unreachable.isEmpty() && this.leaving.isEmpty();
+	}
+
+}
--- /dev/null
+++ b/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/reply/Mailbox.java
@@ -0,0 +1,47 @@
+package io.bilberryvalve.daemon.reply;
+
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
+import java.util.Queue;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.atomic.AtomicInteger;
+
+import io.bilberryvalve.model.log.LogEvent;
+
+/**
+ * Runs tasks of one reply one after the other without locks. A task that arrives while
+ * another one runs is run afterwards by the thread that is already running tasks.
+ */
+final class Mailbox {
+
+	private static final Logger LOGGER = System.getLogger(Mailbox.class.getName());
+
+	private final Queue<Runnable> tasks = new ConcurrentLinkedQueue<>();
+
+	private final AtomicInteger pending = new AtomicInteger();
+
+	void run(Runnable task) {
+		this.tasks.add(task);
+		if (this.pending.getAndIncrement() > 0) {
+			return;
+		}
+		do {
+			Runnable next = this.tasks.poll();
+			if (next != null) {
+				runOne(next);
+			}
+		}
+		while (this.pending.decrementAndGet() > 0);
+	}
+
+	private static void runOne(Runnable task) {
+		try {
+			task.run();
+		}
+		catch (RuntimeException ex) {
+			// A later task must still run, otherwise the reply would never end.
+			LogEvent.of("reply-task-failed").with("error", ex).log(LOGGER, Level.ERROR);
+		}
+	}
+
+}
--- /dev/null
+++ b/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/reply/PipelineIndex.java
@@ -0,0 +1,119 @@
+package io.bilberryvalve.daemon.reply;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.concurrent.atomic.AtomicReference;
+
+import io.bilberryvalve.config.ClubPart;
+import io.bilberryvalve.config.FederationConfiguration;
+import io.bilberryvalve.config.FederationPart.ModelSpec;
+import io.bilberryvalve.daemon.configuration.ConfigurationSource;
+import io.bilberryvalve.daemon.http.Principal;
+import io.bilberryvalve.model.ClubId;
+import io.bilberryvalve.model.ModelVersion;
+import io.bilberryvalve.model.PipelineId;
+import io.bilberryvalve.model.Problem;
+import io.bilberryvalve.model.ProblemKind;
+import io.bilberryvalve.model.Result;
+import io.bilberryvalve.model.Runner;
+import io.bilberryvalve.model.RunnerId;
+import io.bilberryvalve.policy.chain.PlanKey;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Finds pipelines, models and runners of the configuration in force. The maps are rebuilt
+ * by the first request after a change and then shared by all requests.
+ */
+final class PipelineIndex {
+
+	private final ConfigurationSource source;
+
+	private final AtomicReference<Maps> maps = new AtomicReference<>(new Maps(FederationConfiguration.empty()));
+
+	PipelineIndex(ConfigurationSource source) {
+		this.source = source;
+	}
+
+	/**
+	 * Finds a pipeline that a caller may use.
+	 * @param caller the caller
+	 * @param pipeline the pipeline
+	 * @return the pipeline; the problem does not tell whether another club has it
+	 */
+	Result<ResolvedPipeline> resolve(Principal.Caller caller, PipelineId pipeline) {
+		Maps now = maps();
+		ClubPart.Pipeline found = now.pipelines.get(new Owned(caller.club(), pipeline));
+		if (found == null || !found.callers().contains(caller.caller())) {
+			return Result.failed(Problem.notRun(ProblemKind.FORBIDDEN,
+					"caller '" + caller.caller() + "' may not use pipeline '" + pipeline + "'",
+					"use a pipeline that your club declares for this caller, or ask an operator of your club"));
+		}
+		ModelSpec model = now.models.get(found.model());
+		if (model == null) {
+			return Result.failed(Problem.notRun(ProblemKind.NO_RUNNER,
+					"model " + found.model() + " of pipeline '" + pipeline + "' is not declared",
+					"ask an operator of the federation to declare the model"));
+		}
+		return Result.ok(new ResolvedPipeline(pipeline, new PlanKey(found.model(), found.adapter()), model.layers(),
+				found.maxTokens()));
+	}
+
+	@Nullable Runner runner(RunnerId id) {
+		return maps().runners.get(id);
+	}
+
+	int layers(ModelVersion model) {
+		ModelSpec spec = maps().models.get(model);
+		return (spec != null) ? spec.layers() : 0;
+	}
+
+	private Maps maps() {
+		FederationConfiguration current = this.source.current();
+		Maps now = this.maps.get();
+		if (now.configuration != current) {
+			now = new Maps(current);
+			this.maps.set(now);
+		}
+		return now;
+	}
+
+	/**
+	 * A pipeline with its model.
+	 *
+	 * @param pipeline the pipeline
+	 * @param key model version and adapter
+	 * @param layers number of layers of the model
+	 * @param maxTokens largest reply in tokens
+	 */
+	record ResolvedPipeline(PipelineId pipeline, PlanKey key, int layers, int maxTokens) {
+
+	}
+
+	private record Owned(ClubId club, PipelineId pipeline) {
+
+	}
+
+	private static final class Maps {
+
+		private final FederationConfiguration configuration;
+
+		private final Map<Owned, ClubPart.Pipeline> pipelines = new HashMap<>();
+
+		private final Map<ModelVersion, ModelSpec> models = new HashMap<>();
+
+		private final Map<RunnerId, Runner> runners = new HashMap<>();
+
+		Maps(FederationConfiguration configuration) {
+			this.configuration = configuration;
+			for (ClubPart club : configuration.clubs().values()) {
+				for (ClubPart.Pipeline pipeline : club.pipelines()) {
+					this.pipelines.put(new Owned(club.club(), pipeline.pipeline()), pipeline);
+				}
+			}
+			configuration.federation().models().forEach((spec) -> this.models.put(spec.model(), spec));
+			configuration.federation().runners().forEach((runner) -> this.runners.put(runner.id(), runner));
+		}
+
+	}
+
+}
--- /dev/null
+++ b/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/reply/Repair.java
@@ -0,0 +1,125 @@
+package io.bilberryvalve.daemon.reply;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+
+import io.bilberryvalve.daemon.engine.EngineFailure;
+import io.bilberryvalve.daemon.engine.EngineFailure.Kind;
+import io.bilberryvalve.model.Outcome;
+import io.bilberryvalve.model.Result;
+import io.bilberryvalve.model.RunnerId;
+import io.bilberryvalve.policy.chain.Chain;
+import io.bilberryvalve.policy.chain.KvImport;
+import io.bilberryvalve.policy.chain.RepairPlan;
+import io.bilberryvalve.policy.chain.Stage;
+
+/**
+ * Finds the chain that continues a reply after a failure. Methods are called by the
+ * mailbox of the reply; the results arrive on other threads.
+ */
+final class Repair {
+
+	private final ReplyServices services;
+
+	private final ReplyOrder order;
+
+	// Runners that failed in this reply. Repairs of one reply follow each other.
+	private volatile Set<RunnerId> avoid = Set.of();
+
+	private int repairs;
+
+	private int unexplained;
+
+	Repair(ReplyServices services, ReplyOrder order) {
+		this.services = services;
+		this.order = order;
+	}
+
+	/**
+	 * Plans the continuation and imports KV caches.
+	 * @param failed the failed attempt
+	 * @param failure its failure
+	 * @return the chain, or a problem whose outcome the caller decides
+	 */
+	CompletionStage<Result<Chain>> plan(Attempt failed, EngineFailure failure) {
+		if (this.repairs++ >= this.services.settings().repairs() || !this.services.budget().takeRepair()) {
+			return CompletableFuture.completedFuture(Result.failed(ReplyProblems.budget(Outcome.UNKNOWN)));
+		}
+		int epoch = failed.epoch();
+		Chain chain = failed.chain();
+		RunnerId first = chain.first().runner().id();
+		if (failure.kind() == Kind.REFUSED) {
+			return choose(chain, epoch, Set.of(first), Set.of());
+		}
+		if (failure.kind() == Kind.MALFORMED) {
+			return choose(chain, epoch, runners(chain), Set.of());
+		}
+		if (failure.kind() == Kind.REJECTED || failure.kind() == Kind.UNKNOWN_STREAM) {
+			return choose(chain, epoch, Set.of(first), Set.of(first));
+		}
+		boolean explained = failure.runner() != null;
+		int occurrence = explained ? 0 : ++this.unexplained;
+		return Diagnosis.probe(this.services.engines(), chain)
+			.thenCompose((diagnosis) -> afterProbe(chain, epoch, failure, diagnosis, occurrence));
+	}
+
+	private CompletionStage<Result<Chain>> afterProbe(Chain chain, int epoch, EngineFailure failure,
+			Diagnosis diagnosis, int occurrence) {
+		Set<RunnerId> bad = new HashSet<>(diagnosis.unreachable());
+		bad.addAll(diagnosis.leaving());
+		if (failure.runner() != null) {
+			bad.add(failure.runner());
+		}
+		if (bad.isEmpty() && occurrence <= 1) {
+			// Every stage answers on a new connection, so only the old connection was
+			// lost.
+			return CompletableFuture.completedFuture(Result.ok(chain));
+		}
+		Set<RunnerId> alive = new HashSet<>(bad.isEmpty() ? runners(chain) : bad);
+		alive.removeAll(diagnosis.unreachable());
+		return choose(chain, epoch, bad.isEmpty() ? runners(chain) : bad, alive);
+	}
+
+	private CompletionStage<Result<Chain>> choose(Chain old, int epoch, Set<RunnerId> bad, Set<RunnerId> alive) {
+		bad.stream().filter((runner) -> !alive.contains(runner)).forEach(this.services.chains()::failed);
+		Set<RunnerId> all = new HashSet<>(this.avoid);
+		all.addAll(bad);
+		this.avoid = Set.copyOf(all);
+		Optional<RepairPlan> plan = this.services.chains().repair(this.order.key(), old, all, alive);
+		if (plan.isEmpty()) {
+			// Runners that failed earlier may work again, unlike those that failed just
+			// now.
+			plan = this.services.chains().repair(this.order.key(), old, bad, alive);
+		}
+		if (plan.isEmpty()) {
+			return CompletableFuture.completedFuture(Result.failed(ReplyProblems.noChain(Outcome.UNKNOWN)));
+		}
+		return imported(plan.get(), epoch);
+	}
+
+	private CompletionStage<Result<Chain>> imported(RepairPlan plan, int epoch) {
+		List<CompletableFuture<Boolean>> pulls = new ArrayList<>();
+		for (KvImport pull : plan.imports()) {
+			pulls.add(this.services.engines()
+				.pull(pull.target().address(), this.order.id(), pull.source().address(), epoch)
+				.toCompletableFuture());
+		}
+		// A failed import is no failure: the engine rebuilds the cache from the order.
+		return CompletableFuture.allOf(pulls.toArray(new CompletableFuture<?>[0]))
+			.thenApply((done) -> Result.ok(plan.chain()));
+	}
+
+	private static Set<RunnerId> runners(Chain chain) {
+		Set<RunnerId> runners = new HashSet<>();
+		for (Stage stage : chain.stages()) {
+			runners.add(stage.runner().id());
+		}
+		return runners;
+	}
+
+}
--- /dev/null
+++ b/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/reply/ReplyCursor.java
@@ -0,0 +1,111 @@
+package io.bilberryvalve.daemon.reply;
+
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
+
+import io.bilberryvalve.model.Problem;
+import io.bilberryvalve.model.RequestId;
+import io.servicetalk.buffer.api.Buffer;
+import io.servicetalk.buffer.netty.BufferAllocators;
+import io.servicetalk.concurrent.PublisherSource;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Hands the tokens of a log to one subscriber as server-sent events, as fast as the
+ * subscriber asks for them. It holds no tokens itself. One thread at a time emits; a
+ * thread that finds another one emitting leaves the work to it.
+ */
+final class ReplyCursor implements PublisherSource<Buffer>, PublisherSource.Subscription {
+
+	private final RequestId request;
+
+	private final ReplyLog log;
+
+	private final ReplyReader reader;
+
+	private final Runnable waker = this::drain;
+
+	private final AtomicLong demand = new AtomicLong();
+
+	private final AtomicInteger pending = new AtomicInteger();
+
+	private final AtomicBoolean left = new AtomicBoolean();
+
+	private volatile @Nullable Subscriber<? super Buffer> subscriber;
+
+	private int position;
+
+	ReplyCursor(RequestId request, ReplyLog log, int from, ReplyReader reader) {
+		this.request = request;
+		this.log = log;
+		this.position = from;
+		this.reader = reader;
+	}
+
+	@Override
+	public void subscribe(Subscriber<? super Buffer> target) {
+		if (this.subscriber != null) {
+			throw new IllegalStateException("a cursor has one subscriber");
+		}
+		target.onSubscribe(this);
+		this.subscriber = target;
+		this.log.register(this.waker);
+		drain();
+	}
+
+	@Override
+	public void request(long n) {
+		this.demand.accumulateAndGet(Math.max(n, 1), (a, b) -> (a + b < 0) ? Long.MAX_VALUE : a + b);
+		drain();
+	}
+
+	@Override
+	public void cancel() {
+		leave();
+	}
+
+	private void drain() {
+		if (this.subscriber == null || this.pending.getAndIncrement() > 0) {
+			return;
+		}
+		int missed = 1;
+		while (missed > 0) {
+			emit(this.subscriber);
+			missed = this.pending.addAndGet(-missed);
+		}
+	}
+
+	private void emit(Subscriber<? super Buffer> target) {
+		int before = this.position;
+		while (!this.left.get() && this.position < this.log.next() && this.demand.get() > 0) {
+			ReplyToken token = this.log.token(this.position++);
+			next(target, ReplyEvents.token(this.request, token));
+		}
+		if (this.position > before) {
+			this.reader.read(this.position);
+		}
+		// The end is read before the size, since tokens are appended before the end is
+		// set.
+		boolean ended = this.log.ended();
+		if (ended && !this.left.get() && this.position == this.log.next() && this.demand.get() > 0) {
+			Problem problem = this.log.problem();
+			next(target, (problem != null) ? ReplyEvents.problem(problem) : ReplyEvents.DONE);
+			leave();
+			target.onComplete();
+		}
+	}
+
+	private void next(Subscriber<? super Buffer> target, String event) {
+		this.demand.decrementAndGet();
+		target.onNext(BufferAllocators.DEFAULT_ALLOCATOR.fromUtf8(event));
+	}
+
+	private void leave() {
+		if (this.left.compareAndSet(false, true)) {
+			this.log.remove(this.waker);
+			this.reader.left();
+		}
+	}
+
+}
--- /dev/null
+++ b/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/reply/ReplyProblems.java
@@ -0,0 +1,53 @@
+package io.bilberryvalve.daemon.reply;
+
+import java.time.Duration;
+
+import io.bilberryvalve.model.Outcome;
+import io.bilberryvalve.model.Problem;
+import io.bilberryvalve.model.ProblemKind;
+
+/**
+ * Problems of replies. An unfinished reply that was dispatched can be continued from its
+ * last event, so its remedy says so.
+ */
+final class ReplyProblems {
+
+	private static final Duration RETRY_AFTER = Duration.ofSeconds(1);
+
+	private static final String RESUME = "repeat the request with Last-Event-ID set to the id of the last event";
+
+	private static final String REPEAT = "repeat the request later";
+
+	private ReplyProblems() {
+	}
+
+	static Problem noChain(Outcome outcome) {
+		return problem(ProblemKind.NO_RUNNER, outcome, "no chain of runners covers the model");
+	}
+
+	static Problem failed(Outcome outcome, String detail) {
+		return problem(ProblemKind.RUNNER_FAILED, outcome, detail);
+	}
+
+	static Problem budget(Outcome outcome) {
+		return problem(ProblemKind.RUNNER_FAILED, outcome, "a runner failed and the repair budget is used up");
+	}
+
+	static Problem deadline(Outcome outcome) {
+		return problem(ProblemKind.DEADLINE_EXCEEDED, outcome, "the deadline passed before the reply was complete");
+	}
+
+	static Problem abandoned(Outcome outcome) {
+		return problem(ProblemKind.UNAVAILABLE, outcome, "no reader asked for the reply");
+	}
+
+	static Problem lost(String detail) {
+		return Problem.unknown(ProblemKind.REPLY_LOST, detail, "send the request again without Last-Event-ID");
+	}
+
+	private static Problem problem(ProblemKind kind, Outcome outcome, String detail) {
+		String remedy = (outcome == Outcome.NOT_RUN) ? REPEAT : RESUME;
+		return new Problem(kind, outcome, detail, remedy, RETRY_AFTER);
+	}
+
+}
--- /dev/null
+++ b/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/reply/ReplySettings.java
@@ -0,0 +1,35 @@
+package io.bilberryvalve.daemon.reply;
+
+import java.time.Duration;
+
+/**
+ * Limits of replies.
+ *
+ * @param progress time within which an engine must send a token or a keep-alive
+ * @param firstStall time without the first token of an attempt, despite keep-alives,
+ * after which the stages of the chain are probed; it covers queues and prefill
+ * @param stall the same time once the attempt has produced a token
+ * @param defaultTimeout time for a reply whose caller states no deadline
+ * @param longestTimeout longest time that a caller may state
+ * @param window tokens that may wait for a slow caller before reading from the engine
+ * stops
+ * @param retention time for which an ended reply can be resumed
+ * @param retainedCharacters characters of ended replies kept for resuming
+ * @param absence time after which a reply without a reader is given up
+ * @param repairs largest number of repairs of one reply
+ */
+public record ReplySettings(Duration progress, Duration firstStall, Duration stall, Duration defaultTimeout,
+		Duration longestTimeout, int window, Duration retention, long retainedCharacters, Duration absence,
+		int repairs) {
+
+	/**
+	 * Returns the default limits.
+	 * @return the limits
+	 */
+	public static ReplySettings defaults() {
+		return new ReplySettings(Duration.ofSeconds(1), Duration.ofSeconds(2), Duration.ofMillis(600),
+				Duration.ofMinutes(2), Duration.ofMinutes(30), 64, Duration.ofSeconds(60), 8_000_000,
+				Duration.ofSeconds(2), 8);
+	}
+
+}
--- /dev/null
+++ b/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/runner/ChainSource.java
@@ -0,0 +1,67 @@
+package io.bilberryvalve.daemon.runner;
+
+import java.util.Optional;
+import java.util.Set;
+
+import io.bilberryvalve.model.RunnerId;
+import io.bilberryvalve.policy.chain.Chain;
+import io.bilberryvalve.policy.chain.PlanKey;
+import io.bilberryvalve.policy.chain.RepairPlan;
+
+/**
+ * Chooses chains for replies and learns from what happens to them. All methods are
+ * non-blocking and safe for use by several threads.
+ */
+public interface ChainSource {
+
+	/**
+	 * Chooses a chain for a new reply.
+	 * @param key model version and adapter
+	 * @param prompt the prompt, for prefix affinity
+	 * @return the chain, or empty if no chain covers the model
+	 */
+	Optional<Chain> choose(PlanKey key, String prompt);
+
+	/**
+	 * Chooses how a reply continues after a failure.
+	 * @param key model version and adapter
+	 * @param old the chain that failed
+	 * @param avoid runners that must not be used
+	 * @param alive avoided runners whose KV cache can still be pulled
+	 * @return the plan, or empty if no chain without the avoided runners exists
+	 */
+	Optional<RepairPlan> repair(PlanKey key, Chain old, Set<RunnerId> avoid, Set<RunnerId> alive);
+
+	/**
+	 * Counts work sent to a chain.
+	 * @param chain the chain
+	 * @param tokens prompt and output tokens still to be computed
+	 * @return the work, to be updated as it progresses
+	 */
+	Work dispatched(Chain chain, int tokens);
+
+	/**
+	 * Notes the failure of a runner.
+	 * @param runner the runner
+	 */
+	void failed(RunnerId runner);
+
+	/**
+	 * Work in progress on a chain. Calls are not concurrent.
+	 */
+	interface Work {
+
+		/**
+		 * Counts a delivered token.
+		 */
+		void delivered();
+
+		/**
+		 * Ends the work; what was not computed no longer counts.
+		 * @param succeeded whether the chain completed the work
+		 */
+		void end(boolean succeeded);
+
+	}
+
+}
--- /dev/null
+++ b/bilberryvalve-policy/src/main/java/io/bilberryvalve/policy/choice/LoadReport.java
@@ -0,0 +1,34 @@
+package io.bilberryvalve.policy.choice;
+
+import java.time.Instant;
+
+import io.bilberryvalve.model.RunnerId;
+
+/**
+ * Load of a runner as the runner reported it.
+ *
+ * @param runner the runner
+ * @param observedAt when the runner observed the load; earlier than its arrival
+ * @param queuedTokens tokens that wait or run at the runner
+ * @param running number of running streams
+ * @param tokensPerSecond rate of the runner at that time
+ * @param kvFreeFraction free part of the KV cache, 0 to 1
+ * @param state whether the runner accepts new work
+ */
+public record LoadReport(RunnerId runner, Instant observedAt, long queuedTokens, int running, double tokensPerSecond,
+		double kvFreeFraction, State state) {
+
+	/**
+	 * Whether a runner accepts new work.
+	 */
+	public enum State {
+
+		/** The runner accepts new work. */
+		SERVING,
+
+		/** The runner finishes its work and accepts no new work. */
+		LEAVING
+
+	}
+
+}
