--- a/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/reply/Repair.java
+++ b/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/reply/Repair.java
@@ -44,13 +44,13 @@
 	 * Plans the continuation and imports KV caches.
 	 * @param failed the failed attempt
 	 * @param failure its failure
+	 * @param epoch epoch of the continuation
 	 * @return the chain, or a problem whose outcome the caller decides
 	 */
-	CompletionStage<Result<Chain>> plan(Attempt failed, EngineFailure failure) {
+	CompletionStage<Result<Chain>> plan(Attempt failed, EngineFailure failure, int epoch) {
 		if (this.repairs++ >= this.services.settings().repairs() || !this.services.budget().takeRepair()) {
 			return CompletableFuture.completedFuture(Result.failed(ReplyProblems.budget(Outcome.UNKNOWN)));
 		}
-		int epoch = failed.epoch();
 		Chain chain = failed.chain();
 		RunnerId first = chain.first().runner().id();
 		if (failure.kind() == Kind.REFUSED) {
--- a/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/reply/ReplySession.java
+++ b/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/reply/ReplySession.java
@@ -166,7 +166,7 @@
 			return;
 		}
 		ReplyPosition position = this.ledger.position();
-		int tokens = this.order.promptTokens() + this.order.maxTokens() - position.next();
+		int tokens = this.order.promptTokens() + position.next();
 		Attempt next = new Attempt(this, position, chain, this.services.chains().dispatched(chain, tokens));
 		StreamOrder stream = new StreamOrder(this.order.id(), position.epoch(), this.order.caller().club(),
 				this.order.key(), this.order.prompt(), this.log.texts(), this.order.maxTokens(), this.order.priority(),
@@ -239,7 +239,7 @@
 		}
 		stopAttempt(source, failure.kind() != Kind.REFUSED);
 		this.phase = Phase.REPAIRING;
-		this.ledger.advance();
+		int next = this.ledger.advance().epoch();
 		LogEvent.of("reply-attempt-failed")
 			.with("request", this.order.id())
 			.with("epoch", source.epoch())
@@ -247,7 +247,7 @@
 			.with("runner", failure.runner())
 			.with("detail", failure.detail())
 			.log(LOGGER, Level.WARNING);
-		this.repair.plan(source, failure).thenAccept((result) -> post(() -> continueWith(result)));
+		this.repair.plan(source, failure, next).thenAccept((result) -> post(() -> continueWith(result)));
 	}
 
 	private void continueWith(Result<Chain> result) {
--- /dev/null
+++ b/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/runner/ChainPlanning.java
@@ -0,0 +1,112 @@
+package io.bilberryvalve.daemon.runner;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Predicate;
+
+import io.bilberryvalve.config.ClubPart;
+import io.bilberryvalve.config.FederationConfiguration;
+import io.bilberryvalve.config.FederationPart.ModelSpec;
+import io.bilberryvalve.model.ModelVersion;
+import io.bilberryvalve.model.Runner;
+import io.bilberryvalve.model.RunnerId;
+import io.bilberryvalve.policy.chain.Candidate;
+import io.bilberryvalve.policy.chain.Chain;
+import io.bilberryvalve.policy.chain.ChainPlanner;
+import io.bilberryvalve.policy.chain.ChainSet;
+import io.bilberryvalve.policy.chain.ChainTable;
+import io.bilberryvalve.policy.chain.LinkTable;
+import io.bilberryvalve.policy.chain.ModelShape;
+import io.bilberryvalve.policy.chain.PlanKey;
+import io.bilberryvalve.policy.choice.RunnerHealth;
+import io.bilberryvalve.policy.choice.RunnerLoads;
+
+/**
+ * Plans the chains of all models that pipelines use. It runs in the background, not on
+ * the path of requests.
+ */
+final class ChainPlanning {
+
+	/** Weight below which a runner is left out of a plan if the model stays covered. */
+	private static final double USABLE_WEIGHT = 0.2;
+
+	private final ChainPlanner planner;
+
+	private final RunnerLoads loads;
+
+	private final RunnerHealth health;
+
+	private final Predicate<RunnerId> leaving;
+
+	ChainPlanning(ChainPlanner planner, RunnerLoads loads, RunnerHealth health, Predicate<RunnerId> leaving) {
+		this.planner = planner;
+		this.loads = loads;
+		this.health = health;
+		this.leaving = leaving;
+	}
+
+	/**
+	 * Plans all chains.
+	 * @param version number of the plan
+	 * @param configuration the configuration in force
+	 * @param speeds speeds of its runners
+	 * @return the chains
+	 */
+	ChainTable plan(long version, FederationConfiguration configuration, RunnerSpeeds speeds) {
+		LinkTable links = new LinkTable(configuration.federation().links());
+		Map<ModelVersion, ModelSpec> models = new HashMap<>();
+		configuration.federation().models().forEach((spec) -> models.put(spec.model(), spec));
+		Map<PlanKey, ChainSet> sets = new HashMap<>();
+		for (PlanKey key : keys(configuration)) {
+			ModelSpec spec = models.get(key.model());
+			if (spec != null) {
+				ModelShape shape = new ModelShape(key.model(), spec.layers(), spec.activationBytes());
+				sets.put(key, plan(shape, key, configuration.federation().runners(), links, speeds));
+			}
+		}
+		return new ChainTable(version, sets);
+	}
+
+	private ChainSet plan(ModelShape shape, PlanKey key, List<Runner> runners, LinkTable links, RunnerSpeeds speeds) {
+		List<Runner> present = runners.stream()
+			.filter(key::matches)
+			.filter((runner) -> runner.layers().end() <= shape.layers())
+			.filter((runner) -> !this.leaving.test(runner.id()))
+			.toList();
+		this.health.balance(present.stream().map(Runner::id).toList(), speeds::decode);
+		List<Candidate> healthy = candidates(present, USABLE_WEIGHT, speeds);
+		List<Chain> chains = this.planner.plan(shape, healthy, links);
+		if (!chains.isEmpty()) {
+			return new ChainSet(chains, healthy);
+		}
+		List<Candidate> all = candidates(present, 0, speeds);
+		return new ChainSet(this.planner.plan(shape, all, links), all);
+	}
+
+	private List<Candidate> candidates(List<Runner> runners, double leastWeight, RunnerSpeeds speeds) {
+		List<Candidate> candidates = new ArrayList<>();
+		for (Runner runner : runners) {
+			if (this.health.weight(runner.id()) >= leastWeight) {
+				double rate = speeds.decode(runner.id());
+				double queue = this.loads.positions(runner.id()) * runner.layers().size() / rate;
+				candidates.add(new Candidate(runner, rate, queue));
+			}
+		}
+		return candidates;
+	}
+
+	private static Set<PlanKey> keys(FederationConfiguration configuration) {
+		Set<PlanKey> keys = new HashSet<>();
+		for (ClubPart club : configuration.clubs().values()) {
+			for (ClubPart.Pipeline pipeline : club.pipelines()) {
+				keys.add(new PlanKey(pipeline.model(), pipeline.adapter()));
+			}
+		}
+		return keys;
+	}
+
+}
--- a/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/runner/ChainSource.java
+++ b/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/runner/ChainSource.java
@@ -35,10 +35,10 @@
 	/**
 	 * Counts work sent to a chain.
 	 * @param chain the chain
-	 * @param tokens prompt and output tokens still to be computed
+	 * @param promptTokens tokens of the prompt and of the reply so far
 	 * @return the work, to be updated as it progresses
 	 */
-	Work dispatched(Chain chain, int tokens);
+	Work dispatched(Chain chain, int promptTokens);
 
 	/**
 	 * Notes the failure of a runner.
--- /dev/null
+++ b/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/runner/ChainWork.java
@@ -0,0 +1,68 @@
+package io.bilberryvalve.daemon.runner;
+
+import io.bilberryvalve.model.RunnerId;
+import io.bilberryvalve.policy.chain.Chain;
+import io.bilberryvalve.policy.chain.Stage;
+
+/**
+ * Work in progress on a chain: one position for the stream, and the weighted positions of
+ * the prompt until the first token.
+ */
+final class ChainWork implements ChainSource.Work {
+
+	private final RunnerFleet fleet;
+
+	private final Chain chain;
+
+	private final int promptTokens;
+
+	private final RunnerSpeeds speeds;
+
+	private boolean prefilled;
+
+	private boolean ended;
+
+	ChainWork(RunnerFleet fleet, Chain chain, int promptTokens, RunnerSpeeds speeds) {
+		this.fleet = fleet;
+		this.chain = chain;
+		this.promptTokens = promptTokens;
+		this.speeds = speeds;
+		addPrompt(1);
+		addStream(1);
+	}
+
+	@Override
+	public void delivered() {
+		if (!this.prefilled && !this.ended) {
+			this.prefilled = true;
+			addPrompt(-1);
+		}
+	}
+
+	@Override
+	public void end(boolean succeeded) {
+		if (this.ended) {
+			return;
+		}
+		delivered();
+		this.ended = true;
+		addStream(-1);
+		if (succeeded) {
+			this.fleet.succeeded(this.chain);
+		}
+	}
+
+	private void addStream(int sign) {
+		for (Stage stage : this.chain.stages()) {
+			this.fleet.loads().add(stage.runner().id(), sign);
+		}
+	}
+
+	private void addPrompt(int sign) {
+		for (Stage stage : this.chain.stages()) {
+			RunnerId runner = stage.runner().id();
+			this.fleet.loads().add(runner, sign * this.promptTokens * this.speeds.prefillWeight(runner));
+		}
+	}
+
+}
--- /dev/null
+++ b/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/runner/RunnerSpeeds.java
@@ -0,0 +1,51 @@
+package io.bilberryvalve.daemon.runner;
+
+import java.util.HashMap;
+import java.util.Map;
+
+import io.bilberryvalve.config.FederationPart;
+import io.bilberryvalve.config.FederationPart.AcceleratorSpec;
+import io.bilberryvalve.model.Runner;
+import io.bilberryvalve.model.RunnerId;
+
+/**
+ * Speeds of the runners of a configuration. Immutable.
+ */
+final class RunnerSpeeds {
+
+	/** Speed assumed for a kind of accelerator that is not declared. */
+	private static final double UNKNOWN_LAYERS_PER_SECOND = 100;
+
+	private final Map<RunnerId, AcceleratorSpec> speeds = new HashMap<>();
+
+	RunnerSpeeds(FederationPart part) {
+		for (Runner runner : part.runners()) {
+			AcceleratorSpec found = new AcceleratorSpec(runner.kind(), UNKNOWN_LAYERS_PER_SECOND,
+					UNKNOWN_LAYERS_PER_SECOND);
+			for (AcceleratorSpec spec : part.accelerators()) {
+				found = spec.kind().equals(runner.kind()) ? spec : found;
+			}
+			this.speeds.put(runner.id(), found);
+		}
+	}
+
+	double decode(RunnerId runner) {
+		AcceleratorSpec spec = this.speeds.get(runner);
+		return (spec != null) ? spec.decodeLayersPerSecond() : UNKNOWN_LAYERS_PER_SECOND;
+	}
+
+	double prefill(RunnerId runner) {
+		AcceleratorSpec spec = this.speeds.get(runner);
+		return (spec != null) ? spec.prefillLayersPerSecond() : UNKNOWN_LAYERS_PER_SECOND;
+	}
+
+	/**
+	 * Returns the weight of a prompt position.
+	 * @param runner the runner
+	 * @return ratio of the decode to the prefill rate
+	 */
+	double prefillWeight(RunnerId runner) {
+		return decode(runner) / prefill(runner);
+	}
+
+}
--- a/bilberryvalve-policy/src/main/java/io/bilberryvalve/policy/chain/ChainSet.java
+++ b/bilberryvalve-policy/src/main/java/io/bilberryvalve/policy/chain/ChainSet.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 
 import io.bilberryvalve.model.LayerRange;
+import io.bilberryvalve.model.RunnerId;
 
 /**
  * The planned chains of one model, with their weights and the runners that can replace a
@@ -25,6 +26,8 @@
 
 	private final Map<LayerRange, List<Candidate>> replacements;
 
+	private final Map<RunnerId, Integer> starts = new HashMap<>();
+
 	/**
 	 * Creates a set.
 	 * @param chains the chains; each is chosen in proportion to its tokens a second
@@ -37,6 +40,7 @@
 		for (int i = 0; i < this.cumulative.length; i++) {
 			sum += this.chains.get(i).tokensPerSecond();
 			this.cumulative[i] = sum;
+			this.starts.putIfAbsent(this.chains.get(i).first().runner().id(), i);
 		}
 		this.replacements = replacements(this.chains, candidates);
 	}
@@ -89,6 +93,15 @@
 		return Math.min((found >= 0) ? found + 1 : -found - 1, this.chains.size() - 1);
 	}
 
+	/**
+	 * Returns a chain that starts at a runner.
+	 * @param runner the runner
+	 * @return position of the chain, or -1 if there is none
+	 */
+	public int startingAt(RunnerId runner) {
+		return this.starts.getOrDefault(runner, -1);
+	}
+
 	/**
 	 * Returns runners that hold the layers of a planned stage, the fastest first.
 	 * @param layers layers of a stage of one of the chains
--- /dev/null
+++ b/bilberryvalve-policy/src/main/java/io/bilberryvalve/policy/choice/PrefixIndex.java
@@ -0,0 +1,120 @@
+package io.bilberryvalve.policy.choice;
+
+import java.time.Clock;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.List;
+import java.util.Map;
+import java.util.Queue;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.atomic.AtomicInteger;
+
+import io.bilberryvalve.model.RunnerId;
+
+/**
+ * Which runners have which prompt prefixes in their cache, as far as late and incomplete
+ * events tell. An entry expires, because the event that removes it may be missing; then a
+ * runner is preferred without a benefit until its entry has expired. The size is bounded;
+ * the oldest entries go first. Safe for use by several threads.
+ */
+public final class PrefixIndex {
+
+	private final Clock clock;
+
+	private final Duration validity;
+
+	private final int capacity;
+
+	private final Map<String, Map<RunnerId, Instant>> holders = new ConcurrentHashMap<>();
+
+	private final Queue<Entry> order = new ConcurrentLinkedQueue<>();
+
+	private final AtomicInteger size = new AtomicInteger();
+
+	/**
+	 * Creates an empty index.
+	 * @param clock measures the age of entries
+	 * @param validity age at which an entry expires
+	 * @param capacity largest number of entries
+	 */
+	public PrefixIndex(Clock clock, Duration validity, int capacity) {
+		this.clock = clock;
+		this.validity = validity;
+		this.capacity = capacity;
+	}
+
+	/**
+	 * Notes that a runner stored a prefix.
+	 * @param runner the runner
+	 * @param prefix hash of the prefix
+	 */
+	public void stored(RunnerId runner, String prefix) {
+		Instant now = this.clock.instant();
+		this.holders.compute(prefix, (key, known) -> {
+			Map<RunnerId, Instant> map = (known != null) ? known : new ConcurrentHashMap<>();
+			map.put(runner, now);
+			return map;
+		});
+		this.order.add(new Entry(runner, prefix, now));
+		if (this.size.incrementAndGet() > this.capacity) {
+			forgetOldest();
+		}
+	}
+
+	/**
+	 * Notes that a runner removed a prefix.
+	 * @param runner the runner
+	 * @param prefix hash of the prefix
+	 */
+	public void removed(RunnerId runner, String prefix) {
+		this.holders.computeIfPresent(prefix, (key, map) -> {
+			map.remove(runner);
+			return map.isEmpty() ? null : map;
+		});
+	}
+
+	/**
+	 * Returns the runners that may hold a prefix.
+	 * @param prefix hash of the prefix
+	 * @return the runners
+	 */
+	public Set<RunnerId> holders(String prefix) {
+		return this.holders.getOrDefault(prefix, Map.of()).keySet();
+	}
+
+	/**
+	 * Returns how much of a prompt a runner may hold.
+	 * @param runner the runner
+	 * @param hashes hashes of the prompt's prefixes, the shortest first
+	 * @return number of leading prefixes, 0 to the number of hashes
+	 */
+	public int blocks(RunnerId runner, List<String> hashes) {
+		Instant oldest = this.clock.instant().minus(this.validity);
+		for (int i = hashes.size(); i > 0; i--) {
+			Instant since = this.holders.getOrDefault(hashes.get(i - 1), Map.of()).get(runner);
+			if (since != null && since.isAfter(oldest)) {
+				return i;
+			}
+		}
+		return 0;
+	}
+
+	private void forgetOldest() {
+		Entry oldest = this.order.poll();
+		if (oldest == null) {
+			return;
+		}
+		this.size.decrementAndGet();
+		this.holders.computeIfPresent(oldest.prefix(), (key, map) -> {
+			map.remove(oldest.runner(), oldest.since());
+			return map.isEmpty() ? null : map;
+		});
+	}
+
+	private record Entry(RunnerId runner, String prefix, Instant since) {
+
+	}
+
+}
--- /dev/null
+++ b/bilberryvalve-policy/src/main/java/io/bilberryvalve/policy/choice/RunnerLoads.java
@@ -0,0 +1,187 @@
+package io.bilberryvalve.policy.choice;
+
+import java.time.Clock;
+import java.time.Instant;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.concurrent.atomic.AtomicReferenceArray;
+
+import io.bilberryvalve.model.RunnerId;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Estimates the load of runners from reports that lag and from the own work sent and
+ * completed since the reports were observed. The unit is the token position that waits or
+ * runs in the decode phase: a running stream has one, a waiting prompt has as many as it
+ * has tokens, weighted by the ratio of the decode to the prefill rate. Safe for use by
+ * several threads, without locks.
+ */
+public final class RunnerLoads {
+
+	private final Clock clock;
+
+	private final Map<RunnerId, Load> loads = new ConcurrentHashMap<>();
+
+	/**
+	 * Creates an empty estimate.
+	 * @param clock measures when own work was sent
+	 */
+	public RunnerLoads(Clock clock) {
+		this.clock = clock;
+	}
+
+	/**
+	 * Takes a report. A report that was observed before the last one is ignored.
+	 * @param report the report
+	 * @param prefillWeight weight of a waiting position, the ratio of the decode to the
+	 * prefill rate
+	 */
+	public void report(LoadReport report, double prefillWeight) {
+		load(report.runner()).report(report, prefillWeight, this.clock.millis());
+	}
+
+	/**
+	 * Adds own work, or subtracts it with a negative number.
+	 * @param runner the runner
+	 * @param positions weighted token positions
+	 */
+	public void add(RunnerId runner, double positions) {
+		load(runner).add(positions, this.clock.millis());
+	}
+
+	/**
+	 * Returns the estimated load.
+	 * @param runner the runner
+	 * @return weighted token positions: report plus own work sent since, less own work
+	 * completed since, but not less than the own work in progress
+	 */
+	public double positions(RunnerId runner) {
+		Load load = this.loads.get(runner);
+		return (load != null) ? load.positions() : 0;
+	}
+
+	/**
+	 * Returns the load of the last report.
+	 * @param runner the runner
+	 * @return weighted token positions, 0 without a report
+	 */
+	public double reported(RunnerId runner) {
+		Load load = this.loads.get(runner);
+		return (load != null) ? load.base.reported() : 0;
+	}
+
+	/**
+	 * Returns the own work in progress.
+	 * @param runner the runner
+	 * @return weighted token positions
+	 */
+	public double outstanding(RunnerId runner) {
+		Load load = this.loads.get(runner);
+		return (load != null) ? load.own.get() / Load.UNIT : 0;
+	}
+
+	/**
+	 * Returns the last report.
+	 * @param runner the runner
+	 * @return the report, or empty if there is none
+	 */
+	public Optional<LoadReport> last(RunnerId runner) {
+		Load load = this.loads.get(runner);
+		return Optional.ofNullable((load != null) ? load.base.report() : null);
+	}
+
+	/**
+	 * Tells whether a runner accepts new work according to its last report.
+	 * @param runner the runner
+	 * @return whether it reported that it is leaving
+	 */
+	public boolean leaving(RunnerId runner) {
+		return last(runner).map(LoadReport::state).filter(LoadReport.State.LEAVING::equals).isPresent();
+	}
+
+	private Load load(RunnerId runner) {
+		return this.loads.computeIfAbsent(runner, (id) -> new Load());
+	}
+
+	/**
+	 * Load of one runner.
+	 */
+	private static final class Load {
+
+		/** Own work is counted in thousandths of a position. */
+		static final double UNIT = 1000;
+
+		/** Length of the period for which one mark of the own work is kept. */
+		private static final long MARK_MILLIS = 20;
+
+		/** Number of marks; reports may lag by up to 5 s. */
+		private static final int MARKS = 256;
+
+		private final AtomicLong own = new AtomicLong();
+
+		private final AtomicReferenceArray<Mark> marks = new AtomicReferenceArray<>(MARKS);
+
+		private volatile Base base = new Base(null, 0, 0);
+
+		void add(double positions, long nowMillis) {
+			long delta = Math.round(positions * UNIT);
+			long period = nowMillis / MARK_MILLIS;
+			long before = this.own.getAndAdd(delta);
+			this.marks.updateAndGet((int) (period % MARKS), (mark) -> new Mark(period,
+					(mark != null && mark.period() == period) ? mark.before() : before, this.own.get()));
+		}
+
+		void report(LoadReport report, double prefillWeight, long nowMillis) {
+			LoadReport last = this.base.report();
+			if (last != null && report.observedAt().isBefore(last.observedAt())) {
+				return;
+			}
+			double waiting = Math.max(0, report.queuedTokens() - report.running());
+			double positions = report.running() + waiting * prefillWeight;
+			this.base = new Base(report, positions, ownAt(report.observedAt(), nowMillis));
+		}
+
+		double positions() {
+			Base now = this.base;
+			double current = this.own.get();
+			if (now.report() == null) {
+				return Math.max(0, current / UNIT);
+			}
+			return Math.max(0, Math.max(current / UNIT, now.reported() + (current - now.own()) / UNIT));
+		}
+
+		// Own work in progress at a past time: the end of the latest period up to then,
+		// or
+		// the start of the first period after it.
+		private long ownAt(Instant time, long nowMillis) {
+			long period = Math.min(time.toEpochMilli(), nowMillis) / MARK_MILLIS;
+			Mark latest = null;
+			Mark first = null;
+			for (int i = 0; i < MARKS; i++) {
+				Mark mark = this.marks.get(i);
+				if (mark != null && mark.period() <= period) {
+					latest = (latest == null || mark.period() > latest.period()) ? mark : latest;
+				}
+				else if (mark != null) {
+					first = (first == null || mark.period() < first.period()) ? mark : first;
+				}
+			}
+			if (latest != null) {
+				return latest.after();
+			}
+			return (first != null) ? first.before() : this.own.get();
+		}
+
+	}
+
+	private record Mark(long period, long before, long after) {
+
+	}
+
+	private record Base(@Nullable LoadReport report, double reported, long own) {
+
+	}
+
+}
