--- a/bilberryvalve-standins/src/main/java/io/bilberryvalve/standins/Standins.java
+++ b/bilberryvalve-standins/src/main/java/io/bilberryvalve/standins/Standins.java
@@ -17,7 +17,8 @@
 	private static final int EXIT_USAGE = 64;
 
 	@Argument(required = true, metaVar = "engine|application|platform", handler = SubCommandHandler.class)
-	@SubCommands({ @SubCommand(name = "application", impl = ApplicationCommand.class),
+	@SubCommands({ @SubCommand(name = "engine", impl = EngineCommand.class),
+			@SubCommand(name = "application", impl = ApplicationCommand.class),
 			@SubCommand(name = "platform", impl = PlatformCommand.class) })
 	private @Nullable Runnable command;
 
--- a/bilberryvalve-standins/src/main/java/io/bilberryvalve/standins/http/Json.java
+++ b/bilberryvalve-standins/src/main/java/io/bilberryvalve/standins/http/Json.java
@@ -4,6 +4,7 @@
 import java.io.UncheckedIOException;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.bilberryvalve.model.Problem;
@@ -66,6 +67,39 @@
 	 * @return the JSON on one line
 	 */
 	public static String write(Problem problem) {
+		return document(problem).toString();
+	}
+
+	/**
+	 * Writes a problem document that names a failed runner.
+	 * @param problem the problem
+	 * @param runner the runner
+	 * @return the JSON on one line
+	 */
+	public static String write(Problem problem, String runner) {
+		return document(problem).put("runner", runner).toString();
+	}
+
+	/**
+	 * Reads a document without a type.
+	 * @param body the JSON in UTF-8
+	 * @return the document, empty if the body is not valid
+	 */
+	public static JsonNode tree(byte[] body) {
+		try {
+			return MAPPER.readTree(body);
+		}
+		catch (IOException ex) {
+			return MAPPER.createObjectNode();
+		}
+	}
+
+	private static StandinException malformed(String detail) {
+		return StandinException.refused(ProblemKind.BAD_REQUEST, "malformed body: " + detail,
+				"send the document that the design page describes");
+	}
+
+	private static ObjectNode document(Problem problem) {
 		ObjectNode node = MAPPER.createObjectNode();
 		node.put("type", TYPE_PREFIX + problem.kind().text());
 		node.put("title", problem.kind().text());
@@ -73,12 +107,7 @@
 		node.put("outcome", problem.outcome().text());
 		node.put("detail", problem.detail());
 		node.put("remedy", problem.remedy());
-		return node.toString();
-	}
-
-	private static StandinException malformed(String detail) {
-		return StandinException.refused(ProblemKind.BAD_REQUEST, "malformed body: " + detail,
-				"send the document that the design page describes");
+		return node;
 	}
 
 }
