--- a/bilberryvalve-standins/src/main/java/io/bilberryvalve/standins/http/StandinService.java
+++ b/bilberryvalve-standins/src/main/java/io/bilberryvalve/standins/http/StandinService.java
@@ -8,6 +8,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CancellationException;
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.CopyOnWriteArrayList;
 
@@ -138,6 +139,9 @@
 		if (cause instanceof IllegalArgumentException) {
 			return Problem.notRun(ProblemKind.BAD_REQUEST, String.valueOf(cause.getMessage()), "correct the request");
 		}
+		if (cause instanceof CancellationException) {
+			return Problem.unknown(ProblemKind.INTERNAL, "the client closed the connection", "send the request again");
+		}
 		LOGGER.log(Level.ERROR, LogEvent.of("request-failed").with("error", cause).toString(), cause);
 		return Problem.unknown(ProblemKind.INTERNAL, cause.toString(), "read the log of the stand-in");
 	}
