--- /dev/null
+++ b/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/peer/NettyPeerNetwork.java
@@ -0,0 +1,270 @@
+package io.bilberryvalve.daemon.peer;
+
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
+import java.time.Clock;
+import java.time.Duration;
+import java.util.List;
+import java.util.Objects;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
+
+import com.google.protobuf.ByteString;
+import io.bilberryvalve.model.Address;
+import io.bilberryvalve.model.DataCentreId;
+import io.bilberryvalve.model.RegionId;
+import io.bilberryvalve.model.Result;
+import io.bilberryvalve.model.VmId;
+import io.bilberryvalve.model.log.LogEvent;
+import io.bilberryvalve.policy.membership.Member;
+import io.bilberryvalve.policy.membership.MemberView;
+import io.bilberryvalve.wire.PeerConnection;
+import io.bilberryvalve.wire.PeerIdentity;
+import io.bilberryvalve.wire.PeerTransport;
+import io.bilberryvalve.wire.proto.Call;
+import io.bilberryvalve.wire.proto.Payload;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Peer network over authenticated TCP connections.
+ *
+ * <pre>
+ * NettyPeerNetwork network = new NettyPeerNetwork(settings, directory, stamps, regions, clock);
+ * network.receive(MessageKind.DEMAND, receiver);
+ * network.start();
+ * </pre>
+ */
+public final class NettyPeerNetwork implements PeerNetwork, AutoCloseable {
+
+	private static final Logger LOGGER = System.getLogger(NettyPeerNetwork.class.getName());
+
+	private static final Duration TICK = Duration.ofMillis(50);
+
+	private final PeerSettings settings;
+
+	private final ConfigurationStamps stamps;
+
+	private final Function<DataCentreId, RegionId> regions;
+
+	private final PeerDirectory directory;
+
+	private final Clock clock;
+
+	private final PeerReceivers receivers = new PeerReceivers();
+
+	private final PeerCalls calls;
+
+	private final PeerLinks links;
+
+	private final ScheduledExecutorService timer = Executors.newSingleThreadScheduledExecutor(NettyPeerNetwork::thread);
+
+	private volatile @Nullable Running running;
+
+	private volatile boolean leaving;
+
+	/**
+	 * Creates a network that is not started.
+	 * @param settings the settings
+	 * @param directory where other daemons may be found
+	 * @param stamps configuration of this daemon and of its peers
+	 * @param regions region of each data centre
+	 * @param clock the clock
+	 */
+	public NettyPeerNetwork(PeerSettings settings, PeerDirectory directory, ConfigurationStamps stamps,
+			Function<DataCentreId, RegionId> regions, Clock clock) {
+		this.settings = settings;
+		this.directory = directory;
+		this.stamps = stamps;
+		this.regions = regions;
+		this.clock = clock;
+		this.calls = new PeerCalls(clock);
+		this.links = new PeerLinks(clock, settings.silence());
+	}
+
+	/**
+	 * Starts to listen, to connect and to send heartbeats.
+	 * @return the address for other daemons
+	 * @throws IllegalStateException if the address cannot be used
+	 */
+	public Address start() {
+		Address address = open();
+		this.timer.scheduleWithFixedDelay(this::tickSafely, 0, TICK.toMillis(), TimeUnit.MILLISECONDS);
+		return address;
+	}
+
+	/**
+	 * Tells all peers at once that this daemon leaves and gets no new work.
+	 */
+	public void leave() {
+		this.leaving = true;
+		Running now = this.running;
+		if (now != null) {
+			now.membership().leave();
+			now.rounds().heartbeats();
+		}
+	}
+
+	/**
+	 * Returns the identity of this daemon. The incarnation rises if a peer knows a higher
+	 * one of the same VM.
+	 * @return the identity
+	 * @throws IllegalStateException if the network has not been started
+	 */
+	public PeerIdentity identity() {
+		return required().membership().identity();
+	}
+
+	/**
+	 * Returns the known members with their states, without this daemon.
+	 * @return the members in the order of their VMs
+	 */
+	public List<MemberView> members() {
+		Running now = this.running;
+		return (now != null) ? now.membership().members() : List.of();
+	}
+
+	/**
+	 * Returns this daemon as a member.
+	 * @return this daemon
+	 * @throws IllegalStateException if the network has not been started
+	 */
+	public Member self() {
+		PeerIdentity own = identity();
+		return new Member(own.vm(), own.incarnation(), own.dataCentre(), own.callerAddress(), own.peerAddress());
+	}
+
+	/**
+	 * Returns the VMs with an open connection.
+	 * @return the VMs
+	 */
+	public List<VmId> connected() {
+		return this.links.vms();
+	}
+
+	@Override
+	public List<Peer> peers() {
+		return members().stream().map(NettyPeerNetwork::peer).toList();
+	}
+
+	@Override
+	public void broadcast(MessageKind kind, byte[] body) {
+		Payload payload = Payload.newBuilder().setKind(kind.name()).setBody(ByteString.copyFrom(body)).build();
+		for (VmId vm : this.links.vms()) {
+			this.links.best(vm).ifPresent((link) -> {
+				PeerConnection connection = link.connection();
+				connection.send(PeerEnvelopes.envelope(connection).setPayload(payload).build());
+			});
+		}
+	}
+
+	@Override
+	public CompletionStage<Result<byte[]>> call(VmId target, MessageKind kind, byte[] body, Duration timeout) {
+		Running now = this.running;
+		if (now == null) {
+			return PeerCalls.notSent("the peer network is not started");
+		}
+		PeerLink link = this.links.best(target).orElse(null);
+		if (link != null) {
+			return send(link.connection(), kind, body, timeout);
+		}
+		return now.rounds()
+			.connect(target)
+			.handle((connection, failure) -> (connection != null) ? send(connection, kind, body, timeout)
+					: PeerCalls.notSent("entry " + target + " cannot be reached"))
+			.thenCompose((answer) -> answer);
+	}
+
+	@Override
+	public void receive(MessageKind kind, Receiver receiver) {
+		this.receivers.receive(kind, receiver);
+	}
+
+	@Override
+	public void answer(MessageKind kind, Answerer answerer) {
+		this.receivers.answer(kind, answerer);
+	}
+
+	@Override
+	public void close() {
+		this.timer.shutdownNow();
+		Running now = this.running;
+		if (now != null) {
+			now.transport().close();
+		}
+	}
+
+	/**
+	 * Listens without a timer, for tests that call {@link #tick()} themselves.
+	 * @return the address for other daemons
+	 */
+	Address open() {
+		PeerEvents events = new PeerEvents(this.receivers, this.calls, this.links, this.stamps);
+		PeerTransport transport = new PeerTransport(this.settings.secret(), this::identity, this.settings.limits(),
+				events);
+		Address address = transport.listen(this.settings.host(), this.settings.port());
+		PeerMembership membership = new PeerMembership(this.settings, address, this.clock, this.regions);
+		PeerRounds rounds = new PeerRounds(this.settings, this.directory, this.stamps, membership, this.links,
+				transport, this.clock);
+		events.ready(membership, rounds);
+		this.running = new Running(transport, membership, rounds);
+		if (this.leaving) {
+			membership.leave();
+		}
+		return address;
+	}
+
+	/**
+	 * Applies time limits, sends due heartbeats and opens missing connections.
+	 */
+	void tick() {
+		this.calls.tick();
+		required().rounds().tick();
+	}
+
+	private CompletionStage<Result<byte[]>> send(PeerConnection connection, MessageKind kind, byte[] body,
+			Duration timeout) {
+		Call.Builder call = Call.newBuilder()
+			.setCorrelation(this.calls.nextCorrelation())
+			.setKind(kind.name())
+			.setBody(ByteString.copyFrom(body))
+			.setTimeoutMillis(timeout.toMillis());
+		PeerLink link = this.links.find(connection);
+		if (link != null) {
+			link.used();
+		}
+		return this.calls.send(connection, PeerEnvelopes.envelope(connection).setCall(call).build(), timeout);
+	}
+
+	private Running required() {
+		return Objects.requireNonNull(this.running, "the peer network is not started; call start() first");
+	}
+
+	private void tickSafely() {
+		try {
+			tick();
+		}
+		catch (RuntimeException ex) {
+			LogEvent.of("peer-round-failed").with("reason", ex).log(LOGGER, Level.ERROR);
+		}
+	}
+
+	private static Peer peer(MemberView view) {
+		Member member = view.member();
+		return new Peer(member.vm(), member.incarnation(), member.dataCentre(), member.callerAddress(),
+				Peer.State.valueOf(view.state().name()));
+	}
+
+	private static Thread thread(Runnable task) {
+		Thread thread = new Thread(task, "peer-rounds");
+		thread.setDaemon(true);
+		return thread;
+	}
+
+	private record Running(PeerTransport transport, PeerMembership membership, PeerRounds rounds) {
+
+	}
+
+}
--- /dev/null
+++ b/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/peer/PeerEvents.java
@@ -0,0 +1,116 @@
+package io.bilberryvalve.daemon.peer;
+
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
+import java.util.concurrent.CompletableFuture;
+
+import com.google.protobuf.ByteString;
+import io.bilberryvalve.model.log.LogEvent;
+import io.bilberryvalve.wire.ConnectionListener;
+import io.bilberryvalve.wire.PeerConnection;
+import io.bilberryvalve.wire.proto.Answer;
+import io.bilberryvalve.wire.proto.Call;
+import io.bilberryvalve.wire.proto.Heartbeat;
+import io.bilberryvalve.wire.proto.PeerMessage;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Handles the events of connections on the threads of the transport.
+ */
+final class PeerEvents implements ConnectionListener {
+
+	private static final Logger LOGGER = System.getLogger(PeerEvents.class.getName());
+
+	private static final int MAX_FAILURE_CHARS = 300;
+
+	private final PeerReceivers receivers;
+
+	private final PeerCalls calls;
+
+	private final PeerLinks links;
+
+	private final ConfigurationStamps stamps;
+
+	// The transport listens before the address, and thus the membership, is known; events
+	// wait until then.
+	private final CompletableFuture<Ready> ready = new CompletableFuture<>();
+
+	PeerEvents(PeerReceivers receivers, PeerCalls calls, PeerLinks links, ConfigurationStamps stamps) {
+		this.receivers = receivers;
+		this.calls = calls;
+		this.links = links;
+		this.stamps = stamps;
+	}
+
+	void ready(PeerMembership membership, PeerRounds rounds) {
+		this.ready.complete(new Ready(membership, rounds));
+	}
+
+	@Override
+	public void opened(PeerConnection connection) {
+		PeerLink link = this.links.open(connection);
+		LogEvent.of("peer-connected").with("peer", connection).log(LOGGER, Level.INFO);
+		this.ready.thenAccept((now) -> now.rounds().greet(link));
+	}
+
+	@Override
+	public void received(PeerConnection connection, PeerMessage message) {
+		switch (message.getContentCase()) {
+			case HEARTBEAT -> heartbeat(connection, message.getHeartbeat());
+			case MEMBERS -> this.ready.thenAccept((now) -> now.membership().learn(message.getMembers()));
+			case PAYLOAD -> this.receivers.deliver(connection.remote().vm(), message.getPayload());
+			case CALL -> answer(connection, message.getCall());
+			case ANSWER -> this.calls.answered(connection, message.getAnswer());
+			default -> connection.close("a message has no known content");
+		}
+	}
+
+	@Override
+	public void closed(PeerConnection connection, String reason) {
+		this.links.remove(connection);
+		this.calls.closed(connection, reason);
+		LogEvent.of("peer-disconnected").with("peer", connection).with("reason", reason).log(LOGGER, Level.INFO);
+	}
+
+	private void heartbeat(PeerConnection connection, Heartbeat heartbeat) {
+		PeerLink link = this.links.find(connection);
+		if (link != null) {
+			link.heard(heartbeat);
+		}
+		this.ready.thenAccept((now) -> now.membership().heartbeat(connection.remote(), heartbeat));
+		this.stamps.seen(connection.remote().vm(),
+				new ConfigurationStamps.Stamp(heartbeat.getConfigurationVersion(), heartbeat.getConfigurationDigest()));
+	}
+
+	private void answer(PeerConnection connection, Call call) {
+		PeerLink link = this.links.find(connection);
+		if (link != null) {
+			link.used();
+		}
+		this.receivers.deliver(connection.remote().vm(), call).whenComplete((body, failure) -> {
+			Answer.Builder answer = Answer.newBuilder().setCorrelation(call.getCorrelation());
+			if (failure == null) {
+				answer.setBody(ByteString.copyFrom(body));
+			}
+			else {
+				answer.setFailure(describe(failure));
+			}
+			if (!connection.send(PeerEnvelopes.envelope(connection).setAnswer(answer).build())) {
+				String reason = "the answer could not be sent; it is too large or the connection is congested";
+				answer.clearBody().setFailure(reason);
+				connection.send(PeerEnvelopes.envelope(connection).setAnswer(answer).build());
+			}
+		});
+	}
+
+	private static String describe(@Nullable Throwable failure) {
+		String text = (failure != null && failure.getMessage() != null) ? failure.getMessage()
+				: "the entry failed to answer";
+		return (text.length() > MAX_FAILURE_CHARS) ? text.substring(0, MAX_FAILURE_CHARS) : text;
+	}
+
+	private record Ready(PeerMembership membership, PeerRounds rounds) {
+
+	}
+
+}
--- /dev/null
+++ b/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/peer/PeerLinks.java
@@ -0,0 +1,90 @@
+package io.bilberryvalve.daemon.peer;
+
+import java.time.Clock;
+import java.time.Duration;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.stream.Stream;
+
+import io.bilberryvalve.model.VmId;
+import io.bilberryvalve.wire.PeerConnection;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * The open connections by VM. Two daemons may have two connections, one opened by each
+ * side; the one that answered last is used.
+ */
+final class PeerLinks {
+
+	private final Clock clock;
+
+	private final Duration silence;
+
+	private final ConcurrentHashMap<VmId, List<PeerLink>> links = new ConcurrentHashMap<>();
+
+	PeerLinks(Clock clock, Duration silence) {
+		this.clock = clock;
+		this.silence = silence;
+	}
+
+	/**
+	 * Adds a connection and closes those to an earlier run of the same VM.
+	 * @param connection the connection
+	 * @return its link
+	 */
+	PeerLink open(PeerConnection connection) {
+		PeerLink link = new PeerLink(connection, this.clock, this.silence);
+		this.links.merge(connection.remote().vm(), List.of(link),
+				(old, added) -> Stream.concat(old.stream(), added.stream()).toList());
+		long incarnation = connection.remote().incarnation();
+		for (PeerLink other : all(connection.remote().vm())) {
+			if (other.connection().remote().incarnation() < incarnation) {
+				other.connection().close("a later run of the VM has connected");
+			}
+		}
+		return link;
+	}
+
+	/**
+	 * Removes a connection.
+	 * @param connection the connection
+	 */
+	void remove(PeerConnection connection) {
+		this.links.computeIfPresent(connection.remote().vm(), (vm, old) -> {
+			List<PeerLink> rest = old.stream().filter((link) -> link.connection() != connection).toList();
+			return rest.isEmpty() ? null : rest;
+		});
+	}
+
+	@Nullable PeerLink find(PeerConnection connection) {
+		for (PeerLink link : all(connection.remote().vm())) {
+			if (link.connection() == connection) {
+				return link;
+			}
+		}
+		return null;
+	}
+
+	Optional<PeerLink> best(VmId vm) {
+		return all(vm).stream().min(Comparator.comparing(PeerLink::silence));
+	}
+
+	boolean connected(VmId vm) {
+		return this.links.containsKey(vm);
+	}
+
+	List<VmId> vms() {
+		return List.copyOf(this.links.keySet());
+	}
+
+	List<PeerLink> all() {
+		return this.links.values().stream().flatMap(List::stream).toList();
+	}
+
+	private List<PeerLink> all(VmId vm) {
+		return this.links.getOrDefault(vm, List.of());
+	}
+
+}
--- /dev/null
+++ b/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/peer/PeerMembership.java
@@ -0,0 +1,207 @@
+package io.bilberryvalve.daemon.peer;
+
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
+import java.time.Clock;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Function;
+
+import io.bilberryvalve.model.Address;
+import io.bilberryvalve.model.DataCentreId;
+import io.bilberryvalve.model.RegionId;
+import io.bilberryvalve.model.VmId;
+import io.bilberryvalve.model.log.LogEvent;
+import io.bilberryvalve.policy.membership.Member;
+import io.bilberryvalve.policy.membership.MemberChange;
+import io.bilberryvalve.policy.membership.MemberNews;
+import io.bilberryvalve.policy.membership.MemberState;
+import io.bilberryvalve.policy.membership.MemberTable;
+import io.bilberryvalve.policy.membership.MemberView;
+import io.bilberryvalve.policy.membership.PeerSelection;
+import io.bilberryvalve.wire.PeerIdentity;
+import io.bilberryvalve.wire.proto.Heartbeat;
+import io.bilberryvalve.wire.proto.MemberDigest;
+import io.bilberryvalve.wire.proto.MemberEntry;
+
+/**
+ * Guards the member table by a lock and publishes what it contains, so that readers need
+ * no lock.
+ */
+final class PeerMembership {
+
+	private static final Logger LOGGER = System.getLogger(PeerMembership.class.getName());
+
+	private final MemberTable table;
+
+	private final PeerSelection selection;
+
+	private final List<MemberChange> unsent = new ArrayList<>();
+
+	private volatile List<MemberView> members = List.of();
+
+	private volatile Set<VmId> selected = Set.of();
+
+	private volatile PeerIdentity identity;
+
+	private volatile boolean leaving;
+
+	PeerMembership(PeerSettings settings, Address peerAddress, Clock clock, Function<DataCentreId, RegionId> regions) {
+		Member self = new Member(settings.vm(), settings.incarnation(), settings.dataCentre(), settings.callerAddress(),
+				peerAddress);
+		this.table = new MemberTable(self, clock, settings.times());
+		this.selection = new PeerSelection(settings.maxPeers(), regions);
+		this.identity = identity(self);
+	}
+
+	PeerIdentity identity() {
+		return this.identity;
+	}
+
+	List<MemberView> members() {
+		return this.members;
+	}
+
+	/**
+	 * Returns the peers to which this daemon opens connections.
+	 * @return their VMs
+	 */
+	Set<VmId> selected() {
+		return this.selected;
+	}
+
+	synchronized long nextBeat() {
+		return this.table.nextBeat();
+	}
+
+	boolean leaving() {
+		return this.leaving;
+	}
+
+	synchronized void leave() {
+		this.leaving = true;
+		this.table.leave();
+	}
+
+	synchronized void heartbeat(PeerIdentity sender, Heartbeat heartbeat) {
+		Member member = member(sender);
+		publish(this.table.heartbeat(member, heartbeat.getBeat(), heartbeat.getLeaving()));
+		if (heartbeat.getDetaching()) {
+			this.table.detach(member);
+		}
+	}
+
+	synchronized void detach(PeerIdentity remote) {
+		this.table.detach(member(remote));
+	}
+
+	synchronized void learn(MemberDigest digest) {
+		for (MemberEntry entry : digest.getEntriesList()) {
+			publish(this.table.learn(news(entry)));
+		}
+		if (this.table.self().incarnation() != this.identity.incarnation()) {
+			this.identity = identity(this.table.self());
+			LogEvent.of("incarnation-raised")
+				.with("vm", this.identity.vm())
+				.with("incarnation", this.identity.incarnation())
+				.with("reason", "a peer knows a higher incarnation of this VM")
+				.log(LOGGER, Level.WARNING);
+		}
+	}
+
+	synchronized void tick() {
+		List<MemberChange> changes = this.table.tick();
+		int before = this.members.size();
+		changes.forEach(this::record);
+		List<MemberView> now = this.table.members();
+		if (!changes.isEmpty() || now.size() != before) {
+			publish(now);
+		}
+	}
+
+	synchronized MemberDigest digest(int limit) {
+		return digest(this.table.digest(limit));
+	}
+
+	/**
+	 * Returns the changes since the last call, for all peers.
+	 * @param limit largest number of members
+	 * @return the changes, or empty if there are none
+	 */
+	synchronized Optional<MemberDigest> changes(int limit) {
+		if (this.unsent.isEmpty()) {
+			return Optional.empty();
+		}
+		this.unsent.clear();
+		return Optional.of(digest(this.table.digest(limit)));
+	}
+
+	private void publish(Optional<MemberChange> change) {
+		if (change.isPresent()) {
+			record(change.get());
+			publish(this.table.members());
+		}
+	}
+
+	private void record(MemberChange change) {
+		if (change.after() != MemberState.SUSPECT) {
+			this.unsent.add(change);
+		}
+		LogEvent.of("member-changed")
+			.with("vm", change.member().vm())
+			.with("incarnation", change.member().incarnation())
+			.with("before", change.before())
+			.with("after", change.after())
+			.log(LOGGER, Level.INFO);
+	}
+
+	private void publish(List<MemberView> now) {
+		this.members = now;
+		Collection<Member> reachable = now.stream()
+			.filter((view) -> view.state() != MemberState.ABSENT)
+			.map(MemberView::member)
+			.toList();
+		this.selected = this.selection.select(this.table.self(), reachable);
+	}
+
+	private static PeerIdentity identity(Member self) {
+		return new PeerIdentity(self.vm(), self.incarnation(), self.dataCentre(), self.callerAddress(),
+				self.peerAddress());
+	}
+
+	private static Member member(PeerIdentity identity) {
+		return new Member(identity.vm(), identity.incarnation(), identity.dataCentre(), identity.callerAddress(),
+				identity.peerAddress());
+	}
+
+	private static MemberDigest digest(List<MemberNews> news) {
+		MemberDigest.Builder digest = MemberDigest.newBuilder();
+		news.forEach((each) -> digest.addEntries(entry(each)));
+		return digest.build();
+	}
+
+	private static MemberEntry entry(MemberNews news) {
+		Member member = news.member();
+		return MemberEntry.newBuilder()
+			.setVm(member.vm().value())
+			.setIncarnation(member.incarnation())
+			.setBeat(news.beat())
+			.setDataCentre(member.dataCentre().value())
+			.setCallerAddress(member.callerAddress().toString())
+			.setPeerAddress(member.peerAddress().toString())
+			.setLeaving(news.leaving())
+			.setAbsent(news.absent())
+			.build();
+	}
+
+	private static MemberNews news(MemberEntry entry) {
+		Member member = new Member(new VmId(entry.getVm()), entry.getIncarnation(),
+				new DataCentreId(entry.getDataCentre()), Address.parse(entry.getCallerAddress()),
+				Address.parse(entry.getPeerAddress()));
+		return new MemberNews(member, entry.getBeat(), entry.getLeaving(), entry.getAbsent());
+	}
+
+}
--- /dev/null
+++ b/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/peer/PeerReceivers.java
@@ -0,0 +1,70 @@
+package io.bilberryvalve.daemon.peer;
+
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
+import java.util.Arrays;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.ConcurrentHashMap;
+
+import io.bilberryvalve.model.VmId;
+import io.bilberryvalve.model.log.LogEvent;
+import io.bilberryvalve.wire.proto.Call;
+import io.bilberryvalve.wire.proto.Payload;
+
+/**
+ * Passes messages to their receivers. A failing receiver does not end the connection.
+ */
+final class PeerReceivers {
+
+	private static final Logger LOGGER = System.getLogger(PeerReceivers.class.getName());
+
+	private final ConcurrentHashMap<MessageKind, PeerNetwork.Receiver> receivers = new ConcurrentHashMap<>();
+
+	private final ConcurrentHashMap<MessageKind, PeerNetwork.Answerer> answerers = new ConcurrentHashMap<>();
+
+	void receive(MessageKind kind, PeerNetwork.Receiver receiver) {
+		this.receivers.put(kind, receiver);
+	}
+
+	void answer(MessageKind kind, PeerNetwork.Answerer answerer) {
+		this.answerers.put(kind, answerer);
+	}
+
+	void deliver(VmId sender, Payload payload) {
+		PeerNetwork.Receiver receiver = kind(payload.getKind()).map(this.receivers::get).orElse(null);
+		if (receiver == null) {
+			return;
+		}
+		try {
+			receiver.receive(sender, payload.getBody().toByteArray());
+		}
+		catch (RuntimeException ex) {
+			LogEvent.of("peer-message-failed")
+				.with("peer", sender)
+				.with("kind", payload.getKind())
+				.with("reason", ex)
+				.log(LOGGER, Level.WARNING);
+		}
+	}
+
+	CompletionStage<byte[]> deliver(VmId sender, Call call) {
+		PeerNetwork.Answerer answerer = kind(call.getKind()).map(this.answerers::get).orElse(null);
+		if (answerer == null) {
+			return CompletableFuture
+				.failedFuture(new IllegalStateException("the entry does not answer calls of kind " + call.getKind()));
+		}
+		try {
+			return answerer.answer(sender, call.getBody().toByteArray());
+		}
+		catch (RuntimeException ex) {
+			return CompletableFuture.failedFuture(ex);
+		}
+	}
+
+	private static Optional<MessageKind> kind(String name) {
+		return Arrays.stream(MessageKind.values()).filter((kind) -> kind.name().equals(name)).findFirst();
+	}
+
+}
--- /dev/null
+++ b/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/peer/PeerRounds.java
@@ -0,0 +1,211 @@
+package io.bilberryvalve.daemon.peer;
+
+import java.time.Clock;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Random;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+
+import io.bilberryvalve.model.Address;
+import io.bilberryvalve.model.VmId;
+import io.bilberryvalve.policy.membership.Member;
+import io.bilberryvalve.policy.membership.MemberState;
+import io.bilberryvalve.policy.membership.MemberView;
+import io.bilberryvalve.wire.PeerConnection;
+import io.bilberryvalve.wire.PeerTransport;
+import io.bilberryvalve.wire.proto.Heartbeat;
+import io.bilberryvalve.wire.proto.MemberDigest;
+
+/**
+ * Periodic work of the peer network: heartbeats, digests, silent connections and missing
+ * connections.
+ */
+final class PeerRounds {
+
+	private static final int DIGEST_MEMBERS = 40;
+
+	// With more than a few candidates that do not answer, only some are tried in a round,
+	// so that the loss of a data centre does not cause a burst of connection attempts.
+	private static final int MAX_UNKNOWN_TARGETS = 8;
+
+	private static final Duration KEEP_UNUSED = Duration.ofMinutes(1);
+
+	private final PeerSettings settings;
+
+	private final PeerDirectory directory;
+
+	private final ConfigurationStamps stamps;
+
+	private final PeerMembership membership;
+
+	private final PeerLinks links;
+
+	private final PeerTransport transport;
+
+	private final Clock clock;
+
+	private final Random random;
+
+	private final PeerDialer dialer;
+
+	private long nextHeartbeatMillis;
+
+	PeerRounds(PeerSettings settings, PeerDirectory directory, ConfigurationStamps stamps, PeerMembership membership,
+			PeerLinks links, PeerTransport transport, Clock clock) {
+		this.settings = settings;
+		this.directory = directory;
+		this.stamps = stamps;
+		this.membership = membership;
+		this.links = links;
+		this.transport = transport;
+		this.clock = clock;
+		this.random = new Random(settings.vm().value().hashCode() ^ settings.incarnation());
+		this.dialer = new PeerDialer(clock, this.random, transport::connect);
+	}
+
+	void tick() {
+		this.membership.tick();
+		closeConnections();
+		this.dialer.dial(targets());
+		this.membership.changes(DIGEST_MEMBERS).ifPresent(this::sendToAll);
+		long now = this.clock.millis();
+		if (now >= this.nextHeartbeatMillis) {
+			this.nextHeartbeatMillis = now + this.settings.heartbeat().toMillis();
+			heartbeats();
+			sendDigest();
+		}
+	}
+
+	/**
+	 * Sends the next heartbeat on each connection.
+	 */
+	void heartbeats() {
+		long beat = this.membership.nextBeat();
+		this.links.all().forEach((link) -> sendHeartbeat(link, beat));
+	}
+
+	/**
+	 * Sends a heartbeat and a digest on a new connection.
+	 * @param link the connection
+	 */
+	void greet(PeerLink link) {
+		sendHeartbeat(link, this.membership.nextBeat());
+		send(link, this.membership.digest(DIGEST_MEMBERS));
+	}
+
+	/**
+	 * Opens a connection to a member that is not a selected peer.
+	 * @param target the member
+	 * @return the connection; fails if the member is not known or cannot be reached
+	 */
+	CompletionStage<PeerConnection> connect(VmId target) {
+		Optional<Member> member = this.membership.members()
+			.stream()
+			.map(MemberView::member)
+			.filter((each) -> each.vm().equals(target))
+			.findFirst();
+		if (member.isEmpty()) {
+			return CompletableFuture.failedFuture(new IllegalStateException("entry " + target + " is not known"));
+		}
+		return this.transport.connect(member.get().peerAddress()).thenApply((connection) -> {
+			if (!connection.remote().vm().equals(target)) {
+				throw new IllegalStateException("another entry answers at the address of " + target);
+			}
+			return connection;
+		});
+	}
+
+	private void closeConnections() {
+		boolean crowded = this.links.vms().size() > this.settings.maxPeers();
+		Set<VmId> selected = this.membership.selected();
+		long incarnation = this.membership.identity().incarnation();
+		for (PeerLink link : this.links.all()) {
+			PeerConnection connection = link.connection();
+			if (link.silent()) {
+				connection.close("no answered heartbeat for " + this.settings.silence().toMillis() + " ms");
+			}
+			else if (connection.local().incarnation() != incarnation) {
+				connection.close("this daemon has taken a higher incarnation");
+			}
+			else if (crowded && connection.initiated() && !selected.contains(connection.remote().vm())
+					&& link.unused().compareTo(KEEP_UNUSED) > 0) {
+				detach(link);
+			}
+		}
+	}
+
+	private void detach(PeerLink link) {
+		PeerConnection connection = link.connection();
+		this.membership.detach(connection.remote());
+		Heartbeat last = heartbeat(link, this.membership.nextBeat()).setDetaching(true).build();
+		connection.send(PeerEnvelopes.envelope(connection).setHeartbeat(last).build());
+		connection.close("the peer is not selected");
+	}
+
+	private Set<Address> targets() {
+		Set<Address> targets = new LinkedHashSet<>();
+		Set<Address> known = new LinkedHashSet<>();
+		List<Address> unknown = new ArrayList<>();
+		Set<VmId> selected = this.membership.selected();
+		known.add(this.membership.identity().peerAddress());
+		for (MemberView view : this.membership.members()) {
+			Member member = view.member();
+			known.add(member.peerAddress());
+			if (this.links.connected(member.vm())) {
+				continue;
+			}
+			if (view.state() == MemberState.ABSENT) {
+				unknown.add(member.peerAddress());
+			}
+			else if (selected.contains(member.vm())) {
+				targets.add(member.peerAddress());
+			}
+		}
+		this.directory.addresses().stream().filter((address) -> !known.contains(address)).forEach(unknown::add);
+		if (unknown.size() > MAX_UNKNOWN_TARGETS) {
+			Collections.shuffle(unknown, this.random);
+		}
+		unknown.stream().limit(MAX_UNKNOWN_TARGETS).forEach(targets::add);
+		return targets;
+	}
+
+	private void sendDigest() {
+		List<PeerLink> all = this.links.all();
+		if (!all.isEmpty()) {
+			send(all.get(this.random.nextInt(all.size())), this.membership.digest(DIGEST_MEMBERS));
+		}
+	}
+
+	private void sendToAll(MemberDigest digest) {
+		for (VmId vm : this.links.vms()) {
+			this.links.best(vm).ifPresent((link) -> send(link, digest));
+		}
+	}
+
+	private void send(PeerLink link, MemberDigest digest) {
+		PeerConnection connection = link.connection();
+		connection.send(PeerEnvelopes.envelope(connection).setMembers(digest).build());
+	}
+
+	private void sendHeartbeat(PeerLink link, long beat) {
+		PeerConnection connection = link.connection();
+		connection.send(PeerEnvelopes.envelope(connection).setHeartbeat(heartbeat(link, beat)).build());
+	}
+
+	private Heartbeat.Builder heartbeat(PeerLink link, long beat) {
+		ConfigurationStamps.Stamp stamp = this.stamps.own();
+		return Heartbeat.newBuilder()
+			.setBeat(beat)
+			.setAnswered(link.received())
+			.setLeaving(this.membership.leaving())
+			.setConfigurationVersion(stamp.version())
+			.setConfigurationDigest(stamp.digest());
+	}
+
+}
--- /dev/null
+++ b/bilberryvalve-daemon/src/test/java/io/bilberryvalve/daemon/peer/NettyPeerNetworkTests.java
@@ -0,0 +1,157 @@
+package io.bilberryvalve.daemon.peer;
+
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CopyOnWriteArrayList;
+
+import io.bilberryvalve.model.Outcome;
+import io.bilberryvalve.model.Problem;
+import io.bilberryvalve.model.Result;
+import io.bilberryvalve.model.VmId;
+import io.bilberryvalve.wire.FederationSecret;
+import net.jqwik.api.Example;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class NettyPeerNetworkTests {
+
+	private static final Duration TIMEOUT = Duration.ofSeconds(1);
+
+	// Guards against members that know only the seed and not each other.
+	@Example
+	void entriesThatKnowOnlyOneSeedFindEachOther() {
+		try (TestFederation federation = new TestFederation()) {
+			for (int i = 0; i < 4; i++) {
+				federation.add("vm-" + i, 1);
+			}
+			federation.untilConnected();
+			assertThat(federation.networks.get(3).peers()).extracting((peer) -> peer.vm().value())
+				.containsExactly("vm-0", "vm-1", "vm-2");
+		}
+	}
+
+	// Guards against duplicate delivery when two daemons hold two connections.
+	@Example
+	void deliversBroadcastsOnceAndAnswersCalls() {
+		try (TestFederation federation = new TestFederation()) {
+			NettyPeerNetwork a = federation.add("vm-a", 1);
+			NettyPeerNetwork b = federation.add("vm-b", 1);
+			List<String> received = new CopyOnWriteArrayList<>();
+			b.receive(MessageKind.DEMAND, (sender, body) -> received.add(sender + ":" + text(body)));
+			b.answer(MessageKind.KEY_CALL,
+					(sender, body) -> CompletableFuture.completedFuture(bytes(text(body) + " done")));
+			federation.untilConnected();
+			a.broadcast(MessageKind.DEMAND, bytes("one"));
+			a.broadcast(MessageKind.DEMAND, bytes("two"));
+			federation.until("two messages", () -> received.size() >= 2);
+			assertThat(received).containsExactly("vm-a:one", "vm-a:two");
+			Result<byte[]> answer = await(federation, a, "vm-b", MessageKind.KEY_CALL);
+			assertThat(answer).isInstanceOfSatisfying(Result.Ok.class,
+					(ok) -> assertThat(text((byte[]) ok.value())).isEqualTo("call done"));
+		}
+	}
+
+	// Guards R3: only a call that was not sent may be reported as not run.
+	@Example
+	void reportsNotRunOnlyIfNothingWasSent() {
+		try (TestFederation federation = new TestFederation()) {
+			NettyPeerNetwork a = federation.add("vm-a", 1);
+			NettyPeerNetwork b = federation.add("vm-b", 1);
+			b.answer(MessageKind.KEY_CALL, (sender, body) -> new CompletableFuture<>());
+			federation.untilConnected();
+			assertThat(outcome(await(federation, a, "vm-b", MessageKind.KEY_CALL))).isEqualTo(Outcome.UNKNOWN);
+			assertThat(outcome(await(federation, a, "vm-z", MessageKind.KEY_CALL))).isEqualTo(Outcome.NOT_RUN);
+			CompletableFuture<Result<byte[]>> open = call(a, "vm-b", MessageKind.KEY_CALL);
+			federation.remove(b);
+			federation.until("answer", open::isDone);
+			assertThat(outcome(open.join())).isEqualTo(Outcome.UNKNOWN);
+		}
+	}
+
+	// Guards against a stranger that joins without the federation secret.
+	@Example
+	void refusesWrongSecret() {
+		try (TestFederation federation = new TestFederation()) {
+			NettyPeerNetwork a = federation.add("vm-a", 1);
+			NettyPeerNetwork stranger = federation.add("vm-s", 1, FederationSecret.of("another secret for tests"));
+			federation.add("vm-b", 1);
+			federation.until("the others are connected", () -> a.connected().size() == 1);
+			for (int i = 0; i < 40; i++) {
+				federation.step();
+			}
+			assertThat(a.connected()).containsExactly(new VmId("vm-b"));
+			assertThat(stranger.peers()).isEmpty();
+		}
+	}
+
+	// Guards against an old run that hides or replaces the new run of the same VM.
+	@Example
+	void replacesRestartedPeerByNewIncarnation() {
+		try (TestFederation federation = new TestFederation()) {
+			NettyPeerNetwork a = federation.add("vm-a", 1);
+			NettyPeerNetwork old = federation.add("vm-b", 5);
+			federation.untilConnected();
+			federation.remove(old);
+			federation.add("vm-b", 6);
+			federation.untilConnected();
+			assertThat(a.peers()).extracting(Peer::incarnation).containsExactly(6L);
+		}
+	}
+
+	// Guards against a restarted peer with a reset clock that nobody would listen to.
+	@Example
+	void restartWithLowerIncarnationTakesHigherOne() {
+		try (TestFederation federation = new TestFederation()) {
+			NettyPeerNetwork a = federation.add("vm-a", 1);
+			NettyPeerNetwork old = federation.add("vm-b", 50);
+			federation.untilConnected();
+			federation.remove(old);
+			federation.add("vm-b", 6);
+			federation.until("raised", () -> a.peers().get(0).incarnation() == 51);
+			assertThat(a.peers().get(0).state()).isEqualTo(Peer.State.LIVE);
+		}
+	}
+
+	// Guards R5: peers learn of a leaving daemon at once and not by a timeout.
+	@Example
+	void leavingIsPushedAndAbsenceFollowsSilence() {
+		try (TestFederation federation = new TestFederation()) {
+			NettyPeerNetwork a = federation.add("vm-a", 1);
+			NettyPeerNetwork b = federation.add("vm-b", 1);
+			federation.untilConnected();
+			b.leave();
+			Await.until("leaving without further rounds", () -> a.peers().get(0).state() == Peer.State.LEAVING);
+			federation.remove(b);
+			for (int i = 0; i < 101; i++) {
+				federation.step();
+			}
+			assertThat(a.peers().get(0).state()).isEqualTo(Peer.State.ABSENT);
+		}
+	}
+
+	private static Result<byte[]> await(TestFederation federation, NettyPeerNetwork from, String to, MessageKind kind) {
+		CompletableFuture<Result<byte[]>> answer = call(from, to, kind);
+		federation.until("answer", answer::isDone);
+		return answer.join();
+	}
+
+	private static CompletableFuture<Result<byte[]>> call(NettyPeerNetwork from, String to, MessageKind kind) {
+		return from.call(new VmId(to), kind, bytes("call"), TIMEOUT).toCompletableFuture();
+	}
+
+	private static Outcome outcome(Result<byte[]> result) {
+		Problem problem = ((Result.Failed<byte[]>) result).problem();
+		return problem.outcome();
+	}
+
+	private static byte[] bytes(String text) {
+		return text.getBytes(StandardCharsets.UTF_8);
+	}
+
+	private static String text(byte[] bytes) {
+		return new String(bytes, StandardCharsets.UTF_8);
+	}
+
+}
--- /dev/null
+++ b/bilberryvalve-daemon/src/test/java/io/bilberryvalve/daemon/peer/TestFederation.java
@@ -0,0 +1,75 @@
+package io.bilberryvalve.daemon.peer;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.function.BooleanSupplier;
+
+import io.bilberryvalve.model.Address;
+import io.bilberryvalve.model.DataCentreId;
+import io.bilberryvalve.model.RegionId;
+import io.bilberryvalve.model.VmId;
+import io.bilberryvalve.model.clock.ManualClock;
+import io.bilberryvalve.wire.FederationSecret;
+
+/**
+ * Several networks in one process that share a manual clock.
+ */
+final class TestFederation implements AutoCloseable {
+
+	static final FederationSecret SECRET = FederationSecret.of("a secret for tests only");
+
+	final ManualClock clock = new ManualClock();
+
+	final List<NettyPeerNetwork> networks = new ArrayList<>();
+
+	final List<Address> seeds = new CopyOnWriteArrayList<>();
+
+	NettyPeerNetwork add(String vm, long incarnation) {
+		return add(vm, incarnation, SECRET);
+	}
+
+	NettyPeerNetwork add(String vm, long incarnation, FederationSecret secret) {
+		PeerSettings settings = PeerSettings.of(new VmId(vm), incarnation, new DataCentreId("dc-1"),
+				new Address("127.0.0.1", 8001), "127.0.0.1", 0, secret);
+		NettyPeerNetwork network = new NettyPeerNetwork(settings, () -> this.seeds, ConfigurationStamps.NONE,
+				(dataCentre) -> new RegionId("region"), this.clock);
+		Address address = network.open();
+		if (this.seeds.isEmpty()) {
+			this.seeds.add(address);
+		}
+		this.networks.add(network);
+		return network;
+	}
+
+	void remove(NettyPeerNetwork network) {
+		this.networks.remove(network);
+		network.close();
+	}
+
+	/**
+	 * Advances the clock by one round and lets each network do its periodic work.
+	 */
+	void step() {
+		this.clock.advance(Duration.ofMillis(50));
+		this.networks.forEach(NettyPeerNetwork::tick);
+	}
+
+	void until(String condition, BooleanSupplier reached) {
+		Await.until(condition, reached, this::step);
+	}
+
+	void untilConnected() {
+		int others = this.networks.size() - 1;
+		until("full mesh", () -> this.networks.stream()
+			.allMatch((network) -> network.connected().size() == others
+					&& network.peers().stream().filter((peer) -> peer.state() == Peer.State.LIVE).count() == others));
+	}
+
+	@Override
+	public void close() {
+		this.networks.forEach(NettyPeerNetwork::close);
+	}
+
+}
--- /dev/null
+++ b/bilberryvalve-policy/src/main/java/io/bilberryvalve/policy/membership/MemberNews.java
@@ -0,0 +1,13 @@
+package io.bilberryvalve.policy.membership;
+
+/**
+ * What one daemon tells another about a member.
+ *
+ * @param member the member
+ * @param beat highest heartbeat known to the teller
+ * @param leaving whether the member has announced that it leaves
+ * @param absent whether the teller has lost the member after that heartbeat
+ */
+public record MemberNews(Member member, long beat, boolean leaving, boolean absent) {
+
+}
--- /dev/null
+++ b/bilberryvalve-policy/src/main/java/io/bilberryvalve/policy/membership/MembershipTimes.java
@@ -0,0 +1,25 @@
+package io.bilberryvalve.policy.membership;
+
+import java.time.Duration;
+
+/**
+ * Time limits of membership.
+ *
+ * @param suspect silence of a directly connected member until it is suspect
+ * @param absent silence of a directly connected member until it is absent
+ * @param indirect time without news of a member that is not directly connected until it
+ * is absent; news of it pass over several daemons
+ * @param forget time after which an absent member is removed from the table
+ */
+public record MembershipTimes(Duration suspect, Duration absent, Duration indirect, Duration forget) {
+
+	/**
+	 * Returns the limits of production: 2 s, 5 s, 2 min and 10 min.
+	 * @return the limits
+	 */
+	public static MembershipTimes defaults() {
+		return new MembershipTimes(Duration.ofSeconds(2), Duration.ofSeconds(5), Duration.ofMinutes(2),
+				Duration.ofMinutes(10));
+	}
+
+}
--- /dev/null
+++ b/bilberryvalve-policy/src/main/java/io/bilberryvalve/policy/membership/PeerSelection.java
@@ -0,0 +1,153 @@
+package io.bilberryvalve.policy.membership;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import java.util.function.Function;
+import java.util.stream.Stream;
+
+import com.dynatrace.hash4j.hashing.Hashing;
+import io.bilberryvalve.model.DataCentreId;
+import io.bilberryvalve.model.RegionId;
+import io.bilberryvalve.model.VmId;
+
+/**
+ * Chooses the peers to which a daemon opens connections. A small federation is a full
+ * mesh. In a larger one a daemon connects to its successor in the hash order of its data
+ * centre, which keeps the data centre connected, and to further members of its data
+ * centre by rendezvous hash; the delegates of a data centre connect to the delegates of
+ * the other data centres of the region, and the delegates of a region to those of the
+ * other regions. Since connections are used in both directions, a daemon opens at most
+ * half of the limit in a large federation; the other half is for those that choose it.
+ */
+public final class PeerSelection {
+
+	/** Delegates of a data centre or region. */
+	public static final int DELEGATES = 2;
+
+	private static final int SUCCESSORS = 1;
+
+	private final int limit;
+
+	private final Function<DataCentreId, RegionId> regions;
+
+	/**
+	 * Creates a selection.
+	 * @param limit number of peers that a daemon talks to, at least 8
+	 * @param regions gives the region of a data centre
+	 */
+	public PeerSelection(int limit, Function<DataCentreId, RegionId> regions) {
+		if (limit < 4 * DELEGATES) {
+			throw new IllegalArgumentException("peer limit " + limit + " is too small; use at least " + 4 * DELEGATES);
+		}
+		this.limit = limit;
+		this.regions = regions;
+	}
+
+	/**
+	 * Chooses peers.
+	 * @param self this daemon
+	 * @param members the other members that are not absent
+	 * @return the VMs to which this daemon opens connections
+	 */
+	public Set<VmId> select(Member self, Collection<Member> members) {
+		if (members.size() <= this.limit) {
+			Set<VmId> all = new TreeSet<>();
+			members.forEach((member) -> all.add(member.vm()));
+			return all;
+		}
+		List<Member> all = Stream.concat(Stream.of(self), members.stream()).toList();
+		Set<VmId> chosen = new LinkedHashSet<>();
+		addSuccessors(self, all, chosen);
+		addDataCentreDelegates(self, all, chosen);
+		addRegionDelegates(self, all, chosen);
+		addByRendezvous(self, all, chosen);
+		return chosen;
+	}
+
+	/**
+	 * Returns the delegates of a group, which are the same for each daemon that knows the
+	 * same members.
+	 * @param name name of the data centre or region
+	 * @param group members of the group
+	 * @return at most {@value #DELEGATES} members
+	 */
+	public static List<Member> delegates(String name, Collection<Member> group) {
+		return group.stream()
+			.sorted(Comparator.comparingLong((Member member) -> hash(name, member.vm().value()))
+				.reversed()
+				.thenComparing(Member::vm))
+			.limit(DELEGATES)
+			.toList();
+	}
+
+	private void addSuccessors(Member self, List<Member> all, Set<VmId> chosen) {
+		TreeMap<Long, VmId> ring = new TreeMap<>();
+		sameDataCentre(self, all).forEach((member) -> ring.put(position(member.vm()), member.vm()));
+		long position = position(self.vm());
+		Stream.concat(ring.tailMap(position, false).values().stream(), ring.headMap(position).values().stream())
+			.limit(SUCCESSORS)
+			.forEach(chosen::add);
+	}
+
+	private void addDataCentreDelegates(Member self, List<Member> all, Set<VmId> chosen) {
+		RegionId region = this.regions.apply(self.dataCentre());
+		Map<DataCentreId, List<Member>> groups = new TreeMap<>();
+		for (Member member : all) {
+			if (this.regions.apply(member.dataCentre()).equals(region)) {
+				groups.computeIfAbsent(member.dataCentre(), (key) -> new ArrayList<>()).add(member);
+			}
+		}
+		addDelegates(self, self.dataCentre(), groups, chosen);
+	}
+
+	private void addRegionDelegates(Member self, List<Member> all, Set<VmId> chosen) {
+		Map<RegionId, List<Member>> groups = new TreeMap<>();
+		for (Member member : all) {
+			RegionId region = this.regions.apply(member.dataCentre());
+			groups.computeIfAbsent(region, (key) -> new ArrayList<>()).add(member);
+		}
+		addDelegates(self, this.regions.apply(self.dataCentre()), groups, chosen);
+	}
+
+	private static <K> void addDelegates(Member self, K own, Map<K, List<Member>> groups, Set<VmId> chosen) {
+		if (!delegates(own.toString(), groups.get(own)).contains(self)) {
+			return;
+		}
+		groups.forEach((name, group) -> {
+			if (!name.equals(own)) {
+				delegates(name.toString(), group).forEach((delegate) -> chosen.add(delegate.vm()));
+			}
+		});
+	}
+
+	private void addByRendezvous(Member self, List<Member> all, Set<VmId> chosen) {
+		String own = self.vm().value();
+		sameDataCentre(self, all).filter((member) -> !member.vm().equals(self.vm()))
+			.sorted(Comparator.comparingLong((Member member) -> hash(own, member.vm().value())).reversed())
+			.map(Member::vm)
+			.filter((vm) -> !chosen.contains(vm))
+			.limit(Math.max(0, this.limit / 2 - chosen.size()))
+			.toList()
+			.forEach(chosen::add);
+	}
+
+	private static Stream<Member> sameDataCentre(Member self, List<Member> all) {
+		return all.stream().filter((member) -> member.dataCentre().equals(self.dataCentre()));
+	}
+
+	private static long position(VmId vm) {
+		return hash("ring", vm.value());
+	}
+
+	private static long hash(String key, String candidate) {
+		return Hashing.komihash5_0().hashStream().putString(key).putString(candidate).getAsLong();
+	}
+
+}
--- /dev/null
+++ b/bilberryvalve-policy/src/main/java/io/bilberryvalve/policy/retry/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * Deadlines, retries and detection of silent connections.
+ */
+@NullMarked
+package io.bilberryvalve.policy.retry;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/bilberryvalve-wire/src/main/java/io/bilberryvalve/wire/PeerConnection.java
@@ -0,0 +1,113 @@
+package io.bilberryvalve.wire;
+
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicReference;
+
+import io.bilberryvalve.wire.proto.PeerMessage;
+import io.netty.channel.Channel;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * An authenticated connection to another daemon. Safe for use by several threads.
+ */
+public final class PeerConnection {
+
+	private final Channel channel;
+
+	private final PeerIdentity local;
+
+	private final PeerIdentity remote;
+
+	private final boolean initiated;
+
+	private final TransportLimits limits;
+
+	private final AtomicInteger queuedBytes = new AtomicInteger();
+
+	private final AtomicReference<@Nullable String> closeReason = new AtomicReference<>();
+
+	PeerConnection(Channel channel, PeerIdentity local, PeerIdentity remote, boolean initiated,
+			TransportLimits limits) {
+		this.channel = channel;
+		this.local = local;
+		this.remote = remote;
+		this.initiated = initiated;
+		this.limits = limits;
+	}
+
+	/**
+	 * Returns the identity that this daemon proved to the other one.
+	 * @return the identity
+	 */
+	public PeerIdentity local() {
+		return this.local;
+	}
+
+	/**
+	 * Returns the authenticated identity of the other daemon.
+	 * @return the identity
+	 */
+	public PeerIdentity remote() {
+		return this.remote;
+	}
+
+	/**
+	 * Returns whether this daemon opened the connection.
+	 * @return whether this daemon opened it
+	 */
+	public boolean initiated() {
+		return this.initiated;
+	}
+
+	/**
+	 * Queues a message.
+	 * @param message the message
+	 * @return whether it was queued; if not, nothing was or will be sent, because the
+	 * connection is closed, its queue is full or the message exceeds the frame limit
+	 */
+	public boolean send(PeerMessage message) {
+		int size = message.getSerializedSize();
+		if (size > this.limits.maxFrameBytes() || !this.channel.isActive() || !reserve(size)) {
+			return false;
+		}
+		this.channel.writeAndFlush(message).addListener((done) -> this.queuedBytes.addAndGet(-size));
+		return true;
+	}
+
+	/**
+	 * Closes the connection. The first reason is kept.
+	 * @param reason why
+	 */
+	public void close(String reason) {
+		this.closeReason.compareAndSet(null, reason);
+		this.channel.close();
+	}
+
+	/**
+	 * Returns the bytes that wait to be written.
+	 * @return the number of bytes
+	 */
+	public int queuedBytes() {
+		return this.queuedBytes.get();
+	}
+
+	@Override
+	public String toString() {
+		return this.remote.vm() + "#" + this.remote.incarnation() + (this.initiated ? " out" : " in");
+	}
+
+	String reason() {
+		String reason = this.closeReason.get();
+		return (reason != null) ? reason : "closed by the peer";
+	}
+
+	private boolean reserve(int size) {
+		int before = this.queuedBytes.getAndAdd(size);
+		if (before > 0 && before + size > this.limits.maxQueuedBytes()) {
+			this.queuedBytes.addAndGet(-size);
+			return false;
+		}
+		return true;
+	}
+
+}
--- /dev/null
+++ b/bilberryvalve-wire/src/main/java/io/bilberryvalve/wire/PeerHandler.java
@@ -0,0 +1,116 @@
+package io.bilberryvalve.wire;
+
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+
+import io.bilberryvalve.model.log.LogEvent;
+import io.bilberryvalve.wire.proto.PeerMessage;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.SimpleChannelInboundHandler;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Authenticates one connection and then passes its messages to the listener.
+ */
+final class PeerHandler extends SimpleChannelInboundHandler<PeerMessage> {
+
+	private static final Logger LOGGER = System.getLogger(PeerHandler.class.getName());
+
+	private final Handshake handshake;
+
+	private final boolean initiator;
+
+	private final TransportLimits limits;
+
+	private final ConnectionListener listener;
+
+	private final CompletableFuture<PeerConnection> result;
+
+	private boolean helloReceived;
+
+	private @Nullable PeerConnection connection;
+
+	PeerHandler(Handshake handshake, boolean initiator, TransportLimits limits, ConnectionListener listener,
+			CompletableFuture<PeerConnection> result) {
+		this.handshake = handshake;
+		this.initiator = initiator;
+		this.limits = limits;
+		this.listener = listener;
+		this.result = result;
+	}
+
+	@Override
+	public void channelActive(ChannelHandlerContext context) {
+		if (this.initiator) {
+			context.writeAndFlush(this.handshake.hello());
+		}
+		context.executor()
+			.schedule(() -> endOverdueHandshake(context), this.limits.handshakeTimeout().toMillis(),
+					TimeUnit.MILLISECONDS);
+	}
+
+	@Override
+	protected void channelRead0(ChannelHandlerContext context, PeerMessage message) throws HandshakeException {
+		if (this.connection == null) {
+			authenticate(context, message);
+		}
+		else if (!message.getSender().equals(this.connection.remote().vm().value())
+				|| message.getIncarnation() != this.connection.remote().incarnation()) {
+			this.connection.close("a message claims another sender than the authenticated one");
+		}
+		else {
+			this.listener.received(this.connection, message);
+		}
+	}
+
+	@Override
+	public void channelInactive(ChannelHandlerContext context) {
+		if (this.connection != null) {
+			this.listener.closed(this.connection, this.connection.reason());
+		}
+		this.result.completeExceptionally(new HandshakeException("the connection ended before authentication"));
+	}
+
+	@Override
+	public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+		LogEvent.of("peer-connection-failed")
+			.with("remote", context.channel().remoteAddress())
+			.with("reason", cause.getMessage())
+			.log(LOGGER, Level.DEBUG);
+		this.result.completeExceptionally(cause);
+		if (this.connection != null) {
+			this.connection.close(String.valueOf(cause.getMessage()));
+		}
+		else {
+			context.close();
+		}
+	}
+
+	private void authenticate(ChannelHandlerContext context, PeerMessage message) throws HandshakeException {
+		if (!this.helloReceived) {
+			this.handshake.acceptHello(message);
+			this.helloReceived = true;
+			context.writeAndFlush(this.initiator ? this.handshake.proof() : this.handshake.hello());
+			return;
+		}
+		PeerIdentity remote = this.handshake.verify(message);
+		if (!this.initiator) {
+			context.writeAndFlush(this.handshake.proof());
+		}
+		context.pipeline().get(PeerFrameDecoder.class).authenticated();
+		PeerConnection opened = new PeerConnection(context.channel(), this.handshake.self(), remote, this.initiator,
+				this.limits);
+		this.connection = opened;
+		this.listener.opened(opened);
+		this.result.complete(opened);
+	}
+
+	private void endOverdueHandshake(ChannelHandlerContext context) {
+		if (this.connection == null && context.channel().isActive()) {
+			context.close();
+		}
+	}
+
+}
--- /dev/null
+++ b/bilberryvalve-wire/src/main/java/io/bilberryvalve/wire/PeerTransport.java
@@ -0,0 +1,154 @@
+package io.bilberryvalve.wire;
+
+import java.net.InetSocketAddress;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Supplier;
+
+import io.bilberryvalve.model.Address;
+import io.bilberryvalve.wire.proto.PeerMessage;
+import io.netty.bootstrap.Bootstrap;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.nio.NioEventLoopGroup;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.LengthFieldPrepender;
+import io.netty.handler.codec.protobuf.ProtobufDecoder;
+import io.netty.handler.codec.protobuf.ProtobufEncoder;
+import io.netty.util.concurrent.DefaultThreadFactory;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Opens and accepts authenticated connections between daemons.
+ */
+public final class PeerTransport implements AutoCloseable {
+
+	private static final int THREADS = 2;
+
+	private static final long CLOSE_SECONDS = 5;
+
+	private final FederationSecret secret;
+
+	private final Supplier<PeerIdentity> self;
+
+	private final TransportLimits limits;
+
+	private final ConnectionListener listener;
+
+	private final AtomicInteger inbound = new AtomicInteger();
+
+	private final EventLoopGroup loops = new NioEventLoopGroup(THREADS, new DefaultThreadFactory("peer", true));
+
+	private volatile @Nullable Channel server;
+
+	/**
+	 * Creates a transport without connections.
+	 * @param secret the secret of the federation
+	 * @param self identity that this daemon claims; read at the start of each connection
+	 * @param limits the limits
+	 * @param listener receives the events of all connections
+	 */
+	public PeerTransport(FederationSecret secret, Supplier<PeerIdentity> self, TransportLimits limits,
+			ConnectionListener listener) {
+		this.secret = secret;
+		this.self = self;
+		this.limits = limits;
+		this.listener = listener;
+	}
+
+	/**
+	 * Starts to accept connections.
+	 * @param host the IP address to listen on
+	 * @param port the port, or 0 for any free port
+	 * @return the address on which the transport listens
+	 * @throws IllegalStateException if the address cannot be used
+	 */
+	public Address listen(String host, int port) {
+		ServerBootstrap bootstrap = new ServerBootstrap().group(this.loops)
+			.channel(NioServerSocketChannel.class)
+			.option(ChannelOption.SO_REUSEADDR, true)
+			.childOption(ChannelOption.TCP_NODELAY, true)
+			.childHandler(new Initializer(false, null));
+		ChannelFuture bound = bootstrap.bind(host, port).awaitUninterruptibly();
+		if (!bound.isSuccess()) {
+			throw new IllegalStateException(
+					"cannot listen on " + host + ":" + port + "; set a free port as the peer address", bound.cause());
+		}
+		this.server = bound.channel();
+		InetSocketAddress local = (InetSocketAddress) bound.channel().localAddress();
+		return new Address(host, local.getPort());
+	}
+
+	/**
+	 * Opens a connection.
+	 * @param address address of the other daemon
+	 * @return the authenticated connection; fails if it cannot be opened or the other
+	 * side cannot be authenticated. The listener is called before it completes.
+	 */
+	public CompletionStage<PeerConnection> connect(Address address) {
+		CompletableFuture<PeerConnection> result = new CompletableFuture<>();
+		Bootstrap bootstrap = new Bootstrap().group(this.loops)
+			.channel(NioSocketChannel.class)
+			.option(ChannelOption.TCP_NODELAY, true)
+			.option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) this.limits.handshakeTimeout().toMillis())
+			.handler(new Initializer(true, result));
+		bootstrap.connect(address.host(), address.port()).addListener((done) -> {
+			if (!done.isSuccess()) {
+				result.completeExceptionally(done.cause());
+			}
+		});
+		return result;
+	}
+
+	@Override
+	public void close() {
+		Channel listening = this.server;
+		if (listening != null) {
+			listening.close().awaitUninterruptibly();
+		}
+		this.loops.shutdownGracefully(0, CLOSE_SECONDS, TimeUnit.SECONDS)
+			.awaitUninterruptibly(CLOSE_SECONDS, TimeUnit.SECONDS);
+	}
+
+	private boolean acceptsInbound(Channel channel) {
+		channel.closeFuture().addListener((done) -> this.inbound.decrementAndGet());
+		return this.inbound.incrementAndGet() <= this.limits.maxInbound();
+	}
+
+	private final class Initializer extends ChannelInitializer<Channel> {
+
+		private final boolean initiator;
+
+		private final @Nullable CompletableFuture<PeerConnection> result;
+
+		Initializer(boolean initiator, @Nullable CompletableFuture<PeerConnection> result) {
+			this.initiator = initiator;
+			this.result = result;
+		}
+
+		@Override
+		protected void initChannel(Channel channel) {
+			if (!this.initiator && !acceptsInbound(channel)) {
+				channel.close();
+				return;
+			}
+			PeerTransport transport = PeerTransport.this;
+			Handshake handshake = new Handshake(transport.secret, transport.self.get(), this.initiator);
+			CompletableFuture<PeerConnection> opened = (this.result != null) ? this.result : new CompletableFuture<>();
+			channel.pipeline()
+				.addLast(new PeerFrameDecoder(transport.limits.maxFrameBytes()),
+						new ProtobufDecoder(PeerMessage.getDefaultInstance()),
+						new LengthFieldPrepender(PeerFrameDecoder.LENGTH_BYTES), new ProtobufEncoder(),
+						new PeerHandler(handshake, this.initiator, transport.limits, transport.listener, opened));
+		}
+
+	}
+
+}
