--- /dev/null
+++ b/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/lifecycle/DrainCoordinator.java
@@ -0,0 +1,152 @@
+package io.bilberryvalve.daemon.lifecycle;
+
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
+import java.time.Clock;
+import java.util.List;
+import java.util.Locale;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+
+import io.bilberryvalve.daemon.http.Access;
+import io.bilberryvalve.daemon.http.Exchange;
+import io.bilberryvalve.daemon.http.Route;
+import io.bilberryvalve.model.log.LogEvent;
+import io.bilberryvalve.policy.membership.DrainPlan;
+import io.bilberryvalve.policy.membership.EntryList;
+import io.servicetalk.buffer.netty.BufferAllocators;
+import io.servicetalk.concurrent.api.Publisher;
+import io.servicetalk.concurrent.api.Single;
+import io.servicetalk.http.api.HttpRequestMethod;
+import io.servicetalk.http.api.HttpResponseStatus;
+import io.servicetalk.http.api.StreamingHttpResponse;
+
+/**
+ * Carries out a graceful shutdown of this entry.
+ */
+public final class DrainCoordinator implements AutoCloseable {
+
+	private static final Logger LOGGER = System.getLogger(DrainCoordinator.class.getName());
+
+	private static final long STEP_MILLIS = 20;
+
+	private final Lifecycle lifecycle;
+
+	private final Runnable announcement;
+
+	private final DrainPlan plan;
+
+	private final AtomicBoolean begun = new AtomicBoolean();
+
+	private final CompletableFuture<Void> stopped = new CompletableFuture<>();
+
+	private final ScheduledExecutorService timer = Executors.newSingleThreadScheduledExecutor(DrainCoordinator::thread);
+
+	/**
+	 * Creates a coordinator.
+	 * @param lifecycle state of this entry
+	 * @param announcement tells the other entries that this one leaves
+	 * @param clock the clock
+	 */
+	public DrainCoordinator(Lifecycle lifecycle, Runnable announcement, Clock clock) {
+		this.lifecycle = lifecycle;
+		this.announcement = announcement;
+		this.plan = new DrainPlan(clock, EntryList.TIME_TO_LIVE);
+	}
+
+	/**
+	 * Begins the shutdown, or joins the one that has begun.
+	 * @return completes after the last request in progress
+	 */
+	public CompletionStage<Void> drain() {
+		if (begin()) {
+			this.timer.scheduleWithFixedDelay(this::step, STEP_MILLIS, STEP_MILLIS, TimeUnit.MILLISECONDS);
+		}
+		return stopped();
+	}
+
+	/**
+	 * Returns the end of the shutdown.
+	 * @return completes after the last request in progress
+	 */
+	public CompletionStage<Void> stopped() {
+		return this.stopped.minimalCompletionStage();
+	}
+
+	/**
+	 * Returns the route with which an operator begins the shutdown.
+	 * @return the route {@code POST /v1/drain}
+	 */
+	public List<Route> routes() {
+		return List.of(Route.of(HttpRequestMethod.POST, "/v1/drain", Access.OPERATOR, false, this::handle));
+	}
+
+	@Override
+	public void close() {
+		this.timer.shutdownNow();
+	}
+
+	/**
+	 * Begins the shutdown without a timer, for tests that call {@link #step()}
+	 * themselves.
+	 * @return whether this call began it
+	 */
+	boolean begin() {
+		if (!this.begun.compareAndSet(false, true)) {
+			return false;
+		}
+		apply(this.plan.begin(this.lifecycle.state() == ServingState.READY));
+		this.announcement.run();
+		return true;
+	}
+
+	/**
+	 * Advances the shutdown. Called by one thread.
+	 */
+	void step() {
+		apply(this.plan.step(this.lifecycle.active()));
+	}
+
+	private void apply(DrainPlan.Phase phase) {
+		ServingState state = switch (phase) {
+			case SERVING -> this.lifecycle.state();
+			case LEAVING -> ServingState.LEAVING;
+			case REFUSING -> ServingState.DRAINING;
+			case STOPPED -> ServingState.STOPPED;
+		};
+		if (this.lifecycle.advance(state)) {
+			LogEvent.of("drain-advanced")
+				.with("state", state)
+				.with("active", this.lifecycle.active())
+				.log(LOGGER, Level.INFO);
+		}
+		if (phase == DrainPlan.Phase.STOPPED) {
+			this.timer.shutdown();
+			this.stopped.complete(null);
+		}
+	}
+
+	private Single<StreamingHttpResponse> handle(Exchange exchange) {
+		LogEvent.of("drain-requested")
+			.with("operator", exchange.operator().operator())
+			.with("club", exchange.operator().club())
+			.log(LOGGER, Level.INFO);
+		drain();
+		String body = "{\"state\": \"" + this.lifecycle.state().name().toLowerCase(Locale.ROOT) + "\"}";
+		StreamingHttpResponse response = exchange.responses().newResponse(HttpResponseStatus.ACCEPTED);
+		response.headers().set("content-type", "application/json");
+		return Single
+			.succeeded(response.payloadBody(Publisher.from(BufferAllocators.DEFAULT_ALLOCATOR.fromUtf8(body))));
+	}
+
+	private static Thread thread(Runnable task) {
+		Thread thread = new Thread(task, "drain");
+		thread.setDaemon(true);
+		return thread;
+	}
+
+}
--- /dev/null
+++ b/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/peer/EntriesHandler.java
@@ -0,0 +1,96 @@
+package io.bilberryvalve.daemon.peer;
+
+import java.util.List;
+import java.util.function.Supplier;
+import java.util.stream.Stream;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.bilberryvalve.daemon.http.Access;
+import io.bilberryvalve.daemon.http.Exchange;
+import io.bilberryvalve.daemon.http.Route;
+import io.bilberryvalve.daemon.lifecycle.Lifecycle;
+import io.bilberryvalve.daemon.lifecycle.ServingState;
+import io.bilberryvalve.policy.membership.EntryList;
+import io.bilberryvalve.policy.membership.Member;
+import io.bilberryvalve.policy.membership.MemberState;
+import io.bilberryvalve.policy.membership.MemberView;
+import io.servicetalk.buffer.netty.BufferAllocators;
+import io.servicetalk.concurrent.api.Publisher;
+import io.servicetalk.concurrent.api.Single;
+import io.servicetalk.http.api.HttpRequestMethod;
+import io.servicetalk.http.api.StreamingHttpResponse;
+
+/**
+ * Tells callers which entries they can use.
+ */
+public final class EntriesHandler {
+
+	private static final ObjectMapper JSON = new ObjectMapper();
+
+	private final EntryList list = new EntryList();
+
+	private final Supplier<Member> self;
+
+	private final Supplier<List<MemberView>> others;
+
+	private final Lifecycle lifecycle;
+
+	/**
+	 * Creates a handler.
+	 * @param self gives this daemon
+	 * @param others gives the other daemons
+	 * @param lifecycle state of this daemon
+	 */
+	public EntriesHandler(Supplier<Member> self, Supplier<List<MemberView>> others, Lifecycle lifecycle) {
+		this.self = self;
+		this.others = others;
+		this.lifecycle = lifecycle;
+	}
+
+	/**
+	 * Returns the route of the entry list.
+	 * @return the route {@code GET /v1/entries}
+	 */
+	public List<Route> routes() {
+		return List.of(Route.of(HttpRequestMethod.GET, "/v1/entries", Access.PUBLIC, false, this::handle));
+	}
+
+	/**
+	 * Returns the document for the next caller.
+	 * @return the document as JSON
+	 */
+	String document() {
+		Member own = this.self.get();
+		List<MemberView> all = Stream
+			.concat(Stream.of(new MemberView(own, state(this.lifecycle.state()), true)), this.others.get().stream())
+			.toList();
+		ObjectNode document = JSON.createObjectNode();
+		ArrayNode entries = document.putArray("entries");
+		for (EntryList.Entry entry : this.list.next(all, own.dataCentre())) {
+			entries.addObject()
+				.put("address", entry.address().toString())
+				.put("dataCentre", entry.dataCentre().value());
+		}
+		document.put("ttlSeconds", EntryList.TIME_TO_LIVE.toSeconds());
+		return document.toString();
+	}
+
+	private Single<StreamingHttpResponse> handle(Exchange exchange) {
+		StreamingHttpResponse response = exchange.responses().ok();
+		response.headers().set("content-type", "application/json");
+		response.headers().set("cache-control", "max-age=" + EntryList.TIME_TO_LIVE.toSeconds());
+		return Single
+			.succeeded(response.payloadBody(Publisher.from(BufferAllocators.DEFAULT_ALLOCATOR.fromUtf8(document()))));
+	}
+
+	private static MemberState state(ServingState state) {
+		return switch (state) {
+			case READY -> MemberState.LIVE;
+			case LEAVING -> MemberState.LEAVING;
+			case STARTING, DRAINING, STOPPED -> MemberState.ABSENT;
+		};
+	}
+
+}
--- a/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/peer/NettyPeerNetwork.java
+++ b/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/peer/NettyPeerNetwork.java
@@ -13,6 +13,7 @@
 import java.util.function.Function;
 
 import com.google.protobuf.ByteString;
+import io.bilberryvalve.daemon.lifecycle.Lifecycle;
 import io.bilberryvalve.model.Address;
 import io.bilberryvalve.model.DataCentreId;
 import io.bilberryvalve.model.RegionId;
@@ -32,7 +33,7 @@
  * Peer network over authenticated TCP connections.
  *
  * <pre>
- * NettyPeerNetwork network = new NettyPeerNetwork(settings, directory, stamps, regions, clock);
+ * NettyPeerNetwork network = new NettyPeerNetwork(settings, lifecycle, directory, stamps, regions, clock);
  * network.receive(MessageKind.DEMAND, receiver);
  * network.start();
  * </pre>
@@ -45,6 +46,8 @@
 
 	private final PeerSettings settings;
 
+	private final Lifecycle lifecycle;
+
 	private final ConfigurationStamps stamps;
 
 	private final Function<DataCentreId, RegionId> regions;
@@ -63,19 +66,19 @@
 
 	private volatile @Nullable Running running;
 
-	private volatile boolean leaving;
-
 	/**
 	 * Creates a network that is not started.
 	 * @param settings the settings
+	 * @param lifecycle state of this daemon
 	 * @param directory where other daemons may be found
 	 * @param stamps configuration of this daemon and of its peers
 	 * @param regions region of each data centre
 	 * @param clock the clock
 	 */
-	public NettyPeerNetwork(PeerSettings settings, PeerDirectory directory, ConfigurationStamps stamps,
-			Function<DataCentreId, RegionId> regions, Clock clock) {
+	public NettyPeerNetwork(PeerSettings settings, Lifecycle lifecycle, PeerDirectory directory,
+			ConfigurationStamps stamps, Function<DataCentreId, RegionId> regions, Clock clock) {
 		this.settings = settings;
+		this.lifecycle = lifecycle;
 		this.directory = directory;
 		this.stamps = stamps;
 		this.regions = regions;
@@ -96,13 +99,12 @@
 	}
 
 	/**
-	 * Tells all peers at once that this daemon leaves and gets no new work.
+	 * Tells all peers at once about the state of this daemon, for example that it leaves
+	 * and gets no new work. Without this call they learn of it by the next heartbeat.
 	 */
-	public void leave() {
-		this.leaving = true;
+	public void announce() {
 		Running now = this.running;
 		if (now != null) {
-			now.membership().leave();
 			now.rounds().heartbeats();
 		}
 	}
@@ -205,14 +207,12 @@
 		PeerTransport transport = new PeerTransport(this.settings.secret(), this::identity, this.settings.limits(),
 				events);
 		Address address = transport.listen(this.settings.host(), this.settings.port());
-		PeerMembership membership = new PeerMembership(this.settings, address, this.clock, this.regions);
+		PeerMembership membership = new PeerMembership(this.settings, address, this.lifecycle, this.clock,
+				this.regions);
 		PeerRounds rounds = new PeerRounds(this.settings, this.directory, this.stamps, membership, this.links,
 				transport, this.clock);
 		events.ready(membership, rounds);
 		this.running = new Running(transport, membership, rounds);
-		if (this.leaving) {
-			membership.leave();
-		}
 		return address;
 	}
 
@@ -224,8 +224,23 @@
 		required().rounds().tick();
 	}
 
-	private CompletionStage<Result<byte[]>> send(PeerConnection connection, MessageKind kind, byte[] body,
-			Duration timeout) {
+	/**
+	 * Returns the open connections.
+	 * @return the connections
+	 */
+	List<PeerConnection> connections() {
+		return this.links.all().stream().map(PeerLink::connection).toList();
+	}
+
+	/**
+	 * Sends a call on one connection.
+	 * @param connection the connection
+	 * @param kind kind of the call
+	 * @param body the body
+	 * @param timeout how long to wait
+	 * @return the answer
+	 */
+	CompletionStage<Result<byte[]>> send(PeerConnection connection, MessageKind kind, byte[] body, Duration timeout) {
 		Call.Builder call = Call.newBuilder()
 			.setCorrelation(this.calls.nextCorrelation())
 			.setKind(kind.name())
--- a/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/peer/PeerMembership.java
+++ b/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/peer/PeerMembership.java
@@ -10,6 +10,8 @@
 import java.util.Set;
 import java.util.function.Function;
 
+import io.bilberryvalve.daemon.lifecycle.Lifecycle;
+import io.bilberryvalve.daemon.lifecycle.ServingState;
 import io.bilberryvalve.model.Address;
 import io.bilberryvalve.model.DataCentreId;
 import io.bilberryvalve.model.RegionId;
@@ -35,6 +37,8 @@
 
 	private static final Logger LOGGER = System.getLogger(PeerMembership.class.getName());
 
+	private final Lifecycle lifecycle;
+
 	private final MemberTable table;
 
 	private final PeerSelection selection;
@@ -47,9 +51,9 @@
 
 	private volatile PeerIdentity identity;
 
-	private volatile boolean leaving;
-
-	PeerMembership(PeerSettings settings, Address peerAddress, Clock clock, Function<DataCentreId, RegionId> regions) {
+	PeerMembership(PeerSettings settings, Address peerAddress, Lifecycle lifecycle, Clock clock,
+			Function<DataCentreId, RegionId> regions) {
+		this.lifecycle = lifecycle;
 		Member self = new Member(settings.vm(), settings.incarnation(), settings.dataCentre(), settings.callerAddress(),
 				peerAddress);
 		this.table = new MemberTable(self, clock, settings.times());
@@ -73,22 +77,16 @@
 		return this.selected;
 	}
 
-	synchronized long nextBeat() {
-		return this.table.nextBeat();
-	}
-
-	boolean leaving() {
-		return this.leaving;
-	}
-
-	synchronized void leave() {
-		this.leaving = true;
-		this.table.leave();
+	synchronized MemberNews nextBeat() {
+		ServingState state = this.lifecycle.state();
+		boolean ready = state == ServingState.READY || state == ServingState.LEAVING;
+		return this.table.nextBeat(ready, state.compareTo(ServingState.LEAVING) >= 0);
 	}
 
 	synchronized void heartbeat(PeerIdentity sender, Heartbeat heartbeat) {
 		Member member = member(sender);
-		publish(this.table.heartbeat(member, heartbeat.getBeat(), heartbeat.getLeaving()));
+		publish(this.table.heartbeat(
+				new MemberNews(member, heartbeat.getBeat(), heartbeat.getReady(), heartbeat.getLeaving(), false)));
 		if (heartbeat.getDetaching()) {
 			this.table.detach(member);
 		}
@@ -192,6 +190,7 @@
 			.setDataCentre(member.dataCentre().value())
 			.setCallerAddress(member.callerAddress().toString())
 			.setPeerAddress(member.peerAddress().toString())
+			.setReady(news.ready())
 			.setLeaving(news.leaving())
 			.setAbsent(news.absent())
 			.build();
@@ -201,7 +200,7 @@
 		Member member = new Member(new VmId(entry.getVm()), entry.getIncarnation(),
 				new DataCentreId(entry.getDataCentre()), Address.parse(entry.getCallerAddress()),
 				Address.parse(entry.getPeerAddress()));
-		return new MemberNews(member, entry.getBeat(), entry.getLeaving(), entry.getAbsent());
+		return new MemberNews(member, entry.getBeat(), entry.getReady(), entry.getLeaving(), entry.getAbsent());
 	}
 
 }
--- a/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/peer/PeerRounds.java
+++ b/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/peer/PeerRounds.java
@@ -15,6 +15,7 @@
 import io.bilberryvalve.model.Address;
 import io.bilberryvalve.model.VmId;
 import io.bilberryvalve.policy.membership.Member;
+import io.bilberryvalve.policy.membership.MemberNews;
 import io.bilberryvalve.policy.membership.MemberState;
 import io.bilberryvalve.policy.membership.MemberView;
 import io.bilberryvalve.wire.PeerConnection;
@@ -86,8 +87,8 @@
 	 * Sends the next heartbeat on each connection.
 	 */
 	void heartbeats() {
-		long beat = this.membership.nextBeat();
-		this.links.all().forEach((link) -> sendHeartbeat(link, beat));
+		MemberNews own = this.membership.nextBeat();
+		this.links.all().forEach((link) -> sendHeartbeat(link, own));
 	}
 
 	/**
@@ -193,17 +194,18 @@
 		connection.send(PeerEnvelopes.envelope(connection).setMembers(digest).build());
 	}
 
-	private void sendHeartbeat(PeerLink link, long beat) {
+	private void sendHeartbeat(PeerLink link, MemberNews own) {
 		PeerConnection connection = link.connection();
-		connection.send(PeerEnvelopes.envelope(connection).setHeartbeat(heartbeat(link, beat)).build());
+		connection.send(PeerEnvelopes.envelope(connection).setHeartbeat(heartbeat(link, own)).build());
 	}
 
-	private Heartbeat.Builder heartbeat(PeerLink link, long beat) {
+	private Heartbeat.Builder heartbeat(PeerLink link, MemberNews own) {
 		ConfigurationStamps.Stamp stamp = this.stamps.own();
 		return Heartbeat.newBuilder()
-			.setBeat(beat)
+			.setBeat(own.beat())
 			.setAnswered(link.received())
-			.setLeaving(this.membership.leaving())
+			.setReady(own.ready())
+			.setLeaving(own.leaving())
 			.setConfigurationVersion(stamp.version())
 			.setConfigurationDigest(stamp.digest());
 	}
--- a/bilberryvalve-daemon/src/test/java/io/bilberryvalve/daemon/peer/NettyPeerNetworkTests.java
+++ b/bilberryvalve-daemon/src/test/java/io/bilberryvalve/daemon/peer/NettyPeerNetworkTests.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CopyOnWriteArrayList;
 
+import io.bilberryvalve.daemon.lifecycle.ServingState;
 import io.bilberryvalve.model.Outcome;
 import io.bilberryvalve.model.Problem;
 import io.bilberryvalve.model.Result;
@@ -121,7 +122,8 @@
 			NettyPeerNetwork a = federation.add("vm-a", 1);
 			NettyPeerNetwork b = federation.add("vm-b", 1);
 			federation.untilConnected();
-			b.leave();
+			federation.lifecycles.get(1).advance(ServingState.LEAVING);
+			b.announce();
 			Await.until("leaving without further rounds", () -> a.peers().get(0).state() == Peer.State.LEAVING);
 			federation.remove(b);
 			for (int i = 0; i < 101; i++) {
--- a/bilberryvalve-daemon/src/test/java/io/bilberryvalve/daemon/peer/TestFederation.java
+++ b/bilberryvalve-daemon/src/test/java/io/bilberryvalve/daemon/peer/TestFederation.java
@@ -3,15 +3,19 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.function.BooleanSupplier;
 
+import io.bilberryvalve.daemon.lifecycle.Lifecycle;
+import io.bilberryvalve.daemon.lifecycle.ServingState;
 import io.bilberryvalve.model.Address;
 import io.bilberryvalve.model.DataCentreId;
 import io.bilberryvalve.model.RegionId;
 import io.bilberryvalve.model.VmId;
 import io.bilberryvalve.model.clock.ManualClock;
 import io.bilberryvalve.wire.FederationSecret;
+import io.bilberryvalve.wire.PeerConnection;
 
 /**
  * Several networks in one process that share a manual clock.
@@ -24,6 +28,8 @@
 
 	final List<NettyPeerNetwork> networks = new ArrayList<>();
 
+	final List<Lifecycle> lifecycles = new ArrayList<>();
+
 	final List<Address> seeds = new CopyOnWriteArrayList<>();
 
 	NettyPeerNetwork add(String vm, long incarnation) {
@@ -33,9 +39,13 @@
 	NettyPeerNetwork add(String vm, long incarnation, FederationSecret secret) {
 		PeerSettings settings = PeerSettings.of(new VmId(vm), incarnation, new DataCentreId("dc-1"),
 				new Address("127.0.0.1", 8001), "127.0.0.1", 0, secret);
-		NettyPeerNetwork network = new NettyPeerNetwork(settings, () -> this.seeds, ConfigurationStamps.NONE,
+		Lifecycle lifecycle = new Lifecycle();
+		lifecycle.advance(ServingState.READY);
+		NettyPeerNetwork network = new NettyPeerNetwork(settings, lifecycle, () -> this.seeds, ConfigurationStamps.NONE,
 				(dataCentre) -> new RegionId("region"), this.clock);
+		network.answer(MessageKind.RESUME, (sender, body) -> CompletableFuture.completedFuture(body));
 		Address address = network.open();
+		this.lifecycles.add(lifecycle);
 		if (this.seeds.isEmpty()) {
 			this.seeds.add(address);
 		}
@@ -49,11 +59,21 @@
 	}
 
 	/**
-	 * Advances the clock by one round and lets each network do its periodic work.
+	 * Advances the clock by one round, lets each network do its periodic work and waits
+	 * until all messages sent have been handled, so that time does not run ahead of them.
 	 */
 	void step() {
 		this.clock.advance(Duration.ofMillis(50));
 		this.networks.forEach(NettyPeerNetwork::tick);
+		List<CompletableFuture<?>> barriers = new ArrayList<>();
+		for (NettyPeerNetwork network : this.networks) {
+			for (PeerConnection connection : network.connections()) {
+				barriers.add(network.send(connection, MessageKind.RESUME, new byte[0], Duration.ofHours(1))
+					.toCompletableFuture());
+			}
+		}
+		CompletableFuture<Void> all = CompletableFuture.allOf(barriers.toArray(new CompletableFuture<?>[0]));
+		Await.until("messages handled", all::isDone);
 	}
 
 	void until(String condition, BooleanSupplier reached) {
--- /dev/null
+++ b/bilberryvalve-policy/src/main/java/io/bilberryvalve/policy/membership/DrainPlan.java
@@ -0,0 +1,90 @@
+package io.bilberryvalve.policy.membership;
+
+import java.time.Clock;
+import java.time.Duration;
+import java.time.Instant;
+
+import org.jspecify.annotations.Nullable;
+
+/**
+ * The order of a graceful shutdown: leave the entry lists, keep accepting requests while
+ * callers may still use an old list, refuse new requests, and stop after the last reply.
+ * Requests in progress are never interrupted; their own deadlines bound the drain. Not
+ * safe for use by several threads.
+ */
+public final class DrainPlan {
+
+	/**
+	 * Time in which all entries learn that this one leaves; lists handed out until then
+	 * may still contain it.
+	 */
+	public static final Duration ANNOUNCEMENT = Duration.ofSeconds(1);
+
+	private final Clock clock;
+
+	private final Duration leaving;
+
+	private @Nullable Instant begun;
+
+	private Phase phase = Phase.SERVING;
+
+	/**
+	 * Creates a plan that has not begun.
+	 * @param clock the clock
+	 * @param listTime time for which callers may use an entry list
+	 */
+	public DrainPlan(Clock clock, Duration listTime) {
+		this.clock = clock;
+		this.leaving = listTime.plus(ANNOUNCEMENT);
+	}
+
+	/**
+	 * Begins the drain. Later calls have no effect.
+	 * @param listed whether callers may have this entry in their lists; if not, new
+	 * requests are refused at once
+	 * @return the phase
+	 */
+	public Phase begin(boolean listed) {
+		if (this.begun == null) {
+			this.begun = this.clock.instant();
+			this.phase = listed ? Phase.LEAVING : Phase.REFUSING;
+		}
+		return this.phase;
+	}
+
+	/**
+	 * Advances the drain by at most one phase. The caller applies the phase before it
+	 * counts the requests for the next step, so that no request starts in between.
+	 * @param active number of requests in progress
+	 * @return the phase
+	 */
+	public Phase step(int active) {
+		if (this.phase == Phase.LEAVING && !this.clock.instant().isBefore(this.begun.plus(this.leaving))) {
+			this.phase = Phase.REFUSING;
+		}
+		else if (this.phase == Phase.REFUSING && active == 0) {
+			this.phase = Phase.STOPPED;
+		}
+		return this.phase;
+	}
+
+	/**
+	 * Phase of a drain.
+	 */
+	public enum Phase {
+
+		/** The drain has not begun. */
+		SERVING,
+
+		/** Requests are accepted; entry lists no longer contain this entry. */
+		LEAVING,
+
+		/** New requests are refused; those in progress go on. */
+		REFUSING,
+
+		/** The last request has ended. */
+		STOPPED
+
+	}
+
+}
--- a/bilberryvalve-policy/src/main/java/io/bilberryvalve/policy/membership/MemberTable.java
+++ b/bilberryvalve-policy/src/main/java/io/bilberryvalve/policy/membership/MemberTable.java
@@ -37,6 +37,8 @@
 
 	private long beat;
 
+	private boolean ready;
+
 	private boolean leaving;
 
 	private @Nullable VmId digestCursor;
@@ -55,17 +57,15 @@
 
 	/**
 	 * Starts the next heartbeat of this daemon.
-	 * @return its number
-	 */
-	public long nextBeat() {
-		return ++this.beat;
-	}
-
-	/**
-	 * Marks this daemon as leaving. It stays so until the process ends.
+	 * @param isReady whether this daemon is or has been ready for callers
+	 * @param isLeaving whether this daemon is leaving; it stays so until the process ends
+	 * @return what this daemon tells about itself
 	 */
-	public void leave() {
-		this.leaving = true;
+	public MemberNews nextBeat(boolean isReady, boolean isLeaving) {
+		this.beat++;
+		this.ready |= isReady;
+		this.leaving |= isLeaving;
+		return own();
 	}
 
 	/**
@@ -78,25 +78,22 @@
 
 	/**
 	 * Handles a heartbeat that arrived on a connection to the member itself.
-	 * @param member the member
-	 * @param number number of the heartbeat
-	 * @param isLeaving whether the member is leaving
+	 * @param news what the member tells about itself
 	 * @return the change, or empty if there is none or the message is from an old run
 	 */
-	public Optional<MemberChange> heartbeat(Member member, long number, boolean isLeaving) {
-		if (member.vm().equals(this.self.vm())) {
+	public Optional<MemberChange> heartbeat(MemberNews news) {
+		if (news.member().vm().equals(this.self.vm())) {
 			return Optional.empty();
 		}
-		Entry entry = entry(member);
-		if (entry == null || number < entry.beat) {
+		Entry entry = entry(news.member());
+		if (entry == null || news.beat() < entry.beat) {
 			return Optional.empty();
 		}
 		entry.direct = true;
-		if (number == entry.beat) {
+		if (news.beat() == entry.beat) {
 			return Optional.empty();
 		}
-		entry.beat = number;
-		return alive(entry, isLeaving);
+		return alive(entry, news);
 	}
 
 	/**
@@ -130,12 +127,11 @@
 		if (entry == null) {
 			return Optional.empty();
 		}
-		boolean fresh = news.beat() > entry.beat;
-		if (!fresh && (!news.leaving() || entry.leaving)) {
-			return Optional.empty();
+		if (news.beat() > entry.beat) {
+			return alive(entry, news);
 		}
-		entry.beat = Math.max(entry.beat, news.beat());
-		return fresh ? alive(entry, news.leaving()) : markLeaving(entry);
+		boolean leavingNow = news.leaving() && !entry.leaving;
+		return leavingNow ? markLeaving(entry) : Optional.empty();
 	}
 
 	/**
@@ -162,7 +158,7 @@
 	 * @return the members
 	 */
 	public List<MemberView> members() {
-		return this.entries.values().stream().map((entry) -> new MemberView(entry.member, entry.state)).toList();
+		return this.entries.values().stream().map((entry) -> entry.view()).toList();
 	}
 
 	/**
@@ -194,11 +190,15 @@
 			chosen.put(next.member.vm(), next.news());
 		}
 		List<MemberNews> digest = new ArrayList<>(chosen.size() + 1);
-		digest.add(new MemberNews(this.self, this.beat, this.leaving, false));
+		digest.add(own());
 		digest.addAll(chosen.values());
 		return digest;
 	}
 
+	private MemberNews own() {
+		return new MemberNews(this.self, this.beat, this.ready, this.leaving, false);
+	}
+
 	private @Nullable Entry entry(Member member) {
 		Entry entry = this.entries.get(member.vm());
 		if (entry != null && entry.member.incarnation() >= member.incarnation()) {
@@ -209,11 +209,15 @@
 		return created;
 	}
 
-	private Optional<MemberChange> alive(Entry entry, boolean isLeaving) {
+	private Optional<MemberChange> alive(Entry entry, MemberNews news) {
+		boolean readyNow = news.ready() && !entry.ready;
+		entry.beat = news.beat();
 		entry.heard = this.clock.instant();
 		entry.reportedAbsent = false;
-		entry.leaving |= isLeaving;
-		return update(entry);
+		entry.leaving |= news.leaving();
+		entry.ready |= news.ready();
+		Optional<MemberChange> change = update(entry);
+		return (change.isEmpty() && readyNow) ? Optional.of(changed(entry, entry.state)) : change;
 	}
 
 	private Optional<MemberChange> markLeaving(Entry entry) {
@@ -252,10 +256,14 @@
 		}
 		entry.state = after;
 		entry.known = true;
-		if (after != MemberState.SUSPECT) {
+		return Optional.of(changed(entry, before));
+	}
+
+	private MemberChange changed(Entry entry, @Nullable MemberState before) {
+		if (entry.state != MemberState.SUSPECT) {
 			this.recent.addLast(new Repeat(entry.member.vm(), REPETITIONS));
 		}
-		return Optional.of(new MemberChange(entry.member, before, after));
+		return new MemberChange(entry.member, before, entry.state);
 	}
 
 	private MemberState evaluate(Entry entry) {
@@ -308,6 +316,8 @@
 
 		private boolean direct;
 
+		private boolean ready;
+
 		private boolean leaving;
 
 		private boolean reportedAbsent;
@@ -322,7 +332,11 @@
 		}
 
 		MemberNews news() {
-			return new MemberNews(this.member, this.beat, this.leaving, this.state == MemberState.ABSENT);
+			return new MemberNews(this.member, this.beat, this.ready, this.leaving, this.state == MemberState.ABSENT);
+		}
+
+		MemberView view() {
+			return new MemberView(this.member, this.state, this.ready);
 		}
 
 	}
--- a/bilberryvalve-policy/src/main/java/io/bilberryvalve/policy/membership/MemberView.java
+++ b/bilberryvalve-policy/src/main/java/io/bilberryvalve/policy/membership/MemberView.java
@@ -5,15 +5,16 @@
  *
  * @param member the member
  * @param state its state
+ * @param ready whether it has been ready for callers
  */
-public record MemberView(Member member, MemberState state) {
+public record MemberView(Member member, MemberState state, boolean ready) {
 
 	/**
 	 * Returns whether the member may get new work.
-	 * @return whether it is live or only suspect
+	 * @return whether it is ready and live or only suspect
 	 */
 	public boolean available() {
-		return this.state == MemberState.LIVE || this.state == MemberState.SUSPECT;
+		return this.ready && (this.state == MemberState.LIVE || this.state == MemberState.SUSPECT);
 	}
 
 }
--- /dev/null
+++ b/bilberryvalve-policy/src/main/java/io/bilberryvalve/policy/retry/Deadline.java
@@ -0,0 +1,59 @@
+package io.bilberryvalve.policy.retry;
+
+import java.time.Clock;
+import java.time.Duration;
+import java.time.Instant;
+
+/**
+ * Time by which the answer to a request must be complete.
+ *
+ * @param at the time on the clock of this process
+ */
+public record Deadline(Instant at) implements Comparable<Deadline> {
+
+	/**
+	 * Creates a deadline.
+	 * @param clock the clock
+	 * @param timeout time left, zero or negative if it has passed
+	 * @return the deadline
+	 */
+	public static Deadline after(Clock clock, Duration timeout) {
+		return new Deadline(clock.instant().plus(timeout));
+	}
+
+	/**
+	 * Returns the time left.
+	 * @param clock the clock
+	 * @return the time, zero if the deadline has passed
+	 */
+	public Duration remaining(Clock clock) {
+		Duration left = Duration.between(clock.instant(), this.at);
+		return left.isNegative() ? Duration.ZERO : left;
+	}
+
+	/**
+	 * Returns whether the deadline has passed.
+	 * @param clock the clock
+	 * @return whether no time is left
+	 */
+	public boolean passed(Clock clock) {
+		return remaining(clock).isZero();
+	}
+
+	/**
+	 * Returns the time limit for one step of the work.
+	 * @param clock the clock
+	 * @param limit longest time for the step
+	 * @return the limit or the time left, whichever is shorter
+	 */
+	public Duration bounded(Clock clock, Duration limit) {
+		Duration left = remaining(clock);
+		return (left.compareTo(limit) < 0) ? left : limit;
+	}
+
+	@Override
+	public int compareTo(Deadline other) {
+		return this.at.compareTo(other.at);
+	}
+
+}
--- /dev/null
+++ b/bilberryvalve-policy/src/main/java/io/bilberryvalve/policy/retry/RetryBudget.java
@@ -0,0 +1,122 @@
+package io.bilberryvalve.policy.retry;
+
+import java.time.Clock;
+import java.time.Duration;
+import java.util.concurrent.atomic.AtomicReference;
+
+/**
+ * Limits retries to a fraction of the requests in a sliding window. Lock-free: the window
+ * is an immutable value that is replaced by compare-and-set, so that concurrent retries
+ * never exceed the limit together.
+ */
+public final class RetryBudget {
+
+	/** Retries as a fraction of requests. */
+	public static final double FRACTION = 0.1;
+
+	/**
+	 * Retries permitted in a window whatever the traffic, so that an entry with few
+	 * requests can repeat one.
+	 */
+	public static final int FLOOR = 3;
+
+	private static final int BUCKETS = 10;
+
+	private final Clock clock;
+
+	private final double fraction;
+
+	private final int floor;
+
+	private final long bucketMillis;
+
+	private final AtomicReference<Window> window;
+
+	/**
+	 * Creates a budget of 10 percent over 10 s.
+	 * @param clock the clock
+	 */
+	public RetryBudget(Clock clock) {
+		this(clock, FRACTION, FLOOR, Duration.ofSeconds(BUCKETS));
+	}
+
+	/**
+	 * Creates a budget.
+	 * @param clock the clock
+	 * @param fraction retries as a fraction of requests, 0 to 1
+	 * @param floor retries permitted in a window whatever the traffic
+	 * @param length length of the window, at least 10 ms
+	 */
+	public RetryBudget(Clock clock, double fraction, int floor, Duration length) {
+		if (fraction < 0 || fraction > 1 || floor < 0 || length.toMillis() < BUCKETS) {
+			throw new IllegalArgumentException("retry budget needs a fraction from 0 to 1, a floor of at least 0 and "
+					+ "a window of at least " + BUCKETS + " ms");
+		}
+		this.clock = clock;
+		this.fraction = fraction;
+		this.floor = floor;
+		this.bucketMillis = length.toMillis() / BUCKETS;
+		this.window = new AtomicReference<>(new Window(tick(), new long[BUCKETS], new long[BUCKETS], 0, 0));
+	}
+
+	/**
+	 * Counts a first attempt.
+	 */
+	public void request() {
+		this.window.updateAndGet((now) -> now.at(tick()).plus(1, 0));
+	}
+
+	/**
+	 * Takes one retry from the budget.
+	 * @return whether the retry is permitted
+	 */
+	public boolean tryRetry() {
+		while (true) {
+			Window seen = this.window.get();
+			Window now = seen.at(tick());
+			if (now.retries + 1 > Math.max(this.floor, this.fraction * now.requests)) {
+				return false;
+			}
+			if (this.window.compareAndSet(seen, now.plus(0, 1))) {
+				return true;
+			}
+		}
+	}
+
+	private long tick() {
+		return this.clock.millis() / this.bucketMillis;
+	}
+
+	private record Window(long tick, long[] requestCounts, long[] retryCounts, long requests, long retries) {
+
+		Window at(long now) {
+			if (now <= this.tick) {
+				return this;
+			}
+			long[] newRequests = this.requestCounts.clone();
+			long[] newRetries = this.retryCounts.clone();
+			long sumRequests = this.requests;
+			long sumRetries = this.retries;
+			for (long i = Math.max(this.tick + 1, now - BUCKETS + 1); i <= now; i++) {
+				int bucket = (int) (i % BUCKETS);
+				sumRequests -= newRequests[bucket];
+				sumRetries -= newRetries[bucket];
+				newRequests[bucket] = 0;
+				newRetries[bucket] = 0;
+			}
+			return new Window(now, newRequests, newRetries, sumRequests, sumRetries);
+		}
+
+		Window plus(long moreRequests, long moreRetries) {
+			long[] newRequests = this.requestCounts.clone();
+			long[] newRetries = this.retryCounts.clone();
+			int bucket = (int) (this.tick % BUCKETS);
+			newRequests[bucket] += moreRequests;
+			newRetries[bucket] += moreRetries;
+			return new Window(this.tick, newRequests, newRetries, this.requests + moreRequests,
+					this.retries + moreRetries);
+		}
+
+	}
+
+}
--- /dev/null
+++ b/bilberryvalve-policy/src/main/java/io/bilberryvalve/policy/retry/RetryPolicy.java
@@ -0,0 +1,125 @@
+package io.bilberryvalve.policy.retry;
+
+import java.time.Clock;
+import java.time.Duration;
+import java.util.random.RandomGenerator;
+
+import io.bilberryvalve.model.Outcome;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Decides whether a failed attempt is repeated. Work that was not run may be repeated;
+ * work that may have been run only if it is idempotent. Each repetition takes one retry
+ * from the budget and must leave time before the deadline.
+ */
+public final class RetryPolicy {
+
+	private final Clock clock;
+
+	private final RetryBudget budget;
+
+	private final RandomGenerator random;
+
+	private final int maxAttempts;
+
+	private final Duration firstDelay;
+
+	private final Duration lastDelay;
+
+	/**
+	 * Creates a policy.
+	 * @param clock the clock
+	 * @param budget the budget of all requests
+	 * @param random source of the jitter
+	 * @param maxAttempts largest number of attempts with the first one, at least 1
+	 * @param firstDelay upper bound of the first delay
+	 * @param lastDelay upper bound of each delay
+	 */
+	public RetryPolicy(Clock clock, RetryBudget budget, RandomGenerator random, int maxAttempts, Duration firstDelay,
+			Duration lastDelay) {
+		this.clock = clock;
+		this.budget = budget;
+		this.random = random;
+		this.maxAttempts = maxAttempts;
+		this.firstDelay = firstDelay;
+		this.lastDelay = lastDelay;
+	}
+
+	/**
+	 * Decides after a failed attempt.
+	 * @param attempt the attempt
+	 * @param deadline deadline of the request
+	 * @return the decision
+	 */
+	public Decision decide(Attempt attempt, Deadline deadline) {
+		if (attempt.outcome() == Outcome.COMPLETED) {
+			return new Stop("the request was run");
+		}
+		if (attempt.outcome() == Outcome.UNKNOWN && !attempt.idempotent()) {
+			return new Stop("the request may have been run and is not idempotent");
+		}
+		if (attempt.number() >= this.maxAttempts) {
+			return new Stop("all " + this.maxAttempts + " attempts failed");
+		}
+		Duration delay = delay(attempt);
+		if (deadline.remaining(this.clock).compareTo(delay) <= 0) {
+			return new Stop("the deadline leaves no time for another attempt");
+		}
+		if (!this.budget.tryRetry()) {
+			return new Stop("the retry budget is used up");
+		}
+		return new Retry(delay);
+	}
+
+	private Duration delay(Attempt attempt) {
+		double doubled = this.firstDelay.toMillis() * Math.pow(2, attempt.number() - 1);
+		long bound = (long) Math.min(this.lastDelay.toMillis(), doubled);
+		Duration jittered = Duration.ofMillis(this.random.nextLong(bound + 1));
+		Duration asked = attempt.retryAfter();
+		return (asked != null && asked.compareTo(jittered) > 0) ? asked : jittered;
+	}
+
+	/**
+	 * A failed attempt.
+	 *
+	 * @param number number of the attempt, from 1
+	 * @param outcome what is known about its execution
+	 * @param idempotent whether running the work twice is harmless
+	 * @param retryAfter least delay that the other side asked for, or {@code null}
+	 */
+	public record Attempt(int number, Outcome outcome, boolean idempotent, @Nullable Duration retryAfter) {
+
+		public Attempt {
+			if (number < 1) {
+				throw new IllegalArgumentException("attempts are numbered from 1");
+			}
+		}
+
+	}
+
+	/**
+	 * What to do after a failed attempt.
+	 */
+	public sealed interface Decision {
+
+	}
+
+	/**
+	 * Repeat the attempt.
+	 *
+	 * @param delay time to wait before
+	 */
+	public record Retry(Duration delay) implements Decision {
+
+	}
+
+	/**
+	 * Report the failure.
+	 *
+	 * @param reason why the attempt is not repeated
+	 */
+	public record Stop(String reason) implements Decision {
+
+	}
+
+}
--- a/bilberryvalve-wire/src/main/java/io/bilberryvalve/wire/proto/Bodies.java
+++ b/bilberryvalve-wire/src/main/java/io/bilberryvalve/wire/proto/Bodies.java
@@ -31,6 +31,11 @@
   static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_bilberryvalve_wire_DemandReport_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_bilberryvalve_wire_ClubDemand_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_bilberryvalve_wire_ClubDemand_fieldAccessorTable;
   static final com.google.protobuf.Descriptors.Descriptor
     internal_static_bilberryvalve_wire_TeamDemand_descriptor;
   static final 
@@ -80,32 +85,36 @@
       descriptor;
   static {
     java.lang.String[] descriptorData = {
-      "\n\014bodies.proto\022\022bilberryvalve.wire\"\207\001\n\014D" +
+      "\n\014bodies.proto\022\022bilberryvalve.wire\"\223\001\n\014D" +
       "emandReport\022\016\n\006origin\030\001 \001(\t\022\023\n\013incarnati" +
       "on\030\002 \001(\003\022\020\n\010sequence\030\003 \001(\003\022\017\n\007entries\030\004 " +
-      "\001(\005\022/\n\007demands\030\005 \003(\0132\036.bilberryvalve.wir" +
-      "e.TeamDemand\"f\n\nTeamDemand\022\014\n\004club\030\001 \001(\t" +
-      "\022\014\n\004team\030\002 \001(\t\022\024\n\014waiting_cost\030\003 \001(\003\022\024\n\014" +
-      "running_cost\030\004 \001(\003\022\020\n\010requests\030\005 \001(\005\"j\n\021" +
-      "ConfigurationPush\022\017\n\007version\030\001 \001(\003\022\016\n\006di" +
-      "gest\030\002 \001(\t\0224\n\005parts\030\003 \003(\0132%.bilberryvalv" +
-      "e.wire.ConfigurationPart\"C\n\021Configuratio" +
-      "nPart\022\014\n\004part\030\001 \001(\t\022\016\n\006digest\030\002 \001(\t\022\020\n\010d" +
-      "ocument\030\003 \001(\t\"\'\n\024ConfigurationRequest\022\017\n" +
-      "\007version\030\001 \001(\003\"?\n\014RunnerReport\022/\n\007runner" +
-      "s\030\001 \003(\0132\036.bilberryvalve.wire.RunnerLoad\"" +
-      "\264\001\n\nRunnerLoad\022\016\n\006runner\030\001 \001(\t\022\032\n\022observ" +
-      "ed_at_millis\030\002 \001(\003\022\025\n\rqueued_tokens\030\003 \001(" +
-      "\003\022\017\n\007running\030\004 \001(\005\022\031\n\021tokens_per_second\030" +
-      "\005 \001(\001\022\030\n\020kv_free_fraction\030\006 \001(\001\022\r\n\005state" +
-      "\030\007 \001(\t\022\016\n\006weight\030\010 \001(\001\"\226\001\n\rForwardedCall" +
-      "\022\013\n\003key\030\001 \001(\t\022\014\n\004club\030\002 \001(\t\022\014\n\004team\030\003 \001(" +
-      "\t\022\016\n\006caller\030\004 \001(\t\022\023\n\013application\030\005 \001(\t\022\021" +
-      "\n\toperation\030\006 \001(\t\022\014\n\004body\030\007 \001(\014\022\026\n\016timeo" +
-      "ut_millis\030\010 \001(\003\"D\n\016ForwardedReply\022\016\n\006sta" +
-      "tus\030\001 \001(\005\022\014\n\004body\030\002 \001(\014\022\024\n\014content_type\030" +
-      "\003 \001(\tB\037\n\033io.bilberryvalve.wire.protoP\001b\006" +
-      "proto3"
+      "\001(\005\022-\n\005clubs\030\005 \003(\0132\036.bilberryvalve.wire." +
+      "ClubDemand\022\014\n\004held\030\006 \001(\005\"\216\001\n\nClubDemand\022" +
+      "\014\n\004club\030\001 \001(\t\022\017\n\007streams\030\002 \001(\005\022\023\n\013recent" +
+      "_cost\030\003 \001(\001\022\035\n\025recent_stream_seconds\030\004 \001" +
+      "(\001\022-\n\005teams\030\005 \003(\0132\036.bilberryvalve.wire.T" +
+      "eamDemand\"h\n\nTeamDemand\022\014\n\004team\030\001 \001(\t\022\024\n" +
+      "\014waiting_cost\030\003 \001(\003\022\024\n\014running_cost\030\004 \001(" +
+      "\003\022\017\n\007waiting\030\005 \001(\005\022\017\n\007running\030\006 \001(\005\"j\n\021C" +
+      "onfigurationPush\022\017\n\007version\030\001 \001(\003\022\016\n\006dig" +
+      "est\030\002 \001(\t\0224\n\005parts\030\003 \003(\0132%.bilberryvalve" +
+      ".wire.ConfigurationPart\"C\n\021Configuration" +
+      "Part\022\014\n\004part\030\001 \001(\t\022\016\n\006digest\030\002 \001(\t\022\020\n\010do" +
+      "cument\030\003 \001(\t\"\'\n\024ConfigurationRequest\022\017\n\007" +
+      "version\030\001 \001(\003\"?\n\014RunnerReport\022/\n\007runners" +
+      "\030\001 \003(\0132\036.bilberryvalve.wire.RunnerLoad\"\264" +
+      "\001\n\nRunnerLoad\022\016\n\006runner\030\001 \001(\t\022\032\n\022observe" +
+      "d_at_millis\030\002 \001(\003\022\025\n\rqueued_tokens\030\003 \001(\003" +
+      "\022\017\n\007running\030\004 \001(\005\022\031\n\021tokens_per_second\030\005" +
+      " \001(\001\022\030\n\020kv_free_fraction\030\006 \001(\001\022\r\n\005state\030" +
+      "\007 \001(\t\022\016\n\006weight\030\010 \001(\001\"\226\001\n\rForwardedCall\022" +
+      "\013\n\003key\030\001 \001(\t\022\014\n\004club\030\002 \001(\t\022\014\n\004team\030\003 \001(\t" +
+      "\022\016\n\006caller\030\004 \001(\t\022\023\n\013application\030\005 \001(\t\022\021\n" +
+      "\toperation\030\006 \001(\t\022\014\n\004body\030\007 \001(\014\022\026\n\016timeou" +
+      "t_millis\030\010 \001(\003\"D\n\016ForwardedReply\022\016\n\006stat" +
+      "us\030\001 \001(\005\022\014\n\004body\030\002 \001(\014\022\024\n\014content_type\030\003" +
+      " \001(\tB\037\n\033io.bilberryvalve.wire.protoP\001b\006p" +
+      "roto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -116,51 +125,57 @@
     internal_static_bilberryvalve_wire_DemandReport_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_bilberryvalve_wire_DemandReport_descriptor,
-        new java.lang.String[] { "Origin", "Incarnation", "Sequence", "Entries", "Demands", });
-    internal_static_bilberryvalve_wire_TeamDemand_descriptor =
+        new java.lang.String[] { "Origin", "Incarnation", "Sequence", "Entries", "Clubs", "Held", });
+    internal_static_bilberryvalve_wire_ClubDemand_descriptor =
       getDescriptor().getMessageType(1);
+    internal_static_bilberryvalve_wire_ClubDemand_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_bilberryvalve_wire_ClubDemand_descriptor,
+        new java.lang.String[] { "Club", "Streams", "RecentCost", "RecentStreamSeconds", "Teams", });
+    internal_static_bilberryvalve_wire_TeamDemand_descriptor =
+      getDescriptor().getMessageType(2);
     internal_static_bilberryvalve_wire_TeamDemand_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_bilberryvalve_wire_TeamDemand_descriptor,
-        new java.lang.String[] { "Club", "Team", "WaitingCost", "RunningCost", "Requests", });
+        new java.lang.String[] { "Team", "WaitingCost", "RunningCost", "Waiting", "Running", });
     internal_static_bilberryvalve_wire_ConfigurationPush_descriptor =
-      getDescriptor().getMessageType(2);
+      getDescriptor().getMessageType(3);
     internal_static_bilberryvalve_wire_ConfigurationPush_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_bilberryvalve_wire_ConfigurationPush_descriptor,
         new java.lang.String[] { "Version", "Digest", "Parts", });
     internal_static_bilberryvalve_wire_ConfigurationPart_descriptor =
-      getDescriptor().getMessageType(3);
+      getDescriptor().getMessageType(4);
     internal_static_bilberryvalve_wire_ConfigurationPart_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_bilberryvalve_wire_ConfigurationPart_descriptor,
         new java.lang.String[] { "Part", "Digest", "Document", });
     internal_static_bilberryvalve_wire_ConfigurationRequest_descriptor =
-      getDescriptor().getMessageType(4);
+      getDescriptor().getMessageType(5);
     internal_static_bilberryvalve_wire_ConfigurationRequest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_bilberryvalve_wire_ConfigurationRequest_descriptor,
         new java.lang.String[] { "Version", });
     internal_static_bilberryvalve_wire_RunnerReport_descriptor =
-      getDescriptor().getMessageType(5);
+      getDescriptor().getMessageType(6);
     internal_static_bilberryvalve_wire_RunnerReport_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_bilberryvalve_wire_RunnerReport_descriptor,
         new java.lang.String[] { "Runners", });
     internal_static_bilberryvalve_wire_RunnerLoad_descriptor =
-      getDescriptor().getMessageType(6);
+      getDescriptor().getMessageType(7);
     internal_static_bilberryvalve_wire_RunnerLoad_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_bilberryvalve_wire_RunnerLoad_descriptor,
         new java.lang.String[] { "Runner", "ObservedAtMillis", "QueuedTokens", "Running", "TokensPerSecond", "KvFreeFraction", "State", "Weight", });
     internal_static_bilberryvalve_wire_ForwardedCall_descriptor =
-      getDescriptor().getMessageType(7);
+      getDescriptor().getMessageType(8);
     internal_static_bilberryvalve_wire_ForwardedCall_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_bilberryvalve_wire_ForwardedCall_descriptor,
         new java.lang.String[] { "Key", "Club", "Team", "Caller", "Application", "Operation", "Body", "TimeoutMillis", });
     internal_static_bilberryvalve_wire_ForwardedReply_descriptor =
-      getDescriptor().getMessageType(8);
+      getDescriptor().getMessageType(9);
     internal_static_bilberryvalve_wire_ForwardedReply_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_bilberryvalve_wire_ForwardedReply_descriptor,
--- a/bilberryvalve-wire/src/main/java/io/bilberryvalve/wire/proto/DemandReport.java
+++ b/bilberryvalve-wire/src/main/java/io/bilberryvalve/wire/proto/DemandReport.java
@@ -33,7 +33,7 @@
   }
   private DemandReport() {
     origin_ = "";
-    demands_ = java.util.Collections.emptyList();
+    clubs_ = java.util.Collections.emptyList();
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -137,45 +137,60 @@
     return entries_;
   }
 
-  public static final int DEMANDS_FIELD_NUMBER = 5;
+  public static final int CLUBS_FIELD_NUMBER = 5;
   @SuppressWarnings("serial")
-  private java.util.List<io.bilberryvalve.wire.proto.TeamDemand> demands_;
+  private java.util.List<io.bilberryvalve.wire.proto.ClubDemand> clubs_;
   /**
-   * <code>repeated .bilberryvalve.wire.TeamDemand demands = 5;</code>
+   * <code>repeated .bilberryvalve.wire.ClubDemand clubs = 5;</code>
    */
   @java.lang.Override
-  public java.util.List<io.bilberryvalve.wire.proto.TeamDemand> getDemandsList() {
-    return demands_;
+  public java.util.List<io.bilberryvalve.wire.proto.ClubDemand> getClubsList() {
+    return clubs_;
   }
   /**
-   * <code>repeated .bilberryvalve.wire.TeamDemand demands = 5;</code>
+   * <code>repeated .bilberryvalve.wire.ClubDemand clubs = 5;</code>
    */
   @java.lang.Override
-  public java.util.List<? extends io.bilberryvalve.wire.proto.TeamDemandOrBuilder> 
-      getDemandsOrBuilderList() {
-    return demands_;
+  public java.util.List<? extends io.bilberryvalve.wire.proto.ClubDemandOrBuilder> 
+      getClubsOrBuilderList() {
+    return clubs_;
   }
   /**
-   * <code>repeated .bilberryvalve.wire.TeamDemand demands = 5;</code>
+   * <code>repeated .bilberryvalve.wire.ClubDemand clubs = 5;</code>
    */
   @java.lang.Override
-  public int getDemandsCount() {
-    return demands_.size();
+  public int getClubsCount() {
+    return clubs_.size();
   }
   /**
-   * <code>repeated .bilberryvalve.wire.TeamDemand demands = 5;</code>
+   * <code>repeated .bilberryvalve.wire.ClubDemand clubs = 5;</code>
    */
   @java.lang.Override
-  public io.bilberryvalve.wire.proto.TeamDemand getDemands(int index) {
-    return demands_.get(index);
+  public io.bilberryvalve.wire.proto.ClubDemand getClubs(int index) {
+    return clubs_.get(index);
   }
   /**
-   * <code>repeated .bilberryvalve.wire.TeamDemand demands = 5;</code>
+   * <code>repeated .bilberryvalve.wire.ClubDemand clubs = 5;</code>
    */
   @java.lang.Override
-  public io.bilberryvalve.wire.proto.TeamDemandOrBuilder getDemandsOrBuilder(
+  public io.bilberryvalve.wire.proto.ClubDemandOrBuilder getClubsOrBuilder(
       int index) {
-    return demands_.get(index);
+    return clubs_.get(index);
+  }
+
+  public static final int HELD_FIELD_NUMBER = 6;
+  private int held_ = 0;
+  /**
+   * <pre>
+   * Streams that the origin holds: its limit, or the running ones if they are more.
+   * </pre>
+   *
+   * <code>int32 held = 6;</code>
+   * @return The held.
+   */
+  @java.lang.Override
+  public int getHeld() {
+    return held_;
   }
 
   private byte memoizedIsInitialized = -1;
@@ -204,8 +219,11 @@
     if (entries_ != 0) {
       output.writeInt32(4, entries_);
     }
-    for (int i = 0; i < demands_.size(); i++) {
-      output.writeMessage(5, demands_.get(i));
+    for (int i = 0; i < clubs_.size(); i++) {
+      output.writeMessage(5, clubs_.get(i));
+    }
+    if (held_ != 0) {
+      output.writeInt32(6, held_);
     }
     getUnknownFields().writeTo(output);
   }
@@ -231,9 +249,13 @@
       size += com.google.protobuf.CodedOutputStream
         .computeInt32Size(4, entries_);
     }
-    for (int i = 0; i < demands_.size(); i++) {
+    for (int i = 0; i < clubs_.size(); i++) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(5, clubs_.get(i));
+    }
+    if (held_ != 0) {
       size += com.google.protobuf.CodedOutputStream
-        .computeMessageSize(5, demands_.get(i));
+        .computeInt32Size(6, held_);
     }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
@@ -258,8 +280,10 @@
         != other.getSequence()) return false;
     if (getEntries()
         != other.getEntries()) return false;
-    if (!getDemandsList()
-        .equals(other.getDemandsList())) return false;
+    if (!getClubsList()
+        .equals(other.getClubsList())) return false;
+    if (getHeld()
+        != other.getHeld()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -281,10 +305,12 @@
         getSequence());
     hash = (37 * hash) + ENTRIES_FIELD_NUMBER;
     hash = (53 * hash) + getEntries();
-    if (getDemandsCount() > 0) {
-      hash = (37 * hash) + DEMANDS_FIELD_NUMBER;
-      hash = (53 * hash) + getDemandsList().hashCode();
+    if (getClubsCount() > 0) {
+      hash = (37 * hash) + CLUBS_FIELD_NUMBER;
+      hash = (53 * hash) + getClubsList().hashCode();
     }
+    hash = (37 * hash) + HELD_FIELD_NUMBER;
+    hash = (53 * hash) + getHeld();
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -424,13 +450,14 @@
       incarnation_ = 0L;
       sequence_ = 0L;
       entries_ = 0;
-      if (demandsBuilder_ == null) {
-        demands_ = java.util.Collections.emptyList();
+      if (clubsBuilder_ == null) {
+        clubs_ = java.util.Collections.emptyList();
       } else {
-        demands_ = null;
-        demandsBuilder_.clear();
+        clubs_ = null;
+        clubsBuilder_.clear();
       }
       bitField0_ = (bitField0_ & ~0x00000010);
+      held_ = 0;
       return this;
     }
 
@@ -464,14 +491,14 @@
     }
 
     private void buildPartialRepeatedFields(io.bilberryvalve.wire.proto.DemandReport result) {
-      if (demandsBuilder_ == null) {
+      if (clubsBuilder_ == null) {
         if (((bitField0_ & 0x00000010) != 0)) {
-          demands_ = java.util.Collections.unmodifiableList(demands_);
+          clubs_ = java.util.Collections.unmodifiableList(clubs_);
           bitField0_ = (bitField0_ & ~0x00000010);
         }
-        result.demands_ = demands_;
+        result.clubs_ = clubs_;
       } else {
-        result.demands_ = demandsBuilder_.build();
+        result.clubs_ = clubsBuilder_.build();
       }
     }
 
@@ -489,6 +516,9 @@
       if (((from_bitField0_ & 0x00000008) != 0)) {
         result.entries_ = entries_;
       }
+      if (((from_bitField0_ & 0x00000020) != 0)) {
+        result.held_ = held_;
+      }
     }
 
     @java.lang.Override
@@ -517,32 +547,35 @@
       if (other.getEntries() != 0) {
         setEntries(other.getEntries());
       }
-      if (demandsBuilder_ == null) {
-        if (!other.demands_.isEmpty()) {
-          if (demands_.isEmpty()) {
-            demands_ = other.demands_;
+      if (clubsBuilder_ == null) {
+        if (!other.clubs_.isEmpty()) {
+          if (clubs_.isEmpty()) {
+            clubs_ = other.clubs_;
             bitField0_ = (bitField0_ & ~0x00000010);
           } else {
-            ensureDemandsIsMutable();
-            demands_.addAll(other.demands_);
+            ensureClubsIsMutable();
+            clubs_.addAll(other.clubs_);
           }
           onChanged();
         }
       } else {
-        if (!other.demands_.isEmpty()) {
-          if (demandsBuilder_.isEmpty()) {
-            demandsBuilder_.dispose();
-            demandsBuilder_ = null;
-            demands_ = other.demands_;
+        if (!other.clubs_.isEmpty()) {
+          if (clubsBuilder_.isEmpty()) {
+            clubsBuilder_.dispose();
+            clubsBuilder_ = null;
+            clubs_ = other.clubs_;
             bitField0_ = (bitField0_ & ~0x00000010);
-            demandsBuilder_ = 
+            clubsBuilder_ = 
               com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
-                 internalGetDemandsFieldBuilder() : null;
+                 internalGetClubsFieldBuilder() : null;
           } else {
-            demandsBuilder_.addAllMessages(other.demands_);
+            clubsBuilder_.addAllMessages(other.clubs_);
           }
         }
       }
+      if (other.getHeld() != 0) {
+        setHeld(other.getHeld());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -590,18 +623,23 @@
               break;
             } // case 32
             case 42: {
-              io.bilberryvalve.wire.proto.TeamDemand m =
+              io.bilberryvalve.wire.proto.ClubDemand m =
                   input.readMessage(
-                      io.bilberryvalve.wire.proto.TeamDemand.parser(),
+                      io.bilberryvalve.wire.proto.ClubDemand.parser(),
                       extensionRegistry);
-              if (demandsBuilder_ == null) {
-                ensureDemandsIsMutable();
-                demands_.add(m);
+              if (clubsBuilder_ == null) {
+                ensureClubsIsMutable();
+                clubs_.add(m);
               } else {
-                demandsBuilder_.addMessage(m);
+                clubsBuilder_.addMessage(m);
               }
               break;
             } // case 42
+            case 48: {
+              held_ = input.readInt32();
+              bitField0_ |= 0x00000020;
+              break;
+            } // case 48
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -831,244 +869,288 @@
       return this;
     }
 
-    private java.util.List<io.bilberryvalve.wire.proto.TeamDemand> demands_ =
+    private java.util.List<io.bilberryvalve.wire.proto.ClubDemand> clubs_ =
       java.util.Collections.emptyList();
-    private void ensureDemandsIsMutable() {
+    private void ensureClubsIsMutable() {
       if (!((bitField0_ & 0x00000010) != 0)) {
-        demands_ = new java.util.ArrayList<io.bilberryvalve.wire.proto.TeamDemand>(demands_);
+        clubs_ = new java.util.ArrayList<io.bilberryvalve.wire.proto.ClubDemand>(clubs_);
         bitField0_ |= 0x00000010;
        }
     }
 
     private com.google.protobuf.RepeatedFieldBuilder<
-        io.bilberryvalve.wire.proto.TeamDemand, io.bilberryvalve.wire.proto.TeamDemand.Builder, io.bilberryvalve.wire.proto.TeamDemandOrBuilder> demandsBuilder_;
+        io.bilberryvalve.wire.proto.ClubDemand, io.bilberryvalve.wire.proto.ClubDemand.Builder, io.bilberryvalve.wire.proto.ClubDemandOrBuilder> clubsBuilder_;
 
     /**
-     * <code>repeated .bilberryvalve.wire.TeamDemand demands = 5;</code>
+     * <code>repeated .bilberryvalve.wire.ClubDemand clubs = 5;</code>
      */
-    public java.util.List<io.bilberryvalve.wire.proto.TeamDemand> getDemandsList() {
-      if (demandsBuilder_ == null) {
-        return java.util.Collections.unmodifiableList(demands_);
+    public java.util.List<io.bilberryvalve.wire.proto.ClubDemand> getClubsList() {
+      if (clubsBuilder_ == null) {
+        return java.util.Collections.unmodifiableList(clubs_);
       } else {
-        return demandsBuilder_.getMessageList();
+        return clubsBuilder_.getMessageList();
       }
     }
     /**
-     * <code>repeated .bilberryvalve.wire.TeamDemand demands = 5;</code>
+     * <code>repeated .bilberryvalve.wire.ClubDemand clubs = 5;</code>
      */
-    public int getDemandsCount() {
-      if (demandsBuilder_ == null) {
-        return demands_.size();
+    public int getClubsCount() {
+      if (clubsBuilder_ == null) {
+        return clubs_.size();
       } else {
-        return demandsBuilder_.getCount();
+        return clubsBuilder_.getCount();
       }
     }
     /**
-     * <code>repeated .bilberryvalve.wire.TeamDemand demands = 5;</code>
+     * <code>repeated .bilberryvalve.wire.ClubDemand clubs = 5;</code>
      */
-    public io.bilberryvalve.wire.proto.TeamDemand getDemands(int index) {
-      if (demandsBuilder_ == null) {
-        return demands_.get(index);
+    public io.bilberryvalve.wire.proto.ClubDemand getClubs(int index) {
+      if (clubsBuilder_ == null) {
+        return clubs_.get(index);
       } else {
-        return demandsBuilder_.getMessage(index);
+        return clubsBuilder_.getMessage(index);
       }
     }
     /**
-     * <code>repeated .bilberryvalve.wire.TeamDemand demands = 5;</code>
+     * <code>repeated .bilberryvalve.wire.ClubDemand clubs = 5;</code>
      */
-    public Builder setDemands(
-        int index, io.bilberryvalve.wire.proto.TeamDemand value) {
-      if (demandsBuilder_ == null) {
+    public Builder setClubs(
+        int index, io.bilberryvalve.wire.proto.ClubDemand value) {
+      if (clubsBuilder_ == null) {
         if (value == null) {
           throw new NullPointerException();
         }
-        ensureDemandsIsMutable();
-        demands_.set(index, value);
+        ensureClubsIsMutable();
+        clubs_.set(index, value);
         onChanged();
       } else {
-        demandsBuilder_.setMessage(index, value);
+        clubsBuilder_.setMessage(index, value);
       }
       return this;
     }
     /**
-     * <code>repeated .bilberryvalve.wire.TeamDemand demands = 5;</code>
+     * <code>repeated .bilberryvalve.wire.ClubDemand clubs = 5;</code>
      */
-    public Builder setDemands(
-        int index, io.bilberryvalve.wire.proto.TeamDemand.Builder builderForValue) {
-      if (demandsBuilder_ == null) {
-        ensureDemandsIsMutable();
-        demands_.set(index, builderForValue.build());
+    public Builder setClubs(
+        int index, io.bilberryvalve.wire.proto.ClubDemand.Builder builderForValue) {
+      if (clubsBuilder_ == null) {
+        ensureClubsIsMutable();
+        clubs_.set(index, builderForValue.build());
         onChanged();
       } else {
-        demandsBuilder_.setMessage(index, builderForValue.build());
+        clubsBuilder_.setMessage(index, builderForValue.build());
       }
       return this;
     }
     /**
-     * <code>repeated .bilberryvalve.wire.TeamDemand demands = 5;</code>
+     * <code>repeated .bilberryvalve.wire.ClubDemand clubs = 5;</code>
      */
-    public Builder addDemands(io.bilberryvalve.wire.proto.TeamDemand value) {
-      if (demandsBuilder_ == null) {
+    public Builder addClubs(io.bilberryvalve.wire.proto.ClubDemand value) {
+      if (clubsBuilder_ == null) {
         if (value == null) {
           throw new NullPointerException();
         }
-        ensureDemandsIsMutable();
-        demands_.add(value);
+        ensureClubsIsMutable();
+        clubs_.add(value);
         onChanged();
       } else {
-        demandsBuilder_.addMessage(value);
+        clubsBuilder_.addMessage(value);
       }
       return this;
     }
     /**
-     * <code>repeated .bilberryvalve.wire.TeamDemand demands = 5;</code>
+     * <code>repeated .bilberryvalve.wire.ClubDemand clubs = 5;</code>
      */
-    public Builder addDemands(
-        int index, io.bilberryvalve.wire.proto.TeamDemand value) {
-      if (demandsBuilder_ == null) {
+    public Builder addClubs(
+        int index, io.bilberryvalve.wire.proto.ClubDemand value) {
+      if (clubsBuilder_ == null) {
         if (value == null) {
           throw new NullPointerException();
         }
-        ensureDemandsIsMutable();
-        demands_.add(index, value);
+        ensureClubsIsMutable();
+        clubs_.add(index, value);
         onChanged();
       } else {
-        demandsBuilder_.addMessage(index, value);
+        clubsBuilder_.addMessage(index, value);
       }
       return this;
     }
     /**
-     * <code>repeated .bilberryvalve.wire.TeamDemand demands = 5;</code>
+     * <code>repeated .bilberryvalve.wire.ClubDemand clubs = 5;</code>
      */
-    public Builder addDemands(
-        io.bilberryvalve.wire.proto.TeamDemand.Builder builderForValue) {
-      if (demandsBuilder_ == null) {
-        ensureDemandsIsMutable();
-        demands_.add(builderForValue.build());
+    public Builder addClubs(
+        io.bilberryvalve.wire.proto.ClubDemand.Builder builderForValue) {
+      if (clubsBuilder_ == null) {
+        ensureClubsIsMutable();
+        clubs_.add(builderForValue.build());
         onChanged();
       } else {
-        demandsBuilder_.addMessage(builderForValue.build());
+        clubsBuilder_.addMessage(builderForValue.build());
       }
       return this;
     }
     /**
-     * <code>repeated .bilberryvalve.wire.TeamDemand demands = 5;</code>
+     * <code>repeated .bilberryvalve.wire.ClubDemand clubs = 5;</code>
      */
-    public Builder addDemands(
-        int index, io.bilberryvalve.wire.proto.TeamDemand.Builder builderForValue) {
-      if (demandsBuilder_ == null) {
-        ensureDemandsIsMutable();
-        demands_.add(index, builderForValue.build());
+    public Builder addClubs(
+        int index, io.bilberryvalve.wire.proto.ClubDemand.Builder builderForValue) {
+      if (clubsBuilder_ == null) {
+        ensureClubsIsMutable();
+        clubs_.add(index, builderForValue.build());
         onChanged();
       } else {
-        demandsBuilder_.addMessage(index, builderForValue.build());
+        clubsBuilder_.addMessage(index, builderForValue.build());
       }
       return this;
     }
     /**
-     * <code>repeated .bilberryvalve.wire.TeamDemand demands = 5;</code>
+     * <code>repeated .bilberryvalve.wire.ClubDemand clubs = 5;</code>
      */
-    public Builder addAllDemands(
-        java.lang.Iterable<? extends io.bilberryvalve.wire.proto.TeamDemand> values) {
-      if (demandsBuilder_ == null) {
-        ensureDemandsIsMutable();
+    public Builder addAllClubs(
+        java.lang.Iterable<? extends io.bilberryvalve.wire.proto.ClubDemand> values) {
+      if (clubsBuilder_ == null) {
+        ensureClubsIsMutable();
         com.google.protobuf.AbstractMessageLite.Builder.addAll(
-            values, demands_);
+            values, clubs_);
         onChanged();
       } else {
-        demandsBuilder_.addAllMessages(values);
+        clubsBuilder_.addAllMessages(values);
       }
       return this;
     }
     /**
-     * <code>repeated .bilberryvalve.wire.TeamDemand demands = 5;</code>
+     * <code>repeated .bilberryvalve.wire.ClubDemand clubs = 5;</code>
      */
-    public Builder clearDemands() {
-      if (demandsBuilder_ == null) {
-        demands_ = java.util.Collections.emptyList();
+    public Builder clearClubs() {
+      if (clubsBuilder_ == null) {
+        clubs_ = java.util.Collections.emptyList();
         bitField0_ = (bitField0_ & ~0x00000010);
         onChanged();
       } else {
-        demandsBuilder_.clear();
+        clubsBuilder_.clear();
       }
       return this;
     }
     /**
-     * <code>repeated .bilberryvalve.wire.TeamDemand demands = 5;</code>
+     * <code>repeated .bilberryvalve.wire.ClubDemand clubs = 5;</code>
      */
-    public Builder removeDemands(int index) {
-      if (demandsBuilder_ == null) {
-        ensureDemandsIsMutable();
-        demands_.remove(index);
+    public Builder removeClubs(int index) {
+      if (clubsBuilder_ == null) {
+        ensureClubsIsMutable();
+        clubs_.remove(index);
         onChanged();
       } else {
-        demandsBuilder_.remove(index);
+        clubsBuilder_.remove(index);
       }
       return this;
     }
     /**
-     * <code>repeated .bilberryvalve.wire.TeamDemand demands = 5;</code>
+     * <code>repeated .bilberryvalve.wire.ClubDemand clubs = 5;</code>
      */
-    public io.bilberryvalve.wire.proto.TeamDemand.Builder getDemandsBuilder(
+    public io.bilberryvalve.wire.proto.ClubDemand.Builder getClubsBuilder(
         int index) {
-      return internalGetDemandsFieldBuilder().getBuilder(index);
+      return internalGetClubsFieldBuilder().getBuilder(index);
     }
     /**
-     * <code>repeated .bilberryvalve.wire.TeamDemand demands = 5;</code>
+     * <code>repeated .bilberryvalve.wire.ClubDemand clubs = 5;</code>
      */
-    public io.bilberryvalve.wire.proto.TeamDemandOrBuilder getDemandsOrBuilder(
+    public io.bilberryvalve.wire.proto.ClubDemandOrBuilder getClubsOrBuilder(
         int index) {
-      if (demandsBuilder_ == null) {
-        return demands_.get(index);  } else {
-        return demandsBuilder_.getMessageOrBuilder(index);
+      if (clubsBuilder_ == null) {
+        return clubs_.get(index);  } else {
+        return clubsBuilder_.getMessageOrBuilder(index);
       }
     }
     /**
-     * <code>repeated .bilberryvalve.wire.TeamDemand demands = 5;</code>
+     * <code>repeated .bilberryvalve.wire.ClubDemand clubs = 5;</code>
      */
-    public java.util.List<? extends io.bilberryvalve.wire.proto.TeamDemandOrBuilder> 
-         getDemandsOrBuilderList() {
-      if (demandsBuilder_ != null) {
-        return demandsBuilder_.getMessageOrBuilderList();
+    public java.util.List<? extends io.bilberryvalve.wire.proto.ClubDemandOrBuilder> 
+         getClubsOrBuilderList() {
+      if (clubsBuilder_ != null) {
+        return clubsBuilder_.getMessageOrBuilderList();
       } else {
-        return java.util.Collections.unmodifiableList(demands_);
+        return java.util.Collections.unmodifiableList(clubs_);
       }
     }
     /**
-     * <code>repeated .bilberryvalve.wire.TeamDemand demands = 5;</code>
+     * <code>repeated .bilberryvalve.wire.ClubDemand clubs = 5;</code>
      */
-    public io.bilberryvalve.wire.proto.TeamDemand.Builder addDemandsBuilder() {
-      return internalGetDemandsFieldBuilder().addBuilder(
-          io.bilberryvalve.wire.proto.TeamDemand.getDefaultInstance());
+    public io.bilberryvalve.wire.proto.ClubDemand.Builder addClubsBuilder() {
+      return internalGetClubsFieldBuilder().addBuilder(
+          io.bilberryvalve.wire.proto.ClubDemand.getDefaultInstance());
     }
     /**
-     * <code>repeated .bilberryvalve.wire.TeamDemand demands = 5;</code>
+     * <code>repeated .bilberryvalve.wire.ClubDemand clubs = 5;</code>
      */
-    public io.bilberryvalve.wire.proto.TeamDemand.Builder addDemandsBuilder(
+    public io.bilberryvalve.wire.proto.ClubDemand.Builder addClubsBuilder(
         int index) {
-      return internalGetDemandsFieldBuilder().addBuilder(
-          index, io.bilberryvalve.wire.proto.TeamDemand.getDefaultInstance());
+      return internalGetClubsFieldBuilder().addBuilder(
+          index, io.bilberryvalve.wire.proto.ClubDemand.getDefaultInstance());
     }
     /**
-     * <code>repeated .bilberryvalve.wire.TeamDemand demands = 5;</code>
+     * <code>repeated .bilberryvalve.wire.ClubDemand clubs = 5;</code>
      */
-    public java.util.List<io.bilberryvalve.wire.proto.TeamDemand.Builder> 
-         getDemandsBuilderList() {
-      return internalGetDemandsFieldBuilder().getBuilderList();
+    public java.util.List<io.bilberryvalve.wire.proto.ClubDemand.Builder> 
+         getClubsBuilderList() {
+      return internalGetClubsFieldBuilder().getBuilderList();
     }
     private com.google.protobuf.RepeatedFieldBuilder<
-        io.bilberryvalve.wire.proto.TeamDemand, io.bilberryvalve.wire.proto.TeamDemand.Builder, io.bilberryvalve.wire.proto.TeamDemandOrBuilder> 
-        internalGetDemandsFieldBuilder() {
-      if (demandsBuilder_ == null) {
-        demandsBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
-            io.bilberryvalve.wire.proto.TeamDemand, io.bilberryvalve.wire.proto.TeamDemand.Builder, io.bilberryvalve.wire.proto.TeamDemandOrBuilder>(
-                demands_,
+        io.bilberryvalve.wire.proto.ClubDemand, io.bilberryvalve.wire.proto.ClubDemand.Builder, io.bilberryvalve.wire.proto.ClubDemandOrBuilder> 
+        internalGetClubsFieldBuilder() {
+      if (clubsBuilder_ == null) {
+        clubsBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+            io.bilberryvalve.wire.proto.ClubDemand, io.bilberryvalve.wire.proto.ClubDemand.Builder, io.bilberryvalve.wire.proto.ClubDemandOrBuilder>(
+                clubs_,
                 ((bitField0_ & 0x00000010) != 0),
                 getParentForChildren(),
                 isClean());
-        demands_ = null;
+        clubs_ = null;
       }
-      return demandsBuilder_;
+      return clubsBuilder_;
+    }
+
+    private int held_ ;
+    /**
+     * <pre>
+     * Streams that the origin holds: its limit, or the running ones if they are more.
+     * </pre>
+     *
+     * <code>int32 held = 6;</code>
+     * @return The held.
+     */
+    @java.lang.Override
+    public int getHeld() {
+      return held_;
+    }
+    /**
+     * <pre>
+     * Streams that the origin holds: its limit, or the running ones if they are more.
+     * </pre>
+     *
+     * <code>int32 held = 6;</code>
+     * @param value The held to set.
+     * @return This builder for chaining.
+     */
+    public Builder setHeld(int value) {
+
+      held_ = value;
+      bitField0_ |= 0x00000020;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Streams that the origin holds: its limit, or the running ones if they are more.
+     * </pre>
+     *
+     * <code>int32 held = 6;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearHeld() {
+      bitField0_ = (bitField0_ & ~0x00000020);
+      held_ = 0;
+      onChanged();
+      return this;
     }
 
     // @@protoc_insertion_point(builder_scope:bilberryvalve.wire.DemandReport)
--- a/bilberryvalve-wire/src/main/java/io/bilberryvalve/wire/proto/DemandReportOrBuilder.java
+++ b/bilberryvalve-wire/src/main/java/io/bilberryvalve/wire/proto/DemandReportOrBuilder.java
@@ -57,26 +57,36 @@
   int getEntries();
 
   /**
-   * <code>repeated .bilberryvalve.wire.TeamDemand demands = 5;</code>
+   * <code>repeated .bilberryvalve.wire.ClubDemand clubs = 5;</code>
    */
-  java.util.List<io.bilberryvalve.wire.proto.TeamDemand> 
-      getDemandsList();
+  java.util.List<io.bilberryvalve.wire.proto.ClubDemand> 
+      getClubsList();
   /**
-   * <code>repeated .bilberryvalve.wire.TeamDemand demands = 5;</code>
+   * <code>repeated .bilberryvalve.wire.ClubDemand clubs = 5;</code>
    */
-  io.bilberryvalve.wire.proto.TeamDemand getDemands(int index);
+  io.bilberryvalve.wire.proto.ClubDemand getClubs(int index);
   /**
-   * <code>repeated .bilberryvalve.wire.TeamDemand demands = 5;</code>
+   * <code>repeated .bilberryvalve.wire.ClubDemand clubs = 5;</code>
    */
-  int getDemandsCount();
+  int getClubsCount();
   /**
-   * <code>repeated .bilberryvalve.wire.TeamDemand demands = 5;</code>
+   * <code>repeated .bilberryvalve.wire.ClubDemand clubs = 5;</code>
    */
-  java.util.List<? extends io.bilberryvalve.wire.proto.TeamDemandOrBuilder> 
-      getDemandsOrBuilderList();
+  java.util.List<? extends io.bilberryvalve.wire.proto.ClubDemandOrBuilder> 
+      getClubsOrBuilderList();
   /**
-   * <code>repeated .bilberryvalve.wire.TeamDemand demands = 5;</code>
+   * <code>repeated .bilberryvalve.wire.ClubDemand clubs = 5;</code>
    */
-  io.bilberryvalve.wire.proto.TeamDemandOrBuilder getDemandsOrBuilder(
+  io.bilberryvalve.wire.proto.ClubDemandOrBuilder getClubsOrBuilder(
       int index);
+
+  /**
+   * <pre>
+   * Streams that the origin holds: its limit, or the running ones if they are more.
+   * </pre>
+   *
+   * <code>int32 held = 6;</code>
+   * @return The held.
+   */
+  int getHeld();
 }
--- a/bilberryvalve-wire/src/main/java/io/bilberryvalve/wire/proto/Heartbeat.java
+++ b/bilberryvalve-wire/src/main/java/io/bilberryvalve/wire/proto/Heartbeat.java
@@ -155,6 +155,21 @@
     return detaching_;
   }
 
+  public static final int READY_FIELD_NUMBER = 7;
+  private boolean ready_ = false;
+  /**
+   * <pre>
+   * Whether the sender is or has been ready for callers.
+   * </pre>
+   *
+   * <code>bool ready = 7;</code>
+   * @return The ready.
+   */
+  @java.lang.Override
+  public boolean getReady() {
+    return ready_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -187,6 +202,9 @@
     if (detaching_ != false) {
       output.writeBool(6, detaching_);
     }
+    if (ready_ != false) {
+      output.writeBool(7, ready_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -219,6 +237,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeBoolSize(6, detaching_);
     }
+    if (ready_ != false) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBoolSize(7, ready_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -246,6 +268,8 @@
         .equals(other.getConfigurationDigest())) return false;
     if (getDetaching()
         != other.getDetaching()) return false;
+    if (getReady()
+        != other.getReady()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -274,6 +298,9 @@
     hash = (37 * hash) + DETACHING_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
         getDetaching());
+    hash = (37 * hash) + READY_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+        getReady());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -415,6 +442,7 @@
       configurationVersion_ = 0L;
       configurationDigest_ = "";
       detaching_ = false;
+      ready_ = false;
       return this;
     }
 
@@ -466,6 +494,9 @@
       if (((from_bitField0_ & 0x00000020) != 0)) {
         result.detaching_ = detaching_;
       }
+      if (((from_bitField0_ & 0x00000040) != 0)) {
+        result.ready_ = ready_;
+      }
     }
 
     @java.lang.Override
@@ -500,6 +531,9 @@
       if (other.getDetaching() != false) {
         setDetaching(other.getDetaching());
       }
+      if (other.getReady() != false) {
+        setReady(other.getReady());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -556,6 +590,11 @@
               bitField0_ |= 0x00000020;
               break;
             } // case 48
+            case 56: {
+              ready_ = input.readBool();
+              bitField0_ |= 0x00000040;
+              break;
+            } // case 56
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -844,6 +883,50 @@
       return this;
     }
 
+    private boolean ready_ ;
+    /**
+     * <pre>
+     * Whether the sender is or has been ready for callers.
+     * </pre>
+     *
+     * <code>bool ready = 7;</code>
+     * @return The ready.
+     */
+    @java.lang.Override
+    public boolean getReady() {
+      return ready_;
+    }
+    /**
+     * <pre>
+     * Whether the sender is or has been ready for callers.
+     * </pre>
+     *
+     * <code>bool ready = 7;</code>
+     * @param value The ready to set.
+     * @return This builder for chaining.
+     */
+    public Builder setReady(boolean value) {
+
+      ready_ = value;
+      bitField0_ |= 0x00000040;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Whether the sender is or has been ready for callers.
+     * </pre>
+     *
+     * <code>bool ready = 7;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearReady() {
+      bitField0_ = (bitField0_ & ~0x00000040);
+      ready_ = false;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:bilberryvalve.wire.Heartbeat)
   }
 
--- a/bilberryvalve-wire/src/main/java/io/bilberryvalve/wire/proto/HeartbeatOrBuilder.java
+++ b/bilberryvalve-wire/src/main/java/io/bilberryvalve/wire/proto/HeartbeatOrBuilder.java
@@ -64,4 +64,14 @@
    * @return The detaching.
    */
   boolean getDetaching();
+
+  /**
+   * <pre>
+   * Whether the sender is or has been ready for callers.
+   * </pre>
+   *
+   * <code>bool ready = 7;</code>
+   * @return The ready.
+   */
+  boolean getReady();
 }
--- a/bilberryvalve-wire/src/main/java/io/bilberryvalve/wire/proto/MemberEntry.java
+++ b/bilberryvalve-wire/src/main/java/io/bilberryvalve/wire/proto/MemberEntry.java
@@ -251,6 +251,17 @@
     return absent_;
   }
 
+  public static final int READY_FIELD_NUMBER = 9;
+  private boolean ready_ = false;
+  /**
+   * <code>bool ready = 9;</code>
+   * @return The ready.
+   */
+  @java.lang.Override
+  public boolean getReady() {
+    return ready_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -289,6 +300,9 @@
     if (absent_ != false) {
       output.writeBool(8, absent_);
     }
+    if (ready_ != false) {
+      output.writeBool(9, ready_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -326,6 +340,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeBoolSize(8, absent_);
     }
+    if (ready_ != false) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBoolSize(9, ready_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -357,6 +375,8 @@
         != other.getLeaving()) return false;
     if (getAbsent()
         != other.getAbsent()) return false;
+    if (getReady()
+        != other.getReady()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -388,6 +408,9 @@
     hash = (37 * hash) + ABSENT_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
         getAbsent());
+    hash = (37 * hash) + READY_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+        getReady());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -527,6 +550,7 @@
       peerAddress_ = "";
       leaving_ = false;
       absent_ = false;
+      ready_ = false;
       return this;
     }
 
@@ -584,6 +608,9 @@
       if (((from_bitField0_ & 0x00000080) != 0)) {
         result.absent_ = absent_;
       }
+      if (((from_bitField0_ & 0x00000100) != 0)) {
+        result.ready_ = ready_;
+      }
     }
 
     @java.lang.Override
@@ -630,6 +657,9 @@
       if (other.getAbsent() != false) {
         setAbsent(other.getAbsent());
       }
+      if (other.getReady() != false) {
+        setReady(other.getReady());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -696,6 +726,11 @@
               bitField0_ |= 0x00000080;
               break;
             } // case 64
+            case 72: {
+              ready_ = input.readBool();
+              bitField0_ |= 0x00000100;
+              break;
+            } // case 72
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1141,6 +1176,38 @@
       return this;
     }
 
+    private boolean ready_ ;
+    /**
+     * <code>bool ready = 9;</code>
+     * @return The ready.
+     */
+    @java.lang.Override
+    public boolean getReady() {
+      return ready_;
+    }
+    /**
+     * <code>bool ready = 9;</code>
+     * @param value The ready to set.
+     * @return This builder for chaining.
+     */
+    public Builder setReady(boolean value) {
+
+      ready_ = value;
+      bitField0_ |= 0x00000100;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>bool ready = 9;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearReady() {
+      bitField0_ = (bitField0_ & ~0x00000100);
+      ready_ = false;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:bilberryvalve.wire.MemberEntry)
   }
 
--- a/bilberryvalve-wire/src/main/java/io/bilberryvalve/wire/proto/MemberEntryOrBuilder.java
+++ b/bilberryvalve-wire/src/main/java/io/bilberryvalve/wire/proto/MemberEntryOrBuilder.java
@@ -85,4 +85,10 @@
    * @return The absent.
    */
   boolean getAbsent();
+
+  /**
+   * <code>bool ready = 9;</code>
+   * @return The ready.
+   */
+  boolean getReady();
 }
--- a/bilberryvalve-wire/src/main/java/io/bilberryvalve/wire/proto/Peer.java
+++ b/bilberryvalve-wire/src/main/java/io/bilberryvalve/wire/proto/Peer.java
@@ -93,22 +93,23 @@
       ".wire.AnswerH\000B\t\n\007content\"Y\n\005Hello\022\r\n\005no" +
       "nce\030\001 \001(\014\022\023\n\013data_centre\030\002 \001(\t\022\026\n\016caller" +
       "_address\030\003 \001(\t\022\024\n\014peer_address\030\004 \001(\t\"\024\n\005" +
-      "Proof\022\013\n\003mac\030\001 \001(\014\"\214\001\n\tHeartbeat\022\014\n\004beat" +
+      "Proof\022\013\n\003mac\030\001 \001(\014\"\233\001\n\tHeartbeat\022\014\n\004beat" +
       "\030\001 \001(\003\022\020\n\010answered\030\002 \001(\003\022\017\n\007leaving\030\003 \001(" +
       "\010\022\035\n\025configuration_version\030\004 \001(\003\022\034\n\024conf" +
       "iguration_digest\030\005 \001(\t\022\021\n\tdetaching\030\006 \001(" +
-      "\010\"@\n\014MemberDigest\0220\n\007entries\030\001 \003(\0132\037.bil" +
-      "berryvalve.wire.MemberEntry\"\240\001\n\013MemberEn" +
-      "try\022\n\n\002vm\030\001 \001(\t\022\023\n\013incarnation\030\002 \001(\003\022\014\n\004" +
-      "beat\030\003 \001(\003\022\023\n\013data_centre\030\004 \001(\t\022\026\n\016calle" +
-      "r_address\030\005 \001(\t\022\024\n\014peer_address\030\006 \001(\t\022\017\n" +
-      "\007leaving\030\007 \001(\010\022\016\n\006absent\030\010 \001(\010\"%\n\007Payloa" +
-      "d\022\014\n\004kind\030\001 \001(\t\022\014\n\004body\030\002 \001(\014\"O\n\004Call\022\023\n" +
-      "\013correlation\030\001 \001(\003\022\014\n\004kind\030\002 \001(\t\022\014\n\004body" +
-      "\030\003 \001(\014\022\026\n\016timeout_millis\030\004 \001(\003\"<\n\006Answer" +
-      "\022\023\n\013correlation\030\001 \001(\003\022\014\n\004body\030\002 \001(\014\022\017\n\007f" +
-      "ailure\030\003 \001(\tB\037\n\033io.bilberryvalve.wire.pr" +
-      "otoP\001b\006proto3"
+      "\010\022\r\n\005ready\030\007 \001(\010\"@\n\014MemberDigest\0220\n\007entr" +
+      "ies\030\001 \003(\0132\037.bilberryvalve.wire.MemberEnt" +
+      "ry\"\257\001\n\013MemberEntry\022\n\n\002vm\030\001 \001(\t\022\023\n\013incarn" +
+      "ation\030\002 \001(\003\022\014\n\004beat\030\003 \001(\003\022\023\n\013data_centre" +
+      "\030\004 \001(\t\022\026\n\016caller_address\030\005 \001(\t\022\024\n\014peer_a" +
+      "ddress\030\006 \001(\t\022\017\n\007leaving\030\007 \001(\010\022\016\n\006absent\030" +
+      "\010 \001(\010\022\r\n\005ready\030\t \001(\010\"%\n\007Payload\022\014\n\004kind\030" +
+      "\001 \001(\t\022\014\n\004body\030\002 \001(\014\"O\n\004Call\022\023\n\013correlati" +
+      "on\030\001 \001(\003\022\014\n\004kind\030\002 \001(\t\022\014\n\004body\030\003 \001(\014\022\026\n\016" +
+      "timeout_millis\030\004 \001(\003\"<\n\006Answer\022\023\n\013correl" +
+      "ation\030\001 \001(\003\022\014\n\004body\030\002 \001(\014\022\017\n\007failure\030\003 \001" +
+      "(\tB\037\n\033io.bilberryvalve.wire.protoP\001b\006pro" +
+      "to3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -137,7 +138,7 @@
     internal_static_bilberryvalve_wire_Heartbeat_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_bilberryvalve_wire_Heartbeat_descriptor,
-        new java.lang.String[] { "Beat", "Answered", "Leaving", "ConfigurationVersion", "ConfigurationDigest", "Detaching", });
+        new java.lang.String[] { "Beat", "Answered", "Leaving", "ConfigurationVersion", "ConfigurationDigest", "Detaching", "Ready", });
     internal_static_bilberryvalve_wire_MemberDigest_descriptor =
       getDescriptor().getMessageType(4);
     internal_static_bilberryvalve_wire_MemberDigest_fieldAccessorTable = new
@@ -149,7 +150,7 @@
     internal_static_bilberryvalve_wire_MemberEntry_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_bilberryvalve_wire_MemberEntry_descriptor,
-        new java.lang.String[] { "Vm", "Incarnation", "Beat", "DataCentre", "CallerAddress", "PeerAddress", "Leaving", "Absent", });
+        new java.lang.String[] { "Vm", "Incarnation", "Beat", "DataCentre", "CallerAddress", "PeerAddress", "Leaving", "Absent", "Ready", });
     internal_static_bilberryvalve_wire_Payload_descriptor =
       getDescriptor().getMessageType(6);
     internal_static_bilberryvalve_wire_Payload_fieldAccessorTable = new
--- a/bilberryvalve-wire/src/main/java/io/bilberryvalve/wire/proto/TeamDemand.java
+++ b/bilberryvalve-wire/src/main/java/io/bilberryvalve/wire/proto/TeamDemand.java
@@ -28,7 +28,6 @@
     super(builder);
   }
   private TeamDemand() {
-    club_ = "";
     team_ = "";
   }
 
@@ -45,50 +44,11 @@
             io.bilberryvalve.wire.proto.TeamDemand.class, io.bilberryvalve.wire.proto.TeamDemand.Builder.class);
   }
 
-  public static final int CLUB_FIELD_NUMBER = 1;
-  @SuppressWarnings("serial")
-  private volatile java.lang.Object club_ = "";
-  /**
-   * <code>string club = 1;</code>
-   * @return The club.
-   */
-  @java.lang.Override
-  public java.lang.String getClub() {
-    java.lang.Object ref = club_;
-    if (ref instanceof java.lang.String) {
-      return (java.lang.String) ref;
-    } else {
-      com.google.protobuf.ByteString bs = 
-          (com.google.protobuf.ByteString) ref;
-      java.lang.String s = bs.toStringUtf8();
-      club_ = s;
-      return s;
-    }
-  }
-  /**
-   * <code>string club = 1;</code>
-   * @return The bytes for club.
-   */
-  @java.lang.Override
-  public com.google.protobuf.ByteString
-      getClubBytes() {
-    java.lang.Object ref = club_;
-    if (ref instanceof java.lang.String) {
-      com.google.protobuf.ByteString b = 
-          com.google.protobuf.ByteString.copyFromUtf8(
-              (java.lang.String) ref);
-      club_ = b;
-      return b;
-    } else {
-      return (com.google.protobuf.ByteString) ref;
-    }
-  }
-
-  public static final int TEAM_FIELD_NUMBER = 2;
+  public static final int TEAM_FIELD_NUMBER = 1;
   @SuppressWarnings("serial")
   private volatile java.lang.Object team_ = "";
   /**
-   * <code>string team = 2;</code>
+   * <code>string team = 1;</code>
    * @return The team.
    */
   @java.lang.Override
@@ -105,7 +65,7 @@
     }
   }
   /**
-   * <code>string team = 2;</code>
+   * <code>string team = 1;</code>
    * @return The bytes for team.
    */
   @java.lang.Override
@@ -153,19 +113,34 @@
     return runningCost_;
   }
 
-  public static final int REQUESTS_FIELD_NUMBER = 5;
-  private int requests_ = 0;
+  public static final int WAITING_FIELD_NUMBER = 5;
+  private int waiting_ = 0;
   /**
    * <pre>
-   * Requests that wait or run.
+   * Requests that wait.
    * </pre>
    *
-   * <code>int32 requests = 5;</code>
-   * @return The requests.
+   * <code>int32 waiting = 5;</code>
+   * @return The waiting.
    */
   @java.lang.Override
-  public int getRequests() {
-    return requests_;
+  public int getWaiting() {
+    return waiting_;
+  }
+
+  public static final int RUNNING_FIELD_NUMBER = 6;
+  private int running_ = 0;
+  /**
+   * <pre>
+   * Requests that run.
+   * </pre>
+   *
+   * <code>int32 running = 6;</code>
+   * @return The running.
+   */
+  @java.lang.Override
+  public int getRunning() {
+    return running_;
   }
 
   private byte memoizedIsInitialized = -1;
@@ -182,11 +157,8 @@
   @java.lang.Override
   public void writeTo(com.google.protobuf.CodedOutputStream output)
                       throws java.io.IOException {
-    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(club_)) {
-      com.google.protobuf.GeneratedMessage.writeString(output, 1, club_);
-    }
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(team_)) {
-      com.google.protobuf.GeneratedMessage.writeString(output, 2, team_);
+      com.google.protobuf.GeneratedMessage.writeString(output, 1, team_);
     }
     if (waitingCost_ != 0L) {
       output.writeInt64(3, waitingCost_);
@@ -194,8 +166,11 @@
     if (runningCost_ != 0L) {
       output.writeInt64(4, runningCost_);
     }
-    if (requests_ != 0) {
-      output.writeInt32(5, requests_);
+    if (waiting_ != 0) {
+      output.writeInt32(5, waiting_);
+    }
+    if (running_ != 0) {
+      output.writeInt32(6, running_);
     }
     getUnknownFields().writeTo(output);
   }
@@ -206,11 +181,8 @@
     if (size != -1) return size;
 
     size = 0;
-    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(club_)) {
-      size += com.google.protobuf.GeneratedMessage.computeStringSize(1, club_);
-    }
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(team_)) {
-      size += com.google.protobuf.GeneratedMessage.computeStringSize(2, team_);
+      size += com.google.protobuf.GeneratedMessage.computeStringSize(1, team_);
     }
     if (waitingCost_ != 0L) {
       size += com.google.protobuf.CodedOutputStream
@@ -220,9 +192,13 @@
       size += com.google.protobuf.CodedOutputStream
         .computeInt64Size(4, runningCost_);
     }
-    if (requests_ != 0) {
+    if (waiting_ != 0) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeInt32Size(5, waiting_);
+    }
+    if (running_ != 0) {
       size += com.google.protobuf.CodedOutputStream
-        .computeInt32Size(5, requests_);
+        .computeInt32Size(6, running_);
     }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
@@ -239,16 +215,16 @@
     }
     io.bilberryvalve.wire.proto.TeamDemand other = (io.bilberryvalve.wire.proto.TeamDemand) obj;
 
-    if (!getClub()
-        .equals(other.getClub())) return false;
     if (!getTeam()
         .equals(other.getTeam())) return false;
     if (getWaitingCost()
         != other.getWaitingCost()) return false;
     if (getRunningCost()
         != other.getRunningCost()) return false;
-    if (getRequests()
-        != other.getRequests()) return false;
+    if (getWaiting()
+        != other.getWaiting()) return false;
+    if (getRunning()
+        != other.getRunning()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -260,8 +236,6 @@
     }
     int hash = 41;
     hash = (19 * hash) + getDescriptor().hashCode();
-    hash = (37 * hash) + CLUB_FIELD_NUMBER;
-    hash = (53 * hash) + getClub().hashCode();
     hash = (37 * hash) + TEAM_FIELD_NUMBER;
     hash = (53 * hash) + getTeam().hashCode();
     hash = (37 * hash) + WAITING_COST_FIELD_NUMBER;
@@ -270,8 +244,10 @@
     hash = (37 * hash) + RUNNING_COST_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
         getRunningCost());
-    hash = (37 * hash) + REQUESTS_FIELD_NUMBER;
-    hash = (53 * hash) + getRequests();
+    hash = (37 * hash) + WAITING_FIELD_NUMBER;
+    hash = (53 * hash) + getWaiting();
+    hash = (37 * hash) + RUNNING_FIELD_NUMBER;
+    hash = (53 * hash) + getRunning();
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -403,11 +379,11 @@
     public Builder clear() {
       super.clear();
       bitField0_ = 0;
-      club_ = "";
       team_ = "";
       waitingCost_ = 0L;
       runningCost_ = 0L;
-      requests_ = 0;
+      waiting_ = 0;
+      running_ = 0;
       return this;
     }
 
@@ -442,19 +418,19 @@
     private void buildPartial0(io.bilberryvalve.wire.proto.TeamDemand result) {
       int from_bitField0_ = bitField0_;
       if (((from_bitField0_ & 0x00000001) != 0)) {
-        result.club_ = club_;
+        result.team_ = team_;
       }
       if (((from_bitField0_ & 0x00000002) != 0)) {
-        result.team_ = team_;
+        result.waitingCost_ = waitingCost_;
       }
       if (((from_bitField0_ & 0x00000004) != 0)) {
-        result.waitingCost_ = waitingCost_;
+        result.runningCost_ = runningCost_;
       }
       if (((from_bitField0_ & 0x00000008) != 0)) {
-        result.runningCost_ = runningCost_;
+        result.waiting_ = waiting_;
       }
       if (((from_bitField0_ & 0x00000010) != 0)) {
-        result.requests_ = requests_;
+        result.running_ = running_;
       }
     }
 
@@ -470,14 +446,9 @@
 
     public Builder mergeFrom(io.bilberryvalve.wire.proto.TeamDemand other) {
       if (other == io.bilberryvalve.wire.proto.TeamDemand.getDefaultInstance()) return this;
-      if (!other.getClub().isEmpty()) {
-        club_ = other.club_;
-        bitField0_ |= 0x00000001;
-        onChanged();
-      }
       if (!other.getTeam().isEmpty()) {
         team_ = other.team_;
-        bitField0_ |= 0x00000002;
+        bitField0_ |= 0x00000001;
         onChanged();
       }
       if (other.getWaitingCost() != 0L) {
@@ -486,8 +457,11 @@
       if (other.getRunningCost() != 0L) {
         setRunningCost(other.getRunningCost());
       }
-      if (other.getRequests() != 0) {
-        setRequests(other.getRequests());
+      if (other.getWaiting() != 0) {
+        setWaiting(other.getWaiting());
+      }
+      if (other.getRunning() != 0) {
+        setRunning(other.getRunning());
       }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
@@ -516,30 +490,30 @@
               done = true;
               break;
             case 10: {
-              club_ = input.readStringRequireUtf8();
+              team_ = input.readStringRequireUtf8();
               bitField0_ |= 0x00000001;
               break;
             } // case 10
-            case 18: {
-              team_ = input.readStringRequireUtf8();
-              bitField0_ |= 0x00000002;
-              break;
-            } // case 18
             case 24: {
               waitingCost_ = input.readInt64();
-              bitField0_ |= 0x00000004;
+              bitField0_ |= 0x00000002;
               break;
             } // case 24
             case 32: {
               runningCost_ = input.readInt64();
-              bitField0_ |= 0x00000008;
+              bitField0_ |= 0x00000004;
               break;
             } // case 32
             case 40: {
-              requests_ = input.readInt32();
-              bitField0_ |= 0x00000010;
+              waiting_ = input.readInt32();
+              bitField0_ |= 0x00000008;
               break;
             } // case 40
+            case 48: {
+              running_ = input.readInt32();
+              bitField0_ |= 0x00000010;
+              break;
+            } // case 48
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -557,81 +531,9 @@
     }
     private int bitField0_;
 
-    private java.lang.Object club_ = "";
-    /**
-     * <code>string club = 1;</code>
-     * @return The club.
-     */
-    public java.lang.String getClub() {
-      java.lang.Object ref = club_;
-      if (!(ref instanceof java.lang.String)) {
-        com.google.protobuf.ByteString bs =
-            (com.google.protobuf.ByteString) ref;
-        java.lang.String s = bs.toStringUtf8();
-        club_ = s;
-        return s;
-      } else {
-        return (java.lang.String) ref;
-      }
-    }
-    /**
-     * <code>string club = 1;</code>
-     * @return The bytes for club.
-     */
-    public com.google.protobuf.ByteString
-        getClubBytes() {
-      java.lang.Object ref = club_;
-      if (ref instanceof String) {
-        com.google.protobuf.ByteString b = 
-            com.google.protobuf.ByteString.copyFromUtf8(
-                (java.lang.String) ref);
-        club_ = b;
-        return b;
-      } else {
-        return (com.google.protobuf.ByteString) ref;
-      }
-    }
-    /**
-     * <code>string club = 1;</code>
-     * @param value The club to set.
-     * @return This builder for chaining.
-     */
-    public Builder setClub(
-        java.lang.String value) {
-      if (value == null) { throw new NullPointerException(); }
-      club_ = value;
-      bitField0_ |= 0x00000001;
-      onChanged();
-      return this;
-    }
-    /**
-     * <code>string club = 1;</code>
-     * @return This builder for chaining.
-     */
-    public Builder clearClub() {
-      club_ = getDefaultInstance().getClub();
-      bitField0_ = (bitField0_ & ~0x00000001);
-      onChanged();
-      return this;
-    }
-    /**
-     * <code>string club = 1;</code>
-     * @param value The bytes for club to set.
-     * @return This builder for chaining.
-     */
-    public Builder setClubBytes(
-        com.google.protobuf.ByteString value) {
-      if (value == null) { throw new NullPointerException(); }
-      checkByteStringIsUtf8(value);
-      club_ = value;
-      bitField0_ |= 0x00000001;
-      onChanged();
-      return this;
-    }
-
     private java.lang.Object team_ = "";
     /**
-     * <code>string team = 2;</code>
+     * <code>string team = 1;</code>
      * @return The team.
      */
     public java.lang.String getTeam() {
@@ -647,7 +549,7 @@
       }
     }
     /**
-     * <code>string team = 2;</code>
+     * <code>string team = 1;</code>
      * @return The bytes for team.
      */
     public com.google.protobuf.ByteString
@@ -664,7 +566,7 @@
       }
     }
     /**
-     * <code>string team = 2;</code>
+     * <code>string team = 1;</code>
      * @param value The team to set.
      * @return This builder for chaining.
      */
@@ -672,22 +574,22 @@
         java.lang.String value) {
       if (value == null) { throw new NullPointerException(); }
       team_ = value;
-      bitField0_ |= 0x00000002;
+      bitField0_ |= 0x00000001;
       onChanged();
       return this;
     }
     /**
-     * <code>string team = 2;</code>
+     * <code>string team = 1;</code>
      * @return This builder for chaining.
      */
     public Builder clearTeam() {
       team_ = getDefaultInstance().getTeam();
-      bitField0_ = (bitField0_ & ~0x00000002);
+      bitField0_ = (bitField0_ & ~0x00000001);
       onChanged();
       return this;
     }
     /**
-     * <code>string team = 2;</code>
+     * <code>string team = 1;</code>
      * @param value The bytes for team to set.
      * @return This builder for chaining.
      */
@@ -696,7 +598,7 @@
       if (value == null) { throw new NullPointerException(); }
       checkByteStringIsUtf8(value);
       team_ = value;
-      bitField0_ |= 0x00000002;
+      bitField0_ |= 0x00000001;
       onChanged();
       return this;
     }
@@ -726,7 +628,7 @@
     public Builder setWaitingCost(long value) {
 
       waitingCost_ = value;
-      bitField0_ |= 0x00000004;
+      bitField0_ |= 0x00000002;
       onChanged();
       return this;
     }
@@ -739,7 +641,7 @@
      * @return This builder for chaining.
      */
     public Builder clearWaitingCost() {
-      bitField0_ = (bitField0_ & ~0x00000004);
+      bitField0_ = (bitField0_ & ~0x00000002);
       waitingCost_ = 0L;
       onChanged();
       return this;
@@ -770,7 +672,7 @@
     public Builder setRunningCost(long value) {
 
       runningCost_ = value;
-      bitField0_ |= 0x00000008;
+      bitField0_ |= 0x00000004;
       onChanged();
       return this;
     }
@@ -783,52 +685,96 @@
      * @return This builder for chaining.
      */
     public Builder clearRunningCost() {
-      bitField0_ = (bitField0_ & ~0x00000008);
+      bitField0_ = (bitField0_ & ~0x00000004);
       runningCost_ = 0L;
       onChanged();
       return this;
     }
 
-    private int requests_ ;
+    private int waiting_ ;
+    /**
+     * <pre>
+     * Requests that wait.
+     * </pre>
+     *
+     * <code>int32 waiting = 5;</code>
+     * @return The waiting.
+     */
+    @java.lang.Override
+    public int getWaiting() {
+      return waiting_;
+    }
+    /**
+     * <pre>
+     * Requests that wait.
+     * </pre>
+     *
+     * <code>int32 waiting = 5;</code>
+     * @param value The waiting to set.
+     * @return This builder for chaining.
+     */
+    public Builder setWaiting(int value) {
+
+      waiting_ = value;
+      bitField0_ |= 0x00000008;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Requests that wait.
+     * </pre>
+     *
+     * <code>int32 waiting = 5;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearWaiting() {
+      bitField0_ = (bitField0_ & ~0x00000008);
+      waiting_ = 0;
+      onChanged();
+      return this;
+    }
+
+    private int running_ ;
     /**
      * <pre>
-     * Requests that wait or run.
+     * Requests that run.
      * </pre>
      *
-     * <code>int32 requests = 5;</code>
-     * @return The requests.
+     * <code>int32 running = 6;</code>
+     * @return The running.
      */
     @java.lang.Override
-    public int getRequests() {
-      return requests_;
+    public int getRunning() {
+      return running_;
     }
     /**
      * <pre>
-     * Requests that wait or run.
+     * Requests that run.
      * </pre>
      *
-     * <code>int32 requests = 5;</code>
-     * @param value The requests to set.
+     * <code>int32 running = 6;</code>
+     * @param value The running to set.
      * @return This builder for chaining.
      */
-    public Builder setRequests(int value) {
+    public Builder setRunning(int value) {
 
-      requests_ = value;
+      running_ = value;
       bitField0_ |= 0x00000010;
       onChanged();
       return this;
     }
     /**
      * <pre>
-     * Requests that wait or run.
+     * Requests that run.
      * </pre>
      *
-     * <code>int32 requests = 5;</code>
+     * <code>int32 running = 6;</code>
      * @return This builder for chaining.
      */
-    public Builder clearRequests() {
+    public Builder clearRunning() {
       bitField0_ = (bitField0_ & ~0x00000010);
-      requests_ = 0;
+      running_ = 0;
       onChanged();
       return this;
     }
--- a/bilberryvalve-wire/src/main/java/io/bilberryvalve/wire/proto/TeamDemandOrBuilder.java
+++ b/bilberryvalve-wire/src/main/java/io/bilberryvalve/wire/proto/TeamDemandOrBuilder.java
@@ -11,24 +11,12 @@
     com.google.protobuf.MessageOrBuilder {
 
   /**
-   * <code>string club = 1;</code>
-   * @return The club.
-   */
-  java.lang.String getClub();
-  /**
-   * <code>string club = 1;</code>
-   * @return The bytes for club.
-   */
-  com.google.protobuf.ByteString
-      getClubBytes();
-
-  /**
-   * <code>string team = 2;</code>
+   * <code>string team = 1;</code>
    * @return The team.
    */
   java.lang.String getTeam();
   /**
-   * <code>string team = 2;</code>
+   * <code>string team = 1;</code>
    * @return The bytes for team.
    */
   com.google.protobuf.ByteString
@@ -56,11 +44,21 @@
 
   /**
    * <pre>
-   * Requests that wait or run.
+   * Requests that wait.
+   * </pre>
+   *
+   * <code>int32 waiting = 5;</code>
+   * @return The waiting.
+   */
+  int getWaiting();
+
+  /**
+   * <pre>
+   * Requests that run.
    * </pre>
    *
-   * <code>int32 requests = 5;</code>
-   * @return The requests.
+   * <code>int32 running = 6;</code>
+   * @return The running.
    */
-  int getRequests();
+  int getRunning();
 }
