--- a/bilberryvalve-standins/src/main/java/io/bilberryvalve/standins/engine/EngineStandin.java
+++ b/bilberryvalve-standins/src/main/java/io/bilberryvalve/standins/engine/EngineStandin.java
@@ -116,6 +116,11 @@
 			throw StandinException.refused(ProblemKind.NOT_FOUND,
 					"this engine is not the first stage of stream " + call.parameter(0), "ask the first stage");
 		}
+		String tenant = call.query("tenant");
+		if (tenant != null && !tenant.equals(reply.request().tenant())) {
+			throw StandinException.refused(ProblemKind.NOT_FOUND,
+					"stream " + call.parameter(0) + " is not known to tenant " + tenant, "ask as the owner");
+		}
 		return call.events(reply.read((int) call.number("from", reply.request().from())));
 	}
 
