Wire the daemon: peers, rollout, replies, calls, drain and reports

Cause: the parts existed on their own and no process served a request. Conclusion: first process that can be started.

--- /dev/null
+++ b/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/Daemon.java
@@ -0,0 +1,220 @@
+package io.bilberryvalve.daemon;
+
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.security.SecureRandom;
+import java.time.Clock;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.ThreadLocalRandom;
+
+import io.bilberryvalve.config.DaemonSettings;
+import io.bilberryvalve.config.FederationPart;
+import io.bilberryvalve.daemon.configuration.ConfigurationHandler;
+import io.bilberryvalve.daemon.configuration.ConfigurationHolder;
+import io.bilberryvalve.daemon.configuration.ConfigurationParser;
+import io.bilberryvalve.daemon.configuration.ConfigurationRollout;
+import io.bilberryvalve.daemon.configuration.DocumentParser;
+import io.bilberryvalve.daemon.configuration.Submissions;
+import io.bilberryvalve.daemon.http.Bodies;
+import io.bilberryvalve.daemon.http.Credentials;
+import io.bilberryvalve.daemon.http.EntryServer;
+import io.bilberryvalve.daemon.http.Principal;
+import io.bilberryvalve.daemon.http.Route;
+import io.bilberryvalve.daemon.http.Router;
+import io.bilberryvalve.daemon.lifecycle.DrainCoordinator;
+import io.bilberryvalve.daemon.lifecycle.Lifecycle;
+import io.bilberryvalve.daemon.lifecycle.ServingState;
+import io.bilberryvalve.daemon.lifecycle.Timer;
+import io.bilberryvalve.daemon.peer.EntriesHandler;
+import io.bilberryvalve.daemon.peer.NettyPeerNetwork;
+import io.bilberryvalve.daemon.peer.PeerSettings;
+import io.bilberryvalve.daemon.peer.VmDirectory;
+import io.bilberryvalve.daemon.report.BurnTracker;
+import io.bilberryvalve.daemon.report.Metrics;
+import io.bilberryvalve.daemon.report.ReportHandler;
+import io.bilberryvalve.model.Address;
+import io.bilberryvalve.model.DataCentreId;
+import io.bilberryvalve.model.RegionId;
+import io.bilberryvalve.model.clock.MonotonicClock;
+import io.bilberryvalve.model.log.LogEvent;
+import io.bilberryvalve.platform.Platform;
+import io.bilberryvalve.policy.rollout.RefreshSchedule;
+import io.bilberryvalve.wire.FederationSecret;
+
+/**
+ * An entry daemon: creates its parts, connects them and stops them in order.
+ */
+public final class Daemon {
+
+	private static final System.Logger LOGGER = System.getLogger(Daemon.class.getName());
+
+	private static final Duration VM_LIST_INTERVAL = Duration.ofSeconds(2);
+
+	/** Store reads for the configuration, summed over all daemons of the federation. */
+	private static final double CONFIGURATION_READS_PER_SECOND = 100;
+
+	private static final Duration SUBMISSION_TIMEOUT = Duration.ofSeconds(10);
+
+	private final DaemonSettings settings;
+
+	private final Lifecycle lifecycle = new Lifecycle();
+
+	private final Clock clock = new MonotonicClock();
+
+	private final Background background = new Background();
+
+	private final ConfigurationHolder configuration = new ConfigurationHolder();
+
+	private final Metrics metrics = new Metrics();
+
+	private final BurnTracker burn = new BurnTracker(this.clock);
+
+	private final CountDownLatch stopped = new CountDownLatch(1);
+
+	private final Platform platform;
+
+	private final NettyPeerNetwork peers;
+
+	private final ConfigurationRollout rollout;
+
+	private final DrainCoordinator drain;
+
+	private final EntryServer server;
+
+	private Daemon(DaemonSettings settings) throws Exception {
+		this.settings = settings;
+		this.platform = PlatformClients.connect(settings);
+		RolloutStamps stamps = new RolloutStamps();
+		this.peers = startPeers(stamps);
+		ConfigurationParser parser = new DocumentParser();
+		Timer timer = this.background.timer();
+		this.rollout = new ConfigurationRollout(this.configuration, parser, this.platform, this.peers, timer,
+				new RefreshSchedule(CONFIGURATION_READS_PER_SECOND, ThreadLocalRandom.current()),
+				() -> this.peers.peers().size() + 1, new SecureRandom());
+		stamps.connect(this.rollout);
+		this.drain = new DrainCoordinator(this.lifecycle, this.peers::announce, this.clock);
+		RequestParts requests = new RequestParts(settings, this.clock, this.background, this.configuration, this.peers,
+				this.platform, this.metrics, this.burn);
+		Credentials credentials = new Credentials(this.configuration, bootstrapPrincipals(settings));
+		Router router = new Router(routes(requests, parser, timer), credentials, this.lifecycle, this.metrics,
+				this.clock);
+		Address address = settings.callerAddress();
+		this.server = EntryServer.start(new InetSocketAddress(address.host(), address.port()), router);
+	}
+
+	/**
+	 * Starts a daemon.
+	 * @param settings its settings
+	 * @return the running daemon; it serves once it has a configuration
+	 * @throws Exception if an address cannot be used or a file cannot be read
+	 */
+	public static Daemon start(DaemonSettings settings) throws Exception {
+		Daemon daemon = new Daemon(settings);
+		daemon.rollout.onReady(daemon::ready);
+		daemon.rollout.start();
+		daemon.drain.stopped().thenRun(daemon::stop);
+		LogEvent.of("started")
+			.with("vm", settings.vm())
+			.with("callers", daemon.server.address())
+			.log(LOGGER, System.Logger.Level.INFO);
+		return daemon;
+	}
+
+	/**
+	 * Leaves the entry lists, finishes the requests in progress and stops. Returns when
+	 * the last request has ended.
+	 */
+	public void drain() {
+		this.drain.drain();
+		try {
+			awaitStopped();
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
+	}
+
+	/**
+	 * Waits until the daemon has stopped.
+	 * @throws InterruptedException if the thread is interrupted
+	 */
+	public void awaitStopped() throws InterruptedException {
+		this.stopped.await();
+	}
+
+	private void ready() {
+		if (this.lifecycle.advance(ServingState.READY)) {
+			LogEvent.of("ready")
+				.with("vm", this.settings.vm())
+				.with("configuration", this.configuration.current().version())
+				.log(LOGGER, System.Logger.Level.INFO);
+		}
+	}
+
+	private void stop() {
+		this.rollout.stop();
+		try {
+			this.server.close();
+		}
+		catch (Exception ex) {
+			LogEvent.of("server-close-failed").with("cause", ex).log(LOGGER, System.Logger.Level.WARNING);
+		}
+		this.peers.close();
+		this.background.close();
+		LogEvent.of("stopped").with("vm", this.settings.vm()).log(LOGGER, System.Logger.Level.INFO);
+		this.stopped.countDown();
+	}
+
+	private NettyPeerNetwork startPeers(RolloutStamps stamps) throws Exception {
+		VmDirectory directory = new VmDirectory(this.settings.seedPeers(), this.platform.vms());
+		this.background.every(VM_LIST_INTERVAL, "vm-list", directory::refresh);
+		String secret = Files.readString(this.settings.federationSecretFile(), StandardCharsets.UTF_8);
+		Address address = this.settings.peerAddress();
+		PeerSettings peerSettings = PeerSettings.of(this.settings.vm(), this.clock.millis(), this.settings.dataCentre(),
+				this.settings.callerAddress(), address.host(), address.port(), FederationSecret.of(secret.trim()));
+		NettyPeerNetwork network = new NettyPeerNetwork(peerSettings, this.lifecycle, directory, stamps, this::region,
+				this.clock);
+		network.start();
+		return network;
+	}
+
+	private RegionId region(DataCentreId dataCentre) {
+		for (FederationPart.DataCentre known : this.configuration.current().federation().dataCentres()) {
+			if (known.dataCentre().equals(dataCentre)) {
+				return known.region();
+			}
+		}
+		return this.settings.region();
+	}
+
+	private List<Route> routes(RequestParts requests, ConfigurationParser parser, Timer timer) {
+		Submissions submissions = new Submissions(this.platform.tables(), this.rollout, parser, this.clock, timer,
+				SUBMISSION_TIMEOUT);
+		Bodies bodies = new Bodies(this.settings.limits().bodyBytes(), Duration.ofSeconds(10));
+		List<Route> routes = new ArrayList<>(requests.routes());
+		routes.addAll(new ConfigurationHandler(this.configuration, this.rollout, submissions, bodies).routes());
+		routes.addAll(new EntriesHandler(this.peers::self, this.peers::members, this.lifecycle).routes());
+		routes.addAll(this.drain.routes());
+		routes.addAll(new ReportHandler(this.settings.vm(), this.lifecycle, this.metrics, this.burn, (node) -> {
+			node.put("configuration", this.configuration.current().version());
+			node.put("connectedPeers", this.peers.connected().size());
+			requests.addTo(node);
+		}).routes());
+		return routes;
+	}
+
+	private static Map<String, Principal> bootstrapPrincipals(DaemonSettings settings) {
+		Map<String, Principal> principals = new HashMap<>();
+		if (settings.bootstrapOperatorDigest() != null) {
+			principals.put(settings.bootstrapOperatorDigest(), ConfigurationHandler.BOOTSTRAP);
+		}
+		return principals;
+	}
+
+}
--- /dev/null
+++ b/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/RequestParts.java
@@ -0,0 +1,133 @@
+package io.bilberryvalve.daemon;
+
+import java.security.SecureRandom;
+import java.time.Clock;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.atomic.AtomicLong;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.bilberryvalve.config.DaemonSettings;
+import io.bilberryvalve.daemon.call.CallDispatcher;
+import io.bilberryvalve.daemon.call.CallHandler;
+import io.bilberryvalve.daemon.call.ExecutionCleaner;
+import io.bilberryvalve.daemon.call.ExecutionStore;
+import io.bilberryvalve.daemon.call.HttpApplicationClient;
+import io.bilberryvalve.daemon.call.IssuedCalls;
+import io.bilberryvalve.daemon.call.RetryAllowance;
+import io.bilberryvalve.daemon.call.RunnerRotation;
+import io.bilberryvalve.daemon.configuration.ConfigurationSource;
+import io.bilberryvalve.daemon.engine.HttpEngineClient;
+import io.bilberryvalve.daemon.http.Bodies;
+import io.bilberryvalve.daemon.http.Route;
+import io.bilberryvalve.daemon.peer.NettyPeerNetwork;
+import io.bilberryvalve.daemon.reply.CompletionHandler;
+import io.bilberryvalve.daemon.reply.FractionRepairBudget;
+import io.bilberryvalve.daemon.reply.ReplyServices;
+import io.bilberryvalve.daemon.reply.ReplySettings;
+import io.bilberryvalve.daemon.report.BurnTracker;
+import io.bilberryvalve.daemon.report.Metrics;
+import io.bilberryvalve.daemon.runner.RunnerFleet;
+import io.bilberryvalve.daemon.share.UnlimitedAdmission;
+import io.bilberryvalve.platform.Platform;
+import io.bilberryvalve.policy.choice.FusedLoadChooser;
+import io.bilberryvalve.policy.once.IssuedKeys;
+import io.bilberryvalve.policy.once.OnceLimits;
+import io.bilberryvalve.policy.once.RecordExpiry;
+import io.bilberryvalve.policy.once.RecordedExecutions;
+import io.bilberryvalve.policy.retry.RetryBudget;
+
+/**
+ * The parts of a daemon that answer callers: replies of models and calls of applications.
+ */
+final class RequestParts {
+
+	private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(500);
+
+	private static final Duration BODY_TIMEOUT = Duration.ofSeconds(10);
+
+	private static final Duration REPLY_TICK = Duration.ofMillis(50);
+
+	private static final Duration PLAN_INTERVAL = Duration.ofMillis(200);
+
+	private static final Duration CLEANING_INTERVAL = Duration.ofSeconds(30);
+
+	private static final double REPAIRS_PER_REPLY = 0.1;
+
+	/** Replies that can be repaired at once after the loss of a machine. */
+	private static final int REPAIR_RESERVE = 200;
+
+	private static final int CHOICE_SAMPLES = 3;
+
+	private static final int ISSUED_KEYS = 100_000;
+
+	private final CompletionHandler completions;
+
+	private final CallHandler calls;
+
+	private final RunnerFleet fleet;
+
+	RequestParts(DaemonSettings settings, Clock clock, Background background, ConfigurationSource configuration,
+			NettyPeerNetwork peers, Platform platform, Metrics metrics, BurnTracker burn) {
+		long incarnation = peers.identity().incarnation();
+		this.fleet = new RunnerFleet(clock, configuration, new FusedLoadChooser(CHOICE_SAMPLES), (runner) -> false);
+		ReplyServices services = new ReplyServices(clock,
+				new HttpEngineClient(CONNECT_TIMEOUT, settings.limits().orderTimeout()), this.fleet,
+				new UnlimitedAdmission(), new FractionRepairBudget(REPAIRS_PER_REPLY, REPAIR_RESERVE),
+				ReplySettings.defaults());
+		this.completions = new CompletionHandler(services, configuration, peers, settings.vm(), incarnation);
+		this.calls = calls(settings, clock, background, configuration, peers, platform, incarnation);
+		background.every(REPLY_TICK, "replies", this.completions::tick)
+			.every(PLAN_INTERVAL, "plan", this.fleet::refresh);
+		metrics.gauge("replies_in_progress", "Replies in progress.", this.completions::active);
+	}
+
+	List<Route> routes() {
+		List<Route> routes = new ArrayList<>(this.completions.routes());
+		routes.addAll(this.calls.routes());
+		return routes;
+	}
+
+	void addTo(ObjectNode node) {
+		node.put("repliesInProgress", this.completions.active());
+		node.put("plannedModels", this.fleet.table().sets().size());
+	}
+
+	private static CallHandler calls(DaemonSettings settings, Clock clock, Background background,
+			ConfigurationSource configuration, NettyPeerNetwork peers, Platform platform, long incarnation) {
+		SecureRandom random = new SecureRandom();
+		CallDispatcher dispatcher = new CallDispatcher(new RunnerRotation(configuration, clock),
+				new HttpApplicationClient(CONNECT_TIMEOUT), allowance(clock), clock);
+		String run = settings.vm() + "_" + incarnation;
+		AtomicLong attempts = new AtomicLong();
+		RecordedExecutions ledger = new RecordedExecutions(clock, OnceLimits.defaults(),
+				() -> run + "_" + attempts.getAndIncrement());
+		ExecutionStore store = new ExecutionStore(platform.tables(), ledger, run, clock, background.timer());
+		IssuedKeys keys = new IssuedKeys(settings.vm(), incarnation, clock, random::nextLong, ISSUED_KEYS);
+		IssuedCalls issued = new IssuedCalls(settings.vm(), keys, dispatcher, peers, clock);
+		ExecutionCleaner cleaner = new ExecutionCleaner(platform.tables(),
+				new RecordExpiry(OnceLimits.defaults().lifetime()), clock);
+		background.every(CLEANING_INTERVAL, "execution-records", cleaner::step);
+		return new CallHandler(configuration, new Bodies(settings.limits().bodyBytes(), BODY_TIMEOUT), dispatcher,
+				store, issued, settings.limits().requestTimeout(), clock);
+	}
+
+	private static RetryAllowance allowance(Clock clock) {
+		RetryBudget budget = new RetryBudget(clock);
+		return new RetryAllowance() {
+
+			@Override
+			public void attempted() {
+				budget.request();
+			}
+
+			@Override
+			public boolean tryRetry() {
+				return budget.tryRetry();
+			}
+
+		};
+	}
+
+}
