--- a/bilberryvalve-standins/src/main/java/io/bilberryvalve/standins/PlatformCommand.java
+++ b/bilberryvalve-standins/src/main/java/io/bilberryvalve/standins/PlatformCommand.java
@@ -1,10 +1,12 @@
 package io.bilberryvalve.standins;
 
+import java.util.ArrayList;
 import java.util.List;
 
 import io.bilberryvalve.standins.http.Route;
 import io.bilberryvalve.standins.platform.PlatformSettings;
 import io.bilberryvalve.standins.platform.PlatformStandin;
+import io.bilberryvalve.standins.platform.VmEntry;
 import org.kohsuke.args4j.Option;
 
 /**
@@ -29,10 +31,15 @@
 	@Option(name = "--vm-lag-ms", usage = "time in ms after which a change shows in the VM list")
 	private long vmLagMillis = STANDARD.vmLag().toMillis();
 
+	@Option(name = "--vm", metaVar = "VM,DATACENTRE,ADDRESS,PEERADDRESS",
+			usage = "entry of the VM list that shows from the start; may be repeated")
+	private List<String> vms = new ArrayList<>();
+
 	@Override
 	List<Route> routes() {
 		PlatformSettings settings = new PlatformSettings(this.writesPerSecond, this.readsPerSecond,
-				this.weightReadsPerSecond, this.weightBytes, millis(this.vmLagMillis));
+				this.weightReadsPerSecond, this.weightBytes, millis(this.vmLagMillis),
+				this.vms.stream().map(VmEntry::parse).toList());
 		return new PlatformStandin(settings, clock()).routes();
 	}
 
--- a/bilberryvalve-standins/src/main/java/io/bilberryvalve/standins/platform/PlatformSettings.java
+++ b/bilberryvalve-standins/src/main/java/io/bilberryvalve/standins/platform/PlatformSettings.java
@@ -1,6 +1,7 @@
 package io.bilberryvalve.standins.platform;
 
 import java.time.Duration;
+import java.util.List;
 
 /**
  * Settings of the platform stand-in.
@@ -11,9 +12,17 @@
  * @param weightReadsPerSecond limit of weight store reads
  * @param weightBytes size of each answer of the weight store in bytes
  * @param vmLag time after which a change shows in the VM list
+ * @param vms entries of the VM list that show from the start
  */
 public record PlatformSettings(double writesPerSecond, double readsPerSecond, double weightReadsPerSecond,
-		int weightBytes, Duration vmLag) {
+		int weightBytes, Duration vmLag, List<VmEntry> vms) {
+
+	/**
+	 * Copies the list.
+	 */
+	public PlatformSettings {
+		vms = List.copyOf(vms);
+	}
 
 	/**
 	 * Returns the rates of the platform that the design page describes: several hundred
@@ -21,7 +30,7 @@
 	 * @return the settings
 	 */
 	public static PlatformSettings standard() {
-		return new PlatformSettings(400, 2000, 5, 65536, Duration.ofSeconds(5));
+		return new PlatformSettings(400, 2000, 5, 65536, Duration.ofSeconds(5), List.of());
 	}
 
 }
--- a/bilberryvalve-standins/src/main/java/io/bilberryvalve/standins/platform/PlatformStandin.java
+++ b/bilberryvalve-standins/src/main/java/io/bilberryvalve/standins/platform/PlatformStandin.java
@@ -51,7 +51,7 @@
 	 * @param clock measures rates and the delay of the VM list
 	 */
 	public PlatformStandin(PlatformSettings settings, Clock clock) {
-		this.vms = new VmList(clock, settings.vmLag());
+		this.vms = new VmList(clock, settings.vmLag(), settings.vms());
 		this.tableWrites = new RateLimiter("table writes", settings.writesPerSecond(), clock);
 		this.tableReads = new RateLimiter("table reads", settings.readsPerSecond(), clock);
 		this.objectWrites = new RateLimiter("object writes", settings.writesPerSecond(), clock);
--- a/bilberryvalve-standins/src/main/java/io/bilberryvalve/standins/platform/VmEntry.java
+++ b/bilberryvalve-standins/src/main/java/io/bilberryvalve/standins/platform/VmEntry.java
@@ -26,6 +26,21 @@
 		}
 	}
 
+	/**
+	 * Parses {@code vm,dataCentre,address,peerAddress}.
+	 * @param text for example {@code pav-1,south-a,127.0.0.1:8001,127.0.0.1:8101}
+	 * @return the entry of a VM that stays
+	 * @throws IllegalArgumentException if the text does not have this form
+	 */
+	public static VmEntry parse(String text) {
+		String[] parts = text.split(",", -1);
+		if (parts.length != 4) {
+			throw new IllegalArgumentException(
+					"VM '" + text + "' is not of the form vm,dataCentre,address,peerAddress");
+		}
+		return new VmEntry(parts[0], parts[1], parts[2], parts[3], State.LIVE);
+	}
+
 	/**
 	 * Returns the entry under another name.
 	 * @param name the VM
--- a/bilberryvalve-standins/src/main/java/io/bilberryvalve/standins/platform/VmList.java
+++ b/bilberryvalve-standins/src/main/java/io/bilberryvalve/standins/platform/VmList.java
@@ -25,9 +25,21 @@
 
 	private final Map<String, VmEntry> visible = new TreeMap<>();
 
-	VmList(Clock clock, Duration lag) {
+	/**
+	 * Creates a list.
+	 * @param clock measures the delay
+	 * @param lag time after which a change shows
+	 * @param initial entries that show at once
+	 */
+	VmList(Clock clock, Duration lag, List<VmEntry> initial) {
 		this.clock = clock;
 		this.lag = lag;
+		for (VmEntry entry : initial) {
+			if (entry.vm() == null) {
+				throw new IllegalArgumentException("an initial VM entry needs a name");
+			}
+			this.visible.put(entry.vm(), entry);
+		}
 	}
 
 	/**
--- a/bilberryvalve-standins/src/test/java/io/bilberryvalve/standins/platform/PlatformStandinTests.java
+++ b/bilberryvalve-standins/src/test/java/io/bilberryvalve/standins/platform/PlatformStandinTests.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.net.http.HttpResponse;
 import java.time.Duration;
+import java.util.List;
 
 import io.bilberryvalve.model.clock.ManualClock;
 import io.bilberryvalve.standins.TestClient;
@@ -23,7 +24,8 @@
 	private final ManualClock clock = new ManualClock();
 
 	private final StandinServer server = StandinServer.start("127.0.0.1", 0,
-			new PlatformStandin(new PlatformSettings(20, 1000, 5, 1024, Duration.ofSeconds(3)), this.clock).routes(),
+			new PlatformStandin(new PlatformSettings(20, 1000, 5, 1024, Duration.ofSeconds(3), List.of()), this.clock)
+				.routes(),
 			new Faults(this.clock));
 
 	@AfterTry
