--- a/bilberryvalve-daemon/src/test/java/io/bilberryvalve/daemon/call/SimulatedEntry.java
+++ b/bilberryvalve-daemon/src/test/java/io/bilberryvalve/daemon/call/SimulatedEntry.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.CompletionStage;
 import java.util.function.Consumer;
 
+import io.bilberryvalve.daemon.lifecycle.ManualTimer;
 import io.bilberryvalve.model.ClubId;
 import io.bilberryvalve.model.clock.ManualClock;
 import io.bilberryvalve.platform.Commit;
--- /dev/null
+++ b/bilberryvalve-daemon/src/test/java/io/bilberryvalve/daemon/configuration/RolloutSimulation.java
@@ -0,0 +1,182 @@
+package io.bilberryvalve.daemon.configuration;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+
+import io.bilberryvalve.config.FederationConfiguration;
+import io.bilberryvalve.config.FederationPart;
+import io.bilberryvalve.daemon.lifecycle.ManualTimer;
+import io.bilberryvalve.daemon.peer.SimulatedNetwork;
+import io.bilberryvalve.model.Result;
+import io.bilberryvalve.model.clock.ManualClock;
+import io.bilberryvalve.platform.Platform;
+import io.bilberryvalve.platform.Row;
+import io.bilberryvalve.platform.memory.MemoryObjects;
+import io.bilberryvalve.platform.memory.MemoryTables;
+import io.bilberryvalve.platform.memory.MemoryVmList;
+import io.bilberryvalve.platform.memory.MemoryWeights;
+import io.bilberryvalve.policy.rollout.Head;
+import io.bilberryvalve.policy.rollout.RefreshSchedule;
+
+/**
+ * Daemons, stores and a network under faults.
+ */
+final class RolloutSimulation {
+
+	final ManualClock clock = new ManualClock();
+
+	final MemoryTables tables = new MemoryTables();
+
+	final MemoryObjects objects = new MemoryObjects();
+
+	final SimulatedNetwork network = new SimulatedNetwork();
+
+	final RolloutHistory history = new RolloutHistory();
+
+	private final Platform platform = new Platform(this.tables, this.objects, new MemoryWeights(), new MemoryVmList());
+
+	private final List<Member> members = new ArrayList<>();
+
+	private final List<Long> starts = new ArrayList<>();
+
+	private int submissions;
+
+	private int incarnations;
+
+	RolloutSimulation(int daemons) {
+		for (int i = 0; i < daemons; i++) {
+			this.members.add(start(i));
+		}
+	}
+
+	private Member start(int index) {
+		long floor = this.members.stream().mapToLong(Member::version).max().orElse(0);
+		Member member = new Member(index, "d" + this.incarnations++);
+		member.rollout.onReady(() -> this.starts.add(member.version() - (this.network.isWhole() ? floor : 0)));
+		member.rollout.start();
+		return member;
+	}
+
+	String submit(int daemon, String part, boolean stale) {
+		String id = "s" + this.submissions++;
+		submit(daemon, id, part, stale);
+		return id;
+	}
+
+	void submit(int daemon, String id, String part, boolean stale) {
+		Member member = this.members.get(daemon);
+		long base = Math.max(0, member.version() - (stale ? 1 : 0));
+		String name = id + "/" + part;
+		this.history.sent(name);
+		member.submissions.submit(id, base, part, "text of " + id)
+			.thenAccept((result) -> this.history.told(name, result));
+	}
+
+	void restart(int daemon) {
+		this.members.get(daemon).rollout.stop();
+		this.members.get(daemon).killed = true;
+		this.members.set(daemon, start(daemon));
+	}
+
+	void advance(Duration duration) {
+		this.clock.advance(duration);
+		this.members.forEach((member) -> member.timer.runDue());
+		observe();
+	}
+
+	void observe() {
+		Row row = this.tables.row(HeadRow.TABLE, HeadRow.KEY);
+		if (row != null) {
+			Head head = HeadRow.decode(row.value());
+			head.recent()
+				.forEach((accepted) -> this.history.stored(accepted.submission() + "/" + accepted.part(),
+						accepted.version()));
+		}
+	}
+
+	void settle() {
+		this.tables.writes().clear();
+		this.tables.reads().clear();
+		this.objects.writes().clear();
+		this.objects.reads().clear();
+		this.network.heal();
+		for (int i = 0; i < 60; i++) {
+			this.tables.writes().release();
+			this.tables.reads().release();
+			this.tables.writes().deliverLate();
+			advance(Duration.ofMillis(200));
+		}
+		this.history.end(stored());
+	}
+
+	long stored() {
+		Row row = this.tables.row(HeadRow.TABLE, HeadRow.KEY);
+		return (row != null) ? HeadRow.decode(row.value()).version() : 0;
+	}
+
+	List<Long> versions() {
+		return this.members.stream().map(Member::version).toList();
+	}
+
+	/**
+	 * Returns, for each start on a whole network, how far the version at readiness stood
+	 * above the highest version in force anywhere when the daemon started.
+	 */
+	List<Long> starts() {
+		return this.starts;
+	}
+
+	private final class Member {
+
+		private final ConfigurationHolder holder = new ConfigurationHolder();
+
+		private final ManualTimer timer = new ManualTimer(RolloutSimulation.this.clock);
+
+		private final ConfigurationRollout rollout;
+
+		private final Submissions submissions;
+
+		private boolean killed;
+
+		Member(int index, String incarnation) {
+			RolloutSimulation world = RolloutSimulation.this;
+			Parser parser = new Parser();
+			this.rollout = new ConfigurationRollout(this.holder, parser, world.platform, world.network.join(index),
+					this.timer, new RefreshSchedule(100, new Random(index)), () -> 3, new Random(index));
+			this.submissions = new Submissions(world.tables, this.rollout, parser, world.clock, this.timer,
+					Duration.ofSeconds(2));
+			this.holder.listen((configuration) -> {
+				if (!this.killed && configuration.version() > 0) {
+					ConfigurationInForce now = this.rollout.inForce();
+					world.history.inForce(incarnation, configuration.version(), now.digest());
+				}
+			});
+		}
+
+		long version() {
+			return this.holder.current().version();
+		}
+
+	}
+
+	/**
+	 * Accepts each text.
+	 */
+	private static final class Parser implements ConfigurationParser {
+
+		@Override
+		public Result<FederationConfiguration> parse(long version, Map<String, String> texts) {
+			return Result.ok(new FederationConfiguration(version, FederationPart.empty(), Map.of()));
+		}
+
+		@Override
+		public Result<FederationConfiguration> check(long version, Map<String, String> texts) {
+			return parse(version, texts);
+		}
+
+	}
+
+}
--- a/bilberryvalve-daemon/src/test/java/io/bilberryvalve/daemon/call/ManualTimer.java
+++ b/bilberryvalve-daemon/src/test/java/io/bilberryvalve/daemon/lifecycle/ManualTimer.java
@@ -1,4 +1,4 @@
-package io.bilberryvalve.daemon.call;
+package io.bilberryvalve.daemon.lifecycle;
 
 import java.time.Clock;
 import java.time.Duration;
@@ -7,18 +7,20 @@
 import java.util.Comparator;
 import java.util.List;
 
-import io.bilberryvalve.daemon.lifecycle.Timer;
-
 /**
  * A timer whose due tasks run when the test says so.
  */
-final class ManualTimer implements Timer {
+public final class ManualTimer implements Timer {
 
 	private final Clock clock;
 
 	private final List<Task> tasks = new ArrayList<>();
 
-	ManualTimer(Clock clock) {
+	/**
+	 * Creates a timer without tasks.
+	 * @param clock clock of the test
+	 */
+	public ManualTimer(Clock clock) {
 		this.clock = clock;
 	}
 
@@ -27,7 +29,10 @@
 		this.tasks.add(new Task(this.clock.instant().plus(delay), task));
 	}
 
-	void runDue() {
+	/**
+	 * Runs the tasks that are due.
+	 */
+	public void runDue() {
 		List<Task> due = this.tasks.stream()
 			.filter((task) -> !task.at().isAfter(this.clock.instant()))
 			.sorted(Comparator.comparing(Task::at))
--- /dev/null
+++ b/bilberryvalve-daemon/src/test/java/io/bilberryvalve/daemon/peer/SimulatedNetwork.java
@@ -0,0 +1,123 @@
+package io.bilberryvalve.daemon.peer;
+
+import java.time.Duration;
+import java.util.EnumMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+
+import io.bilberryvalve.model.Address;
+import io.bilberryvalve.model.DataCentreId;
+import io.bilberryvalve.model.Problem;
+import io.bilberryvalve.model.ProblemKind;
+import io.bilberryvalve.model.Result;
+import io.bilberryvalve.model.VmId;
+
+/**
+ * Connects simulated daemons. Messages arrive at once, or never while one of the two is
+ * cut off.
+ */
+public final class SimulatedNetwork {
+
+	private final Map<VmId, Member> members = new TreeMap<>();
+
+	private final Set<VmId> cutOff = new TreeSet<>();
+
+	/**
+	 * Adds a daemon, or replaces it by its next incarnation.
+	 * @param index number of the daemon
+	 * @return its network
+	 */
+	public PeerNetwork join(int index) {
+		Member member = new Member(new VmId("vm-" + index));
+		this.members.put(member.vm, member);
+		return member;
+	}
+
+	/**
+	 * Cuts a daemon off from all others.
+	 * @param index number of the daemon
+	 */
+	public void cutOff(int index) {
+		this.cutOff.add(new VmId("vm-" + index));
+	}
+
+	/**
+	 * Connects all daemons.
+	 */
+	public void heal() {
+		this.cutOff.clear();
+	}
+
+	/**
+	 * Tells whether all daemons are connected.
+	 * @return whether none is cut off
+	 */
+	public boolean isWhole() {
+		return this.cutOff.isEmpty();
+	}
+
+	private boolean connected(VmId a, VmId b) {
+		return !this.cutOff.contains(a) && !this.cutOff.contains(b);
+	}
+
+	private final class Member implements PeerNetwork {
+
+		private final VmId vm;
+
+		private final Map<MessageKind, Receiver> receivers = new EnumMap<>(MessageKind.class);
+
+		private final Map<MessageKind, Answerer> answerers = new EnumMap<>(MessageKind.class);
+
+		Member(VmId vm) {
+			this.vm = vm;
+		}
+
+		@Override
+		public List<Peer> peers() {
+			return SimulatedNetwork.this.members.keySet()
+				.stream()
+				.filter((other) -> !other.equals(this.vm))
+				.map((other) -> new Peer(other, 1, new DataCentreId("dc-1"), new Address("127.0.0.1", 1),
+						connected(this.vm, other) ? Peer.State.LIVE : Peer.State.ABSENT))
+				.toList();
+		}
+
+		@Override
+		public void broadcast(MessageKind kind, byte[] body) {
+			for (Member other : List.copyOf(SimulatedNetwork.this.members.values())) {
+				Receiver receiver = other.receivers.get(kind);
+				if (other != this && receiver != null && connected(this.vm, other.vm)) {
+					receiver.receive(this.vm, body);
+				}
+			}
+		}
+
+		@Override
+		public CompletionStage<Result<byte[]>> call(VmId target, MessageKind kind, byte[] body, Duration timeout) {
+			Member other = SimulatedNetwork.this.members.get(target);
+			Answerer answerer = (other != null) ? other.answerers.get(kind) : null;
+			if (answerer == null || !connected(this.vm, target)) {
+				return CompletableFuture.completedFuture(
+						Result.failed(Problem.notRun(ProblemKind.UNAVAILABLE, "not connected", "try again later")));
+			}
+			return answerer.answer(this.vm, body).thenApply(Result::ok);
+		}
+
+		@Override
+		public void receive(MessageKind kind, Receiver receiver) {
+			this.receivers.put(kind, receiver);
+		}
+
+		@Override
+		public void answer(MessageKind kind, Answerer answerer) {
+			this.answerers.put(kind, answerer);
+		}
+
+	}
+
+}
