--- a/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/engine/CacheEvents.java
+++ b/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/engine/CacheEvents.java
@@ -6,7 +6,7 @@
  * Changes of the prefix cache of an engine. Events arrive late and may be missing.
  *
  * @param events the events in order
- * @param next sequence number to ask for next
+ * @param next sequence number that the next event has at least
  */
 public record CacheEvents(List<CacheEvent> events, long next) {
 
--- a/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/reply/Attempt.java
+++ b/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/reply/Attempt.java
@@ -1,10 +1,12 @@
 package io.bilberryvalve.daemon.reply;
 
+import io.bilberryvalve.daemon.engine.EngineClient;
 import io.bilberryvalve.daemon.engine.EngineFailure;
 import io.bilberryvalve.daemon.engine.EngineListener;
 import io.bilberryvalve.daemon.engine.EngineStream;
 import io.bilberryvalve.daemon.runner.ChainSource.Work;
 import io.bilberryvalve.policy.chain.Chain;
+import io.bilberryvalve.policy.chain.Stage;
 import io.bilberryvalve.policy.outcome.ReplyPosition;
 import io.bilberryvalve.policy.outcome.TokenEvent;
 import org.jspecify.annotations.Nullable;
@@ -36,10 +38,6 @@
 		return this.start.epoch();
 	}
 
-	int from() {
-		return this.start.next();
-	}
-
 	Chain chain() {
 		return this.chain;
 	}
@@ -58,10 +56,22 @@
 		}
 	}
 
-	void close() {
+	/**
+	 * Ends the attempt before its reply is complete.
+	 * @param engines client of the engines
+	 * @param order the request
+	 * @param sent whether an engine may know the epoch, so that each stage must cancel it
+	 */
+	void stop(EngineClient engines, ReplyOrder order, boolean sent) {
+		this.work.end(false);
 		if (this.stream != null) {
 			this.stream.close();
 		}
+		if (sent) {
+			for (Stage stage : this.chain.stages()) {
+				engines.cancel(stage.runner().address(), order.id(), this.start.epoch());
+			}
+		}
 	}
 
 	@Override
--- a/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/reply/CompletionHandler.java
+++ b/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/reply/CompletionHandler.java
@@ -8,6 +8,7 @@
 
 import io.bilberryvalve.daemon.configuration.ConfigurationSource;
 import io.bilberryvalve.daemon.http.Access;
+import io.bilberryvalve.daemon.http.Bodies;
 import io.bilberryvalve.daemon.http.Exchange;
 import io.bilberryvalve.daemon.http.Principal;
 import io.bilberryvalve.daemon.http.Problems;
@@ -41,6 +42,13 @@
 
 	private static final String REQUEST_TIMEOUT = "x-request-timeout";
 
+	/** Largest body in bytes. */
+	private static final int MAX_BODY = 1 << 20;
+
+	private static final Duration BODY_TIMEOUT = Duration.ofSeconds(10);
+
+	private final Bodies bodies = new Bodies(MAX_BODY, BODY_TIMEOUT);
+
 	private final ReplyServices services;
 
 	private final PipelineIndex index;
@@ -98,11 +106,8 @@
 
 	private Single<StreamingHttpResponse> handle(Exchange exchange) {
 		CharSequence lastEvent = exchange.request().headers().get(LAST_EVENT_ID);
-		return exchange.request()
-			.payloadBody()
-			.collect(BodyCollector::new, BodyCollector::add)
-			.flatMap((collector) -> (lastEvent != null) ? resume(exchange, lastEvent.toString())
-					: complete(exchange, collector.body()));
+		return this.bodies.read(exchange)
+			.flatMap((body) -> (lastEvent != null) ? resume(exchange, lastEvent.toString()) : complete(exchange, body));
 	}
 
 	private Single<StreamingHttpResponse> resume(Exchange exchange, String lastEvent) {
@@ -208,10 +213,7 @@
 			if (this.cancelled) {
 				this.session.abandon();
 			}
-			return opened.thenApply((log) -> log.then((ok) -> {
-				this.session.join();
-				return Result.ok(new OpenReply(ok, this.session));
-			}));
+			return opened.thenApply((log) -> log.then((ok) -> Result.ok(new OpenReply(ok, this.session))));
 		}
 
 		void cancel() {
--- a/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/reply/Repair.java
+++ b/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/reply/Repair.java
@@ -31,6 +31,8 @@
 	// Runners that failed in this reply. Repairs of one reply follow each other.
 	private volatile Set<RunnerId> avoid = Set.of();
 
+	private volatile boolean secondRound;
+
 	private int repairs;
 
 	private int unexplained;
--- a/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/reply/ReplyCursor.java
+++ b/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/reply/ReplyCursor.java
@@ -48,6 +48,7 @@
 		if (this.subscriber != null) {
 			throw new IllegalStateException("a cursor has one subscriber");
 		}
+		this.reader.joined();
 		target.onSubscribe(this);
 		this.subscriber = target;
 		this.log.register(this.waker);
--- a/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/reply/ReplyProblems.java
+++ b/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/reply/ReplyProblems.java
@@ -25,10 +25,6 @@
 		return problem(ProblemKind.NO_RUNNER, outcome, "no chain of runners covers the model");
 	}
 
-	static Problem failed(Outcome outcome, String detail) {
-		return problem(ProblemKind.RUNNER_FAILED, outcome, detail);
-	}
-
 	static Problem budget(Outcome outcome) {
 		return problem(ProblemKind.RUNNER_FAILED, outcome, "a runner failed and the repair budget is used up");
 	}
@@ -45,6 +41,16 @@
 		return Problem.unknown(ProblemKind.REPLY_LOST, detail, "send the request again without Last-Event-ID");
 	}
 
+	/**
+	 * Replaces the outcome of a problem.
+	 * @param problem the problem
+	 * @param outcome the outcome
+	 * @return the problem with the outcome
+	 */
+	static Problem with(Problem problem, Outcome outcome) {
+		return new Problem(problem.kind(), outcome, problem.detail(), problem.remedy(), problem.retryAfter());
+	}
+
 	private static Problem problem(ProblemKind kind, Outcome outcome, String detail) {
 		String remedy = (outcome == Outcome.NOT_RUN) ? REPEAT : RESUME;
 		return new Problem(kind, outcome, detail, remedy, RETRY_AFTER);
--- a/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/reply/ReplyReader.java
+++ b/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/reply/ReplyReader.java
@@ -5,6 +5,11 @@
  */
 interface ReplyReader {
 
+	/**
+	 * The cursor starts to read.
+	 */
+	void joined();
+
 	/**
 	 * The cursor has handed over every token before an index.
 	 * @param next index of the next token to hand over
--- a/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/reply/ReplySession.java
+++ b/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/reply/ReplySession.java
@@ -2,10 +2,7 @@
 
 import java.lang.System.Logger;
 import java.lang.System.Logger.Level;
-import java.time.Duration;
 import java.time.Instant;
-import java.util.ArrayList;
-import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 
@@ -13,12 +10,10 @@
 import io.bilberryvalve.daemon.engine.EngineFailure.Kind;
 import io.bilberryvalve.daemon.engine.StreamOrder;
 import io.bilberryvalve.daemon.share.AdmissionControl.Permit;
-import io.bilberryvalve.model.Outcome;
 import io.bilberryvalve.model.Problem;
 import io.bilberryvalve.model.Result;
 import io.bilberryvalve.model.log.LogEvent;
 import io.bilberryvalve.policy.chain.Chain;
-import io.bilberryvalve.policy.chain.Stage;
 import io.bilberryvalve.policy.outcome.DispatchGate;
 import io.bilberryvalve.policy.outcome.ReplyLedger;
 import io.bilberryvalve.policy.outcome.ReplyPosition;
@@ -53,7 +48,9 @@
 
 	private final CompletableFuture<Result<ReplyLog>> opened = new CompletableFuture<>();
 
-	private final List<CompletableFuture<ReplyLog>> waiters = new ArrayList<>();
+	private final ReplyReaders readers;
+
+	private final ReplyTimes times;
 
 	private Phase phase = Phase.IDLE;
 
@@ -61,20 +58,8 @@
 
 	private @Nullable Attempt attempt;
 
-	private int readers;
-
-	private int read;
-
 	private boolean paused;
 
-	private Instant lastPoll = Instant.MIN;
-
-	private Instant lastActivity;
-
-	private Instant lastToken;
-
-	private Instant lastRead;
-
 	/**
 	 * Creates a reply that has not started.
 	 * @param order the request
@@ -91,9 +76,8 @@
 		this.registry = registry;
 		this.ledger = new ReplyLedger(order.layers(), start);
 		this.repair = new Repair(services, order);
-		this.lastActivity = now();
-		this.lastToken = this.lastActivity;
-		this.lastRead = this.lastActivity;
+		this.readers = new ReplyReaders(now());
+		this.times = new ReplyTimes(services.clock(), services.settings());
 	}
 
 	/**
@@ -123,10 +107,6 @@
 		return this.log;
 	}
 
-	ReplyLedger ledger() {
-		return this.ledger;
-	}
-
 	void post(Runnable task) {
 		this.mailbox.run(task);
 	}
@@ -143,7 +123,6 @@
 				return;
 			}
 			this.permit = granted;
-			this.lastRead = now();
 			this.services.chains()
 				.choose(this.order.key(), this.order.prompt())
 				.ifPresentOrElse(this::begin, () -> end(ReplyProblems.noChain(this.gate.closingOutcome())));
@@ -156,8 +135,7 @@
 	 * @param problem why not
 	 */
 	void refuse(Problem problem) {
-		post(() -> end(new Problem(problem.kind(), this.gate.closingOutcome(), problem.detail(), problem.remedy(),
-				problem.retryAfter())));
+		post(() -> end(ReplyProblems.with(problem, this.gate.closingOutcome())));
 	}
 
 	private void begin(Chain chain) {
@@ -174,22 +152,21 @@
 		this.attempt = next;
 		this.phase = Phase.RUNNING;
 		this.paused = false;
-		this.lastActivity = now();
-		this.lastToken = this.lastActivity;
+		this.times.begin();
 		next.attach(this.services.engines().open(stream, this.gate::dispatch, next));
 		next.read();
 	}
 
 	void onOpened(Attempt source) {
 		if (source == this.attempt) {
-			this.lastActivity = now();
+			this.times.alive();
 			this.opened.complete(Result.ok(this.log));
 		}
 	}
 
 	void onKeepAlive(Attempt source) {
 		if (source == this.attempt) {
-			this.lastActivity = now();
+			this.times.alive();
 		}
 	}
 
@@ -204,14 +181,13 @@
 	}
 
 	private void deliver(Attempt source, TokenEvent event) {
-		this.lastActivity = now();
-		this.lastToken = this.lastActivity;
+		this.times.token();
 		source.work().delivered();
 		boolean full = event.index() + 1 >= this.order.maxTokens();
 		String reason = full ? "length" : (event.last() ? "stop" : null);
 		this.log.append(new ReplyToken(event.index(), event.epoch(), source.chain().first().runner().id(), event.text(),
 				reason));
-		answerWaiters();
+		this.readers.answer(this.log);
 		if (reason != null) {
 			complete(source, event.last());
 		}
@@ -222,7 +198,7 @@
 			source.read();
 		}
 		else if (source == this.attempt) {
-			this.paused = this.log.next() - this.read >= this.services.settings().window();
+			this.paused = windowFull();
 			if (!this.paused) {
 				source.read();
 			}
@@ -240,13 +216,7 @@
 		stopAttempt(source, failure.kind() != Kind.REFUSED);
 		this.phase = Phase.REPAIRING;
 		int next = this.ledger.advance().epoch();
-		LogEvent.of("reply-attempt-failed")
-			.with("request", this.order.id())
-			.with("epoch", source.epoch())
-			.with("kind", failure.kind())
-			.with("runner", failure.runner())
-			.with("detail", failure.detail())
-			.log(LOGGER, Level.WARNING);
+		log("reply-attempt-failed", Level.WARNING, failure.kind() + ": " + failure.detail());
 		this.repair.plan(source, failure, next).thenAccept((result) -> post(() -> continueWith(result)));
 	}
 
@@ -258,20 +228,13 @@
 			begin(ok.value());
 			return;
 		}
-		Outcome outcome = this.gate.closingOutcome();
 		Problem problem = ((Result.Failed<Chain>) result).problem();
-		end(new Problem(problem.kind(), outcome, problem.detail(), problem.remedy(), problem.retryAfter()));
+		end(ReplyProblems.with(problem, this.gate.closingOutcome()));
 	}
 
 	private void stopAttempt(Attempt source, boolean sent) {
 		this.attempt = null;
-		source.work().end(false);
-		source.close();
-		if (sent) {
-			for (Stage stage : source.chain().stages()) {
-				this.services.engines().cancel(stage.runner().address(), this.order.id(), source.epoch());
-			}
-		}
+		source.stop(this.services.engines(), this.order, sent);
 	}
 
 	private void complete(Attempt source, boolean lastSeen) {
@@ -283,34 +246,24 @@
 		this.phase = Phase.ENDED;
 		release();
 		this.log.complete();
-		answerWaiters();
+		this.readers.answer(this.log);
 		this.registry.ended(this);
-		LogEvent.of("reply-completed")
-			.with("request", this.order.id())
-			.with("tokens", this.log.next())
-			.with("epoch", source.epoch())
-			.with("dropped", this.ledger.dropped())
-			.log(LOGGER, Level.DEBUG);
+		log("reply-completed", Level.DEBUG, null);
 	}
 
 	private void end(Problem problem) {
 		Attempt running = this.attempt;
 		if (running != null) {
-			stopAttempt(running, true);
+			stopAttempt(running, this.gate.dispatched());
 		}
 		this.phase = Phase.ENDED;
 		this.ledger.end();
 		release();
 		this.opened.complete(Result.failed(problem));
 		this.log.fail(problem);
-		answerWaiters();
+		this.readers.answer(this.log);
 		this.registry.ended(this);
-		LogEvent.of("reply-failed")
-			.with("request", this.order.id())
-			.with("tokens", this.log.next())
-			.with("problem", problem.kind().text())
-			.with("outcome", problem.outcome().text())
-			.log(LOGGER, Level.WARNING);
+		log("reply-failed", Level.WARNING, problem.toString());
 	}
 
 	private void release() {
@@ -321,21 +274,15 @@
 		}
 	}
 
-	/**
-	 * Adds a reader. Call it before the reader subscribes.
-	 */
-	void join() {
-		post(() -> {
-			this.readers++;
-			this.lastRead = now();
-		});
+	@Override
+	public void joined() {
+		post(() -> this.readers.join(now()));
 	}
 
 	@Override
 	public void read(int next) {
 		post(() -> {
-			this.read = Math.max(this.read, next);
-			this.lastRead = now();
+			this.readers.read(next, now());
 			resumeReading();
 		});
 	}
@@ -343,10 +290,8 @@
 	@Override
 	public void left() {
 		post(() -> {
-			this.readers--;
-			if (this.readers <= 0 && older(this.lastPoll, this.services.settings().absence(), now())) {
-				giveUp();
-			}
+			this.readers.leave();
+			giveUpIfClosed();
 		});
 	}
 
@@ -359,88 +304,62 @@
 	CompletionStage<ReplyLog> poll(int from) {
 		CompletableFuture<ReplyLog> answer = new CompletableFuture<>();
 		post(() -> {
-			this.lastPoll = now();
-			read(from);
-			this.waiters.add(answer);
+			this.readers.poll(from, now(), answer);
+			resumeReading();
 			if (this.log.next() > from || this.log.ended()) {
-				answerWaiters();
+				this.readers.answer(this.log);
 			}
 		});
 		return answer;
 	}
 
-	private void answerWaiters() {
-		List<CompletableFuture<ReplyLog>> answered = List.copyOf(this.waiters);
-		this.waiters.clear();
-		answered.forEach((waiter) -> waiter.complete(this.log));
+	// The caller went away before the reply opened.
+	void abandon() {
+		post(this::giveUpIfClosed);
 	}
 
-	/**
-	 * The caller went away before the reply opened.
-	 */
-	void abandon() {
-		post(() -> {
-			if (this.readers <= 0) {
-				giveUp();
-			}
-		});
+	private void giveUpIfClosed() {
+		if (inProgress() && this.readers.closed(this.services.settings().absence(), now())) {
+			end(ReplyProblems.abandoned(this.gate.closingOutcome()));
+		}
 	}
 
 	private void resumeReading() {
 		Attempt running = this.attempt;
-		if (this.paused && running != null && this.log.next() - this.read < this.services.settings().window()) {
+		if (this.paused && running != null && !windowFull()) {
 			this.paused = false;
-			this.lastActivity = now();
-			this.lastToken = this.lastActivity;
+			this.times.restart();
 			running.read();
 		}
 	}
 
-	private void giveUp() {
-		if (this.phase == Phase.RUNNING || this.phase == Phase.REPAIRING) {
-			end(ReplyProblems.abandoned(this.gate.closingOutcome()));
-		}
-	}
-
-	/**
-	 * Checks the time limits. Called often while the reply is in progress.
-	 */
+	// Checks the time limits.
 	void tick() {
 		post(this::checkTimes);
 	}
 
 	private void checkTimes() {
-		answerWaiters();
-		if (this.phase != Phase.RUNNING && this.phase != Phase.REPAIRING) {
+		this.readers.answer(this.log);
+		if (!inProgress()) {
 			return;
 		}
-		Instant now = now();
-		ReplySettings settings = this.services.settings();
 		Attempt running = this.attempt;
-		if (!now.isBefore(this.order.deadline())) {
+		if (!now().isBefore(this.order.deadline())) {
 			end(ReplyProblems.deadline(this.gate.closingOutcome()));
 		}
-		else if (this.readers <= 0 && this.opened.isDone() && older(this.lastRead, settings.absence(), now)) {
-			giveUp();
+		else if (this.opened.isDone() && this.readers.absent(this.services.settings().absence(), now())) {
+			end(ReplyProblems.abandoned(this.gate.closingOutcome()));
 		}
-		else if (running != null && !this.paused && older(this.lastActivity, settings.progress(), now)) {
+		else if (running != null && !this.paused && this.times.silent()) {
 			this.services.engines().reconnect(running.chain().first().runner().address());
 			onFailed(running, new EngineFailure(Kind.SILENT, null, "neither token nor keep-alive arrived in time"));
 		}
-		else if (running != null && !this.paused && older(this.lastToken, stallLimit(running), now)) {
-			this.lastToken = now;
+		else if (running != null && !this.paused && this.times.takeProbe()) {
 			probe(running);
 		}
 	}
 
-	private Duration stallLimit(Attempt running) {
-		boolean started = this.log.next() > running.from();
-		return started ? this.services.settings().stall() : this.services.settings().firstStall();
-	}
-
-	// The first stage sends keep-alives even if a later stage hangs, so the later ones
-	// are
-	// asked when tokens stop.
+	// The first stage sends keep-alives even if a later stage hangs.
 	private void probe(Attempt running) {
 		Diagnosis.probe(this.services.engines(), running.chain()).thenAccept((diagnosis) -> {
 			if (!diagnosis.unreachable().isEmpty()) {
@@ -450,8 +369,22 @@
 		});
 	}
 
-	private static boolean older(Instant time, Duration limit, Instant now) {
-		return time.plus(limit).isBefore(now);
+	private void log(String event, Level level, @Nullable String detail) {
+		LogEvent.of(event)
+			.with("request", this.order.id())
+			.with("epoch", this.ledger.position().epoch())
+			.with("tokens", this.log.next())
+			.with("dropped", this.ledger.dropped())
+			.with("detail", detail)
+			.log(LOGGER, level);
+	}
+
+	private boolean windowFull() {
+		return this.log.next() - this.readers.position() >= this.services.settings().window();
+	}
+
+	private boolean inProgress() {
+		return this.phase == Phase.RUNNING || this.phase == Phase.REPAIRING;
 	}
 
 	private Instant now() {
--- a/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/reply/ResumeService.java
+++ b/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/reply/ResumeService.java
@@ -58,7 +58,6 @@
 				return CompletableFuture.completedFuture(
 						Result.failed(ReplyProblems.lost("token " + last.index() + " was not delivered yet")));
 			}
-			session.join();
 			return CompletableFuture.completedFuture(Result.ok(new OpenReply(session.log(), session)));
 		}
 		if (last.request().entry().equals(this.self) && this.registry.known(last.request())) {
--- a/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/reply/ResumedReply.java
+++ b/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/reply/ResumedReply.java
@@ -51,6 +51,8 @@
 
 	private final CompletableFuture<Result<ReplyLog>> opened = new CompletableFuture<>();
 
+	private final Instant created;
+
 	private EventId last;
 
 	private @Nullable ReplyLedger ledger;
@@ -65,6 +67,8 @@
 
 	private boolean finished;
 
+	private boolean joined;
+
 	ResumedReply(ReplyServices services, PeerNetwork peers, PipelineIndex index, ReplyRegistry registry, ClubId club,
 			EventId last) {
 		this.services = services;
@@ -75,7 +79,8 @@
 		this.last = last;
 		this.read = last.index() + 1;
 		this.log = new ReplyLog(this.read);
-		this.lastActivity = services.clock().instant();
+		this.created = services.clock().instant();
+		this.lastActivity = this.created;
 	}
 
 	CompletionStage<Result<ReplyLog>> start() {
@@ -202,6 +207,11 @@
 		this.mailbox.run(() -> finish(ReplyProblems.lost("the engine cannot continue the reply: " + failure.detail())));
 	}
 
+	@Override
+	public void joined() {
+		this.mailbox.run(() -> this.joined = true);
+	}
+
 	@Override
 	public void read(int next) {
 		this.mailbox.run(() -> {
@@ -226,10 +236,15 @@
 	}
 
 	/**
-	 * Checks the progress deadline.
+	 * Checks the time limits.
 	 */
 	void tick() {
 		this.mailbox.run(() -> {
+			Instant patience = this.created.plus(this.services.settings().absence());
+			if (!this.joined && this.opened.isDone() && patience.isBefore(this.services.clock().instant())) {
+				finish(ReplyProblems.lost("no reader asked for the reply"));
+				return;
+			}
 			Instant limit = this.lastActivity.plus(this.services.settings().progress());
 			if (this.stream != null && !this.waiting && limit.isBefore(this.services.clock().instant())) {
 				finish(ReplyProblems.lost("the engine went silent"));
--- a/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/runner/RunnerFleet.java
+++ b/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/runner/RunnerFleet.java
@@ -126,6 +126,21 @@
 		}
 	}
 
+	/**
+	 * Notes a change of a runner's prefix cache.
+	 * @param runner the runner
+	 * @param prefix hash of the prefix
+	 * @param stored whether it was stored; otherwise it was removed
+	 */
+	public void cached(RunnerId runner, String prefix, boolean stored) {
+		if (stored) {
+			this.prefixes.stored(runner, prefix);
+		}
+		else {
+			this.prefixes.removed(runner, prefix);
+		}
+	}
+
 	/**
 	 * Plans again if the configuration in force has changed.
 	 */
--- /dev/null
+++ b/bilberryvalve-daemon/src/test/java/io/bilberryvalve/daemon/reply/ReplySessionTests.java
@@ -0,0 +1,226 @@
+package io.bilberryvalve.daemon.reply;
+
+import java.util.List;
+import java.util.stream.IntStream;
+
+import io.bilberryvalve.daemon.engine.EngineFailure.Kind;
+import io.bilberryvalve.model.Outcome;
+import io.bilberryvalve.model.Problem;
+import io.bilberryvalve.model.Result;
+import io.bilberryvalve.model.RunnerId;
+import io.bilberryvalve.policy.chain.Chain;
+import io.bilberryvalve.policy.outcome.TokenEvent;
+import net.jqwik.api.Example;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class ReplySessionTests {
+
+	private static final int LENGTH = 12;
+
+	private final ReplyFixture fixture = new ReplyFixture();
+
+	private final FakeEngines engines = this.fixture.engines;
+
+	// Guards against a token that is lost, repeated or out of order when a stage dies,
+	// whichever token and stage, and while the old chain keeps sending.
+	@Property(seed = "21", tries = 200)
+	void deliversEveryTokenOnceWhenAStageDies(@ForAll @IntRange(max = LENGTH - 1) int died,
+			@ForAll @IntRange(max = 1) int stage) {
+		ReplyFixture own = new ReplyFixture();
+		ReplySession session = own.started(LENGTH);
+		FakeEngines.Opened first = own.engines.last();
+		first.tokens(0, died, LENGTH);
+		Chain chain = first.order.chain();
+		RunnerId failed = chain.stages().get(stage).runner().id();
+		own.engines.dead.add(chain.stages().get(stage).runner().address());
+		first.fail(Kind.STAGE, failed.value());
+		FakeEngines.Opened second = own.engines.last();
+		first.tokens(died, LENGTH, LENGTH);
+		second.tokens(died, LENGTH, LENGTH);
+		assertThat(second.order.chain().uses(List.of(failed))).isFalse();
+		assertThat(second.order.epoch()).isGreaterThan(first.order.epoch());
+		assertThat(second.order.delivered()).hasSize(died);
+		assertThat(second.order.chain().stages()).contains(chain.stages().get(1 - stage));
+		assertComplete(session, LENGTH);
+		assertThat(own.released).hasSize(1);
+	}
+
+	// Guards against delivery of late, duplicated and crossed events.
+	@Example
+	void dropsEventsThatAreNotNext() {
+		ReplySession session = this.fixture.started(4);
+		FakeEngines.Opened stream = this.engines.last();
+		stream.token(0, false);
+		stream.token(0, false);
+		stream.tokens(1, 4, 4);
+		stream.token(3, true);
+		assertComplete(session, 4);
+	}
+
+	// Guards against an engine that stops without closing its connection.
+	@Example
+	void retriesOnANewConnectionAfterSilence() {
+		ReplySession session = this.fixture.started(4);
+		FakeEngines.Opened first = this.engines.last();
+		first.token(0, false);
+		this.fixture.advance(999);
+		assertThat(this.engines.opened).hasSize(1);
+		this.fixture.advance(2);
+		assertThat(this.engines.opened).hasSize(2);
+		assertThat(first.closed).isTrue();
+		assertThat(this.engines.calls).anyMatch((call) -> call.startsWith("reconnect"));
+		this.engines.last().tokens(1, 4, 4);
+		assertComplete(session, 4);
+	}
+
+	// Guards against waiting for a later stage that hangs while the first sends
+	// keep-alives.
+	@Example
+	void replacesALaterStageThatDoesNotAnswer() {
+		ReplySession session = this.fixture.started(4);
+		FakeEngines.Opened first = this.engines.last();
+		first.token(0, false);
+		this.engines.dead.add(first.order.chain().stages().get(1).runner().address());
+		for (int i = 0; i < 4; i++) {
+			this.fixture.advance(200);
+			first.listener.keepAlive();
+		}
+		assertThat(this.engines.opened).hasSize(2);
+		this.engines.last().tokens(1, 4, 4);
+		assertComplete(session, 4);
+	}
+
+	// Guards against a rebuild where the old stage could have handed over its cache.
+	@Example
+	void pullsTheCacheFromALeavingStage() {
+		this.fixture.started(4);
+		FakeEngines.Opened first = this.engines.last();
+		first.token(0, false);
+		RunnerId leaving = first.order.chain().stages().get(1).runner().id();
+		this.engines.leaving.add(first.order.chain().stages().get(1).runner().address());
+		first.fail(Kind.STAGE, leaving.value());
+		RunnerId replacement = this.engines.last().order.chain().stages().get(1).runner().id();
+		assertThat(replacement).isNotEqualTo(leaving);
+		String source = first.order.chain().stages().get(1).runner().address().toString();
+		assertThat(this.engines.calls).anyMatch((call) -> call.startsWith("pull") && call.endsWith(source + " 2"));
+	}
+
+	// Guards against a missing cancellation: each stage must refuse steps of the old
+	// epoch.
+	@Example
+	void cancelsTheOldEpochAtEveryStage() {
+		this.fixture.started(4);
+		this.engines.last().fail(Kind.CLOSED, null);
+		assertThat(this.engines.calls.stream().filter((call) -> call.startsWith("cancel") && call.endsWith(" 1")))
+			.hasSize(2);
+	}
+
+	// Guards against delivery of a token for which a layer did not run.
+	@Example
+	void replacesAChainWithABadTrace() {
+		ReplySession session = this.fixture.started(2);
+		FakeEngines.Opened first = this.engines.last();
+		TokenEvent event = first.event(0, false);
+		first.listener.token(new TokenEvent(1, 0, "x", event.trace().subList(0, 1), false));
+		assertThat(session.log().next()).isZero();
+		assertThat(this.engines.opened).hasSize(2);
+		this.engines.last().tokens(0, 2, 2);
+		assertComplete(session, 2);
+	}
+
+	// Guards against the outcome "unknown" although no engine accepted a connection.
+	@Example
+	void reportsNotRunIfEveryConnectionWasRefused() {
+		IntStream.rangeClosed(1, 4).mapToObj(ReplyFixture::address).forEach(this.engines.dead::add);
+		this.fixture.started(2);
+		assertThat(problem().outcome()).isEqualTo(Outcome.NOT_RUN);
+		assertThat(this.engines.opened).isEmpty();
+	}
+
+	// Guards against the outcome "not-run" after a request was sent once, even if every
+	// later connection is refused.
+	@Example
+	void reportsUnknownOnceSomethingWasSent() {
+		this.fixture.started(2);
+		IntStream.rangeClosed(1, 4).mapToObj(ReplyFixture::address).forEach(this.engines.dead::add);
+		this.engines.last().fail(Kind.CLOSED, null);
+		assertThat(problem().outcome()).isEqualTo(Outcome.UNKNOWN);
+	}
+
+	// Guards against memory that grows with a slow caller.
+	@Example
+	void stopsReadingWhileTheCallerIsSlow() {
+		ReplySession session = this.fixture.started(100);
+		FakeEngines.Opened stream = this.engines.last();
+		int window = ReplySettings.defaults().window();
+		stream.tokens(0, window, 100);
+		int reads = stream.reads;
+		this.fixture.advance(20_000);
+		assertThat(this.engines.opened).hasSize(1);
+		session.read(10);
+		assertThat(stream.reads).isEqualTo(reads + 1);
+	}
+
+	// Guards against engines that keep computing for a caller that is gone, and against
+	// a permit that is never released.
+	@Example
+	void cancelsWhenTheCallerLeaves() {
+		ReplySession session = this.fixture.started(4);
+		FakeEngines.Opened stream = this.engines.last();
+		stream.token(0, false);
+		session.left();
+		assertThat(stream.closed).isTrue();
+		assertThat(this.engines.calls.stream().filter((call) -> call.startsWith("cancel"))).hasSize(2);
+		assertThat(this.fixture.released).hasSize(1);
+	}
+
+	// Guards against a reply that outlives its deadline.
+	@Example
+	void endsAtTheDeadline() {
+		ReplySession session = this.fixture.started(4);
+		for (int i = 0; i < 60; i++) {
+			this.engines.last().listener.keepAlive();
+			this.fixture.advance(500);
+		}
+		Problem problem = session.log().problem();
+		assertThat(problem).isNotNull();
+		assertThat(problem.outcome()).isEqualTo(Outcome.UNKNOWN);
+		assertThat(problem.kind().text()).isEqualTo("deadline-exceeded");
+	}
+
+	// Guards against a continuation that repeats or skips tokens, or claims "not-run".
+	@Example
+	void continuesAnAbandonedReplyInTheNextEpoch() {
+		ReplySession session = this.fixture.started(4);
+		this.engines.last().tokens(0, 2, 4);
+		session.left();
+		ReplySession next = session.continuation(session.order());
+		next.joined();
+		next.start(this.fixture.released::add);
+		this.engines.opened.get(0).tokens(2, 4, 4);
+		assertThat(next.log().next()).isEqualTo(2);
+		assertThat(this.engines.last().order.epoch()).isEqualTo(2);
+		this.engines.last().tokens(2, 4, 4);
+		assertComplete(next, 4);
+	}
+
+	private Problem problem() {
+		Result<ReplyLog> result = this.fixture.opening.toCompletableFuture().join();
+		return (result instanceof Result.Failed<ReplyLog> failed) ? failed.problem()
+				: ((Result.Ok<ReplyLog>) result).value().problem();
+	}
+
+	private static void assertComplete(ReplySession session, int length) {
+		assertThat(session.log().ended()).isTrue();
+		assertThat(session.log().problem()).isNull();
+		assertThat(session.log().tokens(0, length + 1)).extracting(ReplyToken::index)
+			.containsExactlyElementsOf(IntStream.range(0, length).boxed().toList());
+		assertThat(session.log().texts())
+			.containsExactlyElementsOf(IntStream.range(0, length).mapToObj((i) -> "t" + i + " ").toList());
+	}
+
+}
