--- /dev/null
+++ b/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/share/DemandMessages.java
@@ -0,0 +1,82 @@
+package io.bilberryvalve.daemon.share;
+
+import com.google.protobuf.InvalidProtocolBufferException;
+import io.bilberryvalve.model.ClubId;
+import io.bilberryvalve.model.TeamId;
+import io.bilberryvalve.model.VmId;
+import io.bilberryvalve.policy.share.ClubDemand;
+import io.bilberryvalve.policy.share.EntryDemand;
+import io.bilberryvalve.policy.share.TeamDemand;
+import io.bilberryvalve.wire.proto.DemandReport;
+
+/**
+ * Converts demand between the decision and its message.
+ */
+final class DemandMessages {
+
+	private DemandMessages() {
+	}
+
+	static byte[] write(EntryDemand demand) {
+		DemandReport.Builder report = DemandReport.newBuilder()
+			.setOrigin(demand.origin().value())
+			.setIncarnation(demand.incarnation())
+			.setSequence(demand.sequence())
+			.setEntries(1)
+			.setHeld(demand.held());
+		demand.clubs().forEach((club) -> report.addClubs(write(club)));
+		return report.build().toByteArray();
+	}
+
+	/**
+	 * Reads a report.
+	 * @param body protobuf bytes
+	 * @return the report
+	 * @throws IllegalArgumentException if the bytes are not a valid report
+	 */
+	static EntryDemand read(byte[] body) {
+		DemandReport report;
+		try {
+			report = DemandReport.parseFrom(body);
+		}
+		catch (InvalidProtocolBufferException ex) {
+			throw new IllegalArgumentException("the demand report is malformed; compare the versions of both entries",
+					ex);
+		}
+		return new EntryDemand(new VmId(report.getOrigin()), report.getIncarnation(), report.getSequence(),
+				Math.max(0, report.getHeld()), report.getClubsList().stream().map(DemandMessages::read).toList());
+	}
+
+	private static io.bilberryvalve.wire.proto.ClubDemand write(ClubDemand club) {
+		var message = io.bilberryvalve.wire.proto.ClubDemand.newBuilder()
+			.setClub(club.club().value())
+			.setStreams(club.streams());
+		for (TeamDemand team : club.teams()) {
+			message.addTeams(io.bilberryvalve.wire.proto.TeamDemand.newBuilder()
+				.setTeam(team.team().value())
+				.setWaitingCost(team.waitingCost())
+				.setRunningCost(team.runningCost())
+				.setWaiting(team.waiting())
+				.setRunning(team.running())
+				.setRecentCost(team.recentCost())
+				.setRecentStreamSeconds(team.recentStreamSeconds()));
+		}
+		return message.build();
+	}
+
+	private static ClubDemand read(io.bilberryvalve.wire.proto.ClubDemand club) {
+		return new ClubDemand(new ClubId(club.getClub()), Math.max(0, club.getStreams()),
+				club.getTeamsList().stream().map(DemandMessages::read).toList());
+	}
+
+	private static TeamDemand read(io.bilberryvalve.wire.proto.TeamDemand team) {
+		return new TeamDemand(new TeamId(team.getTeam()), Math.max(0, team.getWaitingCost()),
+				Math.max(0, team.getRunningCost()), Math.max(0, team.getWaiting()), Math.max(0, team.getRunning()),
+				finite(team.getRecentCost()), finite(team.getRecentStreamSeconds()));
+	}
+
+	private static double finite(double value) {
+		return Double.isFinite(value) ? Math.max(0, value) : 0;
+	}
+
+}
--- /dev/null
+++ b/bilberryvalve-policy/src/main/java/io/bilberryvalve/policy/share/AdmissionQueue.java
@@ -0,0 +1,317 @@
+package io.bilberryvalve.policy.share;
+
+import java.time.Clock;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import java.util.TreeSet;
+
+import io.bilberryvalve.model.ClubId;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * The waiting requests of one entry: start-time fair queueing by token cost over clubs
+ * and then over teams, within a team by arrival and priority. Not safe for use by several
+ * threads.
+ *
+ * @param <T> type of the payload
+ */
+public final class AdmissionQueue<T> {
+
+	private static final Duration MIN_RETRY = Duration.ofSeconds(1);
+
+	private static final Duration MAX_RETRY = Duration.ofSeconds(30);
+
+	private static final double MILLIS = 1000;
+
+	private final Clock clock;
+
+	private final QueueLimits limits;
+
+	private final Map<ClubId, ClubQueue<T>> clubs = new TreeMap<>();
+
+	private final TreeSet<ClubQueue<T>> active = new TreeSet<>(ClubQueue.ORDER);
+
+	private final TreeSet<AdmissionTicket<T>> byLatestStart = new TreeSet<>(AdmissionTicket.BY_LATEST_START);
+
+	private final DecayedSum completed = new DecayedSum();
+
+	private ShareWeights weights = new ShareWeights(Map.of(), Map.of());
+
+	private Allocation allocation = new Allocation(0, Map.of(), 0);
+
+	private double virtualTime;
+
+	private double unused;
+
+	private long sequence;
+
+	private int running;
+
+	/**
+	 * Creates an empty queue that starts nothing before its first allocation.
+	 * @param clock the clock
+	 * @param limits the limits
+	 */
+	public AdmissionQueue(Clock clock, QueueLimits limits) {
+		this.clock = clock;
+		this.limits = limits;
+	}
+
+	/**
+	 * Sets what the entry may use. Running requests are not interrupted if the limit
+	 * falls below their number.
+	 * @param next the allocation
+	 * @param nextWeights the weights
+	 */
+	public void allocate(Allocation next, ShareWeights nextWeights) {
+		this.allocation = next;
+		this.weights = nextWeights;
+		this.unused = 0;
+		next.clubs().keySet().forEach(this::club);
+		for (ClubQueue<T> club : this.clubs.values()) {
+			club.keep(next.club(club.id()));
+			this.unused += club.unused();
+		}
+	}
+
+	/**
+	 * Adds a request. It is rejected at once if a queue is full or if its deadline cannot
+	 * be met.
+	 * @param team team of the caller
+	 * @param cost predicted cost in tokens, at least 1
+	 * @param priority priority, 0 by default; a higher one goes first
+	 * @param timeout time left until the deadline
+	 * @param payload what the caller attaches
+	 * @return the ticket or the rejection
+	 */
+	public Offer<T> offer(TeamKey team, int cost, int priority, Duration timeout, T payload) {
+		long now = this.clock.millis();
+		ClubQueue<T> club = club(team.club());
+		TeamQueue<T> queue = club.team(team);
+		if (queue.waiting().size() >= this.limits.teamRequests()
+				|| this.byLatestStart.size() >= this.limits.entryRequests()) {
+			return new Rejected<>("the queue of team " + team.team() + " is full", retryAfter(wait(club, queue)));
+		}
+		Duration wait = startsAtOnce(club) ? Duration.ZERO : wait(club, queue);
+		Duration service = Duration.ofMillis(queue.expectedMillis(cost, now));
+		Duration needed = wait.plus(service);
+		if (timeout.isZero() || timeout.isNegative() || needed.compareTo(timeout) > 0) {
+			return new Rejected<>(
+					"the expected wait of " + wait.toMillis() + " ms leaves too little time before the deadline",
+					retryAfter(needed.minus(timeout)));
+		}
+		AdmissionTicket<T> ticket = new AdmissionTicket<>(team, Math.max(1, cost), priority, payload, this.sequence++,
+				now, now + timeout.minus(service).toMillis());
+		if (club.waiting() == 0) {
+			club.flow().activate(this.virtualTime);
+			this.active.add(club);
+		}
+		club.add(ticket, now);
+		this.byLatestStart.add(ticket);
+		return new Accepted<>(ticket);
+	}
+
+	/**
+	 * Starts the next request that may start.
+	 * @return the request, or empty if none waits or the limit is reached
+	 */
+	public Optional<AdmissionTicket<T>> poll() {
+		ClubQueue<T> club = (this.running < this.allocation.limit()) ? eligible() : null;
+		if (club == null) {
+			return Optional.empty();
+		}
+		long now = this.clock.millis();
+		AdmissionTicket<T> ticket = club.head();
+		this.byLatestStart.remove(ticket);
+		this.active.remove(club);
+		this.unused -= club.unused();
+		this.virtualTime = Math.max(this.virtualTime, club.flow().start());
+		club.flow().serve(ticket.cost(), this.weights.club(club.id()));
+		club.start(ticket, this.weights.team(ticket.team()), now);
+		this.unused += club.unused();
+		if (club.waiting() > 0) {
+			this.active.add(club);
+		}
+		this.running++;
+		ticket.start(now);
+		return Optional.of(ticket);
+	}
+
+	/**
+	 * Removes the waiting requests that can no longer meet their deadlines.
+	 * @return the removed requests; they were not run
+	 */
+	public List<AdmissionTicket<T>> expire() {
+		List<AdmissionTicket<T>> expired = new ArrayList<>();
+		long now = this.clock.millis();
+		while (!this.byLatestStart.isEmpty() && this.byLatestStart.first().latestStartMillis() <= now) {
+			AdmissionTicket<T> ticket = this.byLatestStart.first();
+			remove(ticket);
+			expired.add(ticket);
+		}
+		return expired;
+	}
+
+	/**
+	 * Removes a waiting request. A request that has started or ended is left as it is.
+	 * @param ticket the request
+	 * @return whether it was removed; if so, it was not run
+	 */
+	public boolean cancel(AdmissionTicket<T> ticket) {
+		if (!this.byLatestStart.contains(ticket)) {
+			return false;
+		}
+		remove(ticket);
+		return true;
+	}
+
+	/**
+	 * Ends a running request and corrects what it was charged. Calls after the first have
+	 * no effect.
+	 * @param ticket the request
+	 * @param actual tokens consumed
+	 */
+	public void finish(AdmissionTicket<T> ticket, int actual) {
+		if (!ticket.running()) {
+			return;
+		}
+		long now = this.clock.millis();
+		ClubQueue<T> club = club(ticket.team().club());
+		boolean wasActive = this.active.remove(club);
+		this.unused -= club.unused();
+		club.flow().correct(actual - ticket.cost(), this.weights.club(club.id()));
+		club.finish(ticket, actual, this.weights.team(ticket.team()), now);
+		this.unused += club.unused();
+		if (wasActive) {
+			this.active.add(club);
+		}
+		ticket.end();
+		this.running--;
+		this.completed.add(actual, now);
+	}
+
+	/**
+	 * Returns the demand of all clubs that are known.
+	 * @return the demand
+	 */
+	public List<ClubDemand> demand() {
+		long now = this.clock.millis();
+		return this.clubs.values().stream().map((club) -> club.demand(now)).toList();
+	}
+
+	/**
+	 * Returns the number of running requests.
+	 * @return the number
+	 */
+	public int running() {
+		return this.running;
+	}
+
+	/**
+	 * Returns the number of waiting requests.
+	 * @return the number
+	 */
+	public int waiting() {
+		return this.byLatestStart.size();
+	}
+
+	private @Nullable ClubQueue<T> eligible() {
+		for (ClubQueue<T> club : this.active) {
+			if (mayStart(club)) {
+				return club;
+			}
+		}
+		return null;
+	}
+
+	/**
+	 * Returns whether a club may take a stream: one that is kept for it, or one that is
+	 * not kept for another club.
+	 * @param club the club
+	 * @return whether it may
+	 */
+	private boolean mayStart(ClubQueue<T> club) {
+		int keptForOthers = (int) (this.unused - club.unused());
+		return club.belowKept() || this.running + keptForOthers < this.allocation.limit();
+	}
+
+	private boolean startsAtOnce(ClubQueue<T> club) {
+		return club.waiting() == 0 && this.running < this.allocation.limit() && mayStart(club);
+	}
+
+	/**
+	 * Estimates the wait of a new request from the work that waits before it and the rate
+	 * that its team gets while the others are busy.
+	 * @param club the club
+	 * @param team the team
+	 * @return the wait, zero if the rate is not known
+	 */
+	private Duration wait(ClubQueue<T> club, TeamQueue<T> team) {
+		double rate = Math.max(this.allocation.tokensPerSecond(), this.completed.perSecond(this.clock.millis()));
+		if (rate <= 0 || team.waitingCost() == 0) {
+			return Duration.ZERO;
+		}
+		double clubWeights = this.active.stream().mapToDouble((each) -> this.weights.club(each.id())).sum();
+		double teamWeights = club.active()
+			.stream()
+			.mapToDouble((each) -> this.weights.team(new TeamKey(club.id(), each.id())))
+			.sum();
+		double teamRate = rate * this.weights.club(club.id()) / clubWeights
+				* this.weights.team(new TeamKey(club.id(), team.id())) / teamWeights;
+		return Duration.ofMillis((long) (team.waitingCost() / teamRate * MILLIS));
+	}
+
+	private void remove(AdmissionTicket<T> ticket) {
+		this.byLatestStart.remove(ticket);
+		ClubQueue<T> club = club(ticket.team().club());
+		club.remove(ticket);
+		if (club.waiting() == 0) {
+			this.active.remove(club);
+		}
+		ticket.end();
+	}
+
+	private ClubQueue<T> club(ClubId id) {
+		return this.clubs.computeIfAbsent(id, ClubQueue::new);
+	}
+
+	private static Duration retryAfter(Duration wait) {
+		Duration least = (wait.compareTo(MIN_RETRY) < 0) ? MIN_RETRY : wait;
+		return (least.compareTo(MAX_RETRY) > 0) ? MAX_RETRY : least;
+	}
+
+	/**
+	 * Answer to an offer.
+	 *
+	 * @param <T> type of the payload
+	 */
+	public sealed interface Offer<T> {
+
+	}
+
+	/**
+	 * The request waits.
+	 *
+	 * @param ticket the request
+	 * @param <T> type of the payload
+	 */
+	public record Accepted<T>(AdmissionTicket<T> ticket) implements Offer<T> {
+
+	}
+
+	/**
+	 * The request was not accepted and was not run.
+	 *
+	 * @param reason why
+	 * @param retryAfter when a repetition can succeed
+	 * @param <T> type of the payload
+	 */
+	public record Rejected<T>(String reason, Duration retryAfter) implements Offer<T> {
+
+	}
+
+}
--- /dev/null
+++ b/bilberryvalve-policy/src/main/java/io/bilberryvalve/policy/share/ClubDemand.java
@@ -0,0 +1,24 @@
+package io.bilberryvalve.policy.share;
+
+import java.util.List;
+
+import io.bilberryvalve.model.ClubId;
+
+/**
+ * Demand of a club at one entry.
+ *
+ * @param club the club
+ * @param streams streams that the club needs: all that run and wait; if none waits, its
+ * recent peak with headroom, so that its next request finds a free stream
+ * @param teams demand of its teams
+ */
+public record ClubDemand(ClubId club, int streams, List<TeamDemand> teams) {
+
+	/**
+	 * Copies the list.
+	 */
+	public ClubDemand {
+		teams = List.copyOf(teams);
+	}
+
+}
--- /dev/null
+++ b/bilberryvalve-policy/src/main/java/io/bilberryvalve/policy/share/DecayedSum.java
@@ -0,0 +1,32 @@
+package io.bilberryvalve.policy.share;
+
+/**
+ * A sum in which older values count less: half after the half-life.
+ */
+final class DecayedSum {
+
+	private static final double HALF_LIFE_MILLIS = 10_000;
+
+	private double sum;
+
+	private long atMillis;
+
+	void add(double value, long nowMillis) {
+		this.sum = at(nowMillis) + value;
+		this.atMillis = nowMillis;
+	}
+
+	double at(long nowMillis) {
+		return this.sum * Math.pow(2, -Math.max(0, nowMillis - this.atMillis) / HALF_LIFE_MILLIS);
+	}
+
+	/**
+	 * Returns the rate of a steady flow that would give this sum.
+	 * @param nowMillis current time in ms
+	 * @return units per second
+	 */
+	double perSecond(long nowMillis) {
+		return at(nowMillis) * Math.log(2) / (HALF_LIFE_MILLIS / 1000);
+	}
+
+}
--- /dev/null
+++ b/bilberryvalve-policy/src/main/java/io/bilberryvalve/policy/share/EntryDemand.java
@@ -0,0 +1,32 @@
+package io.bilberryvalve.policy.share;
+
+import java.util.List;
+
+import io.bilberryvalve.model.VmId;
+
+/**
+ * Demand at one entry.
+ *
+ * @param origin VM of the entry
+ * @param incarnation run of the entry
+ * @param sequence number of the report within the run
+ * @param held streams that the entry holds: its limit, or those that run if they are more
+ * @param clubs demand of the clubs
+ */
+public record EntryDemand(VmId origin, long incarnation, long sequence, int held, List<ClubDemand> clubs) {
+
+	/**
+	 * Copies the list.
+	 */
+	public EntryDemand {
+		clubs = List.copyOf(clubs);
+	}
+
+	boolean newerThan(EntryDemand other) {
+		if (this.incarnation != other.incarnation) {
+			return this.incarnation > other.incarnation;
+		}
+		return this.sequence > other.sequence;
+	}
+
+}
--- /dev/null
+++ b/bilberryvalve-policy/src/main/java/io/bilberryvalve/policy/share/QueueLimits.java
@@ -0,0 +1,23 @@
+package io.bilberryvalve.policy.share;
+
+/**
+ * Limits of an admission queue.
+ *
+ * @param teamRequests requests of one team that may wait
+ * @param entryRequests requests of all teams that may wait
+ */
+public record QueueLimits(int teamRequests, int entryRequests) {
+
+	private static final int TEAM = 512;
+
+	private static final int ENTRY = 8192;
+
+	/**
+	 * Returns the limits used in production: 512 requests of a team and 8192 in all.
+	 * @return the limits
+	 */
+	public static QueueLimits defaults() {
+		return new QueueLimits(TEAM, ENTRY);
+	}
+
+}
--- /dev/null
+++ b/bilberryvalve-policy/src/main/java/io/bilberryvalve/policy/share/ShareBook.java
@@ -0,0 +1,256 @@
+package io.bilberryvalve.policy.share;
+
+import java.time.Clock;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.TreeSet;
+
+import io.bilberryvalve.model.ClubId;
+import io.bilberryvalve.model.VmId;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * This entry's part of the federation's streams.
+ *
+ * <p>
+ * Each entry computes the same targets from the exchanged reports. It lowers its limit to
+ * its target at once, but raises it only into streams that no entry holds according to
+ * the reports, and divides them with the other entries that are below their targets. With
+ * reports that are at most one exchange old, the limits of all entries together exceed
+ * the capacity by at most the streams that were released in one exchange; a lost report
+ * delays a rise. An entry that does not report is charged with its safe share or with
+ * what it held last, whichever is more, until it has been silent for the isolation limit
+ * twice, and with its safe share thereafter; when it has been absent for a while and at
+ * least half of the entries are present, its share goes to the others. An entry that
+ * hears no other entry uses its safe share. A partition into two halves of equal size can
+ * thus double the limits after that time; any other partition adds less than half.
+ *
+ * <p>
+ * Not safe for use by several threads.
+ */
+public final class ShareBook {
+
+	/** Time without reports after which the safe share is used. */
+	public static final Duration ISOLATION = Duration.ofSeconds(3);
+
+	/** Time for which the share of an absent entry is kept. */
+	public static final Duration KEEP_ABSENT = Duration.ofSeconds(5);
+
+	private static final double FLOOR_FRACTION = 0.02;
+
+	private final VmId self;
+
+	private final Clock clock;
+
+	private final Map<VmId, Report> reports = new HashMap<>();
+
+	private final Map<VmId, Long> absentSince = new HashMap<>();
+
+	private final long startMillis;
+
+	private int limit;
+
+	private boolean isolated;
+
+	/**
+	 * Creates a book without reports.
+	 * @param self this entry
+	 * @param clock the clock
+	 */
+	public ShareBook(VmId self, Clock clock) {
+		this.self = self;
+		this.clock = clock;
+		this.startMillis = clock.millis();
+	}
+
+	/**
+	 * Records a report of another entry. Repeated and old reports are ignored.
+	 * @param demand the report
+	 * @return whether it was new
+	 */
+	public boolean report(EntryDemand demand) {
+		Report known = this.reports.get(demand.origin());
+		if (demand.origin().equals(this.self) || (known != null && !demand.newerThan(known.demand))) {
+			return false;
+		}
+		this.reports.put(demand.origin(), new Report(demand, this.clock.millis()));
+		return true;
+	}
+
+	/**
+	 * Computes what this entry may use.
+	 * @param capacity capacity of the federation
+	 * @param weights the weights
+	 * @param others the other entries of the last known member list
+	 * @param own demand at this entry; its {@code held} is the number of running requests
+	 * @return the allocation
+	 */
+	public Allocation allocate(Capacity capacity, ShareWeights weights, Collection<KnownEntry> others,
+			EntryDemand own) {
+		this.reports.keySet().retainAll(others.stream().map(KnownEntry::vm).toList());
+		List<VmId> counted = counted(others);
+		int streams = capacity.streams();
+		int safe = safe(counted, this.self, streams);
+		List<Report> fresh = new ArrayList<>();
+		int charged = 0;
+		for (VmId vm : counted) {
+			Report report = this.reports.get(vm);
+			if (report != null && age(report) < ISOLATION.toMillis()) {
+				fresh.add(report);
+			}
+			else {
+				charged += charge(report, safe(counted, vm, streams));
+			}
+		}
+		this.isolated = !counted.isEmpty() && fresh.isEmpty();
+		Map<ClubId, Double> clubs = this.isolated ? useSafeShare(safe, weights, own)
+				: useReports(Math.max(0, streams - charged), weights, fresh, own);
+		double fraction = (streams > 0) ? (double) this.limit / streams : 0;
+		return new Allocation(this.limit, clubs, capacity.tokensPerSecond() * fraction);
+	}
+
+	/**
+	 * Returns whether the safe share is used because no other entry reports.
+	 * @return whether it is used
+	 */
+	public boolean isolated() {
+		return this.isolated;
+	}
+
+	private Map<ClubId, Double> useSafeShare(int safe, ShareWeights weights, EntryDemand own) {
+		boolean starting = this.clock.millis() - this.startMillis < ISOLATION.toMillis() && this.reports.isEmpty();
+		this.limit = starting ? Math.min(this.limit, safe) : safe;
+		FederationShares shares = new FederationShares(weights, List.of(own));
+		return shares.divide(this.limit).get(this.self);
+	}
+
+	private Map<ClubId, Double> useReports(int streams, ShareWeights weights, List<Report> fresh, EntryDemand own) {
+		TreeMap<VmId, EntryDemand> entries = new TreeMap<>();
+		fresh.forEach((report) -> entries.put(report.demand.origin(), report.demand));
+		entries.put(this.self, own);
+		List<EntryDemand> ordered = List.copyOf(entries.values());
+		int floor = floor(streams, ordered.size());
+		Map<VmId, Map<ClubId, Double>> divided = new FederationShares(weights, ordered)
+			.divide(streams - floor * ordered.size());
+		Map<VmId, Integer> targets = targets(streams, floor, divided);
+		move(streams, targets, fresh, own.held());
+		return divided.get(this.self);
+	}
+
+	/**
+	 * Returns the target of each entry: its floor, the streams of its clubs and an equal
+	 * part of those that no club needs.
+	 * @param streams streams of all these entries
+	 * @param floor streams that each entry has in any case
+	 * @param divided streams by entry and club
+	 * @return the targets; their sum is {@code streams}
+	 */
+	private static Map<VmId, Integer> targets(int streams, int floor, Map<VmId, Map<ClubId, Double>> divided) {
+		double[] parts = divided.values()
+			.stream()
+			.mapToDouble((clubs) -> clubs.values().stream().mapToDouble(Double::doubleValue).sum())
+			.toArray();
+		double used = Arrays.stream(parts).sum();
+		double spare = Math.max(0, streams - floor * parts.length - used) / parts.length;
+		for (int i = 0; i < parts.length; i++) {
+			parts[i] += spare + floor;
+		}
+		int[] whole = WeightedMaxMin.apportion(parts, streams);
+		Map<VmId, Integer> targets = new TreeMap<>();
+		int i = 0;
+		for (VmId vm : divided.keySet()) {
+			targets.put(vm, whole[i++]);
+		}
+		return targets;
+	}
+
+	private void move(int streams, Map<VmId, Integer> targets, List<Report> fresh, int running) {
+		int target = targets.get(this.self);
+		if (target <= this.limit) {
+			this.limit = target;
+			return;
+		}
+		int free = streams - Math.max(this.limit, running);
+		double[] gaps = new double[fresh.size() + 1];
+		gaps[0] = target - this.limit;
+		for (int i = 0; i < fresh.size(); i++) {
+			Report report = fresh.get(i);
+			free -= report.held;
+			gaps[i + 1] = Math.max(0, targets.get(report.demand.origin()) - report.held);
+		}
+		if (free <= 0) {
+			return;
+		}
+		double sum = Arrays.stream(gaps).sum();
+		int[] rises = WeightedMaxMin.apportion(gaps, (int) Math.min(free, sum));
+		this.limit += rises[0];
+		for (int i = 0; i < fresh.size(); i++) {
+			fresh.get(i).held += rises[i + 1];
+		}
+	}
+
+	private List<VmId> counted(Collection<KnownEntry> others) {
+		long now = this.clock.millis();
+		long present = 1 + others.stream().filter((entry) -> !entry.absent()).count();
+		boolean enough = 2 * present >= others.size() + 1;
+		TreeSet<VmId> counted = new TreeSet<>();
+		for (KnownEntry entry : others) {
+			if (!entry.absent()) {
+				this.absentSince.remove(entry.vm());
+				counted.add(entry.vm());
+			}
+			else {
+				long since = this.absentSince.computeIfAbsent(entry.vm(), (key) -> now);
+				if (!enough || now - since < KEEP_ABSENT.toMillis()) {
+					counted.add(entry.vm());
+				}
+			}
+		}
+		return List.copyOf(counted);
+	}
+
+	private int charge(@Nullable Report report, int safe) {
+		boolean lately = report != null && age(report) < 2 * ISOLATION.toMillis();
+		return lately ? Math.max(safe, report.held) : safe;
+	}
+
+	private long age(Report report) {
+		return this.clock.millis() - report.atMillis;
+	}
+
+	private static int floor(int streams, int entries) {
+		int fair = streams / entries;
+		return (int) Math.min(fair, Math.max(1, Math.round(FLOOR_FRACTION * fair)));
+	}
+
+	private int safe(List<VmId> others, VmId vm, int streams) {
+		TreeSet<VmId> all = new TreeSet<>(others);
+		all.add(this.self);
+		int rank = all.headSet(vm).size();
+		int entries = all.size();
+		return streams / entries + ((rank < streams % entries) ? 1 : 0);
+	}
+
+	private static final class Report {
+
+		private final EntryDemand demand;
+
+		private final long atMillis;
+
+		private int held;
+
+		Report(EntryDemand demand, long atMillis) {
+			this.demand = demand;
+			this.atMillis = atMillis;
+			this.held = demand.held();
+		}
+
+	}
+
+}
--- /dev/null
+++ b/bilberryvalve-policy/src/main/java/io/bilberryvalve/policy/share/TeamQueue.java
@@ -0,0 +1,93 @@
+package io.bilberryvalve.policy.share;
+
+import java.util.Comparator;
+import java.util.TreeSet;
+
+import io.bilberryvalve.model.TeamId;
+
+/**
+ * Waiting and running requests of a team.
+ *
+ * @param <T> type of the payload
+ */
+final class TeamQueue<T> {
+
+	static final Comparator<TeamQueue<?>> ORDER = Comparator.<TeamQueue<?>>comparingDouble((team) -> team.flow.start())
+		.thenComparing((team) -> team.key.team());
+
+	private final TeamKey key;
+
+	private final Flow flow = new Flow();
+
+	private final TreeSet<AdmissionTicket<T>> waiting = new TreeSet<>(AdmissionTicket.ORDER);
+
+	private final DecayedSum recentCost = new DecayedSum();
+
+	private final DecayedSum recentSeconds = new DecayedSum();
+
+	private long waitingCost;
+
+	private long runningCost;
+
+	private int running;
+
+	TeamQueue(TeamKey key) {
+		this.key = key;
+	}
+
+	TeamId id() {
+		return this.key.team();
+	}
+
+	Flow flow() {
+		return this.flow;
+	}
+
+	TreeSet<AdmissionTicket<T>> waiting() {
+		return this.waiting;
+	}
+
+	long waitingCost() {
+		return this.waitingCost;
+	}
+
+	void add(AdmissionTicket<T> ticket) {
+		this.waiting.add(ticket);
+		this.waitingCost += ticket.cost();
+	}
+
+	void remove(AdmissionTicket<T> ticket) {
+		this.waiting.remove(ticket);
+		this.waitingCost -= ticket.cost();
+	}
+
+	void started(AdmissionTicket<T> ticket) {
+		this.running++;
+		this.runningCost += ticket.cost();
+	}
+
+	void finished(AdmissionTicket<T> ticket, int actual, long nowMillis) {
+		this.running--;
+		this.runningCost -= ticket.cost();
+		this.recentCost.add(actual, nowMillis);
+		this.recentSeconds.add((nowMillis - ticket.startMillis()) / 1000.0, nowMillis);
+	}
+
+	/**
+	 * Returns the expected time for which a request holds a stream.
+	 * @param cost its cost in tokens
+	 * @param nowMillis current time in ms
+	 * @return the time in ms, 0 if too few requests have ended recently
+	 */
+	long expectedMillis(int cost, long nowMillis) {
+		double seconds = this.recentSeconds.at(nowMillis);
+		double tokens = this.recentCost.at(nowMillis);
+		return (seconds < 1 || tokens < 1) ? 0 : (long) (cost * seconds / tokens * 1000);
+	}
+
+	TeamDemand demand(long nowMillis) {
+		return new TeamDemand(id(), this.waitingCost, this.runningCost, this.waiting.size(), this.running,
+				this.recentCost.at(nowMillis), this.recentSeconds.at(nowMillis));
+	}
+
+}
--- a/bilberryvalve-wire/src/main/java/io/bilberryvalve/wire/proto/Bodies.java
+++ b/bilberryvalve-wire/src/main/java/io/bilberryvalve/wire/proto/Bodies.java
@@ -89,13 +89,13 @@
       "emandReport\022\016\n\006origin\030\001 \001(\t\022\023\n\013incarnati" +
       "on\030\002 \001(\003\022\020\n\010sequence\030\003 \001(\003\022\017\n\007entries\030\004 " +
       "\001(\005\022-\n\005clubs\030\005 \003(\0132\036.bilberryvalve.wire." +
-      "ClubDemand\022\014\n\004held\030\006 \001(\005\"\216\001\n\nClubDemand\022" +
-      "\014\n\004club\030\001 \001(\t\022\017\n\007streams\030\002 \001(\005\022\023\n\013recent" +
-      "_cost\030\003 \001(\001\022\035\n\025recent_stream_seconds\030\004 \001" +
-      "(\001\022-\n\005teams\030\005 \003(\0132\036.bilberryvalve.wire.T" +
-      "eamDemand\"h\n\nTeamDemand\022\014\n\004team\030\001 \001(\t\022\024\n" +
-      "\014waiting_cost\030\003 \001(\003\022\024\n\014running_cost\030\004 \001(" +
-      "\003\022\017\n\007waiting\030\005 \001(\005\022\017\n\007running\030\006 \001(\005\"j\n\021C" +
+      "ClubDemand\022\014\n\004held\030\006 \001(\005\"Z\n\nClubDemand\022\014" +
+      "\n\004club\030\001 \001(\t\022\017\n\007streams\030\002 \001(\005\022-\n\005teams\030\003" +
+      " \003(\0132\036.bilberryvalve.wire.TeamDemand\"\234\001\n" +
+      "\nTeamDemand\022\014\n\004team\030\001 \001(\t\022\024\n\014waiting_cos" +
+      "t\030\002 \001(\003\022\024\n\014running_cost\030\003 \001(\003\022\017\n\007waiting" +
+      "\030\004 \001(\005\022\017\n\007running\030\005 \001(\005\022\023\n\013recent_cost\030\006" +
+      " \001(\001\022\035\n\025recent_stream_seconds\030\007 \001(\001\"j\n\021C" +
       "onfigurationPush\022\017\n\007version\030\001 \001(\003\022\016\n\006dig" +
       "est\030\002 \001(\t\0224\n\005parts\030\003 \003(\0132%.bilberryvalve" +
       ".wire.ConfigurationPart\"C\n\021Configuration" +
@@ -131,13 +131,13 @@
     internal_static_bilberryvalve_wire_ClubDemand_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_bilberryvalve_wire_ClubDemand_descriptor,
-        new java.lang.String[] { "Club", "Streams", "RecentCost", "RecentStreamSeconds", "Teams", });
+        new java.lang.String[] { "Club", "Streams", "Teams", });
     internal_static_bilberryvalve_wire_TeamDemand_descriptor =
       getDescriptor().getMessageType(2);
     internal_static_bilberryvalve_wire_TeamDemand_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_bilberryvalve_wire_TeamDemand_descriptor,
-        new java.lang.String[] { "Team", "WaitingCost", "RunningCost", "Waiting", "Running", });
+        new java.lang.String[] { "Team", "WaitingCost", "RunningCost", "Waiting", "Running", "RecentCost", "RecentStreamSeconds", });
     internal_static_bilberryvalve_wire_ConfigurationPush_descriptor =
       getDescriptor().getMessageType(3);
     internal_static_bilberryvalve_wire_ConfigurationPush_fieldAccessorTable = new
--- a/bilberryvalve-wire/src/main/java/io/bilberryvalve/wire/proto/ClubDemand.java
+++ b/bilberryvalve-wire/src/main/java/io/bilberryvalve/wire/proto/ClubDemand.java
@@ -99,44 +99,18 @@
     return streams_;
   }
 
-  public static final int RECENT_COST_FIELD_NUMBER = 3;
-  private double recentCost_ = 0D;
-  /**
-   * <pre>
-   * Token cost completed recently, and the time for which streams were held for it.
-   * </pre>
-   *
-   * <code>double recent_cost = 3;</code>
-   * @return The recentCost.
-   */
-  @java.lang.Override
-  public double getRecentCost() {
-    return recentCost_;
-  }
-
-  public static final int RECENT_STREAM_SECONDS_FIELD_NUMBER = 4;
-  private double recentStreamSeconds_ = 0D;
-  /**
-   * <code>double recent_stream_seconds = 4;</code>
-   * @return The recentStreamSeconds.
-   */
-  @java.lang.Override
-  public double getRecentStreamSeconds() {
-    return recentStreamSeconds_;
-  }
-
-  public static final int TEAMS_FIELD_NUMBER = 5;
+  public static final int TEAMS_FIELD_NUMBER = 3;
   @SuppressWarnings("serial")
   private java.util.List<io.bilberryvalve.wire.proto.TeamDemand> teams_;
   /**
-   * <code>repeated .bilberryvalve.wire.TeamDemand teams = 5;</code>
+   * <code>repeated .bilberryvalve.wire.TeamDemand teams = 3;</code>
    */
   @java.lang.Override
   public java.util.List<io.bilberryvalve.wire.proto.TeamDemand> getTeamsList() {
     return teams_;
   }
   /**
-   * <code>repeated .bilberryvalve.wire.TeamDemand teams = 5;</code>
+   * <code>repeated .bilberryvalve.wire.TeamDemand teams = 3;</code>
    */
   @java.lang.Override
   public java.util.List<? extends io.bilberryvalve.wire.proto.TeamDemandOrBuilder> 
@@ -144,21 +118,21 @@
     return teams_;
   }
   /**
-   * <code>repeated .bilberryvalve.wire.TeamDemand teams = 5;</code>
+   * <code>repeated .bilberryvalve.wire.TeamDemand teams = 3;</code>
    */
   @java.lang.Override
   public int getTeamsCount() {
     return teams_.size();
   }
   /**
-   * <code>repeated .bilberryvalve.wire.TeamDemand teams = 5;</code>
+   * <code>repeated .bilberryvalve.wire.TeamDemand teams = 3;</code>
    */
   @java.lang.Override
   public io.bilberryvalve.wire.proto.TeamDemand getTeams(int index) {
     return teams_.get(index);
   }
   /**
-   * <code>repeated .bilberryvalve.wire.TeamDemand teams = 5;</code>
+   * <code>repeated .bilberryvalve.wire.TeamDemand teams = 3;</code>
    */
   @java.lang.Override
   public io.bilberryvalve.wire.proto.TeamDemandOrBuilder getTeamsOrBuilder(
@@ -186,14 +160,8 @@
     if (streams_ != 0) {
       output.writeInt32(2, streams_);
     }
-    if (java.lang.Double.doubleToRawLongBits(recentCost_) != 0) {
-      output.writeDouble(3, recentCost_);
-    }
-    if (java.lang.Double.doubleToRawLongBits(recentStreamSeconds_) != 0) {
-      output.writeDouble(4, recentStreamSeconds_);
-    }
     for (int i = 0; i < teams_.size(); i++) {
-      output.writeMessage(5, teams_.get(i));
+      output.writeMessage(3, teams_.get(i));
     }
     getUnknownFields().writeTo(output);
   }
@@ -211,17 +179,9 @@
       size += com.google.protobuf.CodedOutputStream
         .computeInt32Size(2, streams_);
     }
-    if (java.lang.Double.doubleToRawLongBits(recentCost_) != 0) {
-      size += com.google.protobuf.CodedOutputStream
-        .computeDoubleSize(3, recentCost_);
-    }
-    if (java.lang.Double.doubleToRawLongBits(recentStreamSeconds_) != 0) {
-      size += com.google.protobuf.CodedOutputStream
-        .computeDoubleSize(4, recentStreamSeconds_);
-    }
     for (int i = 0; i < teams_.size(); i++) {
       size += com.google.protobuf.CodedOutputStream
-        .computeMessageSize(5, teams_.get(i));
+        .computeMessageSize(3, teams_.get(i));
     }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
@@ -242,12 +202,6 @@
         .equals(other.getClub())) return false;
     if (getStreams()
         != other.getStreams()) return false;
-    if (java.lang.Double.doubleToLongBits(getRecentCost())
-        != java.lang.Double.doubleToLongBits(
-            other.getRecentCost())) return false;
-    if (java.lang.Double.doubleToLongBits(getRecentStreamSeconds())
-        != java.lang.Double.doubleToLongBits(
-            other.getRecentStreamSeconds())) return false;
     if (!getTeamsList()
         .equals(other.getTeamsList())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
@@ -265,12 +219,6 @@
     hash = (53 * hash) + getClub().hashCode();
     hash = (37 * hash) + STREAMS_FIELD_NUMBER;
     hash = (53 * hash) + getStreams();
-    hash = (37 * hash) + RECENT_COST_FIELD_NUMBER;
-    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
-        java.lang.Double.doubleToLongBits(getRecentCost()));
-    hash = (37 * hash) + RECENT_STREAM_SECONDS_FIELD_NUMBER;
-    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
-        java.lang.Double.doubleToLongBits(getRecentStreamSeconds()));
     if (getTeamsCount() > 0) {
       hash = (37 * hash) + TEAMS_FIELD_NUMBER;
       hash = (53 * hash) + getTeamsList().hashCode();
@@ -408,15 +356,13 @@
       bitField0_ = 0;
       club_ = "";
       streams_ = 0;
-      recentCost_ = 0D;
-      recentStreamSeconds_ = 0D;
       if (teamsBuilder_ == null) {
         teams_ = java.util.Collections.emptyList();
       } else {
         teams_ = null;
         teamsBuilder_.clear();
       }
-      bitField0_ = (bitField0_ & ~0x00000010);
+      bitField0_ = (bitField0_ & ~0x00000004);
       return this;
     }
 
@@ -451,9 +397,9 @@
 
     private void buildPartialRepeatedFields(io.bilberryvalve.wire.proto.ClubDemand result) {
       if (teamsBuilder_ == null) {
-        if (((bitField0_ & 0x00000010) != 0)) {
+        if (((bitField0_ & 0x00000004) != 0)) {
           teams_ = java.util.Collections.unmodifiableList(teams_);
-          bitField0_ = (bitField0_ & ~0x00000010);
+          bitField0_ = (bitField0_ & ~0x00000004);
         }
         result.teams_ = teams_;
       } else {
@@ -469,12 +415,6 @@
       if (((from_bitField0_ & 0x00000002) != 0)) {
         result.streams_ = streams_;
       }
-      if (((from_bitField0_ & 0x00000004) != 0)) {
-        result.recentCost_ = recentCost_;
-      }
-      if (((from_bitField0_ & 0x00000008) != 0)) {
-        result.recentStreamSeconds_ = recentStreamSeconds_;
-      }
     }
 
     @java.lang.Override
@@ -497,17 +437,11 @@
       if (other.getStreams() != 0) {
         setStreams(other.getStreams());
       }
-      if (java.lang.Double.doubleToRawLongBits(other.getRecentCost()) != 0) {
-        setRecentCost(other.getRecentCost());
-      }
-      if (java.lang.Double.doubleToRawLongBits(other.getRecentStreamSeconds()) != 0) {
-        setRecentStreamSeconds(other.getRecentStreamSeconds());
-      }
       if (teamsBuilder_ == null) {
         if (!other.teams_.isEmpty()) {
           if (teams_.isEmpty()) {
             teams_ = other.teams_;
-            bitField0_ = (bitField0_ & ~0x00000010);
+            bitField0_ = (bitField0_ & ~0x00000004);
           } else {
             ensureTeamsIsMutable();
             teams_.addAll(other.teams_);
@@ -520,7 +454,7 @@
             teamsBuilder_.dispose();
             teamsBuilder_ = null;
             teams_ = other.teams_;
-            bitField0_ = (bitField0_ & ~0x00000010);
+            bitField0_ = (bitField0_ & ~0x00000004);
             teamsBuilder_ = 
               com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
                  internalGetTeamsFieldBuilder() : null;
@@ -565,17 +499,7 @@
               bitField0_ |= 0x00000002;
               break;
             } // case 16
-            case 25: {
-              recentCost_ = input.readDouble();
-              bitField0_ |= 0x00000004;
-              break;
-            } // case 25
-            case 33: {
-              recentStreamSeconds_ = input.readDouble();
-              bitField0_ |= 0x00000008;
-              break;
-            } // case 33
-            case 42: {
+            case 26: {
               io.bilberryvalve.wire.proto.TeamDemand m =
                   input.readMessage(
                       io.bilberryvalve.wire.proto.TeamDemand.parser(),
@@ -587,7 +511,7 @@
                 teamsBuilder_.addMessage(m);
               }
               break;
-            } // case 42
+            } // case 26
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -721,88 +645,12 @@
       return this;
     }
 
-    private double recentCost_ ;
-    /**
-     * <pre>
-     * Token cost completed recently, and the time for which streams were held for it.
-     * </pre>
-     *
-     * <code>double recent_cost = 3;</code>
-     * @return The recentCost.
-     */
-    @java.lang.Override
-    public double getRecentCost() {
-      return recentCost_;
-    }
-    /**
-     * <pre>
-     * Token cost completed recently, and the time for which streams were held for it.
-     * </pre>
-     *
-     * <code>double recent_cost = 3;</code>
-     * @param value The recentCost to set.
-     * @return This builder for chaining.
-     */
-    public Builder setRecentCost(double value) {
-
-      recentCost_ = value;
-      bitField0_ |= 0x00000004;
-      onChanged();
-      return this;
-    }
-    /**
-     * <pre>
-     * Token cost completed recently, and the time for which streams were held for it.
-     * </pre>
-     *
-     * <code>double recent_cost = 3;</code>
-     * @return This builder for chaining.
-     */
-    public Builder clearRecentCost() {
-      bitField0_ = (bitField0_ & ~0x00000004);
-      recentCost_ = 0D;
-      onChanged();
-      return this;
-    }
-
-    private double recentStreamSeconds_ ;
-    /**
-     * <code>double recent_stream_seconds = 4;</code>
-     * @return The recentStreamSeconds.
-     */
-    @java.lang.Override
-    public double getRecentStreamSeconds() {
-      return recentStreamSeconds_;
-    }
-    /**
-     * <code>double recent_stream_seconds = 4;</code>
-     * @param value The recentStreamSeconds to set.
-     * @return This builder for chaining.
-     */
-    public Builder setRecentStreamSeconds(double value) {
-
-      recentStreamSeconds_ = value;
-      bitField0_ |= 0x00000008;
-      onChanged();
-      return this;
-    }
-    /**
-     * <code>double recent_stream_seconds = 4;</code>
-     * @return This builder for chaining.
-     */
-    public Builder clearRecentStreamSeconds() {
-      bitField0_ = (bitField0_ & ~0x00000008);
-      recentStreamSeconds_ = 0D;
-      onChanged();
-      return this;
-    }
-
     private java.util.List<io.bilberryvalve.wire.proto.TeamDemand> teams_ =
       java.util.Collections.emptyList();
     private void ensureTeamsIsMutable() {
-      if (!((bitField0_ & 0x00000010) != 0)) {
+      if (!((bitField0_ & 0x00000004) != 0)) {
         teams_ = new java.util.ArrayList<io.bilberryvalve.wire.proto.TeamDemand>(teams_);
-        bitField0_ |= 0x00000010;
+        bitField0_ |= 0x00000004;
        }
     }
 
@@ -810,7 +658,7 @@
         io.bilberryvalve.wire.proto.TeamDemand, io.bilberryvalve.wire.proto.TeamDemand.Builder, io.bilberryvalve.wire.proto.TeamDemandOrBuilder> teamsBuilder_;
 
     /**
-     * <code>repeated .bilberryvalve.wire.TeamDemand teams = 5;</code>
+     * <code>repeated .bilberryvalve.wire.TeamDemand teams = 3;</code>
      */
     public java.util.List<io.bilberryvalve.wire.proto.TeamDemand> getTeamsList() {
       if (teamsBuilder_ == null) {
@@ -820,7 +668,7 @@
       }
     }
     /**
-     * <code>repeated .bilberryvalve.wire.TeamDemand teams = 5;</code>
+     * <code>repeated .bilberryvalve.wire.TeamDemand teams = 3;</code>
      */
     public int getTeamsCount() {
       if (teamsBuilder_ == null) {
@@ -830,7 +678,7 @@
       }
     }
     /**
-     * <code>repeated .bilberryvalve.wire.TeamDemand teams = 5;</code>
+     * <code>repeated .bilberryvalve.wire.TeamDemand teams = 3;</code>
      */
     public io.bilberryvalve.wire.proto.TeamDemand getTeams(int index) {
       if (teamsBuilder_ == null) {
@@ -840,7 +688,7 @@
       }
     }
     /**
-     * <code>repeated .bilberryvalve.wire.TeamDemand teams = 5;</code>
+     * <code>repeated .bilberryvalve.wire.TeamDemand teams = 3;</code>
      */
     public Builder setTeams(
         int index, io.bilberryvalve.wire.proto.TeamDemand value) {
@@ -857,7 +705,7 @@
       return this;
     }
     /**
-     * <code>repeated .bilberryvalve.wire.TeamDemand teams = 5;</code>
+     * <code>repeated .bilberryvalve.wire.TeamDemand teams = 3;</code>
      */
     public Builder setTeams(
         int index, io.bilberryvalve.wire.proto.TeamDemand.Builder builderForValue) {
@@ -871,7 +719,7 @@
       return this;
     }
     /**
-     * <code>repeated .bilberryvalve.wire.TeamDemand teams = 5;</code>
+     * <code>repeated .bilberryvalve.wire.TeamDemand teams = 3;</code>
      */
     public Builder addTeams(io.bilberryvalve.wire.proto.TeamDemand value) {
       if (teamsBuilder_ == null) {
@@ -887,7 +735,7 @@
       return this;
     }
     /**
-     * <code>repeated .bilberryvalve.wire.TeamDemand teams = 5;</code>
+     * <code>repeated .bilberryvalve.wire.TeamDemand teams = 3;</code>
      */
     public Builder addTeams(
         int index, io.bilberryvalve.wire.proto.TeamDemand value) {
@@ -904,7 +752,7 @@
       return this;
     }
     /**
-     * <code>repeated .bilberryvalve.wire.TeamDemand teams = 5;</code>
+     * <code>repeated .bilberryvalve.wire.TeamDemand teams = 3;</code>
      */
     public Builder addTeams(
         io.bilberryvalve.wire.proto.TeamDemand.Builder builderForValue) {
@@ -918,7 +766,7 @@
       return this;
     }
     /**
-     * <code>repeated .bilberryvalve.wire.TeamDemand teams = 5;</code>
+     * <code>repeated .bilberryvalve.wire.TeamDemand teams = 3;</code>
      */
     public Builder addTeams(
         int index, io.bilberryvalve.wire.proto.TeamDemand.Builder builderForValue) {
@@ -932,7 +780,7 @@
       return this;
     }
     /**
-     * <code>repeated .bilberryvalve.wire.TeamDemand teams = 5;</code>
+     * <code>repeated .bilberryvalve.wire.TeamDemand teams = 3;</code>
      */
     public Builder addAllTeams(
         java.lang.Iterable<? extends io.bilberryvalve.wire.proto.TeamDemand> values) {
@@ -947,12 +795,12 @@
       return this;
     }
     /**
-     * <code>repeated .bilberryvalve.wire.TeamDemand teams = 5;</code>
+     * <code>repeated .bilberryvalve.wire.TeamDemand teams = 3;</code>
      */
     public Builder clearTeams() {
       if (teamsBuilder_ == null) {
         teams_ = java.util.Collections.emptyList();
-        bitField0_ = (bitField0_ & ~0x00000010);
+        bitField0_ = (bitField0_ & ~0x00000004);
         onChanged();
       } else {
         teamsBuilder_.clear();
@@ -960,7 +808,7 @@
       return this;
     }
     /**
-     * <code>repeated .bilberryvalve.wire.TeamDemand teams = 5;</code>
+     * <code>repeated .bilberryvalve.wire.TeamDemand teams = 3;</code>
      */
     public Builder removeTeams(int index) {
       if (teamsBuilder_ == null) {
@@ -973,14 +821,14 @@
       return this;
     }
     /**
-     * <code>repeated .bilberryvalve.wire.TeamDemand teams = 5;</code>
+     * <code>repeated .bilberryvalve.wire.TeamDemand teams = 3;</code>
      */
     public io.bilberryvalve.wire.proto.TeamDemand.Builder getTeamsBuilder(
         int index) {
       return internalGetTeamsFieldBuilder().getBuilder(index);
     }
     /**
-     * <code>repeated .bilberryvalve.wire.TeamDemand teams = 5;</code>
+     * <code>repeated .bilberryvalve.wire.TeamDemand teams = 3;</code>
      */
     public io.bilberryvalve.wire.proto.TeamDemandOrBuilder getTeamsOrBuilder(
         int index) {
@@ -990,7 +838,7 @@
       }
     }
     /**
-     * <code>repeated .bilberryvalve.wire.TeamDemand teams = 5;</code>
+     * <code>repeated .bilberryvalve.wire.TeamDemand teams = 3;</code>
      */
     public java.util.List<? extends io.bilberryvalve.wire.proto.TeamDemandOrBuilder> 
          getTeamsOrBuilderList() {
@@ -1001,14 +849,14 @@
       }
     }
     /**
-     * <code>repeated .bilberryvalve.wire.TeamDemand teams = 5;</code>
+     * <code>repeated .bilberryvalve.wire.TeamDemand teams = 3;</code>
      */
     public io.bilberryvalve.wire.proto.TeamDemand.Builder addTeamsBuilder() {
       return internalGetTeamsFieldBuilder().addBuilder(
           io.bilberryvalve.wire.proto.TeamDemand.getDefaultInstance());
     }
     /**
-     * <code>repeated .bilberryvalve.wire.TeamDemand teams = 5;</code>
+     * <code>repeated .bilberryvalve.wire.TeamDemand teams = 3;</code>
      */
     public io.bilberryvalve.wire.proto.TeamDemand.Builder addTeamsBuilder(
         int index) {
@@ -1016,7 +864,7 @@
           index, io.bilberryvalve.wire.proto.TeamDemand.getDefaultInstance());
     }
     /**
-     * <code>repeated .bilberryvalve.wire.TeamDemand teams = 5;</code>
+     * <code>repeated .bilberryvalve.wire.TeamDemand teams = 3;</code>
      */
     public java.util.List<io.bilberryvalve.wire.proto.TeamDemand.Builder> 
          getTeamsBuilderList() {
@@ -1029,7 +877,7 @@
         teamsBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
             io.bilberryvalve.wire.proto.TeamDemand, io.bilberryvalve.wire.proto.TeamDemand.Builder, io.bilberryvalve.wire.proto.TeamDemandOrBuilder>(
                 teams_,
-                ((bitField0_ & 0x00000010) != 0),
+                ((bitField0_ & 0x00000004) != 0),
                 getParentForChildren(),
                 isClean());
         teams_ = null;
--- a/bilberryvalve-wire/src/main/java/io/bilberryvalve/wire/proto/ClubDemandOrBuilder.java
+++ b/bilberryvalve-wire/src/main/java/io/bilberryvalve/wire/proto/ClubDemandOrBuilder.java
@@ -33,41 +33,25 @@
   int getStreams();
 
   /**
-   * <pre>
-   * Token cost completed recently, and the time for which streams were held for it.
-   * </pre>
-   *
-   * <code>double recent_cost = 3;</code>
-   * @return The recentCost.
-   */
-  double getRecentCost();
-
-  /**
-   * <code>double recent_stream_seconds = 4;</code>
-   * @return The recentStreamSeconds.
-   */
-  double getRecentStreamSeconds();
-
-  /**
-   * <code>repeated .bilberryvalve.wire.TeamDemand teams = 5;</code>
+   * <code>repeated .bilberryvalve.wire.TeamDemand teams = 3;</code>
    */
   java.util.List<io.bilberryvalve.wire.proto.TeamDemand> 
       getTeamsList();
   /**
-   * <code>repeated .bilberryvalve.wire.TeamDemand teams = 5;</code>
+   * <code>repeated .bilberryvalve.wire.TeamDemand teams = 3;</code>
    */
   io.bilberryvalve.wire.proto.TeamDemand getTeams(int index);
   /**
-   * <code>repeated .bilberryvalve.wire.TeamDemand teams = 5;</code>
+   * <code>repeated .bilberryvalve.wire.TeamDemand teams = 3;</code>
    */
   int getTeamsCount();
   /**
-   * <code>repeated .bilberryvalve.wire.TeamDemand teams = 5;</code>
+   * <code>repeated .bilberryvalve.wire.TeamDemand teams = 3;</code>
    */
   java.util.List<? extends io.bilberryvalve.wire.proto.TeamDemandOrBuilder> 
       getTeamsOrBuilderList();
   /**
-   * <code>repeated .bilberryvalve.wire.TeamDemand teams = 5;</code>
+   * <code>repeated .bilberryvalve.wire.TeamDemand teams = 3;</code>
    */
   io.bilberryvalve.wire.proto.TeamDemandOrBuilder getTeamsOrBuilder(
       int index);
--- a/bilberryvalve-wire/src/main/java/io/bilberryvalve/wire/proto/TeamDemand.java
+++ b/bilberryvalve-wire/src/main/java/io/bilberryvalve/wire/proto/TeamDemand.java
@@ -83,14 +83,14 @@
     }
   }
 
-  public static final int WAITING_COST_FIELD_NUMBER = 3;
+  public static final int WAITING_COST_FIELD_NUMBER = 2;
   private long waitingCost_ = 0L;
   /**
    * <pre>
    * Token cost of waiting requests.
    * </pre>
    *
-   * <code>int64 waiting_cost = 3;</code>
+   * <code>int64 waiting_cost = 2;</code>
    * @return The waitingCost.
    */
   @java.lang.Override
@@ -98,14 +98,14 @@
     return waitingCost_;
   }
 
-  public static final int RUNNING_COST_FIELD_NUMBER = 4;
+  public static final int RUNNING_COST_FIELD_NUMBER = 3;
   private long runningCost_ = 0L;
   /**
    * <pre>
    * Token cost of admitted requests that have not ended.
    * </pre>
    *
-   * <code>int64 running_cost = 4;</code>
+   * <code>int64 running_cost = 3;</code>
    * @return The runningCost.
    */
   @java.lang.Override
@@ -113,14 +113,14 @@
     return runningCost_;
   }
 
-  public static final int WAITING_FIELD_NUMBER = 5;
+  public static final int WAITING_FIELD_NUMBER = 4;
   private int waiting_ = 0;
   /**
    * <pre>
    * Requests that wait.
    * </pre>
    *
-   * <code>int32 waiting = 5;</code>
+   * <code>int32 waiting = 4;</code>
    * @return The waiting.
    */
   @java.lang.Override
@@ -128,14 +128,14 @@
     return waiting_;
   }
 
-  public static final int RUNNING_FIELD_NUMBER = 6;
+  public static final int RUNNING_FIELD_NUMBER = 5;
   private int running_ = 0;
   /**
    * <pre>
    * Requests that run.
    * </pre>
    *
-   * <code>int32 running = 6;</code>
+   * <code>int32 running = 5;</code>
    * @return The running.
    */
   @java.lang.Override
@@ -143,6 +143,32 @@
     return running_;
   }
 
+  public static final int RECENT_COST_FIELD_NUMBER = 6;
+  private double recentCost_ = 0D;
+  /**
+   * <pre>
+   * Token cost completed recently, and the time for which streams were held for it.
+   * </pre>
+   *
+   * <code>double recent_cost = 6;</code>
+   * @return The recentCost.
+   */
+  @java.lang.Override
+  public double getRecentCost() {
+    return recentCost_;
+  }
+
+  public static final int RECENT_STREAM_SECONDS_FIELD_NUMBER = 7;
+  private double recentStreamSeconds_ = 0D;
+  /**
+   * <code>double recent_stream_seconds = 7;</code>
+   * @return The recentStreamSeconds.
+   */
+  @java.lang.Override
+  public double getRecentStreamSeconds() {
+    return recentStreamSeconds_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -161,16 +187,22 @@
       com.google.protobuf.GeneratedMessage.writeString(output, 1, team_);
     }
     if (waitingCost_ != 0L) {
-      output.writeInt64(3, waitingCost_);
+      output.writeInt64(2, waitingCost_);
     }
     if (runningCost_ != 0L) {
-      output.writeInt64(4, runningCost_);
+      output.writeInt64(3, runningCost_);
     }
     if (waiting_ != 0) {
-      output.writeInt32(5, waiting_);
+      output.writeInt32(4, waiting_);
     }
     if (running_ != 0) {
-      output.writeInt32(6, running_);
+      output.writeInt32(5, running_);
+    }
+    if (java.lang.Double.doubleToRawLongBits(recentCost_) != 0) {
+      output.writeDouble(6, recentCost_);
+    }
+    if (java.lang.Double.doubleToRawLongBits(recentStreamSeconds_) != 0) {
+      output.writeDouble(7, recentStreamSeconds_);
     }
     getUnknownFields().writeTo(output);
   }
@@ -186,19 +218,27 @@
     }
     if (waitingCost_ != 0L) {
       size += com.google.protobuf.CodedOutputStream
-        .computeInt64Size(3, waitingCost_);
+        .computeInt64Size(2, waitingCost_);
     }
     if (runningCost_ != 0L) {
       size += com.google.protobuf.CodedOutputStream
-        .computeInt64Size(4, runningCost_);
+        .computeInt64Size(3, runningCost_);
     }
     if (waiting_ != 0) {
       size += com.google.protobuf.CodedOutputStream
-        .computeInt32Size(5, waiting_);
+        .computeInt32Size(4, waiting_);
     }
     if (running_ != 0) {
       size += com.google.protobuf.CodedOutputStream
-        .computeInt32Size(6, running_);
+        .computeInt32Size(5, running_);
+    }
+    if (java.lang.Double.doubleToRawLongBits(recentCost_) != 0) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeDoubleSize(6, recentCost_);
+    }
+    if (java.lang.Double.doubleToRawLongBits(recentStreamSeconds_) != 0) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeDoubleSize(7, recentStreamSeconds_);
     }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
@@ -225,6 +265,12 @@
         != other.getWaiting()) return false;
     if (getRunning()
         != other.getRunning()) return false;
+    if (java.lang.Double.doubleToLongBits(getRecentCost())
+        != java.lang.Double.doubleToLongBits(
+            other.getRecentCost())) return false;
+    if (java.lang.Double.doubleToLongBits(getRecentStreamSeconds())
+        != java.lang.Double.doubleToLongBits(
+            other.getRecentStreamSeconds())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -248,6 +294,12 @@
     hash = (53 * hash) + getWaiting();
     hash = (37 * hash) + RUNNING_FIELD_NUMBER;
     hash = (53 * hash) + getRunning();
+    hash = (37 * hash) + RECENT_COST_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        java.lang.Double.doubleToLongBits(getRecentCost()));
+    hash = (37 * hash) + RECENT_STREAM_SECONDS_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        java.lang.Double.doubleToLongBits(getRecentStreamSeconds()));
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -384,6 +436,8 @@
       runningCost_ = 0L;
       waiting_ = 0;
       running_ = 0;
+      recentCost_ = 0D;
+      recentStreamSeconds_ = 0D;
       return this;
     }
 
@@ -432,6 +486,12 @@
       if (((from_bitField0_ & 0x00000010) != 0)) {
         result.running_ = running_;
       }
+      if (((from_bitField0_ & 0x00000020) != 0)) {
+        result.recentCost_ = recentCost_;
+      }
+      if (((from_bitField0_ & 0x00000040) != 0)) {
+        result.recentStreamSeconds_ = recentStreamSeconds_;
+      }
     }
 
     @java.lang.Override
@@ -463,6 +523,12 @@
       if (other.getRunning() != 0) {
         setRunning(other.getRunning());
       }
+      if (java.lang.Double.doubleToRawLongBits(other.getRecentCost()) != 0) {
+        setRecentCost(other.getRecentCost());
+      }
+      if (java.lang.Double.doubleToRawLongBits(other.getRecentStreamSeconds()) != 0) {
+        setRecentStreamSeconds(other.getRecentStreamSeconds());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -494,26 +560,36 @@
               bitField0_ |= 0x00000001;
               break;
             } // case 10
-            case 24: {
+            case 16: {
               waitingCost_ = input.readInt64();
               bitField0_ |= 0x00000002;
               break;
-            } // case 24
-            case 32: {
+            } // case 16
+            case 24: {
               runningCost_ = input.readInt64();
               bitField0_ |= 0x00000004;
               break;
-            } // case 32
-            case 40: {
+            } // case 24
+            case 32: {
               waiting_ = input.readInt32();
               bitField0_ |= 0x00000008;
               break;
-            } // case 40
-            case 48: {
+            } // case 32
+            case 40: {
               running_ = input.readInt32();
               bitField0_ |= 0x00000010;
               break;
-            } // case 48
+            } // case 40
+            case 49: {
+              recentCost_ = input.readDouble();
+              bitField0_ |= 0x00000020;
+              break;
+            } // case 49
+            case 57: {
+              recentStreamSeconds_ = input.readDouble();
+              bitField0_ |= 0x00000040;
+              break;
+            } // case 57
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -609,7 +685,7 @@
      * Token cost of waiting requests.
      * </pre>
      *
-     * <code>int64 waiting_cost = 3;</code>
+     * <code>int64 waiting_cost = 2;</code>
      * @return The waitingCost.
      */
     @java.lang.Override
@@ -621,7 +697,7 @@
      * Token cost of waiting requests.
      * </pre>
      *
-     * <code>int64 waiting_cost = 3;</code>
+     * <code>int64 waiting_cost = 2;</code>
      * @param value The waitingCost to set.
      * @return This builder for chaining.
      */
@@ -637,7 +713,7 @@
      * Token cost of waiting requests.
      * </pre>
      *
-     * <code>int64 waiting_cost = 3;</code>
+     * <code>int64 waiting_cost = 2;</code>
      * @return This builder for chaining.
      */
     public Builder clearWaitingCost() {
@@ -653,7 +729,7 @@
      * Token cost of admitted requests that have not ended.
      * </pre>
      *
-     * <code>int64 running_cost = 4;</code>
+     * <code>int64 running_cost = 3;</code>
      * @return The runningCost.
      */
     @java.lang.Override
@@ -665,7 +741,7 @@
      * Token cost of admitted requests that have not ended.
      * </pre>
      *
-     * <code>int64 running_cost = 4;</code>
+     * <code>int64 running_cost = 3;</code>
      * @param value The runningCost to set.
      * @return This builder for chaining.
      */
@@ -681,7 +757,7 @@
      * Token cost of admitted requests that have not ended.
      * </pre>
      *
-     * <code>int64 running_cost = 4;</code>
+     * <code>int64 running_cost = 3;</code>
      * @return This builder for chaining.
      */
     public Builder clearRunningCost() {
@@ -697,7 +773,7 @@
      * Requests that wait.
      * </pre>
      *
-     * <code>int32 waiting = 5;</code>
+     * <code>int32 waiting = 4;</code>
      * @return The waiting.
      */
     @java.lang.Override
@@ -709,7 +785,7 @@
      * Requests that wait.
      * </pre>
      *
-     * <code>int32 waiting = 5;</code>
+     * <code>int32 waiting = 4;</code>
      * @param value The waiting to set.
      * @return This builder for chaining.
      */
@@ -725,7 +801,7 @@
      * Requests that wait.
      * </pre>
      *
-     * <code>int32 waiting = 5;</code>
+     * <code>int32 waiting = 4;</code>
      * @return This builder for chaining.
      */
     public Builder clearWaiting() {
@@ -741,7 +817,7 @@
      * Requests that run.
      * </pre>
      *
-     * <code>int32 running = 6;</code>
+     * <code>int32 running = 5;</code>
      * @return The running.
      */
     @java.lang.Override
@@ -753,7 +829,7 @@
      * Requests that run.
      * </pre>
      *
-     * <code>int32 running = 6;</code>
+     * <code>int32 running = 5;</code>
      * @param value The running to set.
      * @return This builder for chaining.
      */
@@ -769,7 +845,7 @@
      * Requests that run.
      * </pre>
      *
-     * <code>int32 running = 6;</code>
+     * <code>int32 running = 5;</code>
      * @return This builder for chaining.
      */
     public Builder clearRunning() {
@@ -779,6 +855,82 @@
       return this;
     }
 
+    private double recentCost_ ;
+    /**
+     * <pre>
+     * Token cost completed recently, and the time for which streams were held for it.
+     * </pre>
+     *
+     * <code>double recent_cost = 6;</code>
+     * @return The recentCost.
+     */
+    @java.lang.Override
+    public double getRecentCost() {
+      return recentCost_;
+    }
+    /**
+     * <pre>
+     * Token cost completed recently, and the time for which streams were held for it.
+     * </pre>
+     *
+     * <code>double recent_cost = 6;</code>
+     * @param value The recentCost to set.
+     * @return This builder for chaining.
+     */
+    public Builder setRecentCost(double value) {
+
+      recentCost_ = value;
+      bitField0_ |= 0x00000020;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Token cost completed recently, and the time for which streams were held for it.
+     * </pre>
+     *
+     * <code>double recent_cost = 6;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearRecentCost() {
+      bitField0_ = (bitField0_ & ~0x00000020);
+      recentCost_ = 0D;
+      onChanged();
+      return this;
+    }
+
+    private double recentStreamSeconds_ ;
+    /**
+     * <code>double recent_stream_seconds = 7;</code>
+     * @return The recentStreamSeconds.
+     */
+    @java.lang.Override
+    public double getRecentStreamSeconds() {
+      return recentStreamSeconds_;
+    }
+    /**
+     * <code>double recent_stream_seconds = 7;</code>
+     * @param value The recentStreamSeconds to set.
+     * @return This builder for chaining.
+     */
+    public Builder setRecentStreamSeconds(double value) {
+
+      recentStreamSeconds_ = value;
+      bitField0_ |= 0x00000040;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>double recent_stream_seconds = 7;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearRecentStreamSeconds() {
+      bitField0_ = (bitField0_ & ~0x00000040);
+      recentStreamSeconds_ = 0D;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:bilberryvalve.wire.TeamDemand)
   }
 
--- a/bilberryvalve-wire/src/main/java/io/bilberryvalve/wire/proto/TeamDemandOrBuilder.java
+++ b/bilberryvalve-wire/src/main/java/io/bilberryvalve/wire/proto/TeamDemandOrBuilder.java
@@ -27,7 +27,7 @@
    * Token cost of waiting requests.
    * </pre>
    *
-   * <code>int64 waiting_cost = 3;</code>
+   * <code>int64 waiting_cost = 2;</code>
    * @return The waitingCost.
    */
   long getWaitingCost();
@@ -37,7 +37,7 @@
    * Token cost of admitted requests that have not ended.
    * </pre>
    *
-   * <code>int64 running_cost = 4;</code>
+   * <code>int64 running_cost = 3;</code>
    * @return The runningCost.
    */
   long getRunningCost();
@@ -47,7 +47,7 @@
    * Requests that wait.
    * </pre>
    *
-   * <code>int32 waiting = 5;</code>
+   * <code>int32 waiting = 4;</code>
    * @return The waiting.
    */
   int getWaiting();
@@ -57,8 +57,24 @@
    * Requests that run.
    * </pre>
    *
-   * <code>int32 running = 6;</code>
+   * <code>int32 running = 5;</code>
    * @return The running.
    */
   int getRunning();
+
+  /**
+   * <pre>
+   * Token cost completed recently, and the time for which streams were held for it.
+   * </pre>
+   *
+   * <code>double recent_cost = 6;</code>
+   * @return The recentCost.
+   */
+  double getRecentCost();
+
+  /**
+   * <code>double recent_stream_seconds = 7;</code>
+   * @return The recentStreamSeconds.
+   */
+  double getRecentStreamSeconds();
 }
