Use fair admission, load polling and balanced plans in the daemon

Cause: the daemon admitted every request and planned without knowledge of failed runners. Change: FairAdmission with the capacity of the planned chains, LoadMonitor, the balanced planner with reuse of a plan whose inputs are unchanged.

--- a/bilberryvalve-bench/src/main/java/io/bilberryvalve/bench/process/LocalFederation.java
+++ b/bilberryvalve-bench/src/main/java/io/bilberryvalve/bench/process/LocalFederation.java
@@ -326,8 +326,7 @@
 		part.team("shops", 1)
 			.caller("shop", "shops", KeyDigest.of(club + "-shop"))
 			.operator("operator", KeyDigest.of(club + "-operator"))
-			.pipeline(club + "-notes",
-					(pipeline) -> pipeline.model("m", "1").maxTokens(maxTokens).callers("shop"));
+			.pipeline(club + "-notes", (pipeline) -> pipeline.model("m", "1").maxTokens(maxTokens).callers("shop"));
 	}
 
 	private String send(String method, Address address, String path, String body, String key) throws Exception {
--- a/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/Daemon.java
+++ b/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/Daemon.java
@@ -85,6 +85,8 @@
 
 	private final DrainCoordinator drain;
 
+	private final RequestParts requests;
+
 	private final EntryServer server;
 
 	private Daemon(DaemonSettings settings) throws Exception {
@@ -99,11 +101,10 @@
 				() -> this.peers.peers().size() + 1, new SecureRandom());
 		stamps.connect(this.rollout);
 		this.drain = new DrainCoordinator(this.lifecycle, this.peers::announce, this.clock);
-		RequestParts requests = new RequestParts(settings, this.clock, this.background, this.configuration, this.peers,
+		this.requests = new RequestParts(settings, this.clock, this.background, this.configuration, this.peers,
 				this.platform, this.metrics, this.burn);
 		Credentials credentials = new Credentials(this.configuration, bootstrapPrincipals(settings));
-		Router router = new Router(routes(requests, parser, timer), credentials, this.lifecycle, this.metrics,
-				this.clock);
+		Router router = new Router(routes(parser, timer), credentials, this.lifecycle, this.metrics, this.clock);
 		Address address = settings.callerAddress();
 		this.server = EntryServer.start(new InetSocketAddress(address.host(), address.port()), router);
 	}
@@ -159,6 +160,7 @@
 
 	private void stop() {
 		this.rollout.stop();
+		this.requests.close();
 		try {
 			this.server.close();
 		}
@@ -193,18 +195,18 @@
 		return this.settings.region();
 	}
 
-	private List<Route> routes(RequestParts requests, ConfigurationParser parser, Timer timer) {
+	private List<Route> routes(ConfigurationParser parser, Timer timer) {
 		Submissions submissions = new Submissions(this.platform.tables(), this.rollout, parser, this.clock, timer,
 				SUBMISSION_TIMEOUT);
 		Bodies bodies = new Bodies(this.settings.limits().bodyBytes(), Duration.ofSeconds(10));
-		List<Route> routes = new ArrayList<>(requests.routes());
+		List<Route> routes = new ArrayList<>(this.requests.routes());
 		routes.addAll(new ConfigurationHandler(this.configuration, this.rollout, submissions, bodies).routes());
 		routes.addAll(new EntriesHandler(this.peers::self, this.peers::members, this.lifecycle).routes());
 		routes.addAll(this.drain.routes());
 		routes.addAll(new ReportHandler(this.settings.vm(), this.lifecycle, this.metrics, this.burn, (node) -> {
 			node.put("configuration", this.configuration.current().version());
 			node.put("connectedPeers", this.peers.connected().size());
-			requests.addTo(node);
+			this.requests.addTo(node);
 		}).routes());
 		return routes;
 	}
--- a/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/RequestParts.java
+++ b/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/RequestParts.java
@@ -5,6 +5,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.SplittableRandom;
 import java.util.concurrent.atomic.AtomicLong;
 
 import com.fasterxml.jackson.databind.node.ObjectNode;
@@ -28,8 +29,11 @@
 import io.bilberryvalve.daemon.reply.ReplySettings;
 import io.bilberryvalve.daemon.report.BurnTracker;
 import io.bilberryvalve.daemon.report.Metrics;
+import io.bilberryvalve.daemon.runner.LoadMonitor;
+import io.bilberryvalve.daemon.runner.LoadMonitorSettings;
 import io.bilberryvalve.daemon.runner.RunnerFleet;
-import io.bilberryvalve.daemon.share.UnlimitedAdmission;
+import io.bilberryvalve.daemon.share.AdmissionStatus;
+import io.bilberryvalve.daemon.share.FairAdmission;
 import io.bilberryvalve.platform.Platform;
 import io.bilberryvalve.policy.choice.FusedLoadChooser;
 import io.bilberryvalve.policy.once.IssuedKeys;
@@ -37,6 +41,7 @@
 import io.bilberryvalve.policy.once.RecordExpiry;
 import io.bilberryvalve.policy.once.RecordedExecutions;
 import io.bilberryvalve.policy.retry.RetryBudget;
+import io.bilberryvalve.policy.share.QueueLimits;
 
 /**
  * The parts of a daemon that answer callers: replies of models and calls of applications.
@@ -49,7 +54,7 @@
 
 	private static final Duration REPLY_TICK = Duration.ofMillis(50);
 
-	private static final Duration PLAN_INTERVAL = Duration.ofMillis(200);
+	private static final Duration POLL_TICK = Duration.ofMillis(50);
 
 	private static final Duration CLEANING_INTERVAL = Duration.ofSeconds(30);
 
@@ -68,18 +73,23 @@
 
 	private final RunnerFleet fleet;
 
+	private final FairAdmission admission;
+
 	RequestParts(DaemonSettings settings, Clock clock, Background background, ConfigurationSource configuration,
 			NettyPeerNetwork peers, Platform platform, Metrics metrics, BurnTracker burn) {
 		long incarnation = peers.identity().incarnation();
 		this.fleet = new RunnerFleet(clock, configuration, new FusedLoadChooser(CHOICE_SAMPLES), (runner) -> false);
-		ReplyServices services = new ReplyServices(clock,
-				new HttpEngineClient(CONNECT_TIMEOUT, settings.limits().orderTimeout()), this.fleet,
-				new UnlimitedAdmission(), new FractionRepairBudget(REPAIRS_PER_REPLY, REPAIR_RESERVE),
-				ReplySettings.defaults());
+		this.admission = new FairAdmission(settings.vm(), incarnation, this.fleet::capacity, configuration, peers,
+				new QueueLimits(settings.limits().teamQueue(), settings.limits().totalQueue()), clock);
+		HttpEngineClient engines = new HttpEngineClient(CONNECT_TIMEOUT, settings.limits().orderTimeout());
+		LoadMonitor monitor = new LoadMonitor(this.fleet, engines, configuration, clock, new SplittableRandom(),
+				LoadMonitorSettings.defaults());
+		ReplyServices services = new ReplyServices(clock, engines, this.fleet, this.admission,
+				new FractionRepairBudget(REPAIRS_PER_REPLY, REPAIR_RESERVE), ReplySettings.defaults());
 		this.completions = new CompletionHandler(services, configuration, peers, settings.vm(), incarnation);
 		this.calls = calls(settings, clock, background, configuration, peers, platform, incarnation);
-		background.every(REPLY_TICK, "replies", this.completions::tick)
-			.every(PLAN_INTERVAL, "plan", this.fleet::refresh);
+		background.every(REPLY_TICK, "replies", this.completions::tick).every(POLL_TICK, "loads", monitor::tick);
+		this.admission.start();
 		metrics.gauge("replies_in_progress", "Replies in progress.", this.completions::active);
 	}
 
@@ -89,7 +99,16 @@
 		return routes;
 	}
 
+	void close() {
+		this.admission.close();
+	}
+
 	void addTo(ObjectNode node) {
+		AdmissionStatus status = this.admission.status();
+		node.put("streamLimit", status.limit());
+		node.put("streamsRunning", status.running());
+		node.put("requestsWaiting", status.waiting());
+		node.put("isolated", status.isolated());
 		node.put("repliesInProgress", this.completions.active());
 		node.put("plannedModels", this.fleet.table().sets().size());
 	}
--- a/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/runner/ChainPlanning.java
+++ b/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/runner/ChainPlanning.java
@@ -11,11 +11,11 @@
 import io.bilberryvalve.config.ClubPart;
 import io.bilberryvalve.config.FederationConfiguration;
 import io.bilberryvalve.config.FederationPart.ModelSpec;
+import io.bilberryvalve.model.Link;
 import io.bilberryvalve.model.ModelVersion;
 import io.bilberryvalve.model.Runner;
 import io.bilberryvalve.model.RunnerId;
 import io.bilberryvalve.policy.chain.Candidate;
-import io.bilberryvalve.policy.chain.Chain;
 import io.bilberryvalve.policy.chain.ChainPlanner;
 import io.bilberryvalve.policy.chain.ChainSet;
 import io.bilberryvalve.policy.chain.ChainTable;
@@ -23,7 +23,6 @@
 import io.bilberryvalve.policy.chain.ModelShape;
 import io.bilberryvalve.policy.chain.PlanKey;
 import io.bilberryvalve.policy.choice.RunnerHealth;
-import io.bilberryvalve.policy.choice.RunnerLoads;
 
 /**
  * Plans the chains of all models that pipelines use. It runs in the background, not on
@@ -36,15 +35,16 @@
 
 	private final ChainPlanner planner;
 
-	private final RunnerLoads loads;
-
 	private final RunnerHealth health;
 
 	private final Predicate<RunnerId> leaving;
 
-	ChainPlanning(ChainPlanner planner, RunnerLoads loads, RunnerHealth health, Predicate<RunnerId> leaving) {
+	private Map<Inputs, ChainSet> previous = new HashMap<>();
+
+	private Map<Inputs, ChainSet> next = new HashMap<>();
+
+	ChainPlanning(ChainPlanner planner, RunnerHealth health, Predicate<RunnerId> leaving) {
 		this.planner = planner;
-		this.loads = loads;
 		this.health = health;
 		this.leaving = leaving;
 	}
@@ -57,7 +57,7 @@
 	 * @return the chains
 	 */
 	ChainTable plan(long version, FederationConfiguration configuration, RunnerSpeeds speeds) {
-		LinkTable links = new LinkTable(configuration.federation().links());
+		List<Link> links = configuration.federation().links();
 		Map<ModelVersion, ModelSpec> models = new HashMap<>();
 		configuration.federation().models().forEach((spec) -> models.put(spec.model(), spec));
 		Map<PlanKey, ChainSet> sets = new HashMap<>();
@@ -68,32 +68,38 @@
 				sets.put(key, plan(shape, key, configuration.federation().runners(), links, speeds));
 			}
 		}
+		this.previous = this.next;
+		this.next = new HashMap<>();
 		return new ChainTable(version, sets);
 	}
 
-	private ChainSet plan(ModelShape shape, PlanKey key, List<Runner> runners, LinkTable links, RunnerSpeeds speeds) {
+	private ChainSet plan(ModelShape shape, PlanKey key, List<Runner> runners, List<Link> links, RunnerSpeeds speeds) {
 		List<Runner> present = runners.stream()
 			.filter(key::matches)
 			.filter((runner) -> runner.layers().end() <= shape.layers())
 			.filter((runner) -> !this.leaving.test(runner.id()))
 			.toList();
 		this.health.balance(present.stream().map(Runner::id).toList(), speeds::decode);
-		List<Candidate> healthy = candidates(present, USABLE_WEIGHT, speeds);
-		List<Chain> chains = this.planner.plan(shape, healthy, links);
-		if (!chains.isEmpty()) {
-			return new ChainSet(chains, healthy);
-		}
-		List<Candidate> all = candidates(present, 0, speeds);
-		return new ChainSet(this.planner.plan(shape, all, links), all);
+		ChainSet healthy = plan(new Inputs(shape, candidates(present, USABLE_WEIGHT, speeds), links));
+		return (healthy.size() > 0) ? healthy : plan(new Inputs(shape, candidates(present, 0, speeds), links));
+	}
+
+	// A plan costs about 0.1 s of processor time; most calls find the inputs unchanged.
+	private ChainSet plan(Inputs inputs) {
+		ChainSet known = this.previous.get(inputs);
+		ChainSet set = (known != null) ? known : new ChainSet(
+				this.planner.plan(inputs.shape, inputs.candidates, new LinkTable(inputs.links)), inputs.candidates);
+		this.next.put(inputs, set);
+		return set;
 	}
 
 	private List<Candidate> candidates(List<Runner> runners, double leastWeight, RunnerSpeeds speeds) {
 		List<Candidate> candidates = new ArrayList<>();
 		for (Runner runner : runners) {
 			if (this.health.weight(runner.id()) >= leastWeight) {
-				double rate = speeds.decode(runner.id());
-				double queue = this.loads.positions(runner.id()) * runner.layers().size() / rate;
-				candidates.add(new Candidate(runner, rate, queue));
+				// A plan divides the capacity; the choice for each request looks at the
+				// queues.
+				candidates.add(new Candidate(runner, speeds.decode(runner.id()), 0));
 			}
 		}
 		return candidates;
@@ -109,4 +115,15 @@
 		return keys;
 	}
 
+	/**
+	 * What the plan of a model depends on.
+	 *
+	 * @param shape the model
+	 * @param candidates runners that may be used
+	 * @param links links between data centres
+	 */
+	private record Inputs(ModelShape shape, List<Candidate> candidates, List<Link> links) {
+
+	}
+
 }
--- a/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/runner/RunnerFleet.java
+++ b/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/runner/RunnerFleet.java
@@ -16,7 +16,7 @@
 import io.bilberryvalve.daemon.configuration.ConfigurationSource;
 import io.bilberryvalve.model.RunnerId;
 import io.bilberryvalve.model.log.LogEvent;
-import io.bilberryvalve.policy.chain.BoundaryChainPlanner;
+import io.bilberryvalve.policy.chain.BalancedChainPlanner;
 import io.bilberryvalve.policy.chain.Chain;
 import io.bilberryvalve.policy.chain.ChainRepair;
 import io.bilberryvalve.policy.chain.ChainSet;
@@ -30,6 +30,7 @@
 import io.bilberryvalve.policy.choice.RunnerChooser;
 import io.bilberryvalve.policy.choice.RunnerHealth;
 import io.bilberryvalve.policy.choice.RunnerLoads;
+import io.bilberryvalve.policy.share.Capacity;
 
 /**
  * The runners of the federation as this entry sees them: loads, health, cached prefixes
@@ -82,7 +83,7 @@
 		this.absent = absent;
 		this.loads = new RunnerLoads(clock);
 		this.prefixes = new PrefixIndex(clock, PREFIX_VALIDITY, PREFIX_CAPACITY);
-		this.planning = new ChainPlanning(new BoundaryChainPlanner(), this.loads, this.health, this::leaving);
+		this.planning = new ChainPlanning(new BalancedChainPlanner(), this.health, this::leaving);
 	}
 
 	@Override
@@ -176,6 +177,14 @@
 		return this.plan.get().table();
 	}
 
+	/**
+	 * Returns what the planned chains can take.
+	 * @return the capacity
+	 */
+	public Capacity capacity() {
+		return PlannedCapacity.of(table());
+	}
+
 	RunnerLoads loads() {
 		return this.loads;
 	}
