--- a/bilberryvalve-standins/src/main/java/io/bilberryvalve/standins/engine/ChainClient.java
+++ b/bilberryvalve-standins/src/main/java/io/bilberryvalve/standins/engine/ChainClient.java
@@ -19,6 +19,7 @@
 import io.servicetalk.http.api.HttpResponse;
 import io.servicetalk.http.api.HttpResponseStatus;
 import io.servicetalk.http.netty.HttpClients;
+import io.servicetalk.http.netty.RetryingHttpRequesterFilter;
 
 /**
  * Sends requests to other engines and to the weight store.
@@ -36,12 +37,14 @@
 	 * @return the answer, or a {@link StageException}
 	 */
 	CompletableFuture<Step.Answer> step(Stage stage, String stream, Step step, Duration timeout) {
-		HttpClient client = client(Address.parse(stage.address()));
+		Address address = Address.parse(stage.address());
+		HttpClient client = client(address);
 		HttpRequest request = client.post("/v1/streams/" + stream + "/steps");
 		request.addHeader("content-type", "application/json");
 		request.payloadBody(client.executionContext().bufferAllocator().fromUtf8(Json.write(step)));
 		return send(client, request, timeout).handle((response, error) -> {
 			if (response == null) {
+				forget(address, client);
 				throw new StageException(stage.runner(), ProblemKind.RUNNER_FAILED,
 						"stage " + stage.runner() + " at " + stage.address() + " did not answer: " + error);
 			}
@@ -64,6 +67,7 @@
 		HttpClient client = client(address);
 		return send(client, client.get(path), timeout).handle((response, error) -> {
 			if (response == null) {
+				forget(address, client);
 				throw StandinException.refused(ProblemKind.RUNNER_FAILED, address + " did not answer: " + error,
 						"repeat the request later");
 			}
@@ -79,9 +83,19 @@
 		return this.clients.computeIfAbsent(address,
 				(key) -> HttpClients.forResolvedAddress(new InetSocketAddress(key.host(), key.port()))
 					.executionStrategy(HttpExecutionStrategies.offloadNone())
+					.appendClientFilter(RetryingHttpRequesterFilter.disableAutoRetries())
 					.build());
 	}
 
+	// A client avoids a host for seconds after failed connections, although an engine
+	// that
+	// was restarted there may work at once.
+	private void forget(Address address, HttpClient client) {
+		if (this.clients.remove(address, client)) {
+			client.closeAsyncGracefully().subscribe();
+		}
+	}
+
 	private static CompletableFuture<HttpResponse> send(HttpClient client, HttpRequest request, Duration timeout) {
 		return client.request(request).timeout(timeout).toCompletionStage().toCompletableFuture();
 	}
--- a/bilberryvalve-standins/src/test/java/io/bilberryvalve/standins/engine/EngineStandinTests.java
+++ b/bilberryvalve-standins/src/test/java/io/bilberryvalve/standins/engine/EngineStandinTests.java
@@ -98,6 +98,17 @@
 		assertThat(body).contains("event: problem").contains("\"runner\":\"r2\"").doesNotContain("[DONE]");
 	}
 
+	// Guards against keep-alives that hide a silent later stage from the client for good.
+	@Example
+	void reportsASilentStageAfterTheStepTimeout() throws IOException {
+		start("s", 1, 0, 2, this.front, this.back);
+		this.client.send("PUT", this.back.address(), "/admin/faults", "{\"silenceExisting\": true}");
+		assertThat(start("t", 1, 0, 2, this.front, this.back).body()).contains(": keep-alive")
+			.contains("event: problem")
+			.contains("\"runner\":\"r2\"");
+		assertThat(tokens(start("t", 2, 0, 2, this.front, this.back).body())).hasSize(2);
+	}
+
 	// Guards against a rebuild of KV data that has been imported.
 	@Example
 	void importedKvDataNeedsNoRecomputation() throws Exception {
