--- a/bilberryvalve-bench/src/main/java/io/bilberryvalve/bench/Experiments.java
+++ b/bilberryvalve-bench/src/main/java/io/bilberryvalve/bench/Experiments.java
@@ -11,7 +11,7 @@
 	}
 
 	static List<Experiment> all() {
-		return List.of(new DecisionTime(), new Throughput());
+		return List.of(new DecisionTime(), new Throughput(), new Recovery(), new Rolling());
 	}
 
 }
--- a/bilberryvalve-bench/src/main/java/io/bilberryvalve/bench/process/ClientReply.java
+++ b/bilberryvalve-bench/src/main/java/io/bilberryvalve/bench/process/ClientReply.java
@@ -94,6 +94,23 @@
 				: (this.tokens.get(0).nanos - this.start) / NANOS_PER_SECOND;
 	}
 
+	/**
+	 * Returns the time from an event to the first token.
+	 * @param event time of the event, from {@link System#nanoTime()}
+	 * @return time in seconds
+	 */
+	public double firstTokenSecondsAfter(long event) {
+		return (this.tokens.get(0).nanos - event) / NANOS_PER_SECOND;
+	}
+
+	/**
+	 * Returns the first runner of the chain that sent the last token.
+	 * @return name of the runner
+	 */
+	public String runner() {
+		return (this.lastEvent != null) ? this.lastEvent.substring(this.lastEvent.indexOf('@') + 1) : "";
+	}
+
 	/**
 	 * Returns the longest time between two tokens.
 	 * @return time in seconds, 0 for fewer than two tokens
--- a/bilberryvalve-bench/src/main/java/io/bilberryvalve/bench/process/EntryClient.java
+++ b/bilberryvalve-bench/src/main/java/io/bilberryvalve/bench/process/EntryClient.java
@@ -7,7 +7,7 @@
 import java.net.http.HttpResponse;
 import java.time.Duration;
 import java.util.Iterator;
-import java.util.function.IntConsumer;
+import java.util.function.Consumer;
 import java.util.stream.Stream;
 
 import com.fasterxml.jackson.databind.JsonNode;
@@ -44,10 +44,10 @@
 	 * Asks for a reply of a club's pipeline and reads it to its end.
 	 * @param club the club
 	 * @param tokens number of tokens
-	 * @param onToken is told about the index of each token when it arrives
+	 * @param onToken is told about each token when it arrives
 	 * @return what arrived
 	 */
-	public ClientReply complete(String club, int tokens, IntConsumer onToken) {
+	public ClientReply complete(String club, int tokens, Consumer<ClientReply> onToken) {
 		return stream(club, tokens, null, onToken);
 	}
 
@@ -59,7 +59,7 @@
 	 * @return what arrived
 	 */
 	public ClientReply resume(String club, int tokens, String lastEvent) {
-		return stream(club, tokens, lastEvent, (index) -> {
+		return stream(club, tokens, lastEvent, (reply) -> {
 		});
 	}
 
@@ -79,7 +79,7 @@
 				.build(), HttpResponse.BodyHandlers.ofString());
 	}
 
-	private ClientReply stream(String club, int tokens, @Nullable String lastEvent, IntConsumer onToken) {
+	private ClientReply stream(String club, int tokens, @Nullable String lastEvent, Consumer<ClientReply> onToken) {
 		String body = JSON.createObjectNode()
 			.put("model", club + "-notes")
 			.put("prompt", "two boxes of wax cups please")
@@ -107,7 +107,7 @@
 		return reply;
 	}
 
-	private static void read(int status, Iterator<String> lines, ClientReply reply, IntConsumer onToken)
+	private static void read(int status, Iterator<String> lines, ClientReply reply, Consumer<ClientReply> onToken)
 			throws IOException {
 		while (lines.hasNext()) {
 			String line = lines.next();
@@ -123,7 +123,7 @@
 		}
 	}
 
-	private static void data(String data, ClientReply reply, IntConsumer onToken) throws IOException {
+	private static void data(String data, ClientReply reply, Consumer<ClientReply> onToken) throws IOException {
 		if (data.equals("[DONE]")) {
 			reply.done();
 			return;
@@ -131,7 +131,7 @@
 		JsonNode node = JSON.readTree(data);
 		if (node.has("index")) {
 			reply.token(System.nanoTime(), node.get("index").asInt(), node.get("text").asText());
-			onToken.accept(node.get("index").asInt());
+			onToken.accept(reply);
 		}
 		else {
 			reply.broken(data);
--- a/bilberryvalve-bench/src/main/java/io/bilberryvalve/bench/process/LocalFederation.java
+++ b/bilberryvalve-bench/src/main/java/io/bilberryvalve/bench/process/LocalFederation.java
@@ -147,6 +147,17 @@
 				List.of("--settings", settings(entry).toString()));
 	}
 
+	/**
+	 * Starts an engine again after its end and waits until it answers.
+	 * @param engine number of the engine
+	 * @throws Exception if it does not answer in time
+	 */
+	public void restartEngine(int engine) throws Exception {
+		this.group.awaitExit("engine-" + engine);
+		standin("engine-" + engine, engineArguments(engine));
+		awaitEngine(engine);
+	}
+
 	/**
 	 * Waits until an entry has a configuration in force and accepts requests.
 	 * @param entry number of the entry
@@ -230,11 +241,14 @@
 			awaitEntry(i, this.version);
 		}
 		for (int i = 0; i < engines(); i++) {
-			int engine = i;
-			await("engine-" + i, () -> read("engine-" + engine, "/v1/load").contains("runner"));
+			awaitEngine(i);
 		}
 	}
 
+	private void awaitEngine(int engine) throws Exception {
+		await("engine-" + engine, () -> read("engine-" + engine, "/v1/load").contains("runner"));
+	}
+
 	private int engines() {
 		return 2 * this.plan.chains();
 	}
