--- /dev/null
+++ b/bilberryvalve-policy/src/main/java/io/bilberryvalve/policy/lease/LeaseScope.java
@@ -0,0 +1,50 @@
+package io.bilberryvalve.policy.lease;
+
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.List;
+
+import com.dynatrace.hash4j.hashing.Hashing;
+import io.bilberryvalve.model.ModelId;
+import io.bilberryvalve.model.RegionId;
+import io.bilberryvalve.model.VmId;
+
+/**
+ * What a lease covers: the engines of one model in one region.
+ *
+ * @param model the model
+ * @param region the region
+ */
+public record LeaseScope(ModelId model, RegionId region) implements Comparable<LeaseScope> {
+
+	/** Daemons that compete for a lease. */
+	public static final int CANDIDATES = 2;
+
+	/**
+	 * Chooses the daemons that compete for the lease, by rendezvous hash, so that daemons
+	 * with the same members agree without messages.
+	 * @param live live members
+	 * @return at most {@value #CANDIDATES} members
+	 */
+	public List<VmId> candidates(Collection<VmId> live) {
+		return live.stream()
+			.sorted(Comparator.comparingLong(this::score).reversed().thenComparing(Comparator.naturalOrder()))
+			.limit(CANDIDATES)
+			.toList();
+	}
+
+	private long score(VmId vm) {
+		return Hashing.komihash5_0().hashCharsToLong(vm + " " + this);
+	}
+
+	@Override
+	public int compareTo(LeaseScope other) {
+		return toString().compareTo(other.toString());
+	}
+
+	@Override
+	public String toString() {
+		return this.model + "/" + this.region;
+	}
+
+}
--- /dev/null
+++ b/bilberryvalve-policy/src/main/java/io/bilberryvalve/policy/lease/OrderGate.java
@@ -0,0 +1,41 @@
+package io.bilberryvalve.policy.lease;
+
+import java.time.Instant;
+import java.util.Optional;
+
+/**
+ * Decides whether an order may be sent now.
+ */
+public final class OrderGate {
+
+	private final LeaseTimes times;
+
+	/**
+	 * Creates a gate.
+	 * @param times times of the lease
+	 */
+	public OrderGate(LeaseTimes times) {
+		this.times = times;
+	}
+
+	/**
+	 * Decides about an order.
+	 * @param grant the grant of this daemon, read at the same time
+	 * @param checksFencing whether the engine refuses an old fencing number
+	 * @param now the time
+	 * @return whether the order may be sent: the lease is valid and, for an engine that
+	 * ignores fencing numbers, each order of an earlier holder has ended
+	 */
+	public boolean mayOrder(Optional<LeaseHolder.Grant> grant, boolean checksFencing, Instant now) {
+		if (grant.isEmpty() || !now.isBefore(grant.get().actUntil())) {
+			return false;
+		}
+		boolean first = grant.get().fencing().value() == 1;
+		return checksFencing || first || !now.isBefore(quietUntil(grant.get()));
+	}
+
+	private Instant quietUntil(LeaseHolder.Grant grant) {
+		return grant.since().plus(this.times.duration()).plus(this.times.orderTimeout());
+	}
+
+}
