Add leases and engine orders with a history check of their own

Cause: a holder paused past its lease must do no harm. Change: LeaseKeeper carries the holder's actions to the table service; EngineReconciler orders what the configuration wants, under numbers that start with the configuration version, because a runner that changes its model comes under another lease; OrderService holds the leases of this daemon.

--- a/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/call/ExecutionCleaner.java
+++ b/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/call/ExecutionCleaner.java
@@ -22,8 +22,11 @@
  */
 public final class ExecutionCleaner {
 
-	/** Index rows handled in one step. */
-	static final int INDEX_ROWS = 10;
+	/** Largest number of index rows handled in one step. */
+	static final int INDEX_ROWS = 200;
+
+	/** Records handled in one step, unless the first index row lists more. */
+	static final int RECORDS = 500;
 
 	private static final CompletionStage<Integer> NOTHING = CompletableFuture.completedFuture(0);
 
@@ -58,10 +61,23 @@
 				.stream()
 				.filter((row) -> this.expiry.due(row.key(), this.clock.instant()))
 				.toList();
-			return due.isEmpty() ? NOTHING : readRecords(due);
+			return due.isEmpty() ? NOTHING : readRecords(bounded(due));
 		});
 	}
 
+	private static List<Row> bounded(List<Row> due) {
+		List<Row> taken = new ArrayList<>();
+		long records = 0;
+		for (Row row : due) {
+			records += row.value().lines().count();
+			if (!taken.isEmpty() && records > RECORDS) {
+				break;
+			}
+			taken.add(row);
+		}
+		return taken;
+	}
+
 	private CompletionStage<Integer> readRecords(List<Row> index) {
 		List<CompletableFuture<Fetched<Row>>> reads = index.stream()
 			.flatMap((row) -> row.value().lines())
--- a/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/call/ExecutionStore.java
+++ b/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/call/ExecutionStore.java
@@ -165,7 +165,8 @@
 	private void addIndex(OnceAction.Commit commit, List<Operation> operations) {
 		List<String> keys = commit.writes()
 			.stream()
-			.filter((write) -> write.record().state() == ExecutionRecord.State.RESERVED)
+			.filter((write) -> write.expectVersion() == Operation.ABSENT
+					|| write.record().state() == ExecutionRecord.State.RESERVED)
 			.map((write) -> write.key().toString())
 			.toList();
 		if (!keys.isEmpty()) {
--- /dev/null
+++ b/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/order/OrderService.java
@@ -0,0 +1,168 @@
+package io.bilberryvalve.daemon.order;
+
+import java.time.Clock;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.random.RandomGenerator;
+
+import io.bilberryvalve.config.FederationConfiguration;
+import io.bilberryvalve.config.FederationPart;
+import io.bilberryvalve.daemon.configuration.ConfigurationSource;
+import io.bilberryvalve.daemon.lifecycle.Lifecycle;
+import io.bilberryvalve.daemon.lifecycle.ServingState;
+import io.bilberryvalve.daemon.peer.Peer;
+import io.bilberryvalve.daemon.peer.PeerNetwork;
+import io.bilberryvalve.model.DataCentreId;
+import io.bilberryvalve.model.RegionId;
+import io.bilberryvalve.model.Runner;
+import io.bilberryvalve.model.RunnerId;
+import io.bilberryvalve.model.VmId;
+import io.bilberryvalve.platform.TableService;
+import io.bilberryvalve.policy.lease.LeaseHolder;
+import io.bilberryvalve.policy.lease.LeaseScope;
+import io.bilberryvalve.policy.lease.LeaseTimes;
+
+/**
+ * Holds the leases for which this daemon is a candidate and sends orders to the engines
+ * they cover. {@link #tick()} does all work and must be called several times a second.
+ */
+public final class OrderService {
+
+	private final Self self;
+
+	private final PeerNetwork peers;
+
+	private final Lifecycle lifecycle;
+
+	private final TableService tables;
+
+	private final EngineOrders orders;
+
+	private final LeaseTimes times;
+
+	private final Clock clock;
+
+	private final RandomGenerator random;
+
+	private final Map<LeaseScope, LeaseKeeper> leases = new TreeMap<>();
+
+	private final Map<RunnerId, EngineReconciler> engines = new HashMap<>();
+
+	private Map<LeaseScope, List<RunnerId>> covered = Map.of();
+
+	/**
+	 * Creates the service.
+	 * @param self this daemon
+	 * @param configuration gives the runners
+	 * @param peers other daemons
+	 * @param lifecycle tells whether this daemon is leaving
+	 * @param tables table service
+	 * @param orders sends orders
+	 * @param times times of leases
+	 * @param clock monotonic clock
+	 * @param random spreads store accesses
+	 */
+	public OrderService(Self self, ConfigurationSource configuration, PeerNetwork peers, Lifecycle lifecycle,
+			TableService tables, EngineOrders orders, LeaseTimes times, Clock clock, RandomGenerator random) {
+		this.self = self;
+		this.peers = peers;
+		this.lifecycle = lifecycle;
+		this.tables = tables;
+		this.orders = orders;
+		this.times = times;
+		this.clock = clock;
+		this.random = random;
+		configuration.listen(this::configure);
+	}
+
+	/**
+	 * Renews leases and sends orders that are due.
+	 */
+	public void tick() {
+		List<VmId> live = live();
+		for (Step step : steps(live)) {
+			step.lease().tick(step.competes());
+			step.engines().forEach((engine) -> engine.tick(step.lease()::grant));
+		}
+	}
+
+	/**
+	 * Returns the number of leases held now.
+	 * @return the number
+	 */
+	public synchronized int held() {
+		return (int) this.leases.values().stream().filter((lease) -> lease.grant().isPresent()).count();
+	}
+
+	private synchronized List<Step> steps(List<VmId> live) {
+		List<Step> steps = new ArrayList<>();
+		for (Map.Entry<LeaseScope, LeaseKeeper> entry : this.leases.entrySet()) {
+			List<RunnerId> runners = this.covered.getOrDefault(entry.getKey(), List.of());
+			boolean competes = !runners.isEmpty() && entry.getKey().candidates(live).contains(this.self.vm());
+			steps.add(new Step(entry.getValue(), competes, runners.stream().map(this.engines::get).toList()));
+		}
+		return steps;
+	}
+
+	private List<VmId> live() {
+		List<VmId> live = new ArrayList<>();
+		for (Peer peer : this.peers.peers()) {
+			if (peer.state() == Peer.State.LIVE) {
+				live.add(peer.vm());
+			}
+		}
+		if (this.lifecycle.state().compareTo(ServingState.READY) <= 0) {
+			live.add(this.self.vm());
+		}
+		return live;
+	}
+
+	private synchronized void configure(FederationConfiguration configuration) {
+		Map<DataCentreId, RegionId> regions = new HashMap<>();
+		for (FederationPart.DataCentre dataCentre : configuration.federation().dataCentres()) {
+			regions.put(dataCentre.dataCentre(), dataCentre.region());
+		}
+		Map<LeaseScope, List<RunnerId>> next = new TreeMap<>();
+		Set<RunnerId> present = new HashSet<>();
+		for (Runner runner : configuration.federation().runners()) {
+			RegionId region = regions.get(runner.dataCentre());
+			if (region != null) {
+				present.add(runner.id());
+				next.computeIfAbsent(new LeaseScope(runner.model().model(), region), (scope) -> new ArrayList<>())
+					.add(runner.id());
+				this.engines
+					.computeIfAbsent(runner.id(),
+							(id) -> new EngineReconciler(runner, this.orders, this.times, this.clock))
+					.configure(runner, configuration.version());
+			}
+		}
+		this.engines.keySet().retainAll(present);
+		next.keySet().forEach((scope) -> this.leases.computeIfAbsent(scope, this::keeper));
+		this.covered = next;
+	}
+
+	private LeaseKeeper keeper(LeaseScope scope) {
+		LeaseHolder holder = new LeaseHolder(this.self.incarnation(), this.times, this.clock, this.random);
+		return new LeaseKeeper(scope, holder, this.tables);
+	}
+
+	/**
+	 * This daemon.
+	 *
+	 * @param vm its VM
+	 * @param incarnation text that is unique to this run of the daemon
+	 */
+	public record Self(VmId vm, String incarnation) {
+
+	}
+
+	private record Step(LeaseKeeper lease, boolean competes, List<EngineReconciler> engines) {
+
+	}
+
+}
--- /dev/null
+++ b/bilberryvalve-daemon/src/test/java/io/bilberryvalve/daemon/order/LeaseSimulation.java
@@ -0,0 +1,151 @@
+package io.bilberryvalve.daemon.order;
+
+import java.time.Clock;
+import java.time.Duration;
+import java.time.Instant;
+import java.time.ZoneId;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.Random;
+
+import io.bilberryvalve.model.ModelId;
+import io.bilberryvalve.model.RegionId;
+import io.bilberryvalve.model.clock.ManualClock;
+import io.bilberryvalve.platform.memory.MemoryTables;
+import io.bilberryvalve.policy.lease.LeaseHolder;
+import io.bilberryvalve.policy.lease.LeaseScope;
+import io.bilberryvalve.policy.lease.LeaseTimes;
+import io.bilberryvalve.policy.lease.OrderGate;
+
+/**
+ * Daemons with clocks that differ, which compete for one lease and send orders to an
+ * engine that ignores fencing numbers. An order arrives up to the order timeout later.
+ */
+final class LeaseSimulation {
+
+	static final LeaseTimes TIMES = LeaseTimes.defaults();
+
+	final ManualClock clock = new ManualClock();
+
+	final MemoryTables tables = new MemoryTables();
+
+	final OrderHistory history = new OrderHistory();
+
+	int acts;
+
+	private final List<Competitor> competitors = new ArrayList<>();
+
+	private final List<InFlight> orders = new ArrayList<>();
+
+	private int incarnations;
+
+	LeaseSimulation(int daemons) {
+		for (int i = 0; i < daemons; i++) {
+			this.competitors.add(new Competitor("d" + this.incarnations++));
+		}
+	}
+
+	void restart(int daemon) {
+		this.competitors.set(daemon, new Competitor("d" + this.incarnations++));
+	}
+
+	void pause(int daemon, Duration time) {
+		this.competitors.get(daemon).pausedUntil = this.clock.instant().plus(time);
+	}
+
+	void compete(int daemon, boolean competes) {
+		this.competitors.get(daemon).competes = competes;
+	}
+
+	void advance(Duration duration, Duration delay) {
+		this.clock.advance(duration);
+		Instant now = this.clock.instant();
+		this.orders.removeIf((order) -> {
+			boolean arrives = !order.at().isAfter(now);
+			if (arrives) {
+				this.history.executed("engine", order.fencing());
+			}
+			return arrives;
+		});
+		this.competitors.forEach((competitor) -> competitor.step(delay));
+	}
+
+	private final class Competitor {
+
+		private final String name;
+
+		private final Clock own;
+
+		private final LeaseKeeper keeper;
+
+		private final OrderGate gate = new OrderGate(TIMES);
+
+		private Instant pausedUntil = Instant.MIN;
+
+		private boolean competes = true;
+
+		Competitor(String name) {
+			this.name = name;
+			Random random = new Random(name.hashCode());
+			Duration offset = Duration.ofSeconds(random.nextInt(100_000));
+			this.own = new OffsetClock(LeaseSimulation.this.clock, offset);
+			LeaseScope scope = new LeaseScope(new ModelId("m"), new RegionId("south"));
+			this.keeper = new LeaseKeeper(scope, new LeaseHolder(name, TIMES, this.own, random),
+					LeaseSimulation.this.tables);
+		}
+
+		void step(Duration delay) {
+			Instant now = LeaseSimulation.this.clock.instant();
+			if (now.isBefore(this.pausedUntil)) {
+				return;
+			}
+			// The order is sent before the lease is renewed: a daemon that was paused
+			// does first what it was about to do.
+			Optional<LeaseHolder.Grant> grant = this.keeper.grant();
+			if (grant.isPresent()) {
+				LeaseSimulation.this.acts++;
+				long fencing = grant.get().fencing().value();
+				LeaseSimulation.this.history.acted(now, this.name, fencing);
+				if (this.gate.mayOrder(grant, false, this.own.instant())) {
+					LeaseSimulation.this.orders.add(new InFlight(now.plus(delay), fencing));
+				}
+			}
+			this.keeper.tick(this.competes);
+		}
+
+	}
+
+	private record InFlight(Instant at, long fencing) {
+
+	}
+
+	private static final class OffsetClock extends Clock {
+
+		private final Clock base;
+
+		private final Duration offset;
+
+		OffsetClock(Clock base, Duration offset) {
+			this.base = base;
+			this.offset = offset;
+		}
+
+		@Override
+		public ZoneId getZone() {
+			return this.base.getZone();
+		}
+
+		@Override
+		public Clock withZone(ZoneId zone) {
+			return Clock.fixed(instant(), zone);
+		}
+
+		@Override
+		public Instant instant() {
+			return this.base.instant().plus(this.offset);
+		}
+
+	}
+
+}
--- /dev/null
+++ b/bilberryvalve-daemon/src/test/java/io/bilberryvalve/daemon/order/OrderHistoryTests.java
@@ -0,0 +1,48 @@
+package io.bilberryvalve.daemon.order;
+
+import java.time.Instant;
+
+import net.jqwik.api.Example;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Guards against a history check that accepts everything.
+ */
+class OrderHistoryTests {
+
+	private final OrderHistory history = new OrderHistory();
+
+	@Example
+	void acceptsSuccession() {
+		this.history.acted(Instant.EPOCH, "a", 1);
+		this.history.acted(Instant.EPOCH, "a", 1);
+		this.history.acted(Instant.EPOCH, "b", 2);
+		this.history.executed("e", 1);
+		this.history.executed("e", 2);
+		assertThat(this.history.violation()).isNull();
+	}
+
+	@Example
+	void rejectsTwoHoldersAtOnce() {
+		this.history.acted(Instant.EPOCH, "a", 1);
+		this.history.acted(Instant.EPOCH, "b", 2);
+		this.history.acted(Instant.EPOCH, "a", 1);
+		assertThat(this.history.violation()).contains("a acted with 1");
+	}
+
+	@Example
+	void rejectsNumberGrantedTwice() {
+		this.history.acted(Instant.EPOCH, "a", 1);
+		this.history.acted(Instant.EPOCH, "b", 1);
+		assertThat(this.history.violation()).contains("was granted to b");
+	}
+
+	@Example
+	void rejectsOldOrderAfterNewOne() {
+		this.history.executed("e", 2);
+		this.history.executed("e", 1);
+		assertThat(this.history.violation()).contains("after one with 2");
+	}
+
+}
