Share the paused process between the simulations

Cause: a paused lease competitor received store answers at once, which hid answers that are handled after the pause. Change: one simulated process that delays its events while it is paused.

--- a/bilberryvalve-daemon/src/test/java/io/bilberryvalve/daemon/call/CallSimulation.java
+++ b/bilberryvalve-daemon/src/test/java/io/bilberryvalve/daemon/call/CallSimulation.java
@@ -102,16 +102,16 @@
 	}
 
 	void kill(int entry) {
-		this.entries.get(entry).kill();
+		this.entries.get(entry).process().kill();
 		this.entries.set(entry, start());
 	}
 
 	void pause(int entry) {
-		this.entries.get(entry).pause();
+		this.entries.get(entry).process().pause();
 	}
 
 	void resume(int entry) {
-		this.entries.get(entry).resume();
+		this.entries.get(entry).process().resume();
 	}
 
 	void advance(Duration duration) {
@@ -123,7 +123,7 @@
 	void settle() {
 		this.tables.writes().clear();
 		this.tables.reads().clear();
-		this.entries.forEach(SimulatedEntry::resume);
+		this.entries.forEach((entry) -> entry.process().resume());
 		for (int i = 0; i < 100; i++) {
 			this.tables.writes().release();
 			this.tables.reads().release();
--- a/bilberryvalve-daemon/src/test/java/io/bilberryvalve/daemon/order/LeaseSimulation.java
+++ b/bilberryvalve-daemon/src/test/java/io/bilberryvalve/daemon/order/LeaseSimulation.java
@@ -9,6 +9,7 @@
 import java.util.Optional;
 import java.util.Random;
 
+import io.bilberryvalve.daemon.lifecycle.SuspendedProcess;
 import io.bilberryvalve.model.ModelId;
 import io.bilberryvalve.model.RegionId;
 import io.bilberryvalve.model.clock.ManualClock;
@@ -47,10 +48,12 @@
 	}
 
 	void restart(int daemon) {
+		this.competitors.get(daemon).process.kill();
 		this.competitors.set(daemon, new Competitor("d" + this.incarnations++));
 	}
 
 	void pause(int daemon, Duration time) {
+		this.competitors.get(daemon).process.pause();
 		this.competitors.get(daemon).pausedUntil = this.clock.instant().plus(time);
 	}
 
@@ -73,6 +76,8 @@
 
 	private final class Competitor {
 
+		private final SuspendedProcess process = new SuspendedProcess();
+
 		private final String name;
 
 		private final Clock own;
@@ -92,7 +97,7 @@
 			this.own = new OffsetClock(LeaseSimulation.this.clock, offset);
 			LeaseScope scope = new LeaseScope(new ModelId("m"), new RegionId("south"));
 			this.keeper = new LeaseKeeper(scope, new LeaseHolder(name, TIMES, this.own, random),
-					LeaseSimulation.this.tables);
+					this.process.connect(LeaseSimulation.this.tables));
 		}
 
 		void step(Duration delay) {
@@ -111,6 +116,7 @@
 					LeaseSimulation.this.orders.add(new InFlight(now.plus(delay), fencing));
 				}
 			}
+			this.process.resume();
 			this.keeper.tick(this.competes);
 		}
 
