--- /dev/null
+++ b/bilberryvalve-daemon/src/test/java/io/bilberryvalve/daemon/lifecycle/ManualTimer.java
@@ -0,0 +1,48 @@
+package io.bilberryvalve.daemon.lifecycle;
+
+import java.time.Clock;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+
+/**
+ * A timer whose due tasks run when the test says so.
+ */
+public final class ManualTimer implements Timer {
+
+	private final Clock clock;
+
+	private final List<Task> tasks = new ArrayList<>();
+
+	/**
+	 * Creates a timer without tasks.
+	 * @param clock clock of the test
+	 */
+	public ManualTimer(Clock clock) {
+		this.clock = clock;
+	}
+
+	@Override
+	public void after(Duration delay, Runnable task) {
+		this.tasks.add(new Task(this.clock.instant().plus(delay), task));
+	}
+
+	/**
+	 * Runs the tasks that are due.
+	 */
+	public void runDue() {
+		List<Task> due = this.tasks.stream()
+			.filter((task) -> !task.at().isAfter(this.clock.instant()))
+			.sorted(Comparator.comparing(Task::at))
+			.toList();
+		this.tasks.removeAll(due);
+		due.forEach((task) -> task.run().run());
+	}
+
+	private record Task(Instant at, Runnable run) {
+
+	}
+
+}
