--- a/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/share/DemandMessages.java
+++ b/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/share/DemandMessages.java
@@ -58,6 +58,7 @@
 				.setRunningCost(team.runningCost())
 				.setWaiting(team.waiting())
 				.setRunning(team.running())
+				.setRefused(team.refused())
 				.setRecentCost(team.recentCost())
 				.setRecentStreamSeconds(team.recentStreamSeconds()));
 		}
@@ -65,14 +66,14 @@
 	}
 
 	private static ClubDemand read(io.bilberryvalve.wire.proto.ClubDemand club) {
-		return new ClubDemand(new ClubId(club.getClub()), Math.max(0, club.getStreams()),
+		return new ClubDemand(new ClubId(club.getClub()), finite(club.getStreams()),
 				club.getTeamsList().stream().map(DemandMessages::read).toList());
 	}
 
 	private static TeamDemand read(io.bilberryvalve.wire.proto.TeamDemand team) {
 		return new TeamDemand(new TeamId(team.getTeam()), Math.max(0, team.getWaitingCost()),
 				Math.max(0, team.getRunningCost()), Math.max(0, team.getWaiting()), Math.max(0, team.getRunning()),
-				finite(team.getRecentCost()), finite(team.getRecentStreamSeconds()));
+				finite(team.getRefused()), finite(team.getRecentCost()), finite(team.getRecentStreamSeconds()));
 	}
 
 	private static double finite(double value) {
--- a/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/share/FairAdmission.java
+++ b/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/share/FairAdmission.java
@@ -80,7 +80,7 @@
 
 	private volatile ShareWeights weights = new ShareWeights(Map.of(), Map.of());
 
-	private volatile Allocation allocation = new Allocation(0, Map.of(), 0);
+	private volatile Allocation allocation = Allocation.NONE;
 
 	private long sequence;
 
--- a/bilberryvalve-policy/src/main/java/io/bilberryvalve/policy/share/AdmissionQueue.java
+++ b/bilberryvalve-policy/src/main/java/io/bilberryvalve/policy/share/AdmissionQueue.java
@@ -37,16 +37,14 @@
 
 	private final TreeSet<AdmissionTicket<T>> byLatestStart = new TreeSet<>(AdmissionTicket.BY_LATEST_START);
 
-	private final DecayedSum completed = new DecayedSum();
+	private final DecayedSum completed = new DecayedSum(TeamQueue.RECENT_MILLIS);
 
 	private ShareWeights weights = new ShareWeights(Map.of(), Map.of());
 
-	private Allocation allocation = new Allocation(0, Map.of(), 0);
+	private Allocation allocation = Allocation.NONE;
 
 	private double virtualTime;
 
-	private double unused;
-
 	private long sequence;
 
 	private int running;
@@ -63,19 +61,17 @@
 
 	/**
 	 * Sets what the entry may use. Running requests are not interrupted if the limit
-	 * falls below their number.
+	 * falls below their number. Requests that wait keep their place.
 	 * @param next the allocation
 	 * @param nextWeights the weights
 	 */
 	public void allocate(Allocation next, ShareWeights nextWeights) {
 		this.allocation = next;
 		this.weights = nextWeights;
-		this.unused = 0;
-		next.clubs().keySet().forEach(this::club);
-		for (ClubQueue<T> club : this.clubs.values()) {
-			club.keep(next.club(club.id()));
-			this.unused += club.unused();
-		}
+		List<ClubQueue<T>> busy = List.copyOf(this.active);
+		this.active.clear();
+		this.clubs.values().forEach((club) -> club.weights(this::weight, weight(club.id()), this.virtualTime));
+		this.active.addAll(busy);
 	}
 
 	/**
@@ -94,12 +90,14 @@
 		TeamQueue<T> queue = club.team(team);
 		if (queue.waiting().size() >= this.limits.teamRequests()
 				|| this.byLatestStart.size() >= this.limits.entryRequests()) {
+			queue.refused(now);
 			return new Rejected<>("the queue of team " + team.team() + " is full", retryAfter(wait(club, queue)));
 		}
 		Duration wait = startsAtOnce(club) ? Duration.ZERO : wait(club, queue);
 		Duration service = Duration.ofMillis(queue.expectedMillis(cost, now));
 		Duration needed = wait.plus(service);
 		if (timeout.isZero() || timeout.isNegative() || needed.compareTo(timeout) > 0) {
+			queue.refused(now);
 			return new Rejected<>(
 					"the expected wait of " + wait.toMillis() + " ms leaves too little time before the deadline",
 					retryAfter(needed.minus(timeout)));
@@ -120,7 +118,7 @@
 	 * @return the request, or empty if none waits or the limit is reached
 	 */
 	public Optional<AdmissionTicket<T>> poll() {
-		ClubQueue<T> club = (this.running < this.allocation.limit()) ? eligible() : null;
+		ClubQueue<T> club = eligible();
 		if (club == null) {
 			return Optional.empty();
 		}
@@ -128,11 +126,9 @@
 		AdmissionTicket<T> ticket = club.head();
 		this.byLatestStart.remove(ticket);
 		this.active.remove(club);
-		this.unused -= club.unused();
 		this.virtualTime = Math.max(this.virtualTime, club.flow().start());
-		club.flow().serve(ticket.cost(), this.weights.club(club.id()));
-		club.start(ticket, this.weights.team(ticket.team()), now);
-		this.unused += club.unused();
+		club.flow().serve(ticket.cost());
+		club.start(ticket, now);
 		if (club.waiting() > 0) {
 			this.active.add(club);
 		}
@@ -151,6 +147,7 @@
 		while (!this.byLatestStart.isEmpty() && this.byLatestStart.first().latestStartMillis() <= now) {
 			AdmissionTicket<T> ticket = this.byLatestStart.first();
 			remove(ticket);
+			club(ticket.team().club()).team(ticket.team()).refused(now);
 			expired.add(ticket);
 		}
 		return expired;
@@ -182,10 +179,8 @@
 		long now = this.clock.millis();
 		ClubQueue<T> club = club(ticket.team().club());
 		boolean wasActive = this.active.remove(club);
-		this.unused -= club.unused();
-		club.flow().correct(actual - ticket.cost(), this.weights.club(club.id()));
-		club.finish(ticket, actual, this.weights.team(ticket.team()), now);
-		this.unused += club.unused();
+		club.flow().correct(actual - ticket.cost());
+		club.finish(ticket, actual, now);
 		if (wasActive) {
 			this.active.add(club);
 		}
@@ -228,19 +223,17 @@
 		return null;
 	}
 
-	/**
-	 * Returns whether a club may take a stream: one that is kept for it, or one that is
-	 * not kept for another club.
-	 * @param club the club
-	 * @return whether it may
-	 */
 	private boolean mayStart(ClubQueue<T> club) {
-		int keptForOthers = (int) (this.unused - club.unused());
-		return club.belowKept() || this.running + keptForOthers < this.allocation.limit();
+		int limit = this.allocation.limit();
+		if (this.running < limit) {
+			return true;
+		}
+		return this.running < limit + this.allocation.overdraft()
+				&& club.running() < this.allocation.guarantee(club.id());
 	}
 
 	private boolean startsAtOnce(ClubQueue<T> club) {
-		return club.waiting() == 0 && this.running < this.allocation.limit() && mayStart(club);
+		return club.waiting() == 0 && mayStart(club);
 	}
 
 	/**
@@ -255,16 +248,20 @@
 		if (rate <= 0 || team.waitingCost() == 0) {
 			return Duration.ZERO;
 		}
-		double clubWeights = this.active.stream().mapToDouble((each) -> this.weights.club(each.id())).sum();
-		double teamWeights = club.active()
-			.stream()
-			.mapToDouble((each) -> this.weights.team(new TeamKey(club.id(), each.id())))
-			.sum();
-		double teamRate = rate * this.weights.club(club.id()) / clubWeights
-				* this.weights.team(new TeamKey(club.id(), team.id())) / teamWeights;
+		double clubWeights = this.active.stream().mapToDouble((each) -> each.flow().weight()).sum();
+		double teamWeights = club.active().stream().mapToDouble((each) -> each.flow().weight()).sum();
+		double teamRate = rate * club.flow().weight() / clubWeights * team.flow().weight() / teamWeights;
 		return Duration.ofMillis((long) (team.waitingCost() / teamRate * MILLIS));
 	}
 
+	private double weight(ClubId club) {
+		return this.allocation.rates().club(club, this.weights);
+	}
+
+	private double weight(TeamKey team) {
+		return this.allocation.rates().team(team, this.weights);
+	}
+
 	private void remove(AdmissionTicket<T> ticket) {
 		this.byLatestStart.remove(ticket);
 		ClubQueue<T> club = club(ticket.team().club());
@@ -276,7 +273,7 @@
 	}
 
 	private ClubQueue<T> club(ClubId id) {
-		return this.clubs.computeIfAbsent(id, ClubQueue::new);
+		return this.clubs.computeIfAbsent(id, (key) -> new ClubQueue<>(key, this::weight, weight(key)));
 	}
 
 	private static Duration retryAfter(Duration wait) {
--- a/bilberryvalve-policy/src/main/java/io/bilberryvalve/policy/share/Allocation.java
+++ b/bilberryvalve-policy/src/main/java/io/bilberryvalve/policy/share/Allocation.java
@@ -8,20 +8,27 @@
  * What one entry may use.
  *
  * @param limit streams at the same time
- * @param clubs streams kept for each club; other clubs may use those that are left over
+ * @param overdraft further streams that only clubs below their guarantee may start, so
+ * that they need not wait until another request ends
+ * @param guarantees streams at this entry up to which a club may use the overdraft
+ * @param rates token cost per second that the clubs and teams are to get here
  * @param tokensPerSecond tokens per second that the entry can expect, or 0 if not known
  */
-public record Allocation(int limit, Map<ClubId, Double> clubs, double tokensPerSecond) {
+public record Allocation(int limit, int overdraft, Map<ClubId, Double> guarantees, ShareRates rates,
+		double tokensPerSecond) {
+
+	/** Permits nothing. */
+	public static final Allocation NONE = new Allocation(0, 0, Map.of(), ShareRates.NONE, 0);
 
 	/**
 	 * Copies the map.
 	 */
 	public Allocation {
-		clubs = Map.copyOf(clubs);
+		guarantees = Map.copyOf(guarantees);
 	}
 
-	double club(ClubId club) {
-		return this.clubs.getOrDefault(club, 0.0);
+	double guarantee(ClubId club) {
+		return this.guarantees.getOrDefault(club, 0.0);
 	}
 
 }
--- a/bilberryvalve-policy/src/main/java/io/bilberryvalve/policy/share/ClubQueue.java
+++ b/bilberryvalve-policy/src/main/java/io/bilberryvalve/policy/share/ClubQueue.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.TreeSet;
+import java.util.function.ToDoubleFunction;
 
 import io.bilberryvalve.model.ClubId;
 import io.bilberryvalve.model.TeamId;
@@ -19,9 +20,6 @@
 	static final Comparator<ClubQueue<?>> ORDER = Comparator.<ClubQueue<?>>comparingDouble((club) -> club.flow.start())
 		.thenComparing((club) -> club.id);
 
-	// One stream more than the recent peak, so that a slightly higher peak does not wait.
-	private static final int HEADROOM = 1;
-
 	private final ClubId id;
 
 	private final Flow flow = new Flow();
@@ -32,16 +30,18 @@
 
 	private final PeakWindow peak = new PeakWindow();
 
-	private double virtualTime;
+	private ToDoubleFunction<TeamKey> teamWeights;
 
-	private double kept;
+	private double virtualTime;
 
 	private int waiting;
 
 	private int running;
 
-	ClubQueue(ClubId id) {
+	ClubQueue(ClubId id, ToDoubleFunction<TeamKey> teamWeights, double weight) {
 		this.id = id;
+		this.teamWeights = teamWeights;
+		this.flow.weight(weight, 0);
 	}
 
 	ClubId id() {
@@ -57,31 +57,36 @@
 	}
 
 	TeamQueue<T> team(TeamKey key) {
-		return this.teams.computeIfAbsent(key.team(), (team) -> new TeamQueue<>(key));
+		return this.teams.computeIfAbsent(key.team(), (team) -> created(key));
 	}
 
-	int waiting() {
-		return this.waiting;
-	}
-
-	int running() {
-		return this.running;
+	/**
+	 * Changes the weights of the club and its teams.
+	 * @param next the weights of teams
+	 * @param weight weight of the club
+	 * @param clubTime virtual time of the scheduler of clubs
+	 */
+	void weights(ToDoubleFunction<TeamKey> next, double weight, double clubTime) {
+		this.flow.weight(weight, clubTime);
+		this.teamWeights = next;
+		List<TeamQueue<T>> busy = List.copyOf(this.active);
+		this.active.clear();
+		this.teams.values().forEach((team) -> team.flow().weight(next.applyAsDouble(team.key()), this.virtualTime));
+		this.active.addAll(busy);
 	}
 
-	void keep(double streams) {
-		this.kept = streams;
+	private TeamQueue<T> created(TeamKey key) {
+		TeamQueue<T> team = new TeamQueue<>(key);
+		team.flow().weight(this.teamWeights.applyAsDouble(key), this.virtualTime);
+		return team;
 	}
 
-	boolean belowKept() {
-		return this.running < this.kept;
+	int waiting() {
+		return this.waiting;
 	}
 
-	/**
-	 * Returns the streams kept for this club that it does not use.
-	 * @return the number of streams
-	 */
-	double unused() {
-		return Math.max(0, this.kept - this.running);
+	int running() {
+		return this.running;
 	}
 
 	void add(AdmissionTicket<T> ticket, long nowMillis) {
@@ -108,12 +113,12 @@
 		}
 	}
 
-	void start(AdmissionTicket<T> ticket, double weight, long nowMillis) {
+	void start(AdmissionTicket<T> ticket, long nowMillis) {
 		TeamQueue<T> team = team(ticket.team());
 		this.active.remove(team);
 		this.virtualTime = Math.max(this.virtualTime, team.flow().start());
 		team.remove(ticket);
-		team.flow().serve(ticket.cost(), weight);
+		team.flow().serve(ticket.cost());
 		team.started(ticket);
 		if (!team.waiting().isEmpty()) {
 			this.active.add(team);
@@ -123,10 +128,10 @@
 		this.peak.record(this.running + this.waiting, nowMillis);
 	}
 
-	void finish(AdmissionTicket<T> ticket, int actual, double weight, long nowMillis) {
+	void finish(AdmissionTicket<T> ticket, int actual, long nowMillis) {
 		TeamQueue<T> team = team(ticket.team());
 		boolean wasActive = this.active.remove(team);
-		team.flow().correct(actual - ticket.cost(), weight);
+		team.flow().correct(actual - ticket.cost());
 		if (wasActive) {
 			this.active.add(team);
 		}
@@ -136,9 +141,9 @@
 
 	ClubDemand demand(long nowMillis) {
 		this.peak.record(this.running + this.waiting, nowMillis);
-		int highest = this.peak.peak(nowMillis);
-		int streams = (this.waiting > 0 || highest == 0) ? this.running + this.waiting : highest + HEADROOM;
 		List<TeamDemand> demands = this.teams.values().stream().map((team) -> team.demand(nowMillis)).toList();
+		double now = demands.stream().mapToDouble(TeamDemand::streams).sum();
+		double streams = (this.waiting > 0) ? now : Math.max(now, this.peak.peak(nowMillis));
 		return new ClubDemand(this.id, streams, demands);
 	}
 
--- a/bilberryvalve-policy/src/main/java/io/bilberryvalve/policy/share/DecayedSum.java
+++ b/bilberryvalve-policy/src/main/java/io/bilberryvalve/policy/share/DecayedSum.java
@@ -5,19 +5,23 @@
  */
 final class DecayedSum {
 
-	private static final double HALF_LIFE_MILLIS = 10_000;
+	private final double halfLifeMillis;
 
 	private double sum;
 
 	private long atMillis;
 
+	DecayedSum(double halfLifeMillis) {
+		this.halfLifeMillis = halfLifeMillis;
+	}
+
 	void add(double value, long nowMillis) {
 		this.sum = at(nowMillis) + value;
 		this.atMillis = nowMillis;
 	}
 
 	double at(long nowMillis) {
-		return this.sum * Math.pow(2, -Math.max(0, nowMillis - this.atMillis) / HALF_LIFE_MILLIS);
+		return this.sum * Math.pow(2, -Math.max(0, nowMillis - this.atMillis) / this.halfLifeMillis);
 	}
 
 	/**
@@ -26,7 +30,7 @@
 	 * @return units per second
 	 */
 	double perSecond(long nowMillis) {
-		return at(nowMillis) * Math.log(2) / (HALF_LIFE_MILLIS / 1000);
+		return at(nowMillis) * Math.log(2) / (this.halfLifeMillis / 1000);
 	}
 
 }
--- a/bilberryvalve-policy/src/main/java/io/bilberryvalve/policy/share/FederationShares.java
+++ b/bilberryvalve-policy/src/main/java/io/bilberryvalve/policy/share/FederationShares.java
@@ -3,10 +3,11 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
+import java.util.TreeSet;
 import java.util.stream.Stream;
 
 import io.bilberryvalve.model.ClubId;
@@ -27,106 +28,140 @@
 
 	private final ShareWeights weights;
 
-	private final List<EntryDemand> entries;
-
 	private final double averageRate;
 
 	private final Map<ClubId, List<Part>> parts = new TreeMap<>();
 
+	private final Set<ClubId> limited = new TreeSet<>();
+
+	private final Map<VmId, Shares> shares = new TreeMap<>();
+
 	/**
-	 * Collects reports.
+	 * Divides streams.
 	 * @param weights the weights
-	 * @param entries one report of each entry, in the order of their VMs
+	 * @param entries one report of each entry
+	 * @param streams number of streams
 	 */
-	FederationShares(ShareWeights weights, List<EntryDemand> entries) {
+	FederationShares(ShareWeights weights, List<EntryDemand> entries, double streams) {
 		this.weights = weights;
-		this.entries = entries;
 		for (EntryDemand entry : entries) {
+			this.shares.put(entry.origin(), new Shares());
 			for (ClubDemand club : entry.clubs()) {
 				this.parts.computeIfAbsent(club.club(), (key) -> new ArrayList<>()).add(new Part(entry.origin(), club));
 			}
 		}
 		this.averageRate = rate(this.parts.values().stream().flatMap(List::stream).flatMap(Part::teams).toList(), 1);
+		divide(streams);
 	}
 
 	/**
-	 * Divides streams.
-	 * @param streams number of streams
-	 * @return for each entry the streams of each club
+	 * Returns the streams of an entry.
+	 * @param entry the entry
+	 * @return the number of streams that its clubs need and get
+	 */
+	double streams(VmId entry) {
+		return this.shares.get(entry).streams;
+	}
+
+	/**
+	 * Returns the streams at an entry of each club that gets less than it needs.
+	 * @param entry the entry
+	 * @return the streams of these clubs
 	 */
-	Map<VmId, Map<ClubId, Double>> divide(double streams) {
-		Map<VmId, Map<ClubId, Double>> result = new LinkedHashMap<>();
-		this.entries.forEach((entry) -> result.put(entry.origin(), new TreeMap<>()));
+	Map<ClubId, Double> limited(VmId entry) {
+		Map<ClubId, Double> result = new TreeMap<>();
+		this.limited.forEach((club) -> result.put(club, this.shares.get(entry).clubs.getOrDefault(club, 0.0)));
+		return result;
+	}
+
+	/**
+	 * Returns the rates of clubs and teams at an entry.
+	 * @param entry the entry
+	 * @return the rates
+	 */
+	ShareRates rates(VmId entry) {
+		Shares own = this.shares.get(entry);
+		Map<ClubId, Double> clubs = new HashMap<>();
+		Map<ClubId, Double> configured = new HashMap<>();
+		own.teamRates.forEach((team, rate) -> {
+			clubs.merge(team.club(), rate, Double::sum);
+			configured.merge(team.club(), this.weights.team(team), Double::sum);
+		});
+		Map<ClubId, Double> teamRatios = new HashMap<>();
+		clubs.forEach((club, rate) -> teamRatios.put(club, rate / configured.get(club)));
+		double clubWeights = clubs.keySet().stream().mapToDouble(this.weights::club).sum();
+		double total = clubs.values().stream().mapToDouble(Double::doubleValue).sum();
+		return new ShareRates(clubs, own.teamRates, (clubWeights > 0) ? total / clubWeights : 1, teamRatios);
+	}
+
+	private void divide(double streams) {
 		List<ClubId> clubs = List.copyOf(this.parts.keySet());
 		double[] demands = new double[clubs.size()];
 		double[] clubWeights = new double[clubs.size()];
 		for (int i = 0; i < demands.length; i++) {
 			List<Part> all = this.parts.get(clubs.get(i));
-			demands[i] = all.stream().mapToInt((part) -> part.club().streams()).sum();
+			demands[i] = all.stream().mapToDouble((part) -> part.club().streams()).sum();
 			clubWeights[i] = this.weights.club(clubs.get(i))
 					/ rate(all.stream().flatMap(Part::teams).toList(), this.averageRate);
 		}
 		double[] allocation = WeightedMaxMin.divide(streams, demands, clubWeights);
 		for (int i = 0; i < demands.length; i++) {
-			spread(clubs.get(i), allocation[i], demands[i], result);
+			if (allocation[i] < demands[i]) {
+				this.limited.add(clubs.get(i));
+			}
+			divideClub(clubs.get(i), allocation[i], demands[i]);
 		}
-		return result;
 	}
 
-	private void spread(ClubId club, double allocation, double demand, Map<VmId, Map<ClubId, Double>> result) {
-		List<Part> all = this.parts.get(club);
-		if (allocation >= demand) {
-			all.forEach((part) -> result.get(part.entry()).merge(club, (double) part.club().streams(), Double::sum));
-			return;
-		}
+	private void divideClub(ClubId club, double allocation, double demand) {
 		Map<TeamId, List<TeamAt>> teams = new TreeMap<>();
-		for (Part part : all) {
-			part.club()
-				.teams()
-				.forEach((team) -> teams.computeIfAbsent(team.team(), (key) -> new ArrayList<>())
-					.add(new TeamAt(part.entry(), team)));
-		}
-		Map<TeamId, Double> byTeam = divideTeams(club, allocation, teams);
-		teams.forEach((team, places) -> {
-			double total = places.stream().mapToInt((place) -> place.demand().streams()).sum();
-			if (total > 0) {
-				places.forEach((place) -> result.get(place.entry())
-					.merge(club, byTeam.get(team) * place.demand().streams() / total, Double::sum));
+		for (Part part : this.parts.get(club)) {
+			for (TeamDemand team : part.club().teams()) {
+				teams.computeIfAbsent(team.team(), (key) -> new ArrayList<>()).add(new TeamAt(part.entry(), team));
 			}
-		});
-		addHeadroom(club, allocation, result);
-	}
-
-	private Map<TeamId, Double> divideTeams(ClubId club, double allocation, Map<TeamId, List<TeamAt>> teams) {
+		}
 		List<TeamId> ids = List.copyOf(teams.keySet());
 		double[] demands = new double[ids.size()];
+		double[] rates = new double[ids.size()];
 		double[] teamWeights = new double[ids.size()];
 		for (int i = 0; i < demands.length; i++) {
 			List<TeamDemand> places = teams.get(ids.get(i)).stream().map(TeamAt::demand).toList();
-			demands[i] = places.stream().mapToInt(TeamDemand::streams).sum();
-			teamWeights[i] = this.weights.team(new TeamKey(club, ids.get(i))) / rate(places, this.averageRate);
+			demands[i] = places.stream().mapToDouble(TeamDemand::streams).sum();
+			rates[i] = rate(places, this.averageRate);
+			teamWeights[i] = this.weights.team(new TeamKey(club, ids.get(i))) / rates[i];
 		}
 		double[] divided = WeightedMaxMin.divide(allocation, demands, teamWeights);
-		Map<TeamId, Double> result = new HashMap<>();
+		double used = 0;
 		for (int i = 0; i < demands.length; i++) {
-			result.put(ids.get(i), divided[i]);
+			used += divided[i];
+			spreadTeam(new TeamKey(club, ids.get(i)), divided[i], demands[i], rates[i], teams.get(ids.get(i)));
+		}
+		spreadHeadroom(club, Math.max(0, allocation - used), demand);
+	}
+
+	private void spreadTeam(TeamKey team, double allocation, double demand, double rate, List<TeamAt> places) {
+		for (TeamAt place : places) {
+			if (place.demand().streams() > 0) {
+				double streams = allocation * place.demand().streams() / demand;
+				Shares at = this.shares.get(place.entry());
+				at.add(team.club(), streams);
+				at.teamRates.put(team, streams * rate);
+			}
 		}
-		return result;
 	}
 
 	/**
 	 * Gives what the teams do not use now to the entries in proportion to the club's
 	 * demand there.
 	 * @param club the club
-	 * @param allocation streams of the club
-	 * @param result streams by entry and club
+	 * @param left streams that are left
+	 * @param demand streams that the club needs at all entries
 	 */
-	private void addHeadroom(ClubId club, double allocation, Map<VmId, Map<ClubId, Double>> result) {
-		double used = result.values().stream().mapToDouble((clubs) -> clubs.getOrDefault(club, 0.0)).sum();
-		List<Part> all = this.parts.get(club);
-		double demand = all.stream().mapToInt((part) -> part.club().streams()).sum();
-		double left = Math.max(0, allocation - used);
-		all.forEach((part) -> result.get(part.entry()).merge(club, left * part.club().streams() / demand, Double::sum));
+	private void spreadHeadroom(ClubId club, double left, double demand) {
+		if (demand > 0) {
+			this.parts.get(club)
+				.forEach((part) -> this.shares.get(part.entry()).add(club, left * part.club().streams() / demand));
+		}
 	}
 
 	/**
@@ -153,4 +188,19 @@
 
 	}
 
+	private static final class Shares {
+
+		private final Map<TeamKey, Double> teamRates = new HashMap<>();
+
+		private final Map<ClubId, Double> clubs = new HashMap<>();
+
+		private double streams;
+
+		void add(ClubId club, double more) {
+			this.streams += more;
+			this.clubs.merge(club, more, Double::sum);
+		}
+
+	}
+
 }
--- a/bilberryvalve-policy/src/main/java/io/bilberryvalve/policy/share/Flow.java
+++ b/bilberryvalve-policy/src/main/java/io/bilberryvalve/policy/share/Flow.java
@@ -1,10 +1,12 @@
 package io.bilberryvalve.policy.share;
 
 /**
- * Tags of one flow in start-time fair queueing.
+ * Tags and weight of one flow in start-time fair queueing.
  */
 final class Flow {
 
+	private double weight = 1;
+
 	private double start;
 
 	private double finish;
@@ -13,6 +15,24 @@
 		return this.start;
 	}
 
+	double weight() {
+		return this.weight;
+	}
+
+	/**
+	 * Changes the weight. The distance to the virtual time is what the flow has been
+	 * served ahead of others; it is kept in tokens, so that a charge made under a small
+	 * former weight does not hold the flow back under a larger one.
+	 * @param next new weight, positive
+	 * @param virtualTime virtual time of the scheduler
+	 */
+	void weight(double next, double virtualTime) {
+		double factor = this.weight / next;
+		this.start = virtualTime + (this.start - virtualTime) * factor;
+		this.finish = virtualTime + (this.finish - virtualTime) * factor;
+		this.weight = next;
+	}
+
 	/**
 	 * Begins a busy period. An idle flow gets no credit for the past.
 	 * @param virtualTime virtual time of the scheduler
@@ -24,21 +44,19 @@
 	/**
 	 * Charges the request at the head.
 	 * @param cost its cost in tokens
-	 * @param weight weight of the flow
 	 */
-	void serve(double cost, double weight) {
-		this.finish = this.start + cost / weight;
+	void serve(double cost) {
+		this.finish = this.start + cost / this.weight;
 		this.start = this.finish;
 	}
 
 	/**
 	 * Corrects an earlier charge.
 	 * @param difference actual cost minus charged cost in tokens
-	 * @param weight weight of the flow
 	 */
-	void correct(double difference, double weight) {
-		this.finish += difference / weight;
-		this.start += difference / weight;
+	void correct(double difference) {
+		this.finish += difference / this.weight;
+		this.start += difference / this.weight;
 	}
 
 }
--- a/bilberryvalve-policy/src/main/java/io/bilberryvalve/policy/share/PeakWindow.java
+++ b/bilberryvalve-policy/src/main/java/io/bilberryvalve/policy/share/PeakWindow.java
@@ -3,22 +3,22 @@
 import java.util.Arrays;
 
 /**
- * The largest value of the last few seconds.
+ * The largest value of the last second.
  */
 final class PeakWindow {
 
-	private static final int SECONDS = 6;
+	private static final int BUCKETS = 4;
 
-	private static final long MILLIS = 1000;
+	private static final long BUCKET_MILLIS = 250;
 
-	private final int[] peaks = new int[SECONDS];
+	private final int[] peaks = new int[BUCKETS];
 
-	private long second;
+	private long bucket;
 
 	void record(int value, long nowMillis) {
 		advance(nowMillis);
-		int bucket = (int) (this.second % SECONDS);
-		this.peaks[bucket] = Math.max(this.peaks[bucket], value);
+		int index = (int) (this.bucket % BUCKETS);
+		this.peaks[index] = Math.max(this.peaks[index], value);
 	}
 
 	int peak(long nowMillis) {
@@ -27,11 +27,11 @@
 	}
 
 	private void advance(long nowMillis) {
-		long now = nowMillis / MILLIS;
-		for (long i = Math.max(this.second + 1, now - SECONDS + 1); i <= now; i++) {
-			this.peaks[(int) (i % SECONDS)] = 0;
+		long now = nowMillis / BUCKET_MILLIS;
+		for (long i = Math.max(this.bucket + 1, now - BUCKETS + 1); i <= now; i++) {
+			this.peaks[(int) (i % BUCKETS)] = 0;
 		}
-		this.second = Math.max(this.second, now);
+		this.bucket = Math.max(this.bucket, now);
 	}
 
 }
--- a/bilberryvalve-policy/src/main/java/io/bilberryvalve/policy/share/ShareBook.java
+++ b/bilberryvalve-policy/src/main/java/io/bilberryvalve/policy/share/ShareBook.java
@@ -44,6 +44,12 @@
 
 	private static final double FLOOR_FRACTION = 0.02;
 
+	private static final double OVERDRAFT_FRACTION = 0.05;
+
+	private static final int LEAST_OVERDRAFT = 2;
+
+	private static final double PERCENT = 100;
+
 	private final VmId self;
 
 	private final Clock clock;
@@ -109,10 +115,9 @@
 			}
 		}
 		this.isolated = !counted.isEmpty() && fresh.isEmpty();
-		Map<ClubId, Double> clubs = this.isolated ? useSafeShare(safe, weights, own)
+		FederationShares shares = this.isolated ? useSafeShare(safe, weights, own)
 				: useReports(Math.max(0, streams - charged), weights, fresh, own);
-		double fraction = (streams > 0) ? (double) this.limit / streams : 0;
-		return new Allocation(this.limit, clubs, capacity.tokensPerSecond() * fraction);
+		return allocation(capacity, weights, shares, safe);
 	}
 
 	/**
@@ -123,24 +128,40 @@
 		return this.isolated;
 	}
 
-	private Map<ClubId, Double> useSafeShare(int safe, ShareWeights weights, EntryDemand own) {
+	private Allocation allocation(Capacity capacity, ShareWeights weights, FederationShares shares, int safe) {
+		int size = Math.max(this.limit, safe);
+		Map<ClubId, Double> guarantees = new HashMap<>();
+		weights.clubs().forEach((club, percent) -> guarantees.put(club, size * percent / PERCENT));
+		shares.limited(this.self).forEach((club, streams) -> guarantees.merge(club, streams, Math::min));
+		double fraction = (capacity.streams() > 0) ? (double) this.limit / capacity.streams() : 0;
+		return new Allocation(this.limit, overdraft(safe), guarantees, shares.rates(this.self),
+				capacity.tokensPerSecond() * fraction);
+	}
+
+	/**
+	 * Returns the overdraft of an entry.
+	 * @param safe its safe share of the streams
+	 * @return the number of streams
+	 */
+	static int overdraft(int safe) {
+		return Math.min(safe, Math.max(LEAST_OVERDRAFT, (int) (OVERDRAFT_FRACTION * safe)));
+	}
+
+	private FederationShares useSafeShare(int safe, ShareWeights weights, EntryDemand own) {
 		boolean starting = this.clock.millis() - this.startMillis < ISOLATION.toMillis() && this.reports.isEmpty();
 		this.limit = starting ? Math.min(this.limit, safe) : safe;
-		FederationShares shares = new FederationShares(weights, List.of(own));
-		return shares.divide(this.limit).get(this.self);
+		return new FederationShares(weights, List.of(own), this.limit);
 	}
 
-	private Map<ClubId, Double> useReports(int streams, ShareWeights weights, List<Report> fresh, EntryDemand own) {
+	private FederationShares useReports(int streams, ShareWeights weights, List<Report> fresh, EntryDemand own) {
 		TreeMap<VmId, EntryDemand> entries = new TreeMap<>();
 		fresh.forEach((report) -> entries.put(report.demand.origin(), report.demand));
 		entries.put(this.self, own);
 		List<EntryDemand> ordered = List.copyOf(entries.values());
 		int floor = floor(streams, ordered.size());
-		Map<VmId, Map<ClubId, Double>> divided = new FederationShares(weights, ordered)
-			.divide(streams - floor * ordered.size());
-		Map<VmId, Integer> targets = targets(streams, floor, divided);
-		move(streams, targets, fresh, own.held());
-		return divided.get(this.self);
+		FederationShares shares = new FederationShares(weights, ordered, streams - floor * ordered.size());
+		move(streams, targets(streams, floor, List.copyOf(entries.keySet()), shares), fresh, own.held());
+		return shares;
 	}
 
 	/**
@@ -148,14 +169,12 @@
 	 * part of those that no club needs.
 	 * @param streams streams of all these entries
 	 * @param floor streams that each entry has in any case
-	 * @param divided streams by entry and club
+	 * @param entries the entries
+	 * @param shares streams of the clubs at each entry
 	 * @return the targets; their sum is {@code streams}
 	 */
-	private static Map<VmId, Integer> targets(int streams, int floor, Map<VmId, Map<ClubId, Double>> divided) {
-		double[] parts = divided.values()
-			.stream()
-			.mapToDouble((clubs) -> clubs.values().stream().mapToDouble(Double::doubleValue).sum())
-			.toArray();
+	private static Map<VmId, Integer> targets(int streams, int floor, List<VmId> entries, FederationShares shares) {
+		double[] parts = entries.stream().mapToDouble(shares::streams).toArray();
 		double used = Arrays.stream(parts).sum();
 		double spare = Math.max(0, streams - floor * parts.length - used) / parts.length;
 		for (int i = 0; i < parts.length; i++) {
@@ -163,9 +182,8 @@
 		}
 		int[] whole = WeightedMaxMin.apportion(parts, streams);
 		Map<VmId, Integer> targets = new TreeMap<>();
-		int i = 0;
-		for (VmId vm : divided.keySet()) {
-			targets.put(vm, whole[i++]);
+		for (int i = 0; i < whole.length; i++) {
+			targets.put(entries.get(i), whole[i]);
 		}
 		return targets;
 	}
--- /dev/null
+++ b/bilberryvalve-policy/src/main/java/io/bilberryvalve/policy/share/ShareRates.java
@@ -0,0 +1,45 @@
+package io.bilberryvalve.policy.share;
+
+import java.util.Map;
+
+import io.bilberryvalve.model.ClubId;
+
+/**
+ * Token cost per second that clubs and teams are to get at one entry. A team that uses
+ * only this entry has a higher rate here than an equal team that uses all entries.
+ *
+ * @param clubs rate of each club with demand, in tokens per second
+ * @param teams rate of each team with demand, in tokens per second
+ * @param clubRatio rate for each unit of configured weight, for clubs without a rate
+ * @param teamRatios rate for each unit of configured weight, for teams without a rate
+ */
+public record ShareRates(Map<ClubId, Double> clubs, Map<TeamKey, Double> teams, double clubRatio,
+		Map<ClubId, Double> teamRatios) {
+
+	/** No rates; configured weights count. */
+	public static final ShareRates NONE = new ShareRates(Map.of(), Map.of(), 1, Map.of());
+
+	// Keeps a weight positive for a club or team whose share is rounded to nothing.
+	private static final double LEAST = 1e-6;
+
+	/**
+	 * Copies the maps.
+	 */
+	public ShareRates {
+		clubs = Map.copyOf(clubs);
+		teams = Map.copyOf(teams);
+		teamRatios = Map.copyOf(teamRatios);
+	}
+
+	double club(ClubId club, ShareWeights weights) {
+		Double rate = this.clubs.get(club);
+		return Math.max(LEAST, (rate != null) ? rate : weights.club(club) * this.clubRatio);
+	}
+
+	double team(TeamKey team, ShareWeights weights) {
+		Double rate = this.teams.get(team);
+		double ratio = this.teamRatios.getOrDefault(team.club(), 1.0);
+		return Math.max(LEAST, (rate != null) ? rate : weights.team(team) * ratio);
+	}
+
+}
--- a/bilberryvalve-policy/src/main/java/io/bilberryvalve/policy/share/TeamQueue.java
+++ b/bilberryvalve-policy/src/main/java/io/bilberryvalve/policy/share/TeamQueue.java
@@ -15,15 +15,22 @@
 	static final Comparator<TeamQueue<?>> ORDER = Comparator.<TeamQueue<?>>comparingDouble((team) -> team.flow.start())
 		.thenComparing((team) -> team.key.team());
 
+	static final double RECENT_MILLIS = 10_000;
+
+	// Short, so that streams return soon after a flood has ended.
+	private static final double REFUSED_MILLIS = 1000;
+
 	private final TeamKey key;
 
 	private final Flow flow = new Flow();
 
 	private final TreeSet<AdmissionTicket<T>> waiting = new TreeSet<>(AdmissionTicket.ORDER);
 
-	private final DecayedSum recentCost = new DecayedSum();
+	private final DecayedSum recentCost = new DecayedSum(RECENT_MILLIS);
 
-	private final DecayedSum recentSeconds = new DecayedSum();
+	private final DecayedSum recentSeconds = new DecayedSum(RECENT_MILLIS);
+
+	private final DecayedSum refused = new DecayedSum(REFUSED_MILLIS);
 
 	private long waitingCost;
 
@@ -35,6 +42,10 @@
 		this.key = key;
 	}
 
+	TeamKey key() {
+		return this.key;
+	}
+
 	TeamId id() {
 		return this.key.team();
 	}
@@ -61,6 +72,10 @@
 		this.waitingCost -= ticket.cost();
 	}
 
+	void refused(long nowMillis) {
+		this.refused.add(1, nowMillis);
+	}
+
 	void started(AdmissionTicket<T> ticket) {
 		this.running++;
 		this.runningCost += ticket.cost();
@@ -87,7 +102,7 @@
 
 	TeamDemand demand(long nowMillis) {
 		return new TeamDemand(id(), this.waitingCost, this.runningCost, this.waiting.size(), this.running,
-				this.recentCost.at(nowMillis), this.recentSeconds.at(nowMillis));
+				this.refused.at(nowMillis), this.recentCost.at(nowMillis), this.recentSeconds.at(nowMillis));
 	}
 
 }
--- a/bilberryvalve-wire/src/main/java/io/bilberryvalve/wire/proto/ClubDemand.java
+++ b/bilberryvalve-wire/src/main/java/io/bilberryvalve/wire/proto/ClubDemand.java
@@ -85,17 +85,17 @@
   }
 
   public static final int STREAMS_FIELD_NUMBER = 2;
-  private int streams_ = 0;
+  private double streams_ = 0D;
   /**
    * <pre>
    * Streams that the club needs at the origin, with headroom for one that does not wait.
    * </pre>
    *
-   * <code>int32 streams = 2;</code>
+   * <code>double streams = 2;</code>
    * @return The streams.
    */
   @java.lang.Override
-  public int getStreams() {
+  public double getStreams() {
     return streams_;
   }
 
@@ -157,8 +157,8 @@
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(club_)) {
       com.google.protobuf.GeneratedMessage.writeString(output, 1, club_);
     }
-    if (streams_ != 0) {
-      output.writeInt32(2, streams_);
+    if (java.lang.Double.doubleToRawLongBits(streams_) != 0) {
+      output.writeDouble(2, streams_);
     }
     for (int i = 0; i < teams_.size(); i++) {
       output.writeMessage(3, teams_.get(i));
@@ -175,9 +175,9 @@
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(club_)) {
       size += com.google.protobuf.GeneratedMessage.computeStringSize(1, club_);
     }
-    if (streams_ != 0) {
+    if (java.lang.Double.doubleToRawLongBits(streams_) != 0) {
       size += com.google.protobuf.CodedOutputStream
-        .computeInt32Size(2, streams_);
+        .computeDoubleSize(2, streams_);
     }
     for (int i = 0; i < teams_.size(); i++) {
       size += com.google.protobuf.CodedOutputStream
@@ -200,8 +200,9 @@
 
     if (!getClub()
         .equals(other.getClub())) return false;
-    if (getStreams()
-        != other.getStreams()) return false;
+    if (java.lang.Double.doubleToLongBits(getStreams())
+        != java.lang.Double.doubleToLongBits(
+            other.getStreams())) return false;
     if (!getTeamsList()
         .equals(other.getTeamsList())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
@@ -218,7 +219,8 @@
     hash = (37 * hash) + CLUB_FIELD_NUMBER;
     hash = (53 * hash) + getClub().hashCode();
     hash = (37 * hash) + STREAMS_FIELD_NUMBER;
-    hash = (53 * hash) + getStreams();
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        java.lang.Double.doubleToLongBits(getStreams()));
     if (getTeamsCount() > 0) {
       hash = (37 * hash) + TEAMS_FIELD_NUMBER;
       hash = (53 * hash) + getTeamsList().hashCode();
@@ -355,7 +357,7 @@
       super.clear();
       bitField0_ = 0;
       club_ = "";
-      streams_ = 0;
+      streams_ = 0D;
       if (teamsBuilder_ == null) {
         teams_ = java.util.Collections.emptyList();
       } else {
@@ -434,7 +436,7 @@
         bitField0_ |= 0x00000001;
         onChanged();
       }
-      if (other.getStreams() != 0) {
+      if (java.lang.Double.doubleToRawLongBits(other.getStreams()) != 0) {
         setStreams(other.getStreams());
       }
       if (teamsBuilder_ == null) {
@@ -494,11 +496,11 @@
               bitField0_ |= 0x00000001;
               break;
             } // case 10
-            case 16: {
-              streams_ = input.readInt32();
+            case 17: {
+              streams_ = input.readDouble();
               bitField0_ |= 0x00000002;
               break;
-            } // case 16
+            } // case 17
             case 26: {
               io.bilberryvalve.wire.proto.TeamDemand m =
                   input.readMessage(
@@ -601,17 +603,17 @@
       return this;
     }
 
-    private int streams_ ;
+    private double streams_ ;
     /**
      * <pre>
      * Streams that the club needs at the origin, with headroom for one that does not wait.
      * </pre>
      *
-     * <code>int32 streams = 2;</code>
+     * <code>double streams = 2;</code>
      * @return The streams.
      */
     @java.lang.Override
-    public int getStreams() {
+    public double getStreams() {
       return streams_;
     }
     /**
@@ -619,11 +621,11 @@
      * Streams that the club needs at the origin, with headroom for one that does not wait.
      * </pre>
      *
-     * <code>int32 streams = 2;</code>
+     * <code>double streams = 2;</code>
      * @param value The streams to set.
      * @return This builder for chaining.
      */
-    public Builder setStreams(int value) {
+    public Builder setStreams(double value) {
 
       streams_ = value;
       bitField0_ |= 0x00000002;
@@ -635,12 +637,12 @@
      * Streams that the club needs at the origin, with headroom for one that does not wait.
      * </pre>
      *
-     * <code>int32 streams = 2;</code>
+     * <code>double streams = 2;</code>
      * @return This builder for chaining.
      */
     public Builder clearStreams() {
       bitField0_ = (bitField0_ & ~0x00000002);
-      streams_ = 0;
+      streams_ = 0D;
       onChanged();
       return this;
     }
--- a/bilberryvalve-wire/src/main/java/io/bilberryvalve/wire/proto/ClubDemandOrBuilder.java
+++ b/bilberryvalve-wire/src/main/java/io/bilberryvalve/wire/proto/ClubDemandOrBuilder.java
@@ -27,10 +27,10 @@
    * Streams that the club needs at the origin, with headroom for one that does not wait.
    * </pre>
    *
-   * <code>int32 streams = 2;</code>
+   * <code>double streams = 2;</code>
    * @return The streams.
    */
-  int getStreams();
+  double getStreams();
 
   /**
    * <code>repeated .bilberryvalve.wire.TeamDemand teams = 3;</code>
--- a/bilberryvalve-wire/src/main/java/io/bilberryvalve/wire/proto/TeamDemand.java
+++ b/bilberryvalve-wire/src/main/java/io/bilberryvalve/wire/proto/TeamDemand.java
@@ -169,6 +169,21 @@
     return recentStreamSeconds_;
   }
 
+  public static final int REFUSED_FIELD_NUMBER = 8;
+  private double refused_ = 0D;
+  /**
+   * <pre>
+   * Requests refused recently, with older ones weighted less.
+   * </pre>
+   *
+   * <code>double refused = 8;</code>
+   * @return The refused.
+   */
+  @java.lang.Override
+  public double getRefused() {
+    return refused_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -204,6 +219,9 @@
     if (java.lang.Double.doubleToRawLongBits(recentStreamSeconds_) != 0) {
       output.writeDouble(7, recentStreamSeconds_);
     }
+    if (java.lang.Double.doubleToRawLongBits(refused_) != 0) {
+      output.writeDouble(8, refused_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -240,6 +258,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeDoubleSize(7, recentStreamSeconds_);
     }
+    if (java.lang.Double.doubleToRawLongBits(refused_) != 0) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeDoubleSize(8, refused_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -271,6 +293,9 @@
     if (java.lang.Double.doubleToLongBits(getRecentStreamSeconds())
         != java.lang.Double.doubleToLongBits(
             other.getRecentStreamSeconds())) return false;
+    if (java.lang.Double.doubleToLongBits(getRefused())
+        != java.lang.Double.doubleToLongBits(
+            other.getRefused())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -300,6 +325,9 @@
     hash = (37 * hash) + RECENT_STREAM_SECONDS_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
         java.lang.Double.doubleToLongBits(getRecentStreamSeconds()));
+    hash = (37 * hash) + REFUSED_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        java.lang.Double.doubleToLongBits(getRefused()));
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -438,6 +466,7 @@
       running_ = 0;
       recentCost_ = 0D;
       recentStreamSeconds_ = 0D;
+      refused_ = 0D;
       return this;
     }
 
@@ -492,6 +521,9 @@
       if (((from_bitField0_ & 0x00000040) != 0)) {
         result.recentStreamSeconds_ = recentStreamSeconds_;
       }
+      if (((from_bitField0_ & 0x00000080) != 0)) {
+        result.refused_ = refused_;
+      }
     }
 
     @java.lang.Override
@@ -529,6 +561,9 @@
       if (java.lang.Double.doubleToRawLongBits(other.getRecentStreamSeconds()) != 0) {
         setRecentStreamSeconds(other.getRecentStreamSeconds());
       }
+      if (java.lang.Double.doubleToRawLongBits(other.getRefused()) != 0) {
+        setRefused(other.getRefused());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -590,6 +625,11 @@
               bitField0_ |= 0x00000040;
               break;
             } // case 57
+            case 65: {
+              refused_ = input.readDouble();
+              bitField0_ |= 0x00000080;
+              break;
+            } // case 65
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -931,6 +971,50 @@
       return this;
     }
 
+    private double refused_ ;
+    /**
+     * <pre>
+     * Requests refused recently, with older ones weighted less.
+     * </pre>
+     *
+     * <code>double refused = 8;</code>
+     * @return The refused.
+     */
+    @java.lang.Override
+    public double getRefused() {
+      return refused_;
+    }
+    /**
+     * <pre>
+     * Requests refused recently, with older ones weighted less.
+     * </pre>
+     *
+     * <code>double refused = 8;</code>
+     * @param value The refused to set.
+     * @return This builder for chaining.
+     */
+    public Builder setRefused(double value) {
+
+      refused_ = value;
+      bitField0_ |= 0x00000080;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Requests refused recently, with older ones weighted less.
+     * </pre>
+     *
+     * <code>double refused = 8;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearRefused() {
+      bitField0_ = (bitField0_ & ~0x00000080);
+      refused_ = 0D;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:bilberryvalve.wire.TeamDemand)
   }
 
--- a/bilberryvalve-wire/src/main/java/io/bilberryvalve/wire/proto/TeamDemandOrBuilder.java
+++ b/bilberryvalve-wire/src/main/java/io/bilberryvalve/wire/proto/TeamDemandOrBuilder.java
@@ -77,4 +77,14 @@
    * @return The recentStreamSeconds.
    */
   double getRecentStreamSeconds();
+
+  /**
+   * <pre>
+   * Requests refused recently, with older ones weighted less.
+   * </pre>
+   *
+   * <code>double refused = 8;</code>
+   * @return The refused.
+   */
+  double getRefused();
 }
