Do not split decode steps of an engine

Cause: a decode step longer than a chunk of 5 ms was split, so that the steps of all streams ended together and the stages of a chain took turns; the engines of the demo need 27 ms for a step. Change: a chunk lasts at least as long as a decode step.

--- a/bilberryvalve-standins/src/main/java/io/bilberryvalve/standins/engine/ComputeUnit.java
+++ b/bilberryvalve-standins/src/main/java/io/bilberryvalve/standins/engine/ComputeUnit.java
@@ -14,6 +14,9 @@
 
 	private static final int MAX_PRIORITY = 8;
 
+	/** Longest time for which a prefill has the device before others get a turn. */
+	private static final double CHUNK_SECONDS = 0.005;
+
 	private final FairShareQueue queue = new FairShareQueue();
 
 	private final Speed speed;
@@ -50,7 +53,10 @@
 			done.complete(null);
 		};
 		double seconds = (double) tokens * layers / rate;
-		run(this.queue.add(seconds, weight, complete, System.nanoTime()));
+		// A decode step is never split, or the steps of all streams would end at the same
+		// time and the next stage would idle until then.
+		double chunk = Math.max(CHUNK_SECONDS, layers / this.speed.decodeRate());
+		run(this.queue.add(seconds, chunk, weight, complete, System.nanoTime()));
 		return done;
 	}
 
--- a/bilberryvalve-standins/src/main/java/io/bilberryvalve/standins/engine/FairShareQueue.java
+++ b/bilberryvalve-standins/src/main/java/io/bilberryvalve/standins/engine/FairShareQueue.java
@@ -14,9 +14,6 @@
  */
 final class FairShareQueue {
 
-	/** Longest time for which a job has the device before others get a turn. */
-	private static final double CHUNK_SECONDS = 0.005;
-
 	private static final double NANOS_PER_SECOND = 1e9;
 
 	private final PriorityQueue<Chunk> waiting = new PriorityQueue<>();
@@ -30,16 +27,18 @@
 	/**
 	 * Adds a job.
 	 * @param seconds time that it needs if it has the device alone, in seconds
+	 * @param chunkSeconds longest time for which it has the device before others get a
+	 * turn, in seconds
 	 * @param weight its weight, positive
 	 * @param done runs when the job is complete
 	 * @param nowNanos present time in nanoseconds
 	 * @return tasks of jobs that are complete by now
 	 */
-	synchronized List<Runnable> add(double seconds, double weight, Runnable done, long nowNanos) {
+	synchronized List<Runnable> add(double seconds, double chunkSeconds, double weight, Runnable done, long nowNanos) {
 		List<Runnable> complete = advance(nowNanos);
 		Chunk present = this.serving;
 		double virtual = (present != null) ? present.tag() : 0;
-		this.waiting.add(chunk(new Job(weight, done), seconds, virtual));
+		this.waiting.add(chunk(new Job(weight, chunkSeconds, done), seconds, virtual));
 		if (present == null) {
 			serveNext(nowNanos);
 		}
@@ -83,11 +82,11 @@
 	}
 
 	private Chunk chunk(Job job, double seconds, double virtual) {
-		double now = Math.min(seconds, CHUNK_SECONDS);
+		double now = Math.min(seconds, job.chunkSeconds());
 		return new Chunk(job, now, seconds - now, virtual + now / job.weight(), this.sequence++);
 	}
 
-	private record Job(double weight, Runnable done) {
+	private record Job(double weight, double chunkSeconds, Runnable done) {
 
 	}
 
--- a/bilberryvalve-standins/src/test/java/io/bilberryvalve/standins/engine/FairShareQueueProperties.java
+++ b/bilberryvalve-standins/src/test/java/io/bilberryvalve/standins/engine/FairShareQueueProperties.java
@@ -20,6 +20,8 @@
 
 	private static final int CHUNK_MILLIS = 5;
 
+	private static final double CHUNK = CHUNK_MILLIS / 1000.0;
+
 	// Guards against a rate that differs from the configured one when streams share it,
 	// and against long jobs that delay short ones by more than a chunk.
 	@Property(seed = "21")
@@ -29,7 +31,7 @@
 		List<Integer> done = new ArrayList<>();
 		long total = 0;
 		for (int job : millis) {
-			queue.add(job / 1000.0, 1, () -> done.add(job), 0);
+			queue.add(job / 1000.0, CHUNK, 1, () -> done.add(job), 0);
 			total += job * MILLI;
 		}
 		run(queue, total - MILLI / 2);
@@ -48,8 +50,8 @@
 	void sharesInProportionToWeights() {
 		FairShareQueue queue = new FairShareQueue();
 		List<Integer> done = new ArrayList<>();
-		queue.add(0.030, 2, () -> done.add(2), 0);
-		queue.add(0.030, 1, () -> done.add(1), 0);
+		queue.add(0.030, CHUNK, 2, () -> done.add(2), 0);
+		queue.add(0.030, CHUNK, 1, () -> done.add(1), 0);
 		run(queue, 39 * MILLI);
 		assertThat(done).isEmpty();
 		run(queue, 46 * MILLI);
@@ -66,7 +68,7 @@
 		List<Integer> done = new ArrayList<>();
 		for (int job = 1; job <= 4; job++) {
 			int number = job;
-			queue.add(0.002, 1, () -> done.add(number), 0);
+			queue.add(0.002, CHUNK, 1, () -> done.add(number), 0);
 		}
 		run(queue, 4 * MILLI);
 		assertThat(done).containsExactly(1, 2);
