Submit a club's part with the key of its own operator in the harness

Cause: the experiment rolling was refused; after the first submission only the club's own operator may change its part.

--- a/bilberryvalve-bench/src/main/java/io/bilberryvalve/bench/process/LocalFederation.java
+++ b/bilberryvalve-bench/src/main/java/io/bilberryvalve/bench/process/LocalFederation.java
@@ -185,7 +185,8 @@
 		node.put("baseVersion", this.version);
 		node.put("part", part);
 		node.put("document", document);
-		String answer = send("POST", address("entry-" + entry), "/v1/configuration", node.toString(), BOOTSTRAP_KEY);
+		String key = submission.startsWith("start-") ? BOOTSTRAP_KEY : part + "-operator";
+		String answer = send("POST", address("entry-" + entry), "/v1/configuration", node.toString(), key);
 		this.version = JSON.readTree(answer).get("version").asLong();
 		return this.version;
 	}
--- a/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/RequestParts.java
+++ b/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/RequestParts.java
@@ -51,8 +51,8 @@
 	private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(500);
 
 	/**
-	 * Time limit of probes, cancellations and KV imports. A repair waits for the probes of all
-	 * stages, so a frozen engine delays it by this time.
+	 * Time limit of probes, cancellations and KV imports. A repair waits for the probes
+	 * of all stages, so a frozen engine delays it by this time.
 	 */
 	private static final Duration ENGINE_CALL_TIMEOUT = Duration.ofMillis(400);
 
