Resume a reply whose connection went silent

The command waited for ever when a connection went silent in mid-reply, which the failure model allows. SilenceLimit closes such a stream after the time limit, and the reply is resumed at the next entry. The waits between repeated submissions come from the console, so that tests need not wait for them.

--- a/bilberryvalve-cli/src/main/java/io/bilberryvalve/cli/Bilberryvalve.java
+++ b/bilberryvalve-cli/src/main/java/io/bilberryvalve/cli/Bilberryvalve.java
@@ -1,6 +1,8 @@
 package io.bilberryvalve.cli;
 
 import java.io.PrintStream;
+import java.time.Duration;
+import java.util.concurrent.TimeUnit;
 
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import org.jspecify.annotations.Nullable;
@@ -52,10 +54,19 @@
 	 * @param arguments the arguments
 	 */
 	public static void main(String[] arguments) {
-		Console console = new Console(System.out, System.err, System.getenv());
+		Console console = new Console(System.out, System.err, System.getenv(), Bilberryvalve::sleep);
 		System.exit(run(console, arguments).code());
 	}
 
+	private static void sleep(Duration duration) {
+		try {
+			TimeUnit.NANOSECONDS.sleep(duration.toNanos());
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
+	}
+
 	/**
 	 * Runs the command.
 	 * @param console where it prints
--- a/bilberryvalve-cli/src/main/java/io/bilberryvalve/cli/CompletionCall.java
+++ b/bilberryvalve-cli/src/main/java/io/bilberryvalve/cli/CompletionCall.java
@@ -1,20 +1,23 @@
 package io.bilberryvalve.cli;
 
-import java.io.UncheckedIOException;
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.InputStreamReader;
 import java.net.http.HttpResponse;
 import java.net.http.HttpResponse.BodyHandlers;
-import java.util.Iterator;
+import java.nio.charset.StandardCharsets;
 import java.util.LinkedHashMap;
 import java.util.Map;
-import java.util.stream.Collectors;
-import java.util.stream.Stream;
 
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.bilberryvalve.model.Address;
 import org.jspecify.annotations.Nullable;
 
 /**
- * Reads the reply of a pipeline and resumes it at another entry after a lost connection.
+ * Reads the reply of a pipeline and resumes it at another entry after a lost or silent
+ * connection.
  */
 final class CompletionCall {
 
@@ -22,6 +25,10 @@
 
 	private static final String DONE = "[DONE]";
 
+	private static final int OK = 200;
+
+	private static final int FIRST_ERROR = 300;
+
 	private final EntryClient client;
 
 	private final Console console;
@@ -69,33 +76,33 @@
 		if (this.lastEventId != null) {
 			all.put("last-event-id", this.lastEventId);
 		}
-		EntryClient.Exchange<Stream<String>> exchange = this.client.exchange("POST", "/v1/completions", body, all,
-				BodyHandlers.ofLines());
-		HttpResponse<Stream<String>> response = exchange.response();
+		EntryClient.Exchange<InputStream> exchange = this.client.exchange("POST", "/v1/completions", body, all,
+				BodyHandlers.ofInputStream());
+		HttpResponse<InputStream> response = exchange.response();
 		if (response == null) {
-			if (this.lastEventId != null) {
-				return false;
+			if (this.lastEventId == null) {
+				EntryClient.received(exchange.failure());
 			}
-			EntryClient.received(exchange.failure());
 			return false;
 		}
-		Answer.Received head = new Answer.Received(exchange.entry(), response.statusCode(), "");
-		try (Stream<String> lines = response.body()) {
-			if (!head.succeeded()) {
-				String problem = lines.collect(Collectors.joining("\n"));
+		try (InputStream stream = response.body();
+				SilenceLimit silence = new SilenceLimit(stream, this.client.timeout())) {
+			if (response.statusCode() >= FIRST_ERROR) {
+				String problem = new String(stream.readAllBytes(), StandardCharsets.UTF_8);
 				throw new Answer.Received(exchange.entry(), response.statusCode(), problem).failure();
 			}
-			return read(lines.iterator(), exchange);
+			BufferedReader reader = new BufferedReader(new InputStreamReader(stream, StandardCharsets.UTF_8));
+			return read(reader, silence, exchange.entry());
 		}
-		catch (UncheckedIOException ex) {
+		catch (IOException ex) {
 			return false;
 		}
 	}
 
-	private boolean read(Iterator<String> lines, EntryClient.Exchange<?> exchange) {
+	private boolean read(BufferedReader reader, SilenceLimit silence, Address entry) throws IOException {
 		String event = "";
-		while (lines.hasNext()) {
-			String line = lines.next();
+		for (String line = reader.readLine(); line != null; line = reader.readLine()) {
+			silence.heard();
 			if (line.isEmpty()) {
 				event = "";
 			}
@@ -109,7 +116,7 @@
 				if (value(line).equals(DONE)) {
 					return true;
 				}
-				data(event, new Answer.Received(exchange.entry(), 200, value(line)));
+				data(event, new Answer.Received(entry, OK, value(line)));
 			}
 		}
 		return false;
--- a/bilberryvalve-cli/src/main/java/io/bilberryvalve/cli/EntryClient.java
+++ b/bilberryvalve-cli/src/main/java/io/bilberryvalve/cli/EntryClient.java
@@ -49,6 +49,10 @@
 		return this.entries;
 	}
 
+	Duration timeout() {
+		return this.timeout;
+	}
+
 	/**
 	 * Starts with the next entry from now on. A caller does this after a lost answer,
 	 * since the entry may have failed.
--- a/bilberryvalve-cli/src/main/java/io/bilberryvalve/cli/EntryOptions.java
+++ b/bilberryvalve-cli/src/main/java/io/bilberryvalve/cli/EntryOptions.java
@@ -31,7 +31,8 @@
 	@Option(name = "--key-file", metaVar = "FILE", usage = "file with the key (default: $" + KEY_VARIABLE + ")")
 	@Nullable Path keyFile;
 
-	@Option(name = "--timeout", metaVar = "SECONDS", usage = "time limit of one request (default: 10)")
+	@Option(name = "--timeout", metaVar = "SECONDS",
+			usage = "time limit of one request, and longest silence within a reply (default: 10)")
 	int timeoutSeconds = 10;
 
 	/**
--- a/bilberryvalve-cli/src/main/java/io/bilberryvalve/cli/Submission.java
+++ b/bilberryvalve-cli/src/main/java/io/bilberryvalve/cli/Submission.java
@@ -2,7 +2,7 @@
 
 import java.time.Duration;
 import java.util.Map;
-import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import io.bilberryvalve.config.ConfigurationDocument;
@@ -25,17 +25,18 @@
 	/**
 	 * Sends the submission.
 	 * @param client the client
+	 * @param pause waits before a repetition
 	 * @return an answer that tells what became of the submission
 	 * @throws CommandException if nothing was sent, or if no attempt brought such an
 	 * answer
 	 */
-	Answer.Received send(EntryClient client) {
+	Answer.Received send(EntryClient client, Consumer<Duration> pause) {
 		Answer answer = client.send("POST", "/v1/configuration", body(), Map.of());
 		if (answer instanceof Answer.Unreachable || isFinal(answer, false)) {
 			return EntryClient.received(answer);
 		}
 		for (int i = 1; i < ATTEMPTS; i++) {
-			await(FIRST_WAIT.multipliedBy(1L << (i - 1)));
+			pause.accept(FIRST_WAIT.multipliedBy(1L << (i - 1)));
 			client.advance();
 			answer = client.send("POST", "/v1/configuration", body(), Map.of());
 			if (isFinal(answer, true)) {
@@ -67,13 +68,4 @@
 			.toString();
 	}
 
-	private static void await(Duration wait) {
-		try {
-			TimeUnit.NANOSECONDS.sleep(wait.toNanos());
-		}
-		catch (InterruptedException ex) {
-			Thread.currentThread().interrupt();
-		}
-	}
-
 }
--- a/bilberryvalve-cli/src/main/java/io/bilberryvalve/cli/SubmitCommand.java
+++ b/bilberryvalve-cli/src/main/java/io/bilberryvalve/cli/SubmitCommand.java
@@ -58,7 +58,7 @@
 		diff.lines().forEach(console.err()::println);
 		Submission sent = new Submission((this.submission != null) ? this.submission : UUID.randomUUID().toString(),
 				(this.base != NO_BASE) ? this.base : inForce.version(), document);
-		Answer.Received answer = sent.send(client);
+		Answer.Received answer = sent.send(client, console.pause());
 		if (answer.isProblem("conflict")) {
 			return conflict(console, client, inForce, answer);
 		}
--- a/bilberryvalve-cli/src/test/java/io/bilberryvalve/cli/BilberryvalveTests.java
+++ b/bilberryvalve-cli/src/test/java/io/bilberryvalve/cli/BilberryvalveTests.java
@@ -8,7 +8,10 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.List;
 import java.util.Map;
 import java.util.stream.Stream;
 
@@ -27,6 +30,8 @@
 
 	private final ByteArrayOutputStream err = new ByteArrayOutputStream();
 
+	private final List<Duration> pauses = new ArrayList<>();
+
 	private Path directory;
 
 	@BeforeTry
@@ -106,6 +111,7 @@
 		assertThat(run("submit", "--json", file("federation"), "--entry", this.entry.address())).isEqualTo(ExitCode.OK);
 		assertThat(out()).contains("\"accepted\":true,\"version\":1");
 		assertThat(this.entry.version).isEqualTo(1);
+		assertThat(this.pauses).containsExactly(Duration.ofMillis(50), Duration.ofMillis(100), Duration.ofMillis(200));
 		this.entry.lose = 100;
 		assertThat(run("submit", file("pavio"), "--submission", "s-9", "--entry", this.entry.address()))
 			.isEqualTo(ExitCode.UNKNOWN);
@@ -197,6 +203,20 @@
 		assertThat(err()).contains("the runner failed (outcome unknown); repeat");
 	}
 
+	// Guards against a command that waits for ever for a connection that went silent.
+	@Example
+	void resumesASilentReply() {
+		this.entry.silent = true;
+		this.entry.answers.put("/v1/completions", "id: r_1_1/1/0@r1\ndata: {\"text\": \"two\"}\n\n");
+		try (FakeEntry other = new FakeEntry()) {
+			other.answers.put("/v1/completions", "data: {\"text\": \" wicks\"}\n\ndata: [DONE]\n\n");
+			assertThat(run("call", "refill-answers", "--timeout", "1", "--entry", this.entry.address(), "--entry",
+					other.address()))
+				.isEqualTo(ExitCode.OK);
+			assertThat(out()).isEqualToIgnoringNewLines("two wicks");
+		}
+	}
+
 	// Guards against an order whose key is unknown when its answer is lost.
 	@Example
 	void callsApplicationsWithAKey() {
@@ -212,7 +232,7 @@
 		this.err.reset();
 		Console console = new Console(new PrintStream(this.out, true, StandardCharsets.UTF_8),
 				new PrintStream(this.err, true, StandardCharsets.UTF_8),
-				Map.of(EntryOptions.KEY_VARIABLE, "operator-key\n"));
+				Map.of(EntryOptions.KEY_VARIABLE, "operator-key\n"), this.pauses::add);
 		return Bilberryvalve.run(console, arguments);
 	}
 
--- a/bilberryvalve-cli/src/test/java/io/bilberryvalve/cli/FakeEntry.java
+++ b/bilberryvalve-cli/src/test/java/io/bilberryvalve/cli/FakeEntry.java
@@ -33,6 +33,9 @@
 	/** Answers to paths other than the configuration, by path. */
 	final Map<String, String> answers = new HashMap<>();
 
+	/** Whether replies of pipelines stay open after what they send. */
+	boolean silent;
+
 	private final Map<String, Long> submissions = new HashMap<>();
 
 	private final HttpServer server;
@@ -82,6 +85,12 @@
 					+ " " + exchange.getRequestHeaders().getFirst("last-event-id"));
 		if (!path.equals("/v1/configuration")) {
 			String answer = this.answers.get(path);
+			if (this.silent) {
+				exchange.sendResponseHeaders(200, 0);
+				exchange.getResponseBody().write(answer.getBytes(StandardCharsets.UTF_8));
+				exchange.getResponseBody().flush();
+				return;
+			}
 			respond(exchange, (answer != null) ? 200 : 404, (answer != null) ? answer : problem("not-found"));
 		}
 		else if (exchange.getRequestMethod().equals("GET")) {
