Check keys that entries issue across restarts of the issuer

Issued keys have no record in the store, so their at-most-once rule rests on incarnations alone. issued.als states it with repeated calls, restarts and expiry; two variants without a rule have counterexamples.

--- a/bilberryvalve-verification/src/test/java/io/bilberryvalve/verification/SpecificationTests.java
+++ b/bilberryvalve-verification/src/test/java/io/bilberryvalve/verification/SpecificationTests.java
@@ -14,6 +14,8 @@
 
 	private static final Specification ONCE = Specification.read("execution");
 
+	private static final Specification ISSUED = Specification.read("issued");
+
 	private static final Specification GATE = Specification.read("gate");
 
 	private static final Specification LEASE = Specification.read("lease");
@@ -44,6 +46,20 @@
 		happens(ONCE, "RetryRunsAfterRelease");
 	}
 
+	@Example
+	void runsAnIssuedKeyAtMostOnceAcrossRestarts() {
+		holds(ISSUED, "AtMostOnce");
+		holds(ISSUED, "NotRunIsTrue");
+		happens(ISSUED, "RunsAfterARepetition");
+	}
+
+	@Example
+	void findsSecondRunsOfIssuedKeysOnceARuleIsRemoved() {
+		fails(ISSUED, "BrokenByOtherIncarnation");
+		fails(ISSUED, "BrokenByAbsentKey");
+		fails(ISSUED, "BrokenNotRun");
+	}
+
 	@Example
 	void reportsNotRunOnlyIfNothingRan() {
 		holds(GATE, "NotRunIsTrue");
