Free a key after not-run and pass keys on unchanged

Cause: a released record kept its key for the first request body, although nothing ran; upstreams that check keys saw a prefixed key. Change: a released record is free for any request; the key is passed on as sent unless several clubs share the application; the property now also calls each key that was only told not-run. Conclusion: a key told not-run can be used again.

--- a/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/call/CallHandler.java
+++ b/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/call/CallHandler.java
@@ -123,7 +123,7 @@
 		String key = (header != null) ? header.toString() : null;
 		CharSequence type = exchange.request().headers().get("content-type", "application/octet-stream");
 		ApplicationCall call = new ApplicationCall(exchange.caller().club(), grant.application(), grant.operation(),
-				type.toString(), body, key);
+				type.toString(), body, grant.upstreamKey(exchange.caller().club(), key));
 		if (grant.idempotent()) {
 			return this.dispatcher.idempotent(call, deadline).thenApply(CallHandler::idempotentResult);
 		}
--- a/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/call/CallRights.java
+++ b/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/call/CallRights.java
@@ -4,6 +4,7 @@
 import io.bilberryvalve.daemon.configuration.ConfigurationSource;
 import io.bilberryvalve.daemon.http.Principal;
 import io.bilberryvalve.model.ApplicationId;
+import io.bilberryvalve.model.ClubId;
 import io.bilberryvalve.model.OperationId;
 import io.bilberryvalve.model.Problem;
 import io.bilberryvalve.model.ProblemKind;
@@ -35,7 +36,8 @@
 		}
 		for (ClubPart.Operation candidate : found.operations()) {
 			if (candidate.operation().value().equals(operation)) {
-				return Result.ok(new Grant(found.application(), candidate.operation(), candidate.idempotent()));
+				return Result.ok(new Grant(found.application(), candidate.operation(), candidate.idempotent(),
+						shared(found.application())));
 			}
 		}
 		return Result.failed(Problem.notRun(ProblemKind.NOT_FOUND,
@@ -55,14 +57,31 @@
 			.orElse(null);
 	}
 
+	private boolean shared(ApplicationId application) {
+		return this.configuration.current()
+			.clubs()
+			.values()
+			.stream()
+			.filter((club) -> club.applications()
+				.stream()
+				.anyMatch((candidate) -> candidate.application().equals(application)))
+			.count() > 1;
+	}
+
 	/**
 	 * The right to call an operation.
 	 *
 	 * @param application the application
 	 * @param operation the operation
 	 * @param idempotent whether repeating a call is harmless
+	 * @param shared whether several clubs declare the application
 	 */
-	record Grant(ApplicationId application, OperationId operation, boolean idempotent) {
+	record Grant(ApplicationId application, OperationId operation, boolean idempotent, boolean shared) {
+
+		// Clubs that share a runner may choose the same key.
+		@Nullable String upstreamKey(ClubId club, @Nullable String key) {
+			return (this.shared && key != null) ? club + "/" + key : key;
+		}
 
 	}
 
--- a/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/call/HttpApplicationClient.java
+++ b/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/call/HttpApplicationClient.java
@@ -49,17 +49,12 @@
 		HttpRequest request = client.post("/v1/operations/" + operation);
 		request.headers().set("content-type", call.contentType());
 		if (call.key() != null) {
-			request.headers().set("idempotency-key", upstreamKey(call, call.key()));
+			request.headers().set("idempotency-key", call.key());
 		}
 		request.payloadBody(client.executionContext().bufferAllocator().wrap(call.body()));
 		return client.request(request).timeout(timeout).toCompletionStage().handle(HttpApplicationClient::reply);
 	}
 
-	// Two clubs may choose the same key for calls of the same runner.
-	private static String upstreamKey(ApplicationCall call, String key) {
-		return call.club() + "/" + key;
-	}
-
 	private static Reply reply(@Nullable HttpResponse response, @Nullable Throwable error) {
 		if (response != null) {
 			byte[] body = new byte[response.payloadBody().readableBytes()];
--- a/bilberryvalve-daemon/src/test/java/io/bilberryvalve/daemon/call/AtMostOnceProperties.java
+++ b/bilberryvalve-daemon/src/test/java/io/bilberryvalve/daemon/call/AtMostOnceProperties.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.List;
+import java.util.Map;
 
 import io.bilberryvalve.platform.memory.Fault;
 import io.bilberryvalve.policy.once.ExecutionAnswer;
@@ -17,8 +18,8 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 /**
- * Guards against a second execution of a key, a false "not run" and a call that is never
- * answered, under any sequence of faults.
+ * Guards against a second execution of a key, a false "not run", a call that is never
+ * answered and a key that cannot be used after "not run", under any sequence of faults.
  */
 class AtMostOnceProperties {
 
@@ -47,6 +48,11 @@
 		simulation.settle();
 		assertThat(simulation.history().calls()).allMatch(simulation.history()::isAnswered);
 		assertThat(simulation.history().violation()).isNull();
+		Map<String, String> free = simulation.history().keysNotRun();
+		simulation.answers.clear();
+		free.forEach((key, body) -> simulation.call(1, key, body));
+		simulation.settle();
+		assertThat(simulation.answers).hasSize(free.size()).allMatch(ExecutionAnswer.Completed.class::isInstance);
 	}
 
 	private static void apply(CallSimulation simulation, Step step) {
--- a/bilberryvalve-daemon/src/test/java/io/bilberryvalve/daemon/call/CallHistory.java
+++ b/bilberryvalve-daemon/src/test/java/io/bilberryvalve/daemon/call/CallHistory.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.TreeMap;
 
 import io.bilberryvalve.policy.once.ExecutionAnswer;
 import org.jspecify.annotations.Nullable;
@@ -42,6 +43,26 @@
 		return this.sent.keySet();
 	}
 
+	/**
+	 * Returns the keys whose callers were all told "not run", with the body of the first
+	 * call.
+	 */
+	Map<String, String> keysNotRun() {
+		Map<String, String> bodies = new TreeMap<>();
+		Set<String> others = new HashSet<>();
+		for (Map.Entry<Long, Sent> entry : new TreeMap<>(this.sent).entrySet()) {
+			boolean notRun = this.answers.getOrDefault(entry.getKey(), List.of())
+				.stream()
+				.anyMatch(ExecutionAnswer.NotRun.class::isInstance);
+			bodies.putIfAbsent(entry.getValue().key(), entry.getValue().body());
+			if (!notRun) {
+				others.add(entry.getValue().key());
+			}
+		}
+		bodies.keySet().removeAll(others);
+		return bodies;
+	}
+
 	static String result(long call) {
 		return "result-" + call;
 	}
--- a/bilberryvalve-policy/src/main/java/io/bilberryvalve/policy/once/KeyAttempt.java
+++ b/bilberryvalve-policy/src/main/java/io/bilberryvalve/policy/once/KeyAttempt.java
@@ -164,10 +164,11 @@
 		reserveOver(row, effects);
 	}
 
+	// A released record protects nothing, so its key is free for any request.
 	private void reserveOver(StoredRecord row, Effects effects) {
 		ExecutionRecord record = row.record();
 		boolean same = record.requestDigest().equals(this.requestDigest);
-		if (effects.expired(record) || (same && record.state() == ExecutionRecord.State.RELEASED)) {
+		if (effects.expired(record) || record.state() == ExecutionRecord.State.RELEASED) {
 			this.expectVersion = row.version();
 			effects.write(this.key);
 			return;
