Bound probes and move to another runner after silence

Cause: in a federation of 3 entries and 8 engines on loopback (trial), the longest gap was 11.1 s when a stage was frozen, because a repair waited 10 s for the load of the frozen stage, and 2.2 s when an engine stopped its streams, because the repair stayed with the same runner first. Change: probes take at most 300 ms, KV transfers 500 ms; after silence the reply moves to another first runner and pulls the cache; a timeout renews the connections to the engine; stages are probed after 400 ms without a token.

--- a/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/RequestParts.java
+++ b/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/RequestParts.java
@@ -50,6 +50,11 @@
 
 	private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(500);
 
+	private static final Duration PROBE_TIMEOUT = Duration.ofMillis(300);
+
+	/** Longest time of a KV transfer; after it the new runner rebuilds the cache. */
+	private static final Duration ENGINE_CALL_TIMEOUT = Duration.ofMillis(500);
+
 	private static final Duration BODY_TIMEOUT = Duration.ofSeconds(10);
 
 	private static final Duration REPLY_TICK = Duration.ofMillis(50);
@@ -81,7 +86,7 @@
 		this.fleet = new RunnerFleet(clock, configuration, new FusedLoadChooser(CHOICE_SAMPLES), (runner) -> false);
 		this.admission = new FairAdmission(settings.vm(), incarnation, this.fleet::capacity, configuration, peers,
 				new QueueLimits(settings.limits().teamQueue(), settings.limits().totalQueue()), clock);
-		HttpEngineClient engines = new HttpEngineClient(CONNECT_TIMEOUT, settings.limits().orderTimeout());
+		HttpEngineClient engines = new HttpEngineClient(CONNECT_TIMEOUT, PROBE_TIMEOUT, ENGINE_CALL_TIMEOUT);
 		LoadMonitor monitor = new LoadMonitor(this.fleet, engines, configuration, clock, new SplittableRandom(),
 				LoadMonitorSettings.defaults());
 		ReplyServices services = new ReplyServices(clock, engines, this.fleet, this.admission,
--- a/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/engine/HttpEngineClient.java
+++ b/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/engine/HttpEngineClient.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeoutException;
 import java.util.function.BooleanSupplier;
 import java.util.function.Function;
 
@@ -46,15 +47,20 @@
 
 	private final Duration connectTimeout;
 
+	private final Duration probeTimeout;
+
 	private final Duration callTimeout;
 
 	/**
 	 * Creates a client.
 	 * @param connectTimeout longest time to make a connection
-	 * @param callTimeout longest time of a call that is not a stream
+	 * @param probeTimeout longest time of a call that asks for load or cache events; a
+	 * repair waits for it when a stage does not answer
+	 * @param callTimeout longest time of other calls that are not streams
 	 */
-	public HttpEngineClient(Duration connectTimeout, Duration callTimeout) {
+	public HttpEngineClient(Duration connectTimeout, Duration probeTimeout, Duration callTimeout) {
 		this.connectTimeout = connectTimeout;
+		this.probeTimeout = probeTimeout;
 		this.callTimeout = callTimeout;
 	}
 
@@ -78,7 +84,7 @@
 
 	@Override
 	public CompletionStage<Boolean> cancel(Address address, RequestId stream, int epoch) {
-		return call(address,
+		return call(address, this.callTimeout,
 				(client) -> client.delete("/v1/streams/" + stream).addQueryParameter("epoch", Integer.toString(epoch)),
 				(body) -> true)
 			.thenApply(HttpEngineClient::succeeded);
@@ -86,7 +92,7 @@
 
 	@Override
 	public CompletionStage<Boolean> pull(Address target, RequestId stream, Address source, int epoch) {
-		return call(target,
+		return call(target, this.callTimeout,
 				(client) -> client.post("/v1/kv/" + stream + "/pull")
 					.setHeader(CONTENT_TYPE, APPLICATION_JSON)
 					.payloadBody(Publisher.from(text(client, EngineJson.pull(source, epoch)))),
@@ -96,20 +102,27 @@
 
 	@Override
 	public CompletionStage<Result<LoadReport>> load(Address address) {
-		return call(address, (client) -> client.get("/v1/load"), (body) -> EngineJson.load(EngineJson.parse(body)));
+		return call(address, this.probeTimeout, (client) -> client.get("/v1/load"),
+				(body) -> EngineJson.load(EngineJson.parse(body)));
 	}
 
 	@Override
 	public CompletionStage<Result<CacheEvents>> cacheEvents(Address address, long after) {
-		return call(address,
+		return call(address, this.probeTimeout,
 				(client) -> client.get("/v1/cache-events").addQueryParameter("after", Long.toString(after)),
 				(body) -> EngineJson.cacheEvents(EngineJson.parse(body)));
 	}
 
 	@Override
 	public void reconnect(Address address) {
-		StreamingHttpClient old = this.clients.remove(address);
+		StreamingHttpClient old = this.clients.get(address);
 		if (old != null) {
+			reconnect(address, old);
+		}
+	}
+
+	private void reconnect(Address address, StreamingHttpClient old) {
+		if (this.clients.remove(address, old)) {
 			old.closeAsyncGracefully().subscribe();
 		}
 	}
@@ -152,15 +165,20 @@
 		return response.payloadBody().ignoreElements().concat(Publisher.failed(error));
 	}
 
-	private <T> CompletionStage<Result<T>> call(Address address,
+	private <T> CompletionStage<Result<T>> call(Address address, Duration timeout,
 			Function<StreamingHttpClient, StreamingHttpRequest> request, Function<String, T> reader) {
 		StreamingHttpClient client = client(address);
 		Single<Result<T>> result = client.request(request.apply(client))
 			.flatMap(StreamingHttpResponse::toResponse)
 			.map((response) -> read(address, response, reader));
-		return result.timeout(this.callTimeout)
-			.onErrorReturn((error) -> Result.failed(failure(address, String.valueOf(error))))
-			.toCompletionStage();
+		return result.timeout(timeout).onErrorReturn((error) -> {
+			if (error instanceof TimeoutException) {
+				// Other idle connections to the engine may be silent too; each would cost
+				// a timeout.
+				reconnect(address, client);
+			}
+			return Result.failed(failure(address, String.valueOf(error)));
+		}).toCompletionStage();
 	}
 
 	private static <T> Result<T> read(Address address, HttpResponse response, Function<String, T> reader) {
--- a/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/reply/Repair.java
+++ b/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/reply/Repair.java
@@ -77,6 +77,11 @@
 		if (failure.runner() != null) {
 			bad.add(failure.runner());
 		}
+		if (bad.isEmpty() && occurrence <= 1 && failure.kind() == Kind.SILENT) {
+			// Either the connection or the stream within the engine hangs. Another runner
+			// with the cache of this one continues in both cases.
+			bad.add(chain.first().runner().id());
+		}
 		if (bad.isEmpty() && occurrence <= 1) {
 			// Every stage answers on a new connection, so only the old connection was
 			// lost.
--- a/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/reply/ReplySettings.java
+++ b/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/reply/ReplySettings.java
@@ -27,7 +27,7 @@
 	 * @return the limits
 	 */
 	public static ReplySettings defaults() {
-		return new ReplySettings(Duration.ofSeconds(1), Duration.ofSeconds(2), Duration.ofMillis(600),
+		return new ReplySettings(Duration.ofSeconds(1), Duration.ofSeconds(2), Duration.ofMillis(400),
 				Duration.ofMinutes(2), Duration.ofMinutes(30), 64, Duration.ofSeconds(60), 8_000_000,
 				Duration.ofSeconds(2), 8);
 	}
--- a/bilberryvalve-daemon/src/test/java/io/bilberryvalve/daemon/reply/ReplySessionTests.java
+++ b/bilberryvalve-daemon/src/test/java/io/bilberryvalve/daemon/reply/ReplySessionTests.java
@@ -63,7 +63,7 @@
 
 	// Guards against an engine that stops without closing its connection.
 	@Example
-	void retriesOnANewConnectionAfterSilence() {
+	void movesToAnotherRunnerAfterSilence() {
 		ReplySession session = this.fixture.started(4);
 		FakeEngines.Opened first = this.engines.last();
 		first.token(0, false);
@@ -73,6 +73,7 @@
 		assertThat(this.engines.opened).hasSize(2);
 		assertThat(first.closed).isTrue();
 		assertThat(this.engines.calls).anyMatch((call) -> call.startsWith("reconnect"));
+		assertThat(this.engines.last().order.chain().first()).isNotEqualTo(first.order.chain().first());
 		this.engines.last().tokens(1, 4, 4);
 		assertComplete(session, 4);
 	}
