--- a/bilberryvalve-daemon/src/test/java/io/bilberryvalve/daemon/share/FairAdmissionProperties.java
+++ b/bilberryvalve-daemon/src/test/java/io/bilberryvalve/daemon/share/FairAdmissionProperties.java
@@ -4,6 +4,7 @@
 import java.util.Map;
 
 import io.bilberryvalve.model.TeamId;
+import io.bilberryvalve.model.VmId;
 import net.jqwik.api.Example;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
@@ -21,13 +22,13 @@
 			Map.of("l", 1.0));
 
 	// Guards R8: a flood at all entries must not delay the first token of the other club.
-	@Property(seed = "31", tries = 3)
+	@Property(seed = "31", tries = 5)
 	void floodAtAllEntriesDoesNotDelayQuietClub(@ForAll @LongRange(max = 10_000) long seed) {
 		assertQuiet(seed, -1);
 	}
 
 	// Guards R8 when the flood arrives at one entry and takes streams from the others.
-	@Property(seed = "32", tries = 3)
+	@Property(seed = "32", tries = 5)
 	void floodAtOneEntryDoesNotDelayQuietClub(@ForAll @LongRange(max = 10_000) long seed) {
 		assertQuiet(seed, 0);
 	}
@@ -36,12 +37,53 @@
 		double alone = simulate(seed, floodEntry, 0).percentile95("q");
 		ShareSimulation flooded = simulate(seed, floodEntry, 900);
 		double ratio = flooded.percentile95("q") / alone;
-		System.out.println("SIM " + floodEntry + " alone=" + alone + " ratio=" + ratio + " limit="
-				+ flooded.highestLimitSum + " running=" + flooded.highestRunning + " tokens=" + flooded.tokens
-				+ " waiting=" + flooded.highestWaiting);
 		assertThat(ratio).isLessThanOrEqualTo(1.2);
 	}
 
+	// Guards against limits that add up to more than the capacity while floods move
+	// between entries and reports are lost, repeated or late. Stated bounds: limits 110
+	// percent and running requests 120 percent of the capacity.
+	@Property(seed = "33", tries = 10)
+	void limitsStayNearCapacityWhileDemandMoves(@ForAll @LongRange(max = 10_000) long seed) {
+		ShareSimulation simulation = new ShareSimulation(seed, 4, CLUBS);
+		simulation.network.faults(0.2, 0.2, 100);
+		simulation.run(Duration.ZERO, Duration.ofSeconds(2));
+		for (int i = 0; i < 8; i++) {
+			simulation.sources.clear();
+			simulation.source("loud", "l", 900, 90, i % 4);
+			simulation.source("quiet", "q", 200, 90, (i * 3 + 1) % 4);
+			simulation.run(Duration.ZERO, Duration.ofSeconds(3));
+		}
+		assertThat(simulation.highestLimitSum).isLessThanOrEqualTo((int) (1.1 * ShareSimulation.STREAMS));
+		assertThat(simulation.highestRunning).isLessThanOrEqualTo((int) (1.2 * ShareSimulation.STREAMS));
+		assertThat(simulation.highestWaiting).isGreaterThan(0);
+	}
+
+	// Guards against an entry without contact that keeps more than its safe share, and
+	// against a lost entry whose streams stay unused for ever.
+	@Example
+	void isolatedEntryUsesSafeShareAndOthersTakeOverLater() {
+		ShareSimulation simulation = new ShareSimulation(5, 4, CLUBS);
+		simulation.source("loud", "l", 900, 90, 0);
+		simulation.run(Duration.ZERO, Duration.ofSeconds(10));
+		VmId isolated = new VmId("vm-0");
+		simulation.network.cut((a, b) -> a.equals(isolated) || b.equals(isolated));
+		simulation.highestLimitSum = 0;
+		simulation.run(Duration.ZERO, Duration.ofSeconds(9));
+		AdmissionStatus alone = simulation.entries.get(0).status();
+		assertThat(alone.isolated()).isTrue();
+		assertThat(alone.limit()).isEqualTo(ShareSimulation.STREAMS / 4);
+		assertThat(simulation.highestLimitSum).isLessThanOrEqualTo((int) (1.1 * ShareSimulation.STREAMS));
+		simulation.run(Duration.ZERO, Duration.ofSeconds(4));
+		int others = simulation.entries.stream().skip(1).mapToInt((entry) -> entry.status().limit()).sum();
+		assertThat(others).isEqualTo(ShareSimulation.STREAMS);
+		simulation.network.cut((a, b) -> false);
+		simulation.highestLimitSum = 0;
+		simulation.run(Duration.ofSeconds(2), Duration.ofSeconds(3));
+		assertThat(simulation.entries.get(0).status().isolated()).isFalse();
+		assertThat(simulation.highestLimitSum).isLessThanOrEqualTo((int) (1.1 * ShareSimulation.STREAMS));
+	}
+
 	private static ShareSimulation simulate(long seed, int floodEntry, double floodPerSecond) {
 		ShareSimulation simulation = new ShareSimulation(seed, 4, CLUBS);
 		simulation.source("quiet", "q", 30, 90, -1);
@@ -52,6 +94,17 @@
 		return simulation;
 	}
 
+	// Guards against idle streams: a single club at a single entry must be able to use
+	// 0.97 of the capacity. A stream makes 90 tokens per second with its first token.
+	@Example
+	void oneBusyClubUsesCapacityOfQuietFederation() {
+		ShareSimulation simulation = new ShareSimulation(3, 4, CLUBS);
+		simulation.source("loud", "l", 400, 90, 2);
+		simulation.run(WARM_UP, MEASURED);
+		double bound = 90.0 * ShareSimulation.STREAMS * MEASURED.toSeconds();
+		assertThat(tokens(simulation, "l") / bound).isGreaterThanOrEqualTo(0.97);
+	}
+
 	// Guards against shares by requests or streams instead of token cost, and against
 	// shares that depend on the entry that callers use.
 	@Example
@@ -70,8 +123,6 @@
 		double b1 = tokens(simulation, "b1");
 		double b2 = tokens(simulation, "b2");
 		double b3 = tokens(simulation, "b3") / 2;
-		System.out.println("SIM tokens=" + simulation.tokens + " jain a=" + ShareSimulation.jain(a1, a2) + " b="
-				+ ShareSimulation.jain(b1, b2, b3) + " clubs=" + ShareSimulation.jain(a1 + 3 * a2, b1 + b2 + 2 * b3));
 		assertThat(ShareSimulation.jain(a1 + 3 * a2, b1 + b2 + 2 * b3)).isGreaterThanOrEqualTo(0.99);
 		assertThat(ShareSimulation.jain(a1, a2)).isGreaterThanOrEqualTo(0.99);
 		assertThat(ShareSimulation.jain(b1, b2, b3)).isGreaterThanOrEqualTo(0.99);
--- a/bilberryvalve-policy/src/main/java/io/bilberryvalve/policy/share/ShareBook.java
+++ b/bilberryvalve-policy/src/main/java/io/bilberryvalve/policy/share/ShareBook.java
@@ -23,13 +23,15 @@
  * its target at once, but raises it only into streams that no entry holds according to
  * the reports, and divides them with the other entries that are below their targets. With
  * reports that are at most one exchange old, the limits of all entries together exceed
- * the capacity by at most the streams that were released in one exchange; a lost report
- * delays a rise. An entry that does not report is charged with its safe share or with
- * what it held last, whichever is more, until it has been silent for the isolation limit
- * twice, and with its safe share thereafter; when it has been absent for a while and at
- * least half of the entries are present, its share goes to the others. An entry that
- * hears no other entry uses its safe share. A partition into two halves of equal size can
- * thus double the limits after that time; any other partition adds less than half.
+ * the capacity by at most the streams that were released in one exchange; an entry whose
+ * report is late is assumed to take all that it could. The stated bound is 110 percent of
+ * the capacity for limits, and a further 10 percent for running requests because of the
+ * overdraft. An entry that does not report is charged with its safe share or with what it
+ * held last, whichever is more, until it has been silent for the isolation limit twice,
+ * and with its safe share thereafter; when it has been absent for a while and at least
+ * half of the entries are present, its share goes to the others. An entry that hears no
+ * other entry uses its safe share. A partition into two halves of equal size can thus
+ * double the limits after that time; any other partition adds less than half.
  *
  * <p>
  * Not safe for use by several threads.
@@ -42,9 +44,13 @@
 	/** Time for which the share of an absent entry is kept. */
 	public static final Duration KEEP_ABSENT = Duration.ofSeconds(5);
 
+	// Older than one exchange: a report was lost, and the entry may need far more than is
+	// known here.
+	private static final Duration LATE = Duration.ofMillis(400);
+
 	private static final double FLOOR_FRACTION = 0.02;
 
-	private static final double OVERDRAFT_FRACTION = 0.05;
+	private static final double OVERDRAFT_FRACTION = 0.1;
 
 	private static final int LEAST_OVERDRAFT = 2;
 
@@ -200,7 +206,8 @@
 		for (int i = 0; i < fresh.size(); i++) {
 			Report report = fresh.get(i);
 			free -= report.held;
-			gaps[i + 1] = Math.max(0, targets.get(report.demand.origin()) - report.held);
+			boolean late = age(report) > LATE.toMillis();
+			gaps[i + 1] = late ? streams : Math.max(0, targets.get(report.demand.origin()) - report.held);
 		}
 		if (free <= 0) {
 			return;
