--- a/bilberryvalve-wire/src/main/java/io/bilberryvalve/wire/PeerHandler.java
+++ b/bilberryvalve-wire/src/main/java/io/bilberryvalve/wire/PeerHandler.java
@@ -8,7 +8,11 @@
 import io.bilberryvalve.model.log.LogEvent;
 import io.bilberryvalve.wire.proto.PeerMessage;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelPipeline;
 import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.codec.LengthFieldPrepender;
+import io.netty.handler.codec.protobuf.ProtobufDecoder;
+import io.netty.handler.codec.protobuf.ProtobufEncoder;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -41,6 +45,16 @@
 		this.result = result;
 	}
 
+	/**
+	 * Adds the codec and this handler.
+	 * @param pipeline pipeline of a new connection
+	 */
+	void install(ChannelPipeline pipeline) {
+		pipeline.addLast(new PeerFrameDecoder(this.limits.maxFrameBytes()),
+				new ProtobufDecoder(PeerMessage.getDefaultInstance()),
+				new LengthFieldPrepender(PeerFrameDecoder.LENGTH_BYTES), new ProtobufEncoder(), this);
+	}
+
 	@Override
 	public void channelActive(ChannelHandlerContext context) {
 		if (this.initiator) {
--- a/bilberryvalve-wire/src/main/java/io/bilberryvalve/wire/PeerTransport.java
+++ b/bilberryvalve-wire/src/main/java/io/bilberryvalve/wire/PeerTransport.java
@@ -8,7 +8,6 @@
 import java.util.function.Supplier;
 
 import io.bilberryvalve.model.Address;
-import io.bilberryvalve.wire.proto.PeerMessage;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
@@ -19,9 +18,6 @@
 import io.netty.channel.nio.NioEventLoopGroup;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
-import io.netty.handler.codec.LengthFieldPrepender;
-import io.netty.handler.codec.protobuf.ProtobufDecoder;
-import io.netty.handler.codec.protobuf.ProtobufEncoder;
 import io.netty.util.concurrent.DefaultThreadFactory;
 import org.jspecify.annotations.Nullable;
 
@@ -142,11 +138,9 @@
 			PeerTransport transport = PeerTransport.this;
 			Handshake handshake = new Handshake(transport.secret, transport.self.get(), this.initiator);
 			CompletableFuture<PeerConnection> opened = (this.result != null) ? this.result : new CompletableFuture<>();
-			channel.pipeline()
-				.addLast(new PeerFrameDecoder(transport.limits.maxFrameBytes()),
-						new ProtobufDecoder(PeerMessage.getDefaultInstance()),
-						new LengthFieldPrepender(PeerFrameDecoder.LENGTH_BYTES), new ProtobufEncoder(),
-						new PeerHandler(handshake, this.initiator, transport.limits, transport.listener, opened));
+			PeerHandler handler = new PeerHandler(handshake, this.initiator, transport.limits, transport.listener,
+					opened);
+			handler.install(channel.pipeline());
 		}
 
 	}
--- /dev/null
+++ b/bilberryvalve-wire/src/test/java/io/bilberryvalve/wire/PeerTransportTests.java
@@ -0,0 +1,69 @@
+package io.bilberryvalve.wire;
+
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+
+import com.google.protobuf.ByteString;
+import io.bilberryvalve.model.Address;
+import io.bilberryvalve.model.DataCentreId;
+import io.bilberryvalve.model.VmId;
+import io.bilberryvalve.wire.proto.Payload;
+import io.bilberryvalve.wire.proto.PeerMessage;
+import net.jqwik.api.Example;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class PeerTransportTests {
+
+	// Guards against queues that grow without limit when the peer does not read.
+	@Example
+	void queueOfStalledConnectionIsBounded() throws Exception {
+		CompletableFuture<Void> release = new CompletableFuture<>();
+		try (PeerTransport stalled = transport("vm-b", new Stalled(release));
+				PeerTransport sender = transport("vm-a", new Stalled(release))) {
+			Address address = stalled.listen("127.0.0.1", 0);
+			PeerConnection connection = sender.connect(address).toCompletableFuture().get(10, TimeUnit.SECONDS);
+			PeerMessage message = PeerMessage.newBuilder()
+				.setSender("vm-a")
+				.setIncarnation(1)
+				.setPayload(Payload.newBuilder().setBody(ByteString.copyFrom(new byte[1 << 19])))
+				.build();
+			int accepted = 0;
+			while (accepted < 1000 && connection.send(message)) {
+				accepted++;
+			}
+			assertThat(accepted).isLessThan(1000);
+			assertThat(connection.queuedBytes()).isLessThanOrEqualTo(TransportLimits.defaults().maxQueuedBytes());
+			release.complete(null);
+		}
+	}
+
+	private static PeerTransport transport(String vm, ConnectionListener listener) {
+		PeerIdentity self = new PeerIdentity(new VmId(vm), 1, new DataCentreId("dc"), new Address("127.0.0.1", 1),
+				new Address("127.0.0.1", 2));
+		return new PeerTransport(TestPeer.SECRET, () -> self, TransportLimits.defaults(), listener);
+	}
+
+	/**
+	 * Does not return from the first message before it is released.
+	 *
+	 * @param release releases the listener
+	 */
+	private record Stalled(CompletableFuture<Void> release) implements ConnectionListener {
+
+		@Override
+		public void opened(PeerConnection connection) {
+		}
+
+		@Override
+		public void received(PeerConnection connection, PeerMessage message) {
+			this.release.join();
+		}
+
+		@Override
+		public void closed(PeerConnection connection, String reason) {
+		}
+
+	}
+
+}
