--- /dev/null
+++ b/bilberryvalve-daemon/src/test/java/io/bilberryvalve/daemon/lifecycle/DrainCoordinatorTests.java
@@ -0,0 +1,101 @@
+package io.bilberryvalve.daemon.lifecycle;
+
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicInteger;
+
+import io.bilberryvalve.model.clock.ManualClock;
+import net.jqwik.api.Example;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class DrainCoordinatorTests {
+
+	private final ManualClock clock = new ManualClock();
+
+	private final Lifecycle lifecycle = new Lifecycle();
+
+	private final AtomicInteger announcements = new AtomicInteger();
+
+	private final DrainCoordinator drain = new DrainCoordinator(this.lifecycle, this.announcements::incrementAndGet,
+			this.clock);
+
+	// Guards R6: callers with an old list must be served, and requests in progress must
+	// end before the entry stops.
+	@Example
+	void servesOldListsThenRefusesThenWaitsForLastRequest() {
+		this.lifecycle.advance(ServingState.READY);
+		assertThat(this.lifecycle.begin()).isTrue();
+		assertThat(this.drain.begin()).isTrue();
+		assertThat(this.drain.begin()).as("second request to drain").isFalse();
+		assertThat(this.announcements).hasValue(1);
+		advance(Duration.ofMillis(5900));
+		assertThat(this.lifecycle.begin()).as("accepted while lists may be cached").isTrue();
+		advance(Duration.ofMillis(200));
+		assertThat(this.lifecycle.begin()).as("refused afterwards").isFalse();
+		advance(Duration.ofMinutes(10));
+		assertThat(stopped().isDone()).as("two requests in progress").isFalse();
+		this.lifecycle.end();
+		advance(Duration.ofSeconds(1));
+		assertThat(stopped().isDone()).as("one request in progress").isFalse();
+		this.lifecycle.end();
+		advance(Duration.ZERO);
+		assertThat(stopped().isDone()).isTrue();
+		assertThat(this.lifecycle.state()).isEqualTo(ServingState.STOPPED);
+	}
+
+	// Guards against an entry without a configuration that accepts requests while it
+	// leaves.
+	@Example
+	void entryThatWasNeverReadyRefusesAtOnce() {
+		this.drain.begin();
+		assertThat(this.lifecycle.begin()).isFalse();
+		advance(Duration.ZERO);
+		assertThat(stopped().isDone()).isTrue();
+	}
+
+	// Guards against a request that starts between the last count and the stop.
+	@Property(seed = "51", tries = 20)
+	void neverStopsWhileRequestRuns(@ForAll @IntRange(min = 2, max = 8) int threads) {
+		Lifecycle shared = new Lifecycle();
+		shared.advance(ServingState.READY);
+		ManualClock time = new ManualClock();
+		DrainCoordinator coordinator = new DrainCoordinator(shared, () -> {
+		}, time);
+		AtomicInteger violations = new AtomicInteger();
+		CompletableFuture<?>[] callers = new CompletableFuture<?>[threads];
+		for (int i = 0; i < threads; i++) {
+			callers[i] = CompletableFuture.runAsync(() -> {
+				while (shared.begin()) {
+					if (shared.state() == ServingState.STOPPED) {
+						violations.incrementAndGet();
+					}
+					shared.end();
+				}
+			}, (task) -> new Thread(task).start());
+		}
+		coordinator.begin();
+		time.advance(Duration.ofSeconds(10));
+		for (int i = 0; i < 10_000_000 && !coordinator.stopped().toCompletableFuture().isDone(); i++) {
+			coordinator.step();
+		}
+		assertThat(coordinator.stopped().toCompletableFuture().isDone()).isTrue();
+		CompletableFuture.allOf(callers).join();
+		coordinator.close();
+		assertThat(violations).hasValue(0);
+	}
+
+	private CompletableFuture<Void> stopped() {
+		return this.drain.stopped().toCompletableFuture();
+	}
+
+	private void advance(Duration duration) {
+		this.clock.advance(duration);
+		this.drain.step();
+		this.drain.step();
+	}
+
+}
--- a/bilberryvalve-daemon/src/test/java/io/bilberryvalve/daemon/peer/NettyPeerNetworkTests.java
+++ b/bilberryvalve-daemon/src/test/java/io/bilberryvalve/daemon/peer/NettyPeerNetworkTests.java
@@ -1,5 +1,6 @@
 package io.bilberryvalve.daemon.peer;
 
+import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.List;
@@ -133,6 +134,34 @@
 		}
 	}
 
+	// Guards recovery: a connection that goes silent while new ones work must cost its
+	// limit once, and must not make the peer absent.
+	@Example
+	void replacesSilentConnectionOnce() throws IOException {
+		try (TestFederation federation = new TestFederation()) {
+			NettyPeerNetwork b = federation.add("vm-b", 1);
+			b.answer(MessageKind.KEY_CALL, (sender, body) -> CompletableFuture.completedFuture(body));
+			try (SilencingProxy proxy = new SilencingProxy(federation.seeds.get(0))) {
+				federation.seeds.set(0, proxy.address());
+				NettyPeerNetwork a = federation.add("vm-a", 1);
+				federation.untilConnected();
+				federation.seeds.clear();
+				proxy.silence();
+				federation.networks.forEach((network) -> federation.silent.addAll(network.connections()));
+				CompletableFuture<Result<byte[]>> lost = a
+					.call(new VmId("vm-b"), MessageKind.KEY_CALL, bytes("lost"), Duration.ofSeconds(30))
+					.toCompletableFuture();
+				long start = federation.clock.millis();
+				federation.until("the lost call ends", lost::isDone);
+				assertThat(federation.clock.millis() - start).isLessThanOrEqualTo(2500);
+				assertThat(outcome(lost.join())).isEqualTo(Outcome.UNKNOWN);
+				federation.untilConnected();
+				assertThat(federation.clock.millis() - start).isLessThan(5000);
+				assertThat(await(federation, a, "vm-b", MessageKind.KEY_CALL)).isInstanceOf(Result.Ok.class);
+			}
+		}
+	}
+
 	private static Result<byte[]> await(TestFederation federation, NettyPeerNetwork from, String to, MessageKind kind) {
 		CompletableFuture<Result<byte[]>> answer = call(from, to, kind);
 		federation.until("answer", answer::isDone);
--- a/bilberryvalve-daemon/src/test/java/io/bilberryvalve/daemon/peer/TestFederation.java
+++ b/bilberryvalve-daemon/src/test/java/io/bilberryvalve/daemon/peer/TestFederation.java
@@ -2,7 +2,9 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.function.BooleanSupplier;
@@ -30,6 +32,8 @@
 
 	final List<Lifecycle> lifecycles = new ArrayList<>();
 
+	final Set<PeerConnection> silent = new HashSet<>();
+
 	final List<Address> seeds = new CopyOnWriteArrayList<>();
 
 	NettyPeerNetwork add(String vm, long incarnation) {
@@ -68,6 +72,9 @@
 		List<CompletableFuture<?>> barriers = new ArrayList<>();
 		for (NettyPeerNetwork network : this.networks) {
 			for (PeerConnection connection : network.connections()) {
+				if (this.silent.contains(connection)) {
+					continue;
+				}
 				barriers.add(network.send(connection, MessageKind.RESUME, new byte[0], Duration.ofHours(1))
 					.toCompletableFuture());
 			}
