Keep engine timers and decode loops alive after an exception

Cause: a periodic task ends at its first exception, and an exception while a token is delivered would leave the stream without tokens and without an end. Under load the demo once showed a stream that sent neither tokens nor keep-alives for 750 ms; the cause was not found. Change: periodic tasks log exceptions and go on, a failed delivery ends the stream with a problem, and a reader whose buffer is full is logged. Libraries log warnings only. Result: the tests of io.bilberryvalve.standins pass. Conclusion: the silence is not explained; its log lines are now there if it happens again.

--- a/bilberryvalve-standins/src/main/java/io/bilberryvalve/standins/Standins.java
+++ b/bilberryvalve-standins/src/main/java/io/bilberryvalve/standins/Standins.java
@@ -1,5 +1,9 @@
 package io.bilberryvalve.standins;
 
+import java.util.List;
+import java.util.logging.Level;
+import java.util.logging.Logger;
+
 import org.jspecify.annotations.Nullable;
 import org.kohsuke.args4j.Argument;
 import org.kohsuke.args4j.CmdLineException;
@@ -16,6 +20,10 @@
 
 	private static final int EXIT_USAGE = 64;
 
+	/** Kept, since the log manager refers to its loggers weakly. */
+	private static final List<Logger> LIBRARIES = List.of(Logger.getLogger("io.servicetalk"),
+			Logger.getLogger("io.netty"));
+
 	@Argument(required = true, metaVar = "engine|application|platform", handler = SubCommandHandler.class)
 	@SubCommands({ @SubCommand(name = "engine", impl = EngineCommand.class),
 			@SubCommand(name = "application", impl = ApplicationCommand.class),
@@ -30,6 +38,7 @@
 	 * @param arguments sub-command and its options
 	 */
 	public static void main(String[] arguments) {
+		LIBRARIES.forEach((logger) -> logger.setLevel(Level.WARNING));
 		Standins standins = new Standins();
 		try {
 			new CmdLineParser(standins).parseArgument(arguments);
--- a/bilberryvalve-standins/src/main/java/io/bilberryvalve/standins/engine/EngineStandin.java
+++ b/bilberryvalve-standins/src/main/java/io/bilberryvalve/standins/engine/EngineStandin.java
@@ -1,5 +1,7 @@
 package io.bilberryvalve.standins.engine;
 
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
 import java.time.Clock;
 import java.time.Duration;
 import java.util.List;
@@ -7,6 +9,7 @@
 import java.util.concurrent.TimeUnit;
 
 import io.bilberryvalve.model.ProblemKind;
+import io.bilberryvalve.model.log.LogEvent;
 import io.bilberryvalve.standins.fault.Faults;
 import io.bilberryvalve.standins.fault.Service;
 import io.bilberryvalve.standins.http.Call;
@@ -22,6 +25,8 @@
  */
 public final class EngineStandin {
 
+	private static final Logger LOGGER = System.getLogger(EngineStandin.class.getName());
+
 	private static final Duration SWEEP_INTERVAL = Duration.ofSeconds(1);
 
 	private static final Duration SAMPLE_INTERVAL = Duration.ofMillis(50);
@@ -153,7 +158,15 @@
 	}
 
 	private static void repeat(ScheduledExecutorService scheduler, Duration interval, Runnable task) {
-		scheduler.scheduleAtFixedRate(task, interval.toMillis(), interval.toMillis(), TimeUnit.MILLISECONDS);
+		// The scheduler drops a periodic task after its first exception.
+		scheduler.scheduleAtFixedRate(() -> {
+			try {
+				task.run();
+			}
+			catch (RuntimeException ex) {
+				LogEvent.of("engine-task-failed").with("cause", ex).log(LOGGER, Level.ERROR);
+			}
+		}, interval.toMillis(), interval.toMillis(), TimeUnit.MILLISECONDS);
 	}
 
 	private record Cancelled(String stream, int epoch) {
--- a/bilberryvalve-standins/src/main/java/io/bilberryvalve/standins/engine/ReplyRunner.java
+++ b/bilberryvalve-standins/src/main/java/io/bilberryvalve/standins/engine/ReplyRunner.java
@@ -138,17 +138,13 @@
 		try {
 			answered = this.stages.execute(reply.request().stream(), step);
 		}
-		catch (StandinException ex) {
+		catch (RuntimeException ex) {
 			answered = CompletableFuture.failedFuture(ex);
 		}
-		answered.whenComplete((answer, error) -> {
-			if (error != null) {
-				fail(reply, error);
-				leave();
-			}
-			else {
-				deliver(reply, step, answer);
-			}
+		answered.thenAccept((answer) -> deliver(reply, step, answer)).exceptionally((error) -> {
+			fail(reply, error);
+			leave();
+			return null;
 		});
 	}
 
--- a/bilberryvalve-standins/src/main/java/io/bilberryvalve/standins/engine/ReplyStream.java
+++ b/bilberryvalve-standins/src/main/java/io/bilberryvalve/standins/engine/ReplyStream.java
@@ -1,9 +1,12 @@
 package io.bilberryvalve.standins.engine;
 
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
 import java.util.ArrayList;
 import java.util.List;
 
 import io.bilberryvalve.model.ProblemKind;
+import io.bilberryvalve.model.log.LogEvent;
 import io.bilberryvalve.standins.fault.Faults;
 import io.bilberryvalve.standins.http.Json;
 import io.bilberryvalve.standins.http.StandinException;
@@ -19,6 +22,8 @@
  */
 final class ReplyStream {
 
+	private static final Logger LOGGER = System.getLogger(ReplyStream.class.getName());
+
 	private static final String KEEP_ALIVE = ": keep-alive\n\n";
 
 	private static final String DONE = "data: [DONE]\n\n";
@@ -140,9 +145,15 @@
 				reader.onNext(text);
 			}
 			catch (RuntimeException ex) {
-				// The client does not read; it can resume on another connection.
+				// The client does not read. Its connection goes silent, and it can resume
+				// on
+				// another one.
 				this.readers.remove(reader);
-				reader.onError(ex);
+				LogEvent.of("reader-dropped")
+					.with("stream", this.request.stream())
+					.with("epoch", this.request.epoch())
+					.with("cause", ex)
+					.log(LOGGER, Level.WARNING);
 			}
 		}
 	}
