--- a/bilberryvalve-bench/src/main/java/io/bilberryvalve/bench/Experiments.java
+++ b/bilberryvalve-bench/src/main/java/io/bilberryvalve/bench/Experiments.java
@@ -11,7 +11,8 @@
 	}
 
 	static List<Experiment> all() {
-		return List.of(new DecisionTime(), new Throughput(), new Recovery(), new Rolling());
+		return List.of(new DecisionTime(), new Throughput(), new Recovery(), new Rolling(), new Control(),
+				new ConfigurationSize());
 	}
 
 }
--- a/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/RequestParts.java
+++ b/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/RequestParts.java
@@ -95,7 +95,9 @@
 		this.calls = calls(settings, clock, background, configuration, peers, platform, incarnation);
 		background.every(REPLY_TICK, "replies", this.completions::tick).every(POLL_TICK, "loads", monitor::tick);
 		this.admission.start();
-		metrics.gauge("replies_in_progress", "Replies in progress.", this.completions::active);
+		metrics.gauge("replies_in_progress", "Replies in progress.", this.completions::active)
+			.gauge("requests_waiting", "Requests waiting for admission.", () -> this.admission.status().waiting())
+			.gauge("peer_bytes", "Bytes exchanged with other daemons since the start.", peers::traffic);
 	}
 
 	List<Route> routes() {
--- a/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/peer/NettyPeerNetwork.java
+++ b/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/peer/NettyPeerNetwork.java
@@ -146,6 +146,15 @@
 		return this.links.vms();
 	}
 
+	/**
+	 * Returns the bytes exchanged with peers in both directions.
+	 * @return number of bytes since the start
+	 */
+	public long traffic() {
+		Running now = this.running;
+		return (now != null) ? now.transport().bytesSent() + now.transport().bytesReceived() : 0;
+	}
+
 	@Override
 	public List<Peer> peers() {
 		return members().stream().map(NettyPeerNetwork::peer).toList();
--- a/bilberryvalve-wire/src/main/java/io/bilberryvalve/wire/PeerTransport.java
+++ b/bilberryvalve-wire/src/main/java/io/bilberryvalve/wire/PeerTransport.java
@@ -18,6 +18,7 @@
 import io.netty.channel.nio.NioEventLoopGroup;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.traffic.GlobalTrafficShapingHandler;
 import io.netty.util.concurrent.DefaultThreadFactory;
 import org.jspecify.annotations.Nullable;
 
@@ -42,6 +43,9 @@
 
 	private final EventLoopGroup loops = new NioEventLoopGroup(THREADS, new DefaultThreadFactory("peer", true));
 
+	/** Limits nothing; it counts the bytes of all connections. */
+	private final GlobalTrafficShapingHandler traffic = new GlobalTrafficShapingHandler(this.loops, 0);
+
 	private volatile @Nullable Channel server;
 
 	/**
@@ -103,8 +107,25 @@
 		return result;
 	}
 
+	/**
+	 * Returns the bytes sent on all connections.
+	 * @return number of bytes since the start
+	 */
+	public long bytesSent() {
+		return this.traffic.trafficCounter().cumulativeWrittenBytes();
+	}
+
+	/**
+	 * Returns the bytes received on all connections.
+	 * @return number of bytes since the start
+	 */
+	public long bytesReceived() {
+		return this.traffic.trafficCounter().cumulativeReadBytes();
+	}
+
 	@Override
 	public void close() {
+		this.traffic.release();
 		Channel listening = this.server;
 		if (listening != null) {
 			listening.close().awaitUninterruptibly();
@@ -140,6 +161,7 @@
 			CompletableFuture<PeerConnection> opened = (this.result != null) ? this.result : new CompletableFuture<>();
 			PeerHandler handler = new PeerHandler(handshake, this.initiator, transport.limits, transport.listener,
 					opened);
+			channel.pipeline().addLast(transport.traffic);
 			handler.install(channel.pipeline());
 		}
 
