Report unreadable parts and malformed entry addresses of the operator command

A part with keys that an older command does not know, and a host that is no valid host, ended the command with a stack trace. Both are now errors with a remedy.

--- a/bilberryvalve-cli/src/main/java/io/bilberryvalve/cli/ConfigurationInForce.java
+++ b/bilberryvalve-cli/src/main/java/io/bilberryvalve/cli/ConfigurationInForce.java
@@ -11,6 +11,7 @@
 import io.bilberryvalve.config.ConfigurationDocument;
 import io.bilberryvalve.config.ConfigurationPart;
 import io.bilberryvalve.config.FederationConfiguration;
+import io.bilberryvalve.config.Parsed;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -37,11 +38,20 @@
 		}
 		List<ConfigurationDocument> documents = new ArrayList<>();
 		for (Map.Entry<String, JsonNode> part : node.path("parts").properties()) {
-			documents.add(ConfigurationDocument.parse(part.getKey(), part.getValue().asText()).orThrow());
+			documents.add(document(answer, part.getKey(), part.getValue().asText()));
 		}
 		return new ConfigurationInForce(node.path("version").asLong(), node.path("digest").asText(), documents);
 	}
 
+	private static ConfigurationDocument document(Answer.Received answer, String part, String text) {
+		Parsed<ConfigurationDocument> parsed = ConfigurationDocument.parse(part, text);
+		if (parsed instanceof Parsed.Valid<ConfigurationDocument> valid) {
+			return valid.value();
+		}
+		throw new CommandException(ExitCode.REFUSED, "this command cannot read part " + part + " of " + answer.entry()
+				+ " (" + parsed.findings().get(0) + "); use the command of the version that the entries run");
+	}
+
 	@Nullable ConfigurationDocument document(String part) {
 		return this.documents.stream()
 			.filter((document) -> document.part().name().equals(part))
--- a/bilberryvalve-cli/src/main/java/io/bilberryvalve/cli/EntryOptions.java
+++ b/bilberryvalve-cli/src/main/java/io/bilberryvalve/cli/EntryOptions.java
@@ -1,6 +1,7 @@
 package io.bilberryvalve.cli;
 
 import java.io.IOException;
+import java.net.URI;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Duration;
@@ -48,13 +49,21 @@
 			texts = Arrays.asList(variable.trim().split("\\s*,\\s*"));
 		}
 		try {
-			return texts.stream().map(Address::parse).toList();
+			return texts.stream().map(EntryOptions::address).toList();
 		}
 		catch (IllegalArgumentException ex) {
 			throw new CommandException(ExitCode.USAGE, "--entry: " + ex.getMessage());
 		}
 	}
 
+	private static Address address(String text) {
+		Address address = Address.parse(text);
+		if (URI.create("http://" + address).getHost() == null) {
+			throw new IllegalArgumentException("host of '" + text + "' is not valid; give an IP address");
+		}
+		return address;
+	}
+
 	/**
 	 * Returns a client for the given entries.
 	 * @param console gives the environment
--- a/bilberryvalve-cli/src/test/java/io/bilberryvalve/cli/BilberryvalveTests.java
+++ b/bilberryvalve-cli/src/test/java/io/bilberryvalve/cli/BilberryvalveTests.java
@@ -16,7 +16,14 @@
 import java.util.stream.Stream;
 
 import io.bilberryvalve.operators.examples.FederationExample;
+import net.jqwik.api.Arbitraries;
+import net.jqwik.api.Arbitrary;
 import net.jqwik.api.Example;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.From;
+import net.jqwik.api.Property;
+import net.jqwik.api.Provide;
+import net.jqwik.api.constraints.Size;
 import net.jqwik.api.lifecycle.AfterTry;
 import net.jqwik.api.lifecycle.BeforeTry;
 
@@ -65,6 +72,27 @@
 		assertThat(err()).contains("write host:port");
 	}
 
+	// Guards against a stack trace in place of an error, whatever the arguments are.
+	@Property(seed = "41", tries = 300)
+	void answersAnyArgumentsWithAnExitCode(@ForAll @Size(max = 4) List<@From("words") String> arguments) {
+		assertThat(run(arguments.toArray(String[]::new))).isNotNull();
+	}
+
+	@Provide
+	Arbitrary<String> words() {
+		return Arbitraries.oneOf(Arbitraries.of("check", "diff", "submit", "show", "entries", "call", "drain", "status",
+				"report", "burn", "--json", "--base", "--key-file", "--timeout", "--entry", "--help", "a b:1", "a_b:1",
+				"[:1"), Arbitraries.strings().ofMaxLength(8).filter((text) -> text.indexOf(':') < 0));
+	}
+
+	// Guards against a command that fails without a remedy at a part with unknown keys.
+	@Example
+	void reportsPartsThatItCannotRead() {
+		this.entry.accept("federation", "{\"part\": \"federation\"}");
+		assertThat(run("show", "federation", "--entry", this.entry.address())).isEqualTo(ExitCode.REFUSED);
+		assertThat(err()).contains("use the command of the version that the entries run");
+	}
+
 	// Guards against a check that accepts broken references or prints no place.
 	@Example
 	void checksFiles() throws IOException {
