Bound the memory that results of calls occupy

Cause: 20,000 results of 256 KiB would need 5 GB; the planned limit is 32 MB. Change: the ledger and the issued keys hold results of 8 Mi characters at most and forget the oldest first; recorded results stay in the table service. Conclusion: the memory no longer grows with the size of results.

--- a/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/call/CallProblems.java
+++ b/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/call/CallProblems.java
@@ -98,6 +98,8 @@
 						"request a new key with POST /v1/keys");
 			case LOST:
 				return lost();
+			case COMPLETED:
+				return completedWithoutBody();
 			default:
 				return Problem.unknown(ProblemKind.UNAVAILABLE,
 						"this entry does not know the key; it has restarted since or has forgotten it",
@@ -106,8 +108,8 @@
 	}
 
 	static Problem completedWithoutBody() {
-		return new Problem(ProblemKind.REPLY_LOST, Outcome.COMPLETED,
-				"the call ran; its answer was too large to be kept", "read the state from the application", null);
+		return new Problem(ProblemKind.REPLY_LOST, Outcome.COMPLETED, "the call ran; its answer is no longer kept",
+				"read the state from the application", null);
 	}
 
 	static Problem malformed(Exception cause) {
--- a/bilberryvalve-policy/src/main/java/io/bilberryvalve/policy/once/Effects.java
+++ b/bilberryvalve-policy/src/main/java/io/bilberryvalve/policy/once/Effects.java
@@ -21,6 +21,8 @@
 
 	void write(ExecutionKey key);
 
+	void settled(int resultLength);
+
 	void forget(ExecutionKey key);
 
 }
--- a/bilberryvalve-policy/src/main/java/io/bilberryvalve/policy/once/IssuedKeys.java
+++ b/bilberryvalve-policy/src/main/java/io/bilberryvalve/policy/once/IssuedKeys.java
@@ -27,6 +27,9 @@
 	/** Time within which an issued key must be used first. */
 	public static final Duration LIFETIME = Duration.ofMinutes(10);
 
+	/** Characters of results in memory; the oldest results are dropped first. */
+	static final long RESULT_LENGTH = 8 << 20;
+
 	private final VmId vm;
 
 	private final long incarnation;
@@ -41,6 +44,8 @@
 
 	private long sequence;
 
+	private long resultLength;
+
 	/**
 	 * Creates the keys of an incarnation.
 	 * @param vm the VM of the entry
@@ -150,6 +155,8 @@
 		if (end instanceof DispatchEnd.Replied replied) {
 			use.state = State.COMPLETED;
 			use.result = replied.result();
+			this.resultLength += replied.result().length();
+			dropOldResults();
 		}
 		else if (end instanceof DispatchEnd.NotSent) {
 			use.state = State.ISSUED;
@@ -162,7 +169,7 @@
 	/**
 	 * Returns the result of a completed key.
 	 * @param key the key
-	 * @return the result, or {@code null} if there is none
+	 * @return the result, or {@code null} if there is none or it was dropped
 	 */
 	public @Nullable String result(String key) {
 		Use use = this.uses.get(key);
@@ -177,12 +184,29 @@
 		return this.uses.size();
 	}
 
+	private void dropOldResults() {
+		for (Use use : this.uses.values()) {
+			if (this.resultLength <= RESULT_LENGTH) {
+				return;
+			}
+			dropResult(use);
+		}
+	}
+
+	private void dropResult(Use use) {
+		if (use.result != null) {
+			this.resultLength -= use.result.length();
+			use.result = null;
+		}
+	}
+
 	private void forgetOld(Instant now) {
 		Iterator<Use> iterator = this.uses.values().iterator();
 		while (iterator.hasNext()) {
 			Use use = iterator.next();
 			if (use.state != State.DISPATCHED && !use.forgetAt.isAfter(now)) {
 				iterator.remove();
+				dropResult(use);
 			}
 			else if (this.uses.size() < this.capacity) {
 				return;
--- a/bilberryvalve-policy/src/main/java/io/bilberryvalve/policy/once/KeyAttempt.java
+++ b/bilberryvalve-policy/src/main/java/io/bilberryvalve/policy/once/KeyAttempt.java
@@ -277,6 +277,11 @@
 	private void settle(Effects effects) {
 		this.phase = Phase.SETTLED;
 		this.forgetAt = effects.forgetAt();
+		effects.settled(resultLength());
+	}
+
+	int resultLength() {
+		return (this.result != null) ? this.result.length() : 0;
 	}
 
 	private void answerAll(ExecutionAnswer answer, Effects effects) {
--- a/bilberryvalve-policy/src/main/java/io/bilberryvalve/policy/once/RecordedExecutions.java
+++ b/bilberryvalve-policy/src/main/java/io/bilberryvalve/policy/once/RecordedExecutions.java
@@ -25,6 +25,9 @@
 	/** Longest difference between the clocks of two daemons. */
 	static final Duration CLOCK_MARGIN = Duration.ofHours(1);
 
+	/** Characters of results in memory; the table service keeps the others. */
+	static final long RESULT_LENGTH = 8 << 20;
+
 	private static final Duration EXPIRY_INTERVAL = Duration.ofMillis(100);
 
 	private final Clock clock;
@@ -41,6 +44,8 @@
 
 	private Instant nextExpiry = Instant.MIN;
 
+	private long resultLength;
+
 	/**
 	 * Creates a ledger without keys.
 	 * @param clock monotonic clock
@@ -72,6 +77,10 @@
 		return this.attempts.size();
 	}
 
+	long resultLength() {
+		return this.resultLength;
+	}
+
 	@Override
 	public List<OnceAction> on(OnceEvent event) {
 		Turn turn = new Turn(this.clock.instant());
@@ -87,6 +96,7 @@
 		else {
 			store(event, turn);
 		}
+		trimResults();
 		commit(turn);
 		return turn.actions;
 	}
@@ -118,13 +128,24 @@
 	}
 
 	private boolean makeRoom() {
-		if (this.attempts.size() < this.limits.keys()) {
-			return true;
+		return this.attempts.size() < this.limits.keys() || forgetOldestSettled();
+	}
+
+	// The records stay in the table service.
+	private void trimResults() {
+		boolean more = true;
+		while (more && this.resultLength > RESULT_LENGTH) {
+			more = forgetOldestSettled();
 		}
+	}
+
+	private boolean forgetOldestSettled() {
 		Iterator<KeyAttempt> iterator = this.attempts.values().iterator();
 		while (iterator.hasNext()) {
-			if (iterator.next().settled()) {
+			KeyAttempt attempt = iterator.next();
+			if (attempt.settled()) {
 				iterator.remove();
+				this.resultLength -= attempt.resultLength();
 				return true;
 			}
 		}
@@ -301,9 +322,17 @@
 			RecordedExecutions.this.commits.add(key);
 		}
 
+		@Override
+		public void settled(int length) {
+			RecordedExecutions.this.resultLength += length;
+		}
+
 		@Override
 		public void forget(ExecutionKey key) {
-			RecordedExecutions.this.attempts.remove(key);
+			KeyAttempt attempt = RecordedExecutions.this.attempts.remove(key);
+			if (attempt != null && attempt.settled()) {
+				RecordedExecutions.this.resultLength -= attempt.resultLength();
+			}
 			RecordedExecutions.this.commits.cancel(key);
 		}
 
--- a/bilberryvalve-policy/src/test/java/io/bilberryvalve/policy/once/IssuedKeysProperties.java
+++ b/bilberryvalve-policy/src/test/java/io/bilberryvalve/policy/once/IssuedKeysProperties.java
@@ -97,4 +97,18 @@
 		assertThat(IssuedKeys.issuer("order-17")).isEmpty();
 	}
 
+	// Guards against results that fill the memory of the entry.
+	@Example
+	void dropsOldestResultsBeyondBound() {
+		String large = "x".repeat((int) IssuedKeys.RESULT_LENGTH / 2 + 1);
+		List<String> issued = List.of(this.keys.issue(CLUB).orElseThrow(), this.keys.issue(CLUB).orElseThrow());
+		for (String key : issued) {
+			this.keys.call(key, CLUB, "a");
+			this.keys.end(key, new DispatchEnd.Replied(large));
+			assertThat(this.keys.call(key, CLUB, "a")).isEqualTo(IssuedKeys.Decision.COMPLETED);
+		}
+		assertThat(this.keys.result(issued.get(0))).isNull();
+		assertThat(this.keys.result(issued.get(1))).isEqualTo(large);
+	}
+
 }
