--- a/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/configuration/HeadRow.java
+++ b/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/configuration/HeadRow.java
@@ -56,7 +56,7 @@
 
 	private static Head head(JsonNode node) {
 		Map<String, String> parts = new TreeMap<>();
-		node.path("parts").fields().forEachRemaining((part) -> parts.put(part.getKey(), part.getValue().asText()));
+		node.path("parts").properties().forEach((part) -> parts.put(part.getKey(), part.getValue().asText()));
 		List<Head.Accepted> recent = new ArrayList<>();
 		for (JsonNode accepted : node.path("recent")) {
 			recent.add(new Head.Accepted(accepted.path("submission").asText(), accepted.path("version").asLong(),
