--- a/bilberryvalve-bench/src/main/java/io/bilberryvalve/bench/process/LocalFederation.java
+++ b/bilberryvalve-bench/src/main/java/io/bilberryvalve/bench/process/LocalFederation.java
@@ -147,6 +147,17 @@
 				List.of("--settings", settings(entry).toString()));
 	}
 
+	/**
+	 * Starts an engine again after its end and waits until it answers.
+	 * @param engine number of the engine
+	 * @throws Exception if it does not answer in time
+	 */
+	public void restartEngine(int engine) throws Exception {
+		this.group.awaitExit("engine-" + engine);
+		standin("engine-" + engine, engineArguments(engine));
+		awaitEngine(engine);
+	}
+
 	/**
 	 * Waits until an entry has a configuration in force and accepts requests.
 	 * @param entry number of the entry
@@ -174,7 +185,8 @@
 		node.put("baseVersion", this.version);
 		node.put("part", part);
 		node.put("document", document);
-		String answer = send("POST", address("entry-" + entry), "/v1/configuration", node.toString(), BOOTSTRAP_KEY);
+		String key = submission.startsWith("start-") ? BOOTSTRAP_KEY : part + "-operator";
+		String answer = send("POST", address("entry-" + entry), "/v1/configuration", node.toString(), key);
 		this.version = JSON.readTree(answer).get("version").asLong();
 		return this.version;
 	}
@@ -230,11 +242,14 @@
 			awaitEntry(i, this.version);
 		}
 		for (int i = 0; i < engines(); i++) {
-			int engine = i;
-			await("engine-" + i, () -> read("engine-" + engine, "/v1/load").contains("runner"));
+			awaitEngine(i);
 		}
 	}
 
+	private void awaitEngine(int engine) throws Exception {
+		await("engine-" + engine, () -> read("engine-" + engine, "/v1/load").contains("runner"));
+	}
+
 	private int engines() {
 		return 2 * this.plan.chains();
 	}
@@ -326,8 +341,7 @@
 		part.team("shops", 1)
 			.caller("shop", "shops", KeyDigest.of(club + "-shop"))
 			.operator("operator", KeyDigest.of(club + "-operator"))
-			.pipeline(club + "-notes",
-					(pipeline) -> pipeline.model("m", "1").maxTokens(maxTokens).callers("shop"));
+			.pipeline(club + "-notes", (pipeline) -> pipeline.model("m", "1").maxTokens(maxTokens).callers("shop"));
 	}
 
 	private String send(String method, Address address, String path, String body, String key) throws Exception {
--- a/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/runner/RunnerFleet.java
+++ b/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/runner/RunnerFleet.java
@@ -4,6 +4,7 @@
 import java.lang.System.Logger.Level;
 import java.time.Clock;
 import java.time.Duration;
+import java.time.Instant;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
@@ -16,7 +17,7 @@
 import io.bilberryvalve.daemon.configuration.ConfigurationSource;
 import io.bilberryvalve.model.RunnerId;
 import io.bilberryvalve.model.log.LogEvent;
-import io.bilberryvalve.policy.chain.BoundaryChainPlanner;
+import io.bilberryvalve.policy.chain.BalancedChainPlanner;
 import io.bilberryvalve.policy.chain.Chain;
 import io.bilberryvalve.policy.chain.ChainRepair;
 import io.bilberryvalve.policy.chain.ChainSet;
@@ -30,6 +31,7 @@
 import io.bilberryvalve.policy.choice.RunnerChooser;
 import io.bilberryvalve.policy.choice.RunnerHealth;
 import io.bilberryvalve.policy.choice.RunnerLoads;
+import io.bilberryvalve.policy.share.Capacity;
 
 /**
  * The runners of the federation as this entry sees them: loads, health, cached prefixes
@@ -48,6 +50,8 @@
 	/** Part of the capacity that may be out of use because of failures. */
 	private static final double SPARE = 0.4;
 
+	private final Clock clock;
+
 	private final ConfigurationSource configuration;
 
 	private final RunnerChooser chooser;
@@ -77,12 +81,13 @@
 	 * @param absent runners known to be leaving from other sources than their reports
 	 */
 	public RunnerFleet(Clock clock, ConfigurationSource configuration, RunnerChooser chooser, LeavingRunners absent) {
+		this.clock = clock;
 		this.configuration = configuration;
 		this.chooser = chooser;
 		this.absent = absent;
 		this.loads = new RunnerLoads(clock);
 		this.prefixes = new PrefixIndex(clock, PREFIX_VALIDITY, PREFIX_CAPACITY);
-		this.planning = new ChainPlanning(new BoundaryChainPlanner(), this.loads, this.health, this::leaving);
+		this.planning = new ChainPlanning(new BalancedChainPlanner(), this.health, this::leaving);
 	}
 
 	@Override
@@ -176,6 +181,14 @@
 		return this.plan.get().table();
 	}
 
+	/**
+	 * Returns what the planned chains can take.
+	 * @return the capacity
+	 */
+	public Capacity capacity() {
+		return PlannedCapacity.of(table());
+	}
+
 	RunnerLoads loads() {
 		return this.loads;
 	}
@@ -188,6 +201,10 @@
 		return this.prefixes;
 	}
 
+	Instant now() {
+		return this.clock.instant();
+	}
+
 	boolean leaving(RunnerId runner) {
 		return this.loads.leaving(runner) || this.absent.leaving(runner);
 	}
