Count absence of a reader only from the opening of a reply

The time in the admission queue counted as absence of the reader, so a reply that waited more than 2 s was given up at its first check. Change: absence counts from the moment the reply can be read. Result: the new test fails without the change and passes with it.

--- a/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/reply/ReplyReaders.java
+++ b/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/reply/ReplyReaders.java
@@ -25,6 +25,14 @@
 		this.lastRead = now;
 	}
 
+	/**
+	 * The reply can be read from now on; time spent in queues does not count as absence.
+	 * @param now the time
+	 */
+	void expect(Instant now) {
+		this.lastRead = now;
+	}
+
 	void join(Instant now) {
 		this.count++;
 		this.lastRead = now;
--- a/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/reply/ReplySession.java
+++ b/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/reply/ReplySession.java
@@ -160,7 +160,10 @@
 	void onOpened(Attempt source) {
 		if (source == this.attempt) {
 			this.times.alive();
-			this.opened.complete(Result.ok(this.log));
+			if (!this.opened.isDone()) {
+				this.readers.expect(now());
+				this.opened.complete(Result.ok(this.log));
+			}
 		}
 	}
 
--- a/bilberryvalve-daemon/src/test/java/io/bilberryvalve/daemon/reply/ReplySessionTests.java
+++ b/bilberryvalve-daemon/src/test/java/io/bilberryvalve/daemon/reply/ReplySessionTests.java
@@ -179,6 +179,22 @@
 		assertThat(this.fixture.released).hasSize(1);
 	}
 
+	// Guards against giving up a reply whose caller waited long for admission, and
+	// against keeping one whose caller never reads.
+	@Example
+	void givesUpOnlyIfNobodyReadsAfterTheOpening() {
+		ReplySession session = this.fixture.session(4);
+		this.fixture.advance(10_000);
+		session.start(this.fixture.released::add);
+		this.fixture.advance(900);
+		assertThat(session.log().ended()).isFalse();
+		for (int i = 0; i < 4; i++) {
+			this.engines.last().listener.keepAlive();
+			this.fixture.advance(500);
+		}
+		assertThat(session.log().ended()).isTrue();
+	}
+
 	// Guards against a reply that outlives its deadline.
 	@Example
 	void endsAtTheDeadline() {
