--- a/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/peer/PeerMembership.java
+++ b/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/peer/PeerMembership.java
@@ -4,7 +4,6 @@
 import java.lang.System.Logger.Level;
 import java.time.Clock;
 import java.util.ArrayList;
-import java.util.Collection;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
@@ -45,6 +44,8 @@
 
 	private final List<MemberChange> unsent = new ArrayList<>();
 
+	private boolean selectionDue;
+
 	private volatile List<MemberView> members = List.of();
 
 	private volatile Set<VmId> selected = Set.of();
@@ -85,8 +86,9 @@
 
 	synchronized void heartbeat(PeerIdentity sender, Heartbeat heartbeat) {
 		Member member = member(sender);
-		publish(this.table.heartbeat(
-				new MemberNews(member, heartbeat.getBeat(), heartbeat.getReady(), heartbeat.getLeaving(), false)));
+		MemberNews news = new MemberNews(member, heartbeat.getBeat(), heartbeat.getReady(), heartbeat.getLeaving(),
+				false);
+		publish(this.table.heartbeat(news).stream().toList());
 		if (heartbeat.getDetaching()) {
 			this.table.detach(member);
 		}
@@ -97,9 +99,11 @@
 	}
 
 	synchronized void learn(MemberDigest digest) {
+		List<MemberChange> changes = new ArrayList<>();
 		for (MemberEntry entry : digest.getEntriesList()) {
-			publish(this.table.learn(news(entry)));
+			this.table.learn(news(entry)).ifPresent(changes::add);
 		}
+		publish(changes);
 		if (this.table.self().incarnation() != this.identity.incarnation()) {
 			this.identity = identity(this.table.self());
 			LogEvent.of("incarnation-raised")
@@ -111,12 +115,13 @@
 	}
 
 	synchronized void tick() {
-		List<MemberChange> changes = this.table.tick();
-		int before = this.members.size();
-		changes.forEach(this::record);
-		List<MemberView> now = this.table.members();
-		if (!changes.isEmpty() || now.size() != before) {
-			publish(now);
+		publish(this.table.tick());
+		if (this.table.size() != this.members.size()) {
+			publishMembers();
+		}
+		if (this.selectionDue) {
+			this.selectionDue = false;
+			select();
 		}
 	}
 
@@ -137,13 +142,18 @@
 		return Optional.of(digest(this.table.digest(limit)));
 	}
 
-	private void publish(Optional<MemberChange> change) {
-		if (change.isPresent()) {
-			record(change.get());
-			publish(this.table.members());
+	private void publish(List<MemberChange> changes) {
+		if (!changes.isEmpty()) {
+			changes.forEach(this::record);
+			publishMembers();
 		}
 	}
 
+	private void publishMembers() {
+		this.members = this.table.members();
+		this.selectionDue = true;
+	}
+
 	private void record(MemberChange change) {
 		if (change.after() != MemberState.SUSPECT) {
 			this.unsent.add(change);
@@ -156,9 +166,9 @@
 			.log(LOGGER, Level.INFO);
 	}
 
-	private void publish(List<MemberView> now) {
-		this.members = now;
-		Collection<Member> reachable = now.stream()
+	// Only once in a round, since a selection reads all members.
+	private void select() {
+		List<Member> reachable = this.members.stream()
 			.filter((view) -> view.state() != MemberState.ABSENT)
 			.map(MemberView::member)
 			.toList();
--- a/bilberryvalve-policy/src/main/java/io/bilberryvalve/policy/membership/MemberTable.java
+++ b/bilberryvalve-policy/src/main/java/io/bilberryvalve/policy/membership/MemberTable.java
@@ -162,14 +162,11 @@
 	}
 
 	/**
-	 * Returns the state of a run of a member.
-	 * @param member the member
-	 * @return its state, or empty if this run is not known
+	 * Returns the number of known members.
+	 * @return the number
 	 */
-	public Optional<MemberState> state(Member member) {
-		Entry entry = this.entries.get(member.vm());
-		return (entry != null && entry.member.incarnation() == member.incarnation()) ? Optional.of(entry.state)
-				: Optional.empty();
+	public int size() {
+		return this.entries.size();
 	}
 
 	/**
--- a/bilberryvalve-policy/src/main/java/io/bilberryvalve/policy/membership/PeerSelection.java
+++ b/bilberryvalve-policy/src/main/java/io/bilberryvalve/policy/membership/PeerSelection.java
@@ -79,12 +79,7 @@
 	 * @return at most {@value #DELEGATES} members
 	 */
 	public static List<Member> delegates(String name, Collection<Member> group) {
-		return group.stream()
-			.sorted(Comparator.comparingLong((Member member) -> hash(name, member.vm().value()))
-				.reversed()
-				.thenComparing(Member::vm))
-			.limit(DELEGATES)
-			.toList();
+		return ranked(name, group.stream()).limit(DELEGATES).toList();
 	}
 
 	private void addSuccessors(Member self, List<Member> all, Set<VmId> chosen) {
@@ -97,6 +92,10 @@
 	}
 
 	private void addDataCentreDelegates(Member self, List<Member> all, Set<VmId> chosen) {
+		String name = self.dataCentre().value();
+		if (!delegates(name, sameDataCentre(self, all).toList()).contains(self)) {
+			return;
+		}
 		RegionId region = this.regions.apply(self.dataCentre());
 		Map<DataCentreId, List<Member>> groups = new TreeMap<>();
 		for (Member member : all) {
@@ -104,22 +103,26 @@
 				groups.computeIfAbsent(member.dataCentre(), (key) -> new ArrayList<>()).add(member);
 			}
 		}
-		addDelegates(self, self.dataCentre(), groups, chosen);
+		addDelegates(self.dataCentre(), groups, chosen);
 	}
 
 	private void addRegionDelegates(Member self, List<Member> all, Set<VmId> chosen) {
+		RegionId own = this.regions.apply(self.dataCentre());
+		List<Member> sameRegion = all.stream()
+			.filter((member) -> this.regions.apply(member.dataCentre()).equals(own))
+			.toList();
+		if (!delegates(own.value(), sameRegion).contains(self)) {
+			return;
+		}
 		Map<RegionId, List<Member>> groups = new TreeMap<>();
 		for (Member member : all) {
 			RegionId region = this.regions.apply(member.dataCentre());
 			groups.computeIfAbsent(region, (key) -> new ArrayList<>()).add(member);
 		}
-		addDelegates(self, this.regions.apply(self.dataCentre()), groups, chosen);
+		addDelegates(own, groups, chosen);
 	}
 
-	private static <K> void addDelegates(Member self, K own, Map<K, List<Member>> groups, Set<VmId> chosen) {
-		if (!delegates(own.toString(), groups.get(own)).contains(self)) {
-			return;
-		}
+	private static <K> void addDelegates(K own, Map<K, List<Member>> groups, Set<VmId> chosen) {
 		groups.forEach((name, group) -> {
 			if (!name.equals(own)) {
 				delegates(name.toString(), group).forEach((delegate) -> chosen.add(delegate.vm()));
@@ -128,16 +131,26 @@
 	}
 
 	private void addByRendezvous(Member self, List<Member> all, Set<VmId> chosen) {
-		String own = self.vm().value();
-		sameDataCentre(self, all).filter((member) -> !member.vm().equals(self.vm()))
-			.sorted(Comparator.comparingLong((Member member) -> hash(own, member.vm().value())).reversed())
-			.map(Member::vm)
-			.filter((vm) -> !chosen.contains(vm))
+		Stream<Member> others = sameDataCentre(self, all)
+			.filter((member) -> !member.vm().equals(self.vm()) && !chosen.contains(member.vm()));
+		ranked(self.vm().value(), others).map(Member::vm)
 			.limit(Math.max(0, this.limit / 2 - chosen.size()))
 			.toList()
 			.forEach(chosen::add);
 	}
 
+	/**
+	 * Orders members by falling rendezvous hash. Each hash is computed once.
+	 * @param key name for which the members are ranked
+	 * @param members the members
+	 * @return the members in order
+	 */
+	private static Stream<Member> ranked(String key, Stream<Member> members) {
+		return members.map((member) -> new Ranked(hash(key, member.vm().value()), member))
+			.sorted(Comparator.comparingLong(Ranked::hash).reversed().thenComparing((ranked) -> ranked.member().vm()))
+			.map(Ranked::member);
+	}
+
 	private static Stream<Member> sameDataCentre(Member self, List<Member> all) {
 		return all.stream().filter((member) -> member.dataCentre().equals(self.dataCentre()));
 	}
@@ -150,4 +163,8 @@
 		return Hashing.komihash5_0().hashStream().putString(key).putString(candidate).getAsLong();
 	}
 
+	private record Ranked(long hash, Member member) {
+
+	}
+
 }
--- /dev/null
+++ b/bilberryvalve-policy/src/test/java/io/bilberryvalve/policy/membership/MemberTableTests.java
@@ -0,0 +1,132 @@
+package io.bilberryvalve.policy.membership;
+
+import java.time.Duration;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+
+import io.bilberryvalve.model.Address;
+import io.bilberryvalve.model.DataCentreId;
+import io.bilberryvalve.model.VmId;
+import io.bilberryvalve.model.clock.ManualClock;
+import net.jqwik.api.Example;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class MemberTableTests {
+
+	private final ManualClock clock = new ManualClock();
+
+	private final MemberTable table = new MemberTable(member("vm-0", 1), this.clock, MembershipTimes.defaults());
+
+	@Example
+	void silenceMakesSuspectThenAbsentThenForgotten() {
+		beat(1, 1, false);
+		advance(1999);
+		assertThat(state()).isEqualTo(MemberState.LIVE);
+		advance(1);
+		assertThat(state()).isEqualTo(MemberState.SUSPECT);
+		advance(3000);
+		assertThat(state()).isEqualTo(MemberState.ABSENT);
+		advance(600_000);
+		assertThat(this.table.members()).isEmpty();
+	}
+
+	// Guards against a late message of an old process that revives it or hides the new
+	// one.
+	@Example
+	void lateMessagesOfOldRunAreIgnored() {
+		beat(1, 90, false);
+		beat(2, 1, false);
+		assertThat(beat(1, 91, true)).isEmpty();
+		assertThat(this.table.learn(news(1, 92, false, true))).isEmpty();
+		assertThat(this.table.members()).containsExactly(new MemberView(member("vm-1", 2), MemberState.LIVE, true));
+	}
+
+	// Guards against a suspicion of another daemon that overrides own fresh evidence, and
+	// against one that cannot be refuted.
+	@Example
+	void freshHeartbeatRefutesAbsence() {
+		beat(1, 5, false);
+		assertThat(this.table.learn(news(1, 5, false, true))).as("own evidence is fresh").isEmpty();
+		advance(2500);
+		this.table.learn(news(1, 5, false, true));
+		assertThat(state()).isEqualTo(MemberState.ABSENT);
+		assertThat(beat(1, 5, false)).as("repeated heartbeat").isEmpty();
+		this.table.learn(news(1, 6, false, false));
+		assertThat(state()).isEqualTo(MemberState.LIVE);
+		assertThat(this.table.learn(news(1, 5, false, true))).as("old news").isEmpty();
+	}
+
+	// Guards R5: a member that has announced that it leaves must not come back.
+	@Example
+	void leavingIsFinalForRun() {
+		beat(1, 1, true);
+		beat(1, 2, false);
+		assertThat(state()).isEqualTo(MemberState.LEAVING);
+		advance(5000);
+		assertThat(state()).isEqualTo(MemberState.ABSENT);
+		beat(2, 1, false);
+		assertThat(state()).isEqualTo(MemberState.LIVE);
+	}
+
+	@Example
+	void refutesNewsAboutItself() {
+		this.table.nextBeat(true, false);
+		this.table.learn(new MemberNews(member("vm-0", 1), 7, true, false, true));
+		assertThat(this.table.digest(10).get(0).beat()).isEqualTo(8);
+		this.table.learn(new MemberNews(member("vm-0", 4), 1, true, false, false));
+		assertThat(this.table.self().incarnation()).isEqualTo(5);
+		assertThat(this.table.members()).isEmpty();
+	}
+
+	// Guards against members that are taken for absent because they are not connected.
+	@Example
+	void detachedMemberLivesFromNews() {
+		beat(1, 1, false);
+		this.table.detach(member("vm-1", 1));
+		advance(60_000);
+		assertThat(state()).isEqualTo(MemberState.LIVE);
+		advance(60_000);
+		assertThat(state()).isEqualTo(MemberState.ABSENT);
+	}
+
+	// Guards against digests that leave out members or grow with the federation.
+	@Example
+	void digestsAreBoundedAndCoverAllMembers() {
+		for (int i = 1; i <= 200; i++) {
+			this.table.learn(new MemberNews(member("vm-" + i, 1), 1, true, false, false));
+		}
+		Set<VmId> told = new HashSet<>();
+		for (int i = 0; i < 100; i++) {
+			List<MemberNews> digest = this.table.digest(40);
+			assertThat(digest).hasSizeLessThanOrEqualTo(40);
+			digest.forEach((news) -> told.add(news.member().vm()));
+		}
+		assertThat(told).hasSize(201);
+	}
+
+	private MemberState state() {
+		return this.table.members().get(0).state();
+	}
+
+	private void advance(long millis) {
+		this.clock.advance(Duration.ofMillis(millis));
+		this.table.tick();
+	}
+
+	private Optional<MemberChange> beat(long incarnation, long number, boolean leaving) {
+		return this.table.heartbeat(news(incarnation, number, leaving, false));
+	}
+
+	private static MemberNews news(long incarnation, long beat, boolean leaving, boolean absent) {
+		return new MemberNews(member("vm-1", incarnation), beat, true, leaving, absent);
+	}
+
+	private static Member member(String vm, long incarnation) {
+		return new Member(new VmId(vm), incarnation, new DataCentreId("dc"), new Address("127.0.0.1", 1),
+				new Address("127.0.0.1", 2));
+	}
+
+}
