Use the settings for lists, submissions, headers, replies and messages

Cause: the daemon read entryListTtlMillis, submissionBytes, headerBytes, idleConnectionMillis, requestTimeoutMillis, progressDeadlineMillis and replyRetentionMillis but used fixed values, so a change in the settings file had no effect; submissions were cut off at the limit of callers' bodies. Messages between daemons were limited to 1 MiB, so that a federation part of 2 MB never passed from daemon to daemon. An internal failure of a request was logged on several lines.

Change: EntriesHandler and DrainCoordinator take the time to live, EntryServer takes DaemonLimits, ReplySettings.of follows DaemonLimits. Defaults keep the values that were in use: progress deadline 1 s, deadline of a request 2 min (calls of applications had 1 min). Frames after authentication hold a submission plus 1 MiB; before authentication they stay at 4 KiB. A message above the queue limit may join a queue within it. Router logs the exception and its first frame on one line.

Conclusion: all daemons of a federation need the same entryListTtlMillis and submissionBytes.

--- a/bilberryvalve-config/src/main/java/io/bilberryvalve/config/DaemonLimits.java
+++ b/bilberryvalve-config/src/main/java/io/bilberryvalve/config/DaemonLimits.java
@@ -7,7 +7,7 @@
  *
  * @param bodyBytes largest request body of a caller in bytes
  * @param submissionBytes largest request body of a configuration submission in bytes
- * @param headerBytes largest request header in bytes
+ * @param headerBytes longest field of a request header in bytes
  * @param teamQueue waiting requests of one team
  * @param totalQueue waiting requests of all teams
  * @param idleConnection time after which a connection without traffic is closed
@@ -35,8 +35,11 @@
 
 	private static final int DEFAULT_TOTAL_QUEUE = 4096;
 
-	/** Three missed keep-alives of 250 ms each. */
-	private static final Duration DEFAULT_PROGRESS_DEADLINE = Duration.ofMillis(750);
+	/** Four missed keep-alives of 250 ms each. */
+	private static final Duration DEFAULT_PROGRESS_DEADLINE = Duration.ofSeconds(1);
+
+	/** The longest replies take longer than a minute on slow accelerators. */
+	private static final Duration DEFAULT_REQUEST_TIMEOUT = Duration.ofMinutes(2);
 
 	/**
 	 * Checks the limits.
@@ -71,7 +74,7 @@
 	 */
 	public static DaemonLimits defaults() {
 		return new DaemonLimits(DEFAULT_BODY_BYTES, DEFAULT_SUBMISSION_BYTES, DEFAULT_HEADER_BYTES, DEFAULT_TEAM_QUEUE,
-				DEFAULT_TOTAL_QUEUE, Duration.ofSeconds(60), Duration.ofSeconds(60), Duration.ofSeconds(2),
+				DEFAULT_TOTAL_QUEUE, Duration.ofSeconds(60), DEFAULT_REQUEST_TIMEOUT, Duration.ofSeconds(2),
 				Duration.ofSeconds(10), DEFAULT_PROGRESS_DEADLINE, Duration.ofSeconds(60));
 	}
 
--- a/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/Daemon.java
+++ b/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/Daemon.java
@@ -61,6 +61,8 @@
 
 	private static final Duration SUBMISSION_TIMEOUT = Duration.ofSeconds(10);
 
+	private static final Duration SUBMISSION_BODY_TIMEOUT = Duration.ofSeconds(10);
+
 	private final DaemonSettings settings;
 
 	private final Lifecycle lifecycle = new Lifecycle();
@@ -100,13 +102,14 @@
 				new RefreshSchedule(CONFIGURATION_READS_PER_SECOND, ThreadLocalRandom.current()),
 				() -> this.peers.peers().size() + 1, new SecureRandom());
 		stamps.connect(this.rollout);
-		this.drain = new DrainCoordinator(this.lifecycle, this.peers::announce, this.clock);
+		this.drain = new DrainCoordinator(this.lifecycle, this.peers::announce, settings.entryListTtl(), this.clock);
 		this.requests = new RequestParts(settings, this.clock, this.background, this.configuration, this.peers,
 				this.platform, this.metrics, this.burn);
 		Credentials credentials = new Credentials(this.configuration, bootstrapPrincipals(settings));
 		Router router = new Router(routes(parser, timer), credentials, this.lifecycle, this.metrics, this.clock);
 		Address address = settings.callerAddress();
-		this.server = EntryServer.start(new InetSocketAddress(address.host(), address.port()), router);
+		this.server = EntryServer.start(new InetSocketAddress(address.host(), address.port()), router,
+				settings.limits());
 	}
 
 	/**
@@ -178,8 +181,10 @@
 		this.background.every(VM_LIST_INTERVAL, "vm-list", directory::refresh);
 		String secret = Files.readString(this.settings.federationSecretFile(), StandardCharsets.UTF_8);
 		Address address = this.settings.peerAddress();
-		PeerSettings peerSettings = PeerSettings.of(this.settings.vm(), this.clock.millis(), this.settings.dataCentre(),
-				this.settings.callerAddress(), address.host(), address.port(), FederationSecret.of(secret.trim()));
+		PeerSettings peerSettings = PeerSettings
+			.of(this.settings.vm(), this.clock.millis(), this.settings.dataCentre(), this.settings.callerAddress(),
+					address.host(), address.port(), FederationSecret.of(secret.trim()))
+			.carrying(this.settings.limits().submissionBytes());
 		NettyPeerNetwork network = new NettyPeerNetwork(peerSettings, this.lifecycle, directory, stamps, this::region,
 				this.clock);
 		network.start();
@@ -198,10 +203,12 @@
 	private List<Route> routes(ConfigurationParser parser, Timer timer) {
 		Submissions submissions = new Submissions(this.platform.tables(), this.rollout, parser, this.clock, timer,
 				SUBMISSION_TIMEOUT);
-		Bodies bodies = new Bodies(this.settings.limits().bodyBytes(), Duration.ofSeconds(10));
+		Bodies bodies = new Bodies(this.settings.limits().submissionBytes(), SUBMISSION_BODY_TIMEOUT);
 		List<Route> routes = new ArrayList<>(this.requests.routes());
 		routes.addAll(new ConfigurationHandler(this.configuration, this.rollout, submissions, bodies).routes());
-		routes.addAll(new EntriesHandler(this.peers::self, this.peers::members, this.lifecycle).routes());
+		routes.addAll(
+				new EntriesHandler(this.peers::self, this.peers::members, this.lifecycle, this.settings.entryListTtl())
+					.routes());
 		routes.addAll(this.drain.routes());
 		routes.addAll(new ReportHandler(this.settings.vm(), this.lifecycle, this.metrics, this.burn, (node) -> {
 			node.put("configuration", this.configuration.current().version());
--- a/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/RequestParts.java
+++ b/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/RequestParts.java
@@ -90,7 +90,7 @@
 		LoadMonitor monitor = new LoadMonitor(this.fleet, engines, configuration, clock, new SplittableRandom(),
 				LoadMonitorSettings.defaults());
 		ReplyServices services = new ReplyServices(clock, engines, this.fleet, this.admission,
-				new FractionRepairBudget(REPAIRS_PER_REPLY, REPAIR_RESERVE), ReplySettings.defaults());
+				new FractionRepairBudget(REPAIRS_PER_REPLY, REPAIR_RESERVE), ReplySettings.of(settings.limits()));
 		this.completions = new CompletionHandler(services, configuration, peers, settings.vm(), incarnation);
 		this.calls = calls(settings, clock, background, configuration, peers, platform, incarnation);
 		background.every(REPLY_TICK, "replies", this.completions::tick).every(POLL_TICK, "loads", monitor::tick);
--- a/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/http/EntryServer.java
+++ b/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/http/EntryServer.java
@@ -1,8 +1,8 @@
 package io.bilberryvalve.daemon.http;
 
 import java.net.InetSocketAddress;
-import java.time.Duration;
 
+import io.bilberryvalve.config.DaemonLimits;
 import io.servicetalk.http.api.HttpProtocolConfig;
 import io.servicetalk.http.api.StreamingHttpService;
 import io.servicetalk.http.netty.H1ProtocolConfig;
@@ -16,12 +16,8 @@
  */
 public final class EntryServer implements AutoCloseable {
 
-	private static final long IDLE_TIMEOUT_MILLIS = Duration.ofSeconds(60).toMillis();
-
 	private static final int MAX_START_LINE_BYTES = 4 * 1024;
 
-	private static final int MAX_HEADER_BYTES = 16 * 1024;
-
 	private final ServerContext context;
 
 	private EntryServer(ServerContext context) {
@@ -32,33 +28,37 @@
 	 * Starts a server for HTTP/1.1.
 	 * @param address where to listen; port 0 takes a free port
 	 * @param service answers the requests
+	 * @param limits sizes of headers and time of idle connections
 	 * @return the server
 	 * @throws Exception if the address cannot be used
 	 */
-	public static EntryServer start(InetSocketAddress address, StreamingHttpService service) throws Exception {
+	public static EntryServer start(InetSocketAddress address, StreamingHttpService service, DaemonLimits limits)
+			throws Exception {
 		H1ProtocolConfig protocol = HttpProtocolConfigs.h1()
 			.maxStartLineLength(MAX_START_LINE_BYTES)
-			.maxHeaderFieldLength(MAX_HEADER_BYTES)
+			.maxHeaderFieldLength(limits.headerBytes())
 			.build();
-		return start(address, service, protocol);
+		return start(address, service, protocol, limits);
 	}
 
 	/**
 	 * Starts a server for HTTP/2 with prior knowledge.
 	 * @param address where to listen; port 0 takes a free port
 	 * @param service answers the requests
+	 * @param limits sizes of headers and time of idle connections
 	 * @return the server
 	 * @throws Exception if the address cannot be used
 	 */
-	public static EntryServer startHttp2(InetSocketAddress address, StreamingHttpService service) throws Exception {
-		return start(address, service, HttpProtocolConfigs.h2Default());
+	public static EntryServer startHttp2(InetSocketAddress address, StreamingHttpService service, DaemonLimits limits)
+			throws Exception {
+		return start(address, service, HttpProtocolConfigs.h2Default(), limits);
 	}
 
 	private static EntryServer start(InetSocketAddress address, StreamingHttpService service,
-			HttpProtocolConfig protocol) throws Exception {
+			HttpProtocolConfig protocol, DaemonLimits limits) throws Exception {
 		ServerContext context = HttpServers.forAddress(address)
 			.protocols(protocol)
-			.socketOption(ServiceTalkSocketOptions.IDLE_TIMEOUT, IDLE_TIMEOUT_MILLIS)
+			.socketOption(ServiceTalkSocketOptions.IDLE_TIMEOUT, limits.idleConnection().toMillis())
 			.listenStreamingAndAwait(service);
 		return new EntryServer(context);
 	}
--- a/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/http/Router.java
+++ b/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/http/Router.java
@@ -113,9 +113,12 @@
 	}
 
 	private static StreamingHttpResponse failure(Exchange exchange, Throwable cause) {
-		LOGGER.log(System.Logger.Level.ERROR,
-				LogEvent.of("request-failed").with("path", exchange.request().path()).with("cause", cause).toString(),
-				cause);
+		StackTraceElement[] frames = cause.getStackTrace();
+		LogEvent.of("request-failed")
+			.with("path", exchange.request().path())
+			.with("cause", cause)
+			.with("frame", (frames.length > 0) ? frames[0] : null)
+			.log(LOGGER, System.Logger.Level.ERROR);
 		return Problems.response(exchange.responses(), new Problem(ProblemKind.INTERNAL, Outcome.UNKNOWN,
 				"the entry failed to answer", "repeat the request if it is idempotent and report the fault", null));
 	}
--- a/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/lifecycle/DrainCoordinator.java
+++ b/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/lifecycle/DrainCoordinator.java
@@ -3,6 +3,7 @@
 import java.lang.System.Logger;
 import java.lang.System.Logger.Level;
 import java.time.Clock;
+import java.time.Duration;
 import java.util.List;
 import java.util.Locale;
 import java.util.concurrent.CompletableFuture;
@@ -17,7 +18,6 @@
 import io.bilberryvalve.daemon.http.Route;
 import io.bilberryvalve.model.log.LogEvent;
 import io.bilberryvalve.policy.membership.DrainPlan;
-import io.bilberryvalve.policy.membership.EntryList;
 import io.servicetalk.buffer.netty.BufferAllocators;
 import io.servicetalk.concurrent.api.Publisher;
 import io.servicetalk.concurrent.api.Single;
@@ -50,12 +50,13 @@
 	 * Creates a coordinator.
 	 * @param lifecycle state of this entry
 	 * @param announcement tells the other entries that this one leaves
+	 * @param listTime time for which callers may use an entry list
 	 * @param clock the clock
 	 */
-	public DrainCoordinator(Lifecycle lifecycle, Runnable announcement, Clock clock) {
+	public DrainCoordinator(Lifecycle lifecycle, Runnable announcement, Duration listTime, Clock clock) {
 		this.lifecycle = lifecycle;
 		this.announcement = announcement;
-		this.plan = new DrainPlan(clock, EntryList.TIME_TO_LIVE);
+		this.plan = new DrainPlan(clock, listTime);
 	}
 
 	/**
--- a/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/peer/EntriesHandler.java
+++ b/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/peer/EntriesHandler.java
@@ -1,5 +1,6 @@
 package io.bilberryvalve.daemon.peer;
 
+import java.time.Duration;
 import java.util.List;
 import java.util.function.Supplier;
 import java.util.stream.Stream;
@@ -37,16 +38,22 @@
 
 	private final Lifecycle lifecycle;
 
+	private final Duration timeToLive;
+
 	/**
 	 * Creates a handler.
 	 * @param self gives this daemon
 	 * @param others gives the other daemons
 	 * @param lifecycle state of this daemon
+	 * @param timeToLive how long callers may use a list; they are told whole seconds,
+	 * rounded down, so that none uses it longer
 	 */
-	public EntriesHandler(Supplier<Member> self, Supplier<List<MemberView>> others, Lifecycle lifecycle) {
+	public EntriesHandler(Supplier<Member> self, Supplier<List<MemberView>> others, Lifecycle lifecycle,
+			Duration timeToLive) {
 		this.self = self;
 		this.others = others;
 		this.lifecycle = lifecycle;
+		this.timeToLive = timeToLive;
 	}
 
 	/**
@@ -73,14 +80,14 @@
 				.put("address", entry.address().toString())
 				.put("dataCentre", entry.dataCentre().value());
 		}
-		document.put("ttlSeconds", EntryList.TIME_TO_LIVE.toSeconds());
+		document.put("ttlSeconds", this.timeToLive.toSeconds());
 		return document.toString();
 	}
 
 	private Single<StreamingHttpResponse> handle(Exchange exchange) {
 		StreamingHttpResponse response = exchange.responses().ok();
 		response.headers().set("content-type", "application/json");
-		response.headers().set("cache-control", "max-age=" + EntryList.TIME_TO_LIVE.toSeconds());
+		response.headers().set("cache-control", "max-age=" + this.timeToLive.toSeconds());
 		return Single
 			.succeeded(response.payloadBody(Publisher.from(BufferAllocators.DEFAULT_ALLOCATOR.fromUtf8(document()))));
 	}
--- a/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/peer/PeerSettings.java
+++ b/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/peer/PeerSettings.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 
+import io.bilberryvalve.config.DaemonLimits;
 import io.bilberryvalve.model.Address;
 import io.bilberryvalve.model.DataCentreId;
 import io.bilberryvalve.model.VmId;
@@ -35,6 +36,9 @@
 
 	private static final int MAX_PEERS = 32;
 
+	private static final TransportLimits LIMITS = TransportLimits.defaults()
+		.carrying(DaemonLimits.defaults().submissionBytes());
+
 	/**
 	 * Creates settings with the times and limits used in production.
 	 * @param vm the VM of this daemon
@@ -49,7 +53,20 @@
 	public static PeerSettings of(VmId vm, long incarnation, DataCentreId dataCentre, Address callerAddress,
 			String host, int port, FederationSecret secret) {
 		return new PeerSettings(vm, incarnation, dataCentre, callerAddress, host, port, secret, HEARTBEAT, SILENCE,
-				MembershipTimes.defaults(), TransportLimits.defaults(), MAX_PEERS);
+				MembershipTimes.defaults(), LIMITS, MAX_PEERS);
+	}
+
+	/**
+	 * Returns settings whose messages can hold a part of the configuration. All daemons
+	 * of a federation need the same size, because the receiver closes the connection of a
+	 * sender with a larger message.
+	 * @param bytes largest submission in bytes
+	 * @return the settings
+	 */
+	public PeerSettings carrying(int bytes) {
+		return new PeerSettings(this.vm, this.incarnation, this.dataCentre, this.callerAddress, this.host, this.port,
+				this.secret, this.heartbeat, this.silence, this.times, TransportLimits.defaults().carrying(bytes),
+				this.maxPeers);
 	}
 
 }
--- a/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/reply/ReplySettings.java
+++ b/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/reply/ReplySettings.java
@@ -2,6 +2,8 @@
 
 import java.time.Duration;
 
+import io.bilberryvalve.config.DaemonLimits;
+
 /**
  * Limits of replies.
  *
@@ -22,14 +24,26 @@
 		Duration longestTimeout, int window, Duration retention, long retainedCharacters, Duration absence,
 		int repairs) {
 
+	/**
+	 * Returns limits that follow the settings of a daemon.
+	 * @param limits limits of the daemon
+	 * @return the limits
+	 */
+	public static ReplySettings of(DaemonLimits limits) {
+		Duration longest = Duration.ofMinutes(30);
+		if (longest.compareTo(limits.requestTimeout()) < 0) {
+			longest = limits.requestTimeout();
+		}
+		return new ReplySettings(limits.progressDeadline(), Duration.ofSeconds(2), Duration.ofMillis(400),
+				limits.requestTimeout(), longest, 64, limits.replyRetention(), 8_000_000, Duration.ofSeconds(2), 8);
+	}
+
 	/**
 	 * Returns the default limits.
 	 * @return the limits
 	 */
 	public static ReplySettings defaults() {
-		return new ReplySettings(Duration.ofSeconds(1), Duration.ofSeconds(2), Duration.ofMillis(400),
-				Duration.ofMinutes(2), Duration.ofMinutes(30), 64, Duration.ofSeconds(60), 8_000_000,
-				Duration.ofSeconds(2), 8);
+		return of(DaemonLimits.defaults());
 	}
 
 }
--- a/bilberryvalve-daemon/src/test/java/io/bilberryvalve/daemon/http/RouterTests.java
+++ b/bilberryvalve-daemon/src/test/java/io/bilberryvalve/daemon/http/RouterTests.java
@@ -13,8 +13,14 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.logging.Handler;
+import java.util.logging.LogRecord;
+import java.util.logging.Logger;
+import java.util.logging.StreamHandler;
 
 import io.bilberryvalve.config.ClubPart;
+import io.bilberryvalve.config.DaemonLimits;
 import io.bilberryvalve.config.FederationConfiguration;
 import io.bilberryvalve.config.FederationPart;
 import io.bilberryvalve.daemon.configuration.ConfigurationHolder;
@@ -65,7 +71,8 @@
 		Credentials credentials = new Credentials(this.configuration, Map.of());
 		Router router = new Router(routes, credentials, this.lifecycle, (route, status, elapsed) -> {
 		}, new ManualClock());
-		this.server = EntryServer.start(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), router);
+		this.server = EntryServer.start(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), router,
+				DaemonLimits.defaults());
 		this.configuration.offer(configuration());
 		this.lifecycle.advance(ServingState.READY);
 	}
@@ -149,6 +156,33 @@
 		assertThat(response.body()).contains("\"outcome\":\"unknown\"");
 	}
 
+	// Guards against a log that several lines of a stack trace make unreadable by line.
+	@Example
+	void logsAnInternalFaultOnOneLine() throws Exception {
+		List<LogRecord> records = new CopyOnWriteArrayList<>();
+		Handler capture = new StreamHandler() {
+
+			@Override
+			public void publish(LogRecord entry) {
+				records.add(entry);
+			}
+
+		};
+		Logger logger = Logger.getLogger(Router.class.getName());
+		logger.addHandler(capture);
+		try {
+			get("/v1/admin", "operator-key");
+		}
+		finally {
+			logger.removeHandler(capture);
+		}
+		assertThat(records).singleElement().satisfies((entry) -> {
+			assertThat(entry.getThrown()).isNull();
+			assertThat(entry.getMessage()).contains("event=request-failed", "broken", "RouterTests.java:")
+				.doesNotContain("\n");
+		});
+	}
+
 	private void awaitIdle() {
 		long end = System.nanoTime() + Duration.ofSeconds(5).toNanos();
 		while (this.lifecycle.active() > 0 && System.nanoTime() < end) {
--- a/bilberryvalve-daemon/src/test/java/io/bilberryvalve/daemon/lifecycle/DrainCoordinatorTests.java
+++ b/bilberryvalve-daemon/src/test/java/io/bilberryvalve/daemon/lifecycle/DrainCoordinatorTests.java
@@ -5,6 +5,7 @@
 import java.util.concurrent.atomic.AtomicInteger;
 
 import io.bilberryvalve.model.clock.ManualClock;
+import io.bilberryvalve.policy.membership.DrainPlan;
 import net.jqwik.api.Example;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
@@ -14,6 +15,8 @@
 
 class DrainCoordinatorTests {
 
+	private static final Duration LIST_TIME = Duration.ofSeconds(5);
+
 	private final ManualClock clock = new ManualClock();
 
 	private final Lifecycle lifecycle = new Lifecycle();
@@ -21,7 +24,7 @@
 	private final AtomicInteger announcements = new AtomicInteger();
 
 	private final DrainCoordinator drain = new DrainCoordinator(this.lifecycle, this.announcements::incrementAndGet,
-			this.clock);
+			LIST_TIME, this.clock);
 
 	// Guards R6: callers with an old list must be served, and requests in progress must
 	// end before the entry stops.
@@ -47,6 +50,25 @@
 		assertThat(this.lifecycle.state()).isEqualTo(ServingState.STOPPED);
 	}
 
+	// Guards against a drain that ignores the configured time and refuses callers that
+	// still use their lists.
+	@Property(seed = "52", tries = 20)
+	void acceptsWhileListsOfTheConfiguredTimeAreUsed(@ForAll @IntRange(min = 1, max = 60_000) int millis) {
+		Lifecycle entry = new Lifecycle();
+		entry.advance(ServingState.READY);
+		ManualClock time = new ManualClock();
+		try (DrainCoordinator coordinator = new DrainCoordinator(entry, () -> {
+		}, Duration.ofMillis(millis), time)) {
+			coordinator.begin();
+			time.advance(Duration.ofMillis(millis).plus(DrainPlan.ANNOUNCEMENT).minusMillis(1));
+			coordinator.step();
+			assertThat(entry.state()).isEqualTo(ServingState.LEAVING);
+			time.advance(Duration.ofMillis(1));
+			coordinator.step();
+			assertThat(entry.state()).isEqualTo(ServingState.DRAINING);
+		}
+	}
+
 	// Guards against an entry without a configuration that accepts requests while it
 	// leaves.
 	@Example
@@ -64,7 +86,7 @@
 		shared.advance(ServingState.READY);
 		ManualClock time = new ManualClock();
 		DrainCoordinator coordinator = new DrainCoordinator(shared, () -> {
-		}, time);
+		}, LIST_TIME, time);
 		AtomicInteger violations = new AtomicInteger();
 		CompletableFuture<?>[] callers = new CompletableFuture<?>[threads];
 		for (int i = 0; i < threads; i++) {
--- a/bilberryvalve-daemon/src/test/java/io/bilberryvalve/daemon/peer/EntriesHandlerTests.java
+++ b/bilberryvalve-daemon/src/test/java/io/bilberryvalve/daemon/peer/EntriesHandlerTests.java
@@ -1,5 +1,6 @@
 package io.bilberryvalve.daemon.peer;
 
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 
@@ -21,7 +22,8 @@
 
 	private final List<MemberView> others = new ArrayList<>();
 
-	private final EntriesHandler handler = new EntriesHandler(() -> member(1), () -> this.others, this.lifecycle);
+	private final EntriesHandler handler = new EntriesHandler(() -> member(1), () -> this.others, this.lifecycle,
+			Duration.ofMillis(7900));
 
 	// Guards R5: neither an entry that is starting nor one that is leaving gets callers.
 	@Example
@@ -30,7 +32,7 @@
 		this.others.add(new MemberView(member(3), MemberState.LIVE, false));
 		this.others.add(new MemberView(member(4), MemberState.LEAVING, true));
 		assertThat(this.handler.document())
-			.isEqualTo("{\"entries\":[{\"address\":\"127.0.0.1:2\",\"dataCentre\":\"dc\"}],\"ttlSeconds\":5}");
+			.isEqualTo("{\"entries\":[{\"address\":\"127.0.0.1:2\",\"dataCentre\":\"dc\"}],\"ttlSeconds\":7}");
 		this.lifecycle.advance(ServingState.READY);
 		assertThat(this.handler.document()).contains("127.0.0.1:1", "127.0.0.1:2").doesNotContain(":3\"", ":4\"");
 		this.lifecycle.advance(ServingState.LEAVING);
--- a/bilberryvalve-daemon/src/test/java/io/bilberryvalve/daemon/peer/NettyPeerNetworkTests.java
+++ b/bilberryvalve-daemon/src/test/java/io/bilberryvalve/daemon/peer/NettyPeerNetworkTests.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CopyOnWriteArrayList;
 
+import io.bilberryvalve.config.DaemonLimits;
 import io.bilberryvalve.daemon.lifecycle.ServingState;
 import io.bilberryvalve.model.Outcome;
 import io.bilberryvalve.model.Problem;
@@ -55,6 +56,28 @@
 		}
 	}
 
+	// Guards against a configuration that is accepted but too large for the messages
+	// between daemons, so that it never reaches a daemon that asks a peer for it.
+	@Example
+	void carriesTheLargestPartOfAConfiguration() {
+		try (TestFederation federation = new TestFederation()) {
+			NettyPeerNetwork a = federation.add("vm-a", 1);
+			NettyPeerNetwork b = federation.add("vm-b", 1);
+			byte[] part = new byte[DaemonLimits.defaults().submissionBytes()];
+			b.answer(MessageKind.CONFIGURATION_REQUEST, (sender, body) -> CompletableFuture.completedFuture(part));
+			List<Integer> pushed = new CopyOnWriteArrayList<>();
+			b.receive(MessageKind.CONFIGURATION_PUSH, (sender, body) -> pushed.add(body.length));
+			federation.untilConnected();
+			CompletableFuture<Result<byte[]>> answer = call(a, "vm-b", MessageKind.CONFIGURATION_REQUEST);
+			Await.until("answer", answer::isDone);
+			assertThat(answer.join()).isInstanceOfSatisfying(Result.Ok.class,
+					(ok) -> assertThat((byte[]) ok.value()).hasSize(part.length));
+			a.broadcast(MessageKind.CONFIGURATION_PUSH, part);
+			Await.until("push", () -> !pushed.isEmpty());
+			assertThat(pushed).containsExactly(part.length);
+		}
+	}
+
 	// Guards R3: only a call that was not sent may be reported as not run.
 	@Example
 	void reportsNotRunOnlyIfNothingWasSent() {
--- a/bilberryvalve-policy/src/main/java/io/bilberryvalve/policy/membership/EntryList.java
+++ b/bilberryvalve-policy/src/main/java/io/bilberryvalve/policy/membership/EntryList.java
@@ -1,6 +1,5 @@
 package io.bilberryvalve.policy.membership;
 
-import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.List;
@@ -15,9 +14,6 @@
  */
 public final class EntryList {
 
-	/** Time for which callers may use a list. */
-	public static final Duration TIME_TO_LIVE = Duration.ofSeconds(5);
-
 	// Starts differ between callers that ask one after the other, so that they spread.
 	private final AtomicInteger turn = new AtomicInteger();
 
--- a/bilberryvalve-wire/src/main/java/io/bilberryvalve/wire/PeerConnection.java
+++ b/bilberryvalve-wire/src/main/java/io/bilberryvalve/wire/PeerConnection.java
@@ -102,8 +102,12 @@
 	}
 
 	private boolean reserve(int size) {
+		int limit = this.limits.maxQueuedBytes();
 		int before = this.queuedBytes.getAndAdd(size);
-		if (before > 0 && before + size > this.limits.maxQueuedBytes()) {
+		// A message that exceeds the limit by itself may join a queue within the limit;
+		// otherwise a heartbeat in the queue would be enough to refuse a configuration.
+		int room = (size > limit) ? limit : limit - size;
+		if (before > room) {
 			this.queuedBytes.addAndGet(-size);
 			return false;
 		}
--- a/bilberryvalve-wire/src/test/java/io/bilberryvalve/wire/PeerHandlerProperties.java
+++ b/bilberryvalve-wire/src/test/java/io/bilberryvalve/wire/PeerHandlerProperties.java
@@ -131,6 +131,28 @@
 		assertThat(open.channel.isActive()).as("2 MiB after authentication").isFalse();
 	}
 
+	// Guards against limits that let a stranger fill the memory of a daemon because
+	// configurations are large, and against a configuration that is refused.
+	@Example
+	void acceptsLargeTextsOnlyAfterAuthentication() {
+		TransportLimits limits = TransportLimits.defaults().carrying(16 << 20);
+		TestPeer sender = new TestPeer("vm-a", true, TestPeer.SECRET, limits);
+		TestPeer receiver = new TestPeer("vm-b", false, TestPeer.SECRET, limits);
+		TestPeer stranger = new TestPeer("vm-b", false, TestPeer.SECRET, limits);
+		stranger.feed(new byte[] { 0, 0, 0x20, 0 });
+		assertThat(stranger.channel.isActive()).as("8 KiB before authentication").isFalse();
+		TestPeer.exchange(sender, receiver);
+		PeerConnection connection = sender.opened.get(0);
+		assertThat(connection.send(large(18 << 20))).as("above the limit").isFalse();
+		PeerMessage largest = large(16 << 20).toBuilder().setSender("vm-a").setIncarnation(1).build();
+		assertThat(connection.send(message("vm-a", 1))).isTrue();
+		assertThat(connection.send(largest)).as("behind a heartbeat").isTrue();
+		TestPeer.exchange(sender, receiver);
+		assertThat(receiver.received).containsExactly(message("vm-a", 1), largest);
+		receiver.feed(new byte[] { 2, 0, 0, 0 });
+		assertThat(receiver.channel.isActive()).as("32 MiB after authentication").isFalse();
+	}
+
 	// Guards against a message that the other side would answer by closing the
 	// connection.
 	@Example
--- a/bilberryvalve-wire/src/test/java/io/bilberryvalve/wire/TestPeer.java
+++ b/bilberryvalve-wire/src/test/java/io/bilberryvalve/wire/TestPeer.java
@@ -27,10 +27,14 @@
 	final EmbeddedChannel channel = new EmbeddedChannel();
 
 	TestPeer(String vm, boolean initiator, FederationSecret secret) {
+		this(vm, initiator, secret, TransportLimits.defaults());
+	}
+
+	TestPeer(String vm, boolean initiator, FederationSecret secret, TransportLimits limits) {
 		PeerIdentity self = new PeerIdentity(new VmId(vm), 1, new DataCentreId("dc"), new Address("127.0.0.1", 1),
 				new Address("127.0.0.1", 2));
-		PeerHandler handler = new PeerHandler(new Handshake(secret, self, initiator), initiator,
-				TransportLimits.defaults(), this, new CompletableFuture<>());
+		PeerHandler handler = new PeerHandler(new Handshake(secret, self, initiator), initiator, limits, this,
+				new CompletableFuture<>());
 		handler.install(this.channel.pipeline());
 		this.channel.pipeline().fireChannelActive();
 	}
