Run the engine orders in the daemon

Cause: OrderService was never created by the daemon, so no daemon took a lease or told an engine what to load, and orderTimeoutMillis had no effect.

Change: Daemon creates OrderService with the configured order timeout, calls it every 200 ms and exposes the metric bilberryvalve_leases_held.

--- a/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/Daemon.java
+++ b/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/Daemon.java
@@ -10,6 +10,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.SplittableRandom;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ThreadLocalRandom;
 
@@ -31,6 +32,8 @@
 import io.bilberryvalve.daemon.lifecycle.Lifecycle;
 import io.bilberryvalve.daemon.lifecycle.ServingState;
 import io.bilberryvalve.daemon.lifecycle.Timer;
+import io.bilberryvalve.daemon.order.HttpEngineOrders;
+import io.bilberryvalve.daemon.order.OrderService;
 import io.bilberryvalve.daemon.peer.EntriesHandler;
 import io.bilberryvalve.daemon.peer.NettyPeerNetwork;
 import io.bilberryvalve.daemon.peer.PeerSettings;
@@ -44,6 +47,7 @@
 import io.bilberryvalve.model.clock.MonotonicClock;
 import io.bilberryvalve.model.log.LogEvent;
 import io.bilberryvalve.platform.Platform;
+import io.bilberryvalve.policy.lease.LeaseTimes;
 import io.bilberryvalve.policy.rollout.RefreshSchedule;
 import io.bilberryvalve.wire.FederationSecret;
 
@@ -59,6 +63,10 @@
 	/** Store reads for the configuration, summed over all daemons of the federation. */
 	private static final double CONFIGURATION_READS_PER_SECOND = 100;
 
+	private static final Duration ORDER_CONNECT_TIMEOUT = Duration.ofMillis(500);
+
+	private static final Duration ORDER_TICK = Duration.ofMillis(200);
+
 	private static final Duration SUBMISSION_TIMEOUT = Duration.ofSeconds(10);
 
 	private static final Duration SUBMISSION_BODY_TIMEOUT = Duration.ofSeconds(10);
@@ -105,6 +113,7 @@
 		this.drain = new DrainCoordinator(this.lifecycle, this.peers::announce, settings.entryListTtl(), this.clock);
 		this.requests = new RequestParts(settings, this.clock, this.background, this.configuration, this.peers,
 				this.platform, this.metrics, this.burn);
+		orders();
 		Credentials credentials = new Credentials(this.configuration, bootstrapPrincipals(settings));
 		Router router = new Router(routes(parser, timer), credentials, this.lifecycle, this.metrics, this.clock);
 		Address address = settings.callerAddress();
@@ -176,6 +185,17 @@
 		this.stopped.countDown();
 	}
 
+	private void orders() {
+		OrderService.Self self = new OrderService.Self(this.settings.vm(),
+				this.settings.vm() + "_" + this.peers.identity().incarnation());
+		OrderService orders = new OrderService(self, this.configuration, this.peers, this.lifecycle,
+				this.platform.tables(), new HttpEngineOrders(ORDER_CONNECT_TIMEOUT),
+				LeaseTimes.defaults().orderTimeout(this.settings.limits().orderTimeout()), this.clock,
+				new SplittableRandom());
+		this.background.every(ORDER_TICK, "engine-orders", orders::tick);
+		this.metrics.gauge("leases_held", "Leases held by this daemon.", orders::held);
+	}
+
 	private NettyPeerNetwork startPeers(RolloutStamps stamps) throws Exception {
 		VmDirectory directory = new VmDirectory(this.settings.seedPeers(), this.platform.vms());
 		this.background.every(VM_LIST_INTERVAL, "vm-list", directory::refresh);
--- a/bilberryvalve-policy/src/main/java/io/bilberryvalve/policy/lease/LeaseTimes.java
+++ b/bilberryvalve-policy/src/main/java/io/bilberryvalve/policy/lease/LeaseTimes.java
@@ -35,4 +35,13 @@
 		return DEFAULTS;
 	}
 
+	/**
+	 * Returns these times with another order timeout.
+	 * @param timeout longest time between sending an order and its execution
+	 * @return the times
+	 */
+	public LeaseTimes orderTimeout(Duration timeout) {
+		return new LeaseTimes(this.duration, this.margin, this.renewal, timeout);
+	}
+
 }
