Count replies towards the service levels and use bodyBytes for them

Cause: nothing recorded into BurnTracker, so the burn report was empty and bin/demo failed with "the burn report has no line for pavio". CompletionHandler read bodies with a fixed limit of 1 MiB instead of limits.bodyBytes.

Change: ReplyLevels counts the first token, the gaps and the end of each new reply; failures of the system are bad events for availability. CompletionHandler takes its reader of bodies and the recorder.

Conclusion: calls of applications and requests refused before admission are not counted yet.

--- a/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/RequestParts.java
+++ b/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/RequestParts.java
@@ -91,7 +91,8 @@
 				LoadMonitorSettings.defaults());
 		ReplyServices services = new ReplyServices(clock, engines, this.fleet, this.admission,
 				new FractionRepairBudget(REPAIRS_PER_REPLY, REPAIR_RESERVE), ReplySettings.of(settings.limits()));
-		this.completions = new CompletionHandler(services, configuration, peers, settings.vm(), incarnation);
+		this.completions = new CompletionHandler(services, configuration, peers, settings.vm(), incarnation,
+				new Bodies(settings.limits().bodyBytes(), BODY_TIMEOUT), burn);
 		this.calls = calls(settings, clock, background, configuration, peers, platform, incarnation);
 		background.every(REPLY_TICK, "replies", this.completions::tick).every(POLL_TICK, "loads", monitor::tick);
 		this.admission.start();
--- a/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/reply/CompletionHandler.java
+++ b/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/reply/CompletionHandler.java
@@ -15,6 +15,7 @@
 import io.bilberryvalve.daemon.http.Route;
 import io.bilberryvalve.daemon.peer.PeerNetwork;
 import io.bilberryvalve.daemon.reply.PipelineIndex.ResolvedPipeline;
+import io.bilberryvalve.daemon.report.ServiceLevelRecorder;
 import io.bilberryvalve.daemon.share.AdmissionControl.AdmissionRequest;
 import io.bilberryvalve.daemon.share.AdmissionControl.Permit;
 import io.bilberryvalve.model.EventId;
@@ -43,11 +44,9 @@
 	private static final String REQUEST_TIMEOUT = "x-request-timeout";
 
 	/** Largest body in bytes. */
-	private static final int MAX_BODY = 1 << 20;
+	private final Bodies bodies;
 
-	private static final Duration BODY_TIMEOUT = Duration.ofSeconds(10);
-
-	private final Bodies bodies = new Bodies(MAX_BODY, BODY_TIMEOUT);
+	private final ServiceLevelRecorder levels;
 
 	private final ReplyServices services;
 
@@ -70,9 +69,13 @@
 	 * @param peers network of entries
 	 * @param self this entry
 	 * @param incarnation incarnation of this daemon
+	 * @param bodies reads request bodies
+	 * @param levels receives the service levels of new replies
 	 */
 	public CompletionHandler(ReplyServices services, ConfigurationSource configuration, PeerNetwork peers, VmId self,
-			long incarnation) {
+			long incarnation, Bodies bodies, ServiceLevelRecorder levels) {
+		this.bodies = bodies;
+		this.levels = levels;
 		this.services = services;
 		this.index = new PipelineIndex(configuration);
 		this.registry = new ReplyRegistry(services.clock(), services.settings());
@@ -192,6 +195,9 @@
 
 		Start(ReplyOrder order) {
 			this.session = new ReplySession(order, CompletionHandler.this.services, CompletionHandler.this.registry);
+			ReplyLog log = this.session.log();
+			log.register(new ReplyLevels(log, order.caller().club(), CompletionHandler.this.levels,
+					CompletionHandler.this.services.clock()));
 		}
 
 		CompletionStage<Result<OpenReply>> run() {
--- /dev/null
+++ b/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/reply/ReplyLevels.java
@@ -0,0 +1,81 @@
+package io.bilberryvalve.daemon.reply;
+
+import java.time.Clock;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.EnumSet;
+import java.util.Set;
+
+import io.bilberryvalve.daemon.report.Objective;
+import io.bilberryvalve.daemon.report.ServiceLevelRecorder;
+import io.bilberryvalve.model.ClubId;
+import io.bilberryvalve.model.Problem;
+import io.bilberryvalve.model.ProblemKind;
+
+/**
+ * Counts one reply towards the service-level objectives of its club. Registered with the
+ * log of the reply before the first token, it runs in the thread that appends.
+ */
+final class ReplyLevels implements Runnable {
+
+	private static final Set<ProblemKind> FAULTS = EnumSet.of(ProblemKind.NO_RUNNER, ProblemKind.RUNNER_FAILED,
+			ProblemKind.STORE_UNAVAILABLE, ProblemKind.DEADLINE_EXCEEDED, ProblemKind.REPLY_LOST, ProblemKind.INTERNAL);
+
+	private final ReplyLog log;
+
+	private final ClubId club;
+
+	private final ServiceLevelRecorder recorder;
+
+	private final Clock clock;
+
+	private Instant last;
+
+	private int counted;
+
+	private boolean ended;
+
+	/**
+	 * Starts to measure a reply.
+	 * @param log its log, without tokens
+	 * @param club club of the caller
+	 * @param recorder receives the events
+	 * @param clock measures the times
+	 */
+	ReplyLevels(ReplyLog log, ClubId club, ServiceLevelRecorder recorder, Clock clock) {
+		this.log = log;
+		this.club = club;
+		this.recorder = recorder;
+		this.clock = clock;
+		this.last = clock.instant();
+	}
+
+	@Override
+	public void run() {
+		while (this.counted < this.log.next()) {
+			token(this.counted++);
+		}
+		if (this.log.ended() && !this.ended) {
+			this.ended = true;
+			Problem problem = this.log.problem();
+			record(Objective.AVAILABILITY, problem == null || !FAULTS.contains(problem.kind()));
+		}
+	}
+
+	private void token(int index) {
+		Instant now = this.clock.instant();
+		long millis = Duration.between(this.last, now).toMillis();
+		this.last = now;
+		if (index == 0) {
+			record(Objective.FIRST_TOKEN, millis <= Objective.FIRST_TOKEN_BOUND_MILLIS);
+		}
+		else {
+			record(Objective.TOKEN_GAP, millis <= Objective.TOKEN_GAP_BOUND_MILLIS);
+		}
+	}
+
+	private void record(Objective objective, boolean good) {
+		this.recorder.record(this.club, objective, good ? 1 : 0, good ? 0 : 1);
+	}
+
+}
