--- a/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/configuration/ConfigurationParser.java
+++ b/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/configuration/ConfigurationParser.java
@@ -1,5 +1,6 @@
 package io.bilberryvalve.daemon.configuration;
 
+import java.util.List;
 import java.util.Map;
 
 import io.bilberryvalve.config.FederationConfiguration;
@@ -31,4 +32,12 @@
 	 */
 	Result<FederationConfiguration> check(long version, Map<String, String> texts);
 
+	/**
+	 * Describes the differences between two configurations.
+	 * @param before text of each part by its name
+	 * @param after text of each part by its name
+	 * @return one line for each difference; parts that cannot be read are left out
+	 */
+	List<String> differences(Map<String, String> before, Map<String, String> after);
+
 }
--- a/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/configuration/DocumentParser.java
+++ b/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/configuration/DocumentParser.java
@@ -9,7 +9,9 @@
 import io.bilberryvalve.config.CheckReport;
 import io.bilberryvalve.config.ClubPart;
 import io.bilberryvalve.config.ConfigurationCheck;
+import io.bilberryvalve.config.ConfigurationDiff;
 import io.bilberryvalve.config.ConfigurationDocument;
+import io.bilberryvalve.config.ConfigurationPart;
 import io.bilberryvalve.config.FederationConfiguration;
 import io.bilberryvalve.config.FederationPart;
 import io.bilberryvalve.config.Finding;
@@ -18,6 +20,7 @@
 import io.bilberryvalve.model.Problem;
 import io.bilberryvalve.model.ProblemKind;
 import io.bilberryvalve.model.Result;
+import org.jspecify.annotations.Nullable;
 
 /**
  * Parses parts as configuration documents.
@@ -38,6 +41,25 @@
 		});
 	}
 
+	@Override
+	public List<String> differences(Map<String, String> before, Map<String, String> after) {
+		List<String> lines = new ArrayList<>();
+		after.forEach((name, text) -> {
+			String earlier = before.get(name);
+			ConfigurationPart next = part(name, text);
+			if (next != null && !text.equals(earlier)) {
+				ConfigurationPart previous = (earlier != null) ? part(name, earlier) : null;
+				ConfigurationDiff.between(previous, next).lines().forEach((line) -> lines.add(name + ": " + line));
+			}
+		});
+		return lines;
+	}
+
+	private static @Nullable ConfigurationPart part(String name, String text) {
+		Parsed<ConfigurationDocument> parsed = ConfigurationDocument.parse(name, text);
+		return (parsed instanceof Parsed.Valid<ConfigurationDocument> valid) ? valid.value().part() : null;
+	}
+
 	private static Result<Collection<ConfigurationDocument>> documents(Map<String, String> texts) {
 		List<ConfigurationDocument> documents = new ArrayList<>();
 		List<String> findings = new ArrayList<>();
--- a/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/configuration/Submissions.java
+++ b/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/configuration/Submissions.java
@@ -29,6 +29,8 @@
 
 	private static final Duration PAUSE = Duration.ofMillis(100);
 
+	private static final int MAX_DIFFERENCES = 50;
+
 	private final TableService tables;
 
 	private final ConfigurationRollout rollout;
@@ -71,7 +73,9 @@
 	public CompletionStage<Result<Long>> submit(String id, long baseVersion, String part, String document) {
 		Instant deadline = this.clock.instant().plus(this.timeout);
 		Submission submission = new Submission(id, baseVersion, part, PartTexts.digest(document), this.clock, deadline);
-		return run(new Attempt(submission, part, document), submission.start());
+		ConfigurationInForce known = this.rollout.inForce();
+		Map<String, String> base = (known.version() == baseVersion) ? known.texts() : Map.of();
+		return run(new Attempt(submission, part, document, base), submission.start());
 	}
 
 	private CompletionStage<Result<Long>> run(Attempt attempt, SubmissionStep step) {
@@ -81,7 +85,8 @@
 		if (step instanceof SubmissionStep.Write write) {
 			return check(attempt, write);
 		}
-		return CompletableFuture.completedFuture(result(step));
+		return CompletableFuture.completedFuture(
+				(step instanceof SubmissionStep.Conflict conflict) ? conflict(attempt, conflict) : result(step));
 	}
 
 	private CompletionStage<Result<Long>> later(Attempt attempt, SubmissionStep step) {
@@ -165,17 +170,26 @@
 				(commit instanceof Commit.Refused) ? attempt.submission.refused() : attempt.submission.lost());
 	}
 
+	private Result<Long> conflict(Attempt attempt, SubmissionStep.Conflict conflict) {
+		ConfigurationInForce now = this.rollout.inForce();
+		StringBuilder detail = new StringBuilder("version ").append(conflict.version())
+			.append(" is in force; changed since the base version: ")
+			.append(String.join(", ", conflict.changed()));
+		if (!attempt.base.isEmpty() && now.version() == conflict.version()) {
+			this.parser.differences(attempt.base, now.texts())
+				.stream()
+				.limit(MAX_DIFFERENCES)
+				.forEach((line) -> detail.append('\n').append(line));
+		}
+		return Result.failed(Problem.notRun(ProblemKind.CONFLICT, detail.toString(),
+				"read the configuration again, apply the change to version " + conflict.version()
+						+ " and submit it with a new identifier"));
+	}
+
 	private static Result<Long> result(SubmissionStep step) {
 		if (step instanceof SubmissionStep.Accepted accepted) {
 			return Result.ok(accepted.version());
 		}
-		if (step instanceof SubmissionStep.Conflict conflict) {
-			return Result.failed(Problem.notRun(ProblemKind.CONFLICT,
-					"version " + conflict.version() + " is in force; changed since the base version: "
-							+ String.join(", ", conflict.changed()),
-					"read the configuration again, apply the change to version " + conflict.version()
-							+ " and submit it with a new identifier"));
-		}
 		if (step instanceof SubmissionStep.IdentifierReused reused) {
 			return Result.failed(Problem.notRun(ProblemKind.CONFLICT,
 					"the identifier belongs to the submission that created version " + reused.version(),
@@ -200,7 +214,7 @@
 			.retryAfter(Duration.ofSeconds(2));
 	}
 
-	private record Attempt(Submission submission, String part, String document) {
+	private record Attempt(Submission submission, String part, String document, Map<String, String> base) {
 
 	}
 
--- a/bilberryvalve-daemon/src/test/java/io/bilberryvalve/daemon/configuration/RolloutSimulation.java
+++ b/bilberryvalve-daemon/src/test/java/io/bilberryvalve/daemon/configuration/RolloutSimulation.java
@@ -177,6 +177,11 @@
 			return parse(version, texts);
 		}
 
+		@Override
+		public List<String> differences(Map<String, String> before, Map<String, String> after) {
+			return List.of();
+		}
+
 	}
 
 }
