--- a/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/peer/PeerRounds.java
+++ b/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/peer/PeerRounds.java
@@ -11,6 +11,7 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
+import java.util.concurrent.ConcurrentHashMap;
 
 import io.bilberryvalve.model.Address;
 import io.bilberryvalve.model.VmId;
@@ -31,6 +32,8 @@
 
 	private static final int DIGEST_MEMBERS = 40;
 
+	private static final int PERIODIC_DIGEST_MEMBERS = 16;
+
 	// With more than a few candidates that do not answer, only some are tried in a round,
 	// so that the loss of a data centre does not cause a burst of connection attempts.
 	private static final int MAX_UNKNOWN_TARGETS = 8;
@@ -55,6 +58,8 @@
 
 	private final PeerDialer dialer;
 
+	private final ConcurrentHashMap<VmId, CompletionStage<PeerConnection>> opening = new ConcurrentHashMap<>();
+
 	private long nextHeartbeatMillis;
 
 	PeerRounds(PeerSettings settings, PeerDirectory directory, ConfigurationStamps stamps, PeerMembership membership,
@@ -114,12 +119,19 @@
 		if (member.isEmpty()) {
 			return CompletableFuture.failedFuture(new IllegalStateException("entry " + target + " is not known"));
 		}
-		return this.transport.connect(member.get().peerAddress()).thenApply((connection) -> {
+		return this.opening.computeIfAbsent(target, (vm) -> open(vm, member.get().peerAddress()));
+	}
+
+	// Calls that arrive while the connection is being opened share it.
+	private CompletionStage<PeerConnection> open(VmId target, Address address) {
+		CompletionStage<PeerConnection> result = this.transport.connect(address).thenApply((connection) -> {
 			if (!connection.remote().vm().equals(target)) {
 				throw new IllegalStateException("another entry answers at the address of " + target);
 			}
 			return connection;
 		});
+		result.whenCompleteAsync((connection, failure) -> this.opening.remove(target));
+		return result;
 	}
 
 	private void closeConnections() {
@@ -179,7 +191,7 @@
 	private void sendDigest() {
 		List<PeerLink> all = this.links.all();
 		if (!all.isEmpty()) {
-			send(all.get(this.random.nextInt(all.size())), this.membership.digest(DIGEST_MEMBERS));
+			send(all.get(this.random.nextInt(all.size())), this.membership.digest(PERIODIC_DIGEST_MEMBERS));
 		}
 	}
 
