--- a/bilberryvalve-standins/src/main/java/io/bilberryvalve/standins/engine/EngineStandin.java
+++ b/bilberryvalve-standins/src/main/java/io/bilberryvalve/standins/engine/EngineStandin.java
@@ -4,6 +4,7 @@
 import java.lang.System.Logger.Level;
 import java.time.Clock;
 import java.time.Duration;
+import java.time.Instant;
 import java.util.List;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
@@ -34,8 +35,14 @@
 	/** A stream that had no step for this long does not count as running. */
 	private static final Duration ACTIVE = Duration.ofMillis(500);
 
+	private static final Duration LATE = Duration.ofMillis(500);
+
 	private static final int MAX_EXECUTIONS = 50_000;
 
+	private final Clock clock;
+
+	private Instant lastKeepAlive;
+
 	private final StreamTable streams;
 
 	private final OrderBook orders;
@@ -62,6 +69,8 @@
 	 */
 	public EngineStandin(EngineSettings settings, Clock clock, Faults faults, ScheduledExecutorService scheduler,
 			Runnable halt) {
+		this.clock = clock;
+		this.lastKeepAlive = clock.instant();
 		EngineSettings.Timing timing = settings.timing();
 		EngineSettings.Orders rules = settings.orders();
 		this.streams = new StreamTable(clock, timing.retention());
@@ -149,6 +158,7 @@
 	}
 
 	private void keepAlive() {
+		reportLateness();
 		for (StreamState state : this.streams.all()) {
 			ReplyStream reply = state.reply();
 			if (reply != null) {
@@ -157,6 +167,17 @@
 		}
 	}
 
+	// Keep-alives that are late because the machine is overloaded look like a silent
+	// engine.
+	private void reportLateness() {
+		Instant now = this.clock.instant();
+		long millis = Duration.between(this.lastKeepAlive, now).toMillis();
+		this.lastKeepAlive = now;
+		if (millis > LATE.toMillis()) {
+			LogEvent.of("keep-alive-late").with("millis", millis).log(LOGGER, Level.WARNING);
+		}
+	}
+
 	private static void repeat(ScheduledExecutorService scheduler, Duration interval, Runnable task) {
 		// The scheduler drops a periodic task after its first exception.
 		scheduler.scheduleAtFixedRate(() -> {
