Send demand in full only when it changes and close surplus connections

Cause: full demand reports to each peer four times a second and a second connection between most pairs; 8 daemons with 20 active teams exchanged 31.7 kB/s each against a budget of 14 kB/s. Ruled out: longer intervals, because reports older than 400 ms count as late. Change: a report close to the last full one (10 percent) leaves the clubs out, full reports repeat after 2 s; of two connections between a pair the one of the lower VM is closed once it is unused.

--- a/bilberryvalve-bench/src/main/java/io/bilberryvalve/bench/Measure.java
+++ b/bilberryvalve-bench/src/main/java/io/bilberryvalve/bench/Measure.java
@@ -5,6 +5,8 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.logging.Level;
+import java.util.logging.Logger;
 import java.util.stream.LongStream;
 
 import org.jspecify.annotations.Nullable;
@@ -43,6 +45,7 @@
 	 * @throws Exception if an experiment cannot run
 	 */
 	public static void main(String[] arguments) throws Exception {
+		Logger.getLogger("").setLevel(Level.WARNING);
 		int code = new Measure().run(arguments);
 		if (code != 0) {
 			System.exit(code);
--- a/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/peer/PeerRounds.java
+++ b/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/peer/PeerRounds.java
@@ -40,6 +40,9 @@
 
 	private static final Duration KEEP_UNUSED = Duration.ofMinutes(1);
 
+	/** Longer than a call between daemons may take, so that no answer is cut off. */
+	private static final Duration KEEP_SURPLUS = Duration.ofSeconds(5);
+
 	private final PeerSettings settings;
 
 	private final PeerDirectory directory;
@@ -146,6 +149,9 @@
 			else if (connection.local().incarnation() != incarnation) {
 				connection.close("this daemon has taken a higher incarnation");
 			}
+			else if (surplus(link)) {
+				connection.close("another connection to the peer exists");
+			}
 			else if (crowded && connection.initiated() && !selected.contains(connection.remote().vm())
 					&& link.unused().compareTo(KEEP_UNUSED) > 0) {
 				detach(link);
@@ -153,6 +159,20 @@
 		}
 	}
 
+	// Two daemons that start together connect to each other at the same time. The one
+	// with
+	// the lower VM identifier closes its own connection, so that one of the two remains.
+	private boolean surplus(PeerLink link) {
+		PeerConnection connection = link.connection();
+		VmId remote = connection.remote().vm();
+		return connection.initiated() && connection.local().vm().compareTo(remote) < 0
+				&& link.unused().compareTo(KEEP_SURPLUS) > 0
+				&& this.links.all()
+					.stream()
+					.anyMatch((other) -> !other.connection().initiated() && !other.silent()
+							&& other.connection().remote().equals(connection.remote()));
+	}
+
 	private void detach(PeerLink link) {
 		PeerConnection connection = link.connection();
 		this.membership.detach(connection.remote());
--- a/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/share/DemandMessages.java
+++ b/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/share/DemandMessages.java
@@ -18,14 +18,22 @@
 	}
 
 	static byte[] write(EntryDemand demand) {
-		DemandReport.Builder report = DemandReport.newBuilder()
+		DemandReport.Builder report = head(demand);
+		demand.clubs().forEach((club) -> report.addClubs(write(club)));
+		return report.build().toByteArray();
+	}
+
+	static byte[] writeUnchanged(EntryDemand demand) {
+		return head(demand).setUnchanged(true).build().toByteArray();
+	}
+
+	private static DemandReport.Builder head(EntryDemand demand) {
+		return DemandReport.newBuilder()
 			.setOrigin(demand.origin().value())
 			.setIncarnation(demand.incarnation())
 			.setSequence(demand.sequence())
 			.setEntries(1)
 			.setHeld(demand.held());
-		demand.clubs().forEach((club) -> report.addClubs(write(club)));
-		return report.build().toByteArray();
 	}
 
 	/**
@@ -34,7 +42,7 @@
 	 * @return the report
 	 * @throws IllegalArgumentException if the bytes are not a valid report
 	 */
-	static EntryDemand read(byte[] body) {
+	static Received read(byte[] body) {
 		DemandReport report;
 		try {
 			report = DemandReport.parseFrom(body);
@@ -43,8 +51,10 @@
 			throw new IllegalArgumentException("the demand report is malformed; compare the versions of both entries",
 					ex);
 		}
-		return new EntryDemand(new VmId(report.getOrigin()), report.getIncarnation(), report.getSequence(),
-				Math.max(0, report.getHeld()), report.getClubsList().stream().map(DemandMessages::read).toList());
+		EntryDemand demand = new EntryDemand(new VmId(report.getOrigin()), report.getIncarnation(),
+				report.getSequence(), Math.max(0, report.getHeld()),
+				report.getClubsList().stream().map(DemandMessages::read).toList());
+		return new Received(demand, report.getUnchanged());
 	}
 
 	private static io.bilberryvalve.wire.proto.ClubDemand write(ClubDemand club) {
@@ -80,4 +90,14 @@
 		return Double.isFinite(value) ? Math.max(0, value) : 0;
 	}
 
+	/**
+	 * A report as received.
+	 *
+	 * @param demand the demand, without clubs if they are unchanged
+	 * @param unchanged whether the clubs are those of the last full report
+	 */
+	record Received(EntryDemand demand, boolean unchanged) {
+
+	}
+
 }
--- a/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/share/FairAdmission.java
+++ b/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/share/FairAdmission.java
@@ -68,6 +68,8 @@
 
 	private final ShareBook book;
 
+	private final DemandReports reports;
+
 	private final CostPredictor predictor = new CostPredictor();
 
 	private final ReadyTasks ready = new ReadyTasks();
@@ -105,6 +107,7 @@
 		this.clock = clock;
 		this.queue = new AdmissionQueue<>(clock, limits);
 		this.book = new ShareBook(self, clock);
+		this.reports = new DemandReports(clock);
 		configuration.listen((next) -> this.weights = weights(next));
 		network.receive(MessageKind.DEMAND, this::receive);
 	}
@@ -200,7 +203,8 @@
 		this.allocation = next;
 		this.queue.allocate(next, this.weights);
 		this.sequence++;
-		return DemandMessages.write(demand(Math.max(next.limit(), this.queue.running())));
+		this.reports.retain(others.stream().map(KnownEntry::vm).toList());
+		return this.reports.write(demand(Math.max(next.limit(), this.queue.running())));
 	}
 
 	private EntryDemand demand(int held) {
@@ -208,13 +212,9 @@
 	}
 
 	private void receive(VmId sender, byte[] body) {
-		EntryDemand demand = DemandMessages.read(body);
-		if (!demand.origin().equals(sender)) {
-			return;
-		}
 		this.lock.lock();
 		try {
-			this.book.report(demand);
+			this.reports.read(body).filter((demand) -> demand.origin().equals(sender)).ifPresent(this.book::report);
 		}
 		finally {
 			this.lock.unlock();
--- /dev/null
+++ b/bilberryvalve-daemon/src/test/java/io/bilberryvalve/daemon/share/DemandReportsTests.java
@@ -0,0 +1,73 @@
+package io.bilberryvalve.daemon.share;
+
+import java.time.Duration;
+import java.util.List;
+
+import io.bilberryvalve.model.ClubId;
+import io.bilberryvalve.model.TeamId;
+import io.bilberryvalve.model.VmId;
+import io.bilberryvalve.model.clock.ManualClock;
+import io.bilberryvalve.policy.share.ClubDemand;
+import io.bilberryvalve.policy.share.EntryDemand;
+import io.bilberryvalve.policy.share.TeamDemand;
+import net.jqwik.api.Example;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class DemandReportsTests {
+
+	private static final VmId ORIGIN = new VmId("vm-1");
+
+	private final ManualClock clock = new ManualClock();
+
+	private final DemandReports sender = new DemandReports(this.clock);
+
+	private final DemandReports receiver = new DemandReports(this.clock);
+
+	// Guards against full reports at each exchange, which were most of the peer traffic.
+	@Example
+	void leavesOutUnchangedClubsAndRestoresThem() {
+		byte[] full = this.sender.write(demand(1, 1, 20));
+		byte[] unchanged = this.sender.write(demand(1, 2, 21));
+		assertThat(unchanged.length).isLessThan(full.length / 2);
+		this.receiver.read(full);
+		EntryDemand restored = this.receiver.read(unchanged).orElseThrow();
+		assertThat(restored.sequence()).isEqualTo(2);
+		assertThat(restored.clubs()).isEqualTo(demand(1, 1, 20).clubs());
+	}
+
+	// Guards against a change of demand that the other entries never learn.
+	@Example
+	void sendsASignificantChangeAtOnce() {
+		this.sender.write(demand(1, 1, 20));
+		byte[] changed = this.sender.write(demand(1, 2, 40));
+		assertThat(this.receiver.read(changed).orElseThrow().clubs()).isEqualTo(demand(1, 2, 40).clubs());
+	}
+
+	// Guards against slow drift within the tolerance and against a new peer without a
+	// base.
+	@Example
+	void repeatsAFullReport() {
+		this.sender.write(demand(1, 1, 20));
+		this.clock.advance(DemandReports.REPEAT.minus(Duration.ofMillis(1)));
+		assertThat(this.receiver.read(this.sender.write(demand(1, 2, 20)))).isEmpty();
+		this.clock.advance(Duration.ofMillis(1));
+		assertThat(this.receiver.read(this.sender.write(demand(1, 3, 20)))).isPresent();
+	}
+
+	// Guards against the demand of an earlier run being taken for that of a restarted
+	// entry.
+	@Example
+	void doesNotMixIncarnations() {
+		this.receiver.read(this.sender.write(demand(1, 1, 20)));
+		byte[] restarted = this.sender.write(demand(2, 1, 20));
+		assertThat(this.receiver.read(restarted)).isEmpty();
+	}
+
+	private static EntryDemand demand(long incarnation, long sequence, int running) {
+		TeamDemand team = new TeamDemand(new TeamId("shops"), 1000, 2000, 3, running, 0, 100, 10);
+		ClubDemand club = new ClubDemand(new ClubId("pavio"), running, List.of(team));
+		return new EntryDemand(ORIGIN, incarnation, sequence, 5, List.of(club));
+	}
+
+}
--- a/bilberryvalve-wire/src/main/java/io/bilberryvalve/wire/proto/Bodies.java
+++ b/bilberryvalve-wire/src/main/java/io/bilberryvalve/wire/proto/Bodies.java
@@ -85,36 +85,37 @@
       descriptor;
   static {
     java.lang.String[] descriptorData = {
-      "\n\014bodies.proto\022\022bilberryvalve.wire\"\223\001\n\014D" +
+      "\n\014bodies.proto\022\022bilberryvalve.wire\"\246\001\n\014D" +
       "emandReport\022\016\n\006origin\030\001 \001(\t\022\023\n\013incarnati" +
       "on\030\002 \001(\003\022\020\n\010sequence\030\003 \001(\003\022\017\n\007entries\030\004 " +
       "\001(\005\022-\n\005clubs\030\005 \003(\0132\036.bilberryvalve.wire." +
-      "ClubDemand\022\014\n\004held\030\006 \001(\005\"Z\n\nClubDemand\022\014" +
-      "\n\004club\030\001 \001(\t\022\017\n\007streams\030\002 \001(\001\022-\n\005teams\030\003" +
-      " \003(\0132\036.bilberryvalve.wire.TeamDemand\"\255\001\n" +
-      "\nTeamDemand\022\014\n\004team\030\001 \001(\t\022\024\n\014waiting_cos" +
-      "t\030\002 \001(\003\022\024\n\014running_cost\030\003 \001(\003\022\017\n\007waiting" +
-      "\030\004 \001(\005\022\017\n\007running\030\005 \001(\005\022\023\n\013recent_cost\030\006" +
-      " \001(\001\022\035\n\025recent_stream_seconds\030\007 \001(\001\022\017\n\007r" +
-      "efused\030\010 \001(\001\"j\n\021ConfigurationPush\022\017\n\007ver" +
-      "sion\030\001 \001(\003\022\016\n\006digest\030\002 \001(\t\0224\n\005parts\030\003 \003(" +
-      "\0132%.bilberryvalve.wire.ConfigurationPart" +
-      "\"C\n\021ConfigurationPart\022\014\n\004part\030\001 \001(\t\022\016\n\006d" +
-      "igest\030\002 \001(\t\022\020\n\010document\030\003 \001(\t\"\'\n\024Configu" +
-      "rationRequest\022\017\n\007version\030\001 \001(\003\"?\n\014Runner" +
-      "Report\022/\n\007runners\030\001 \003(\0132\036.bilberryvalve." +
-      "wire.RunnerLoad\"\264\001\n\nRunnerLoad\022\016\n\006runner" +
-      "\030\001 \001(\t\022\032\n\022observed_at_millis\030\002 \001(\003\022\025\n\rqu" +
-      "eued_tokens\030\003 \001(\003\022\017\n\007running\030\004 \001(\005\022\031\n\021to" +
-      "kens_per_second\030\005 \001(\001\022\030\n\020kv_free_fractio" +
-      "n\030\006 \001(\001\022\r\n\005state\030\007 \001(\t\022\016\n\006weight\030\010 \001(\001\"\226" +
-      "\001\n\rForwardedCall\022\013\n\003key\030\001 \001(\t\022\014\n\004club\030\002 " +
-      "\001(\t\022\014\n\004team\030\003 \001(\t\022\016\n\006caller\030\004 \001(\t\022\023\n\013app" +
-      "lication\030\005 \001(\t\022\021\n\toperation\030\006 \001(\t\022\014\n\004bod" +
-      "y\030\007 \001(\014\022\026\n\016timeout_millis\030\010 \001(\003\"D\n\016Forwa" +
-      "rdedReply\022\016\n\006status\030\001 \001(\005\022\014\n\004body\030\002 \001(\014\022" +
-      "\024\n\014content_type\030\003 \001(\tB\037\n\033io.bilberryvalv" +
-      "e.wire.protoP\001b\006proto3"
+      "ClubDemand\022\014\n\004held\030\006 \001(\005\022\021\n\tunchanged\030\007 " +
+      "\001(\010\"Z\n\nClubDemand\022\014\n\004club\030\001 \001(\t\022\017\n\007strea" +
+      "ms\030\002 \001(\001\022-\n\005teams\030\003 \003(\0132\036.bilberryvalve." +
+      "wire.TeamDemand\"\255\001\n\nTeamDemand\022\014\n\004team\030\001" +
+      " \001(\t\022\024\n\014waiting_cost\030\002 \001(\003\022\024\n\014running_co" +
+      "st\030\003 \001(\003\022\017\n\007waiting\030\004 \001(\005\022\017\n\007running\030\005 \001" +
+      "(\005\022\023\n\013recent_cost\030\006 \001(\001\022\035\n\025recent_stream" +
+      "_seconds\030\007 \001(\001\022\017\n\007refused\030\010 \001(\001\"j\n\021Confi" +
+      "gurationPush\022\017\n\007version\030\001 \001(\003\022\016\n\006digest\030" +
+      "\002 \001(\t\0224\n\005parts\030\003 \003(\0132%.bilberryvalve.wir" +
+      "e.ConfigurationPart\"C\n\021ConfigurationPart" +
+      "\022\014\n\004part\030\001 \001(\t\022\016\n\006digest\030\002 \001(\t\022\020\n\010docume" +
+      "nt\030\003 \001(\t\"\'\n\024ConfigurationRequest\022\017\n\007vers" +
+      "ion\030\001 \001(\003\"?\n\014RunnerReport\022/\n\007runners\030\001 \003" +
+      "(\0132\036.bilberryvalve.wire.RunnerLoad\"\264\001\n\nR" +
+      "unnerLoad\022\016\n\006runner\030\001 \001(\t\022\032\n\022observed_at" +
+      "_millis\030\002 \001(\003\022\025\n\rqueued_tokens\030\003 \001(\003\022\017\n\007" +
+      "running\030\004 \001(\005\022\031\n\021tokens_per_second\030\005 \001(\001" +
+      "\022\030\n\020kv_free_fraction\030\006 \001(\001\022\r\n\005state\030\007 \001(" +
+      "\t\022\016\n\006weight\030\010 \001(\001\"\226\001\n\rForwardedCall\022\013\n\003k" +
+      "ey\030\001 \001(\t\022\014\n\004club\030\002 \001(\t\022\014\n\004team\030\003 \001(\t\022\016\n\006" +
+      "caller\030\004 \001(\t\022\023\n\013application\030\005 \001(\t\022\021\n\tope" +
+      "ration\030\006 \001(\t\022\014\n\004body\030\007 \001(\014\022\026\n\016timeout_mi" +
+      "llis\030\010 \001(\003\"D\n\016ForwardedReply\022\016\n\006status\030\001" +
+      " \001(\005\022\014\n\004body\030\002 \001(\014\022\024\n\014content_type\030\003 \001(\t" +
+      "B\037\n\033io.bilberryvalve.wire.protoP\001b\006proto" +
+      "3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -125,7 +126,7 @@
     internal_static_bilberryvalve_wire_DemandReport_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_bilberryvalve_wire_DemandReport_descriptor,
-        new java.lang.String[] { "Origin", "Incarnation", "Sequence", "Entries", "Clubs", "Held", });
+        new java.lang.String[] { "Origin", "Incarnation", "Sequence", "Entries", "Clubs", "Held", "Unchanged", });
     internal_static_bilberryvalve_wire_ClubDemand_descriptor =
       getDescriptor().getMessageType(1);
     internal_static_bilberryvalve_wire_ClubDemand_fieldAccessorTable = new
--- a/bilberryvalve-wire/src/main/java/io/bilberryvalve/wire/proto/DemandReport.java
+++ b/bilberryvalve-wire/src/main/java/io/bilberryvalve/wire/proto/DemandReport.java
@@ -193,6 +193,22 @@
     return held_;
   }
 
+  public static final int UNCHANGED_FIELD_NUMBER = 7;
+  private boolean unchanged_ = false;
+  /**
+   * <pre>
+   * The clubs are those of the last report of the origin that had this flag unset, within
+   * the tolerance of the exchange. They are left out.
+   * </pre>
+   *
+   * <code>bool unchanged = 7;</code>
+   * @return The unchanged.
+   */
+  @java.lang.Override
+  public boolean getUnchanged() {
+    return unchanged_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -225,6 +241,9 @@
     if (held_ != 0) {
       output.writeInt32(6, held_);
     }
+    if (unchanged_ != false) {
+      output.writeBool(7, unchanged_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -257,6 +276,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeInt32Size(6, held_);
     }
+    if (unchanged_ != false) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBoolSize(7, unchanged_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -284,6 +307,8 @@
         .equals(other.getClubsList())) return false;
     if (getHeld()
         != other.getHeld()) return false;
+    if (getUnchanged()
+        != other.getUnchanged()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -311,6 +336,9 @@
     }
     hash = (37 * hash) + HELD_FIELD_NUMBER;
     hash = (53 * hash) + getHeld();
+    hash = (37 * hash) + UNCHANGED_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+        getUnchanged());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -458,6 +486,7 @@
       }
       bitField0_ = (bitField0_ & ~0x00000010);
       held_ = 0;
+      unchanged_ = false;
       return this;
     }
 
@@ -519,6 +548,9 @@
       if (((from_bitField0_ & 0x00000020) != 0)) {
         result.held_ = held_;
       }
+      if (((from_bitField0_ & 0x00000040) != 0)) {
+        result.unchanged_ = unchanged_;
+      }
     }
 
     @java.lang.Override
@@ -576,6 +608,9 @@
       if (other.getHeld() != 0) {
         setHeld(other.getHeld());
       }
+      if (other.getUnchanged() != false) {
+        setUnchanged(other.getUnchanged());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -640,6 +675,11 @@
               bitField0_ |= 0x00000020;
               break;
             } // case 48
+            case 56: {
+              unchanged_ = input.readBool();
+              bitField0_ |= 0x00000040;
+              break;
+            } // case 56
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1153,6 +1193,53 @@
       return this;
     }
 
+    private boolean unchanged_ ;
+    /**
+     * <pre>
+     * The clubs are those of the last report of the origin that had this flag unset, within
+     * the tolerance of the exchange. They are left out.
+     * </pre>
+     *
+     * <code>bool unchanged = 7;</code>
+     * @return The unchanged.
+     */
+    @java.lang.Override
+    public boolean getUnchanged() {
+      return unchanged_;
+    }
+    /**
+     * <pre>
+     * The clubs are those of the last report of the origin that had this flag unset, within
+     * the tolerance of the exchange. They are left out.
+     * </pre>
+     *
+     * <code>bool unchanged = 7;</code>
+     * @param value The unchanged to set.
+     * @return This builder for chaining.
+     */
+    public Builder setUnchanged(boolean value) {
+
+      unchanged_ = value;
+      bitField0_ |= 0x00000040;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * The clubs are those of the last report of the origin that had this flag unset, within
+     * the tolerance of the exchange. They are left out.
+     * </pre>
+     *
+     * <code>bool unchanged = 7;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearUnchanged() {
+      bitField0_ = (bitField0_ & ~0x00000040);
+      unchanged_ = false;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:bilberryvalve.wire.DemandReport)
   }
 
--- a/bilberryvalve-wire/src/main/java/io/bilberryvalve/wire/proto/DemandReportOrBuilder.java
+++ b/bilberryvalve-wire/src/main/java/io/bilberryvalve/wire/proto/DemandReportOrBuilder.java
@@ -89,4 +89,15 @@
    * @return The held.
    */
   int getHeld();
+
+  /**
+   * <pre>
+   * The clubs are those of the last report of the origin that had this flag unset, within
+   * the tolerance of the exchange. They are left out.
+   * </pre>
+   *
+   * <code>bool unchanged = 7;</code>
+   * @return The unchanged.
+   */
+  boolean getUnchanged();
 }
