Ask one peer at a time for a higher configuration version

Cause: up to 32 heartbeats can announce a version at once, and a request to a random peer every second costs up to 13 KB/s with 100 clubs (computed). Change: one request for a higher version at a time; the request to a random peer goes out every 5 s. Conclusion: a new version is fetched once.

--- a/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/configuration/ConfigurationRollout.java
+++ b/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/configuration/ConfigurationRollout.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.IntSupplier;
 import java.util.random.RandomGenerator;
 
@@ -41,7 +42,11 @@
 
 	private static final Duration PEER_TIMEOUT = Duration.ofSeconds(1);
 
-	private static final Duration PEER_INTERVAL = Duration.ofSeconds(1);
+	/**
+	 * Time between requests to a random peer. Heartbeats tell about a higher version
+	 * sooner, so this covers only peers whose heartbeats carry none.
+	 */
+	private static final Duration PEER_INTERVAL = Duration.ofSeconds(5);
 
 	private static final Duration START_INTERVAL = Duration.ofMillis(250);
 
@@ -73,6 +78,8 @@
 
 	private volatile boolean stopped;
 
+	private final AtomicBoolean catchingUp = new AtomicBoolean();
+
 	/**
 	 * Creates a rollout. It does nothing before {@link #start()}.
 	 * @param holder receives the configurations
@@ -145,7 +152,14 @@
 	 */
 	public void heard(VmId peer, long version) {
 		if (version > this.inForce.version()) {
-			ask(peer);
+			catchUp(peer);
+		}
+	}
+
+	// Many peers announce a version at the same time; one of them is asked.
+	private void catchUp(VmId peer) {
+		if (this.catchingUp.compareAndSet(false, true)) {
+			ask(peer).whenComplete((version, error) -> this.catchingUp.set(false));
 		}
 	}
 
@@ -250,7 +264,7 @@
 		try {
 			ConfigurationPush push = ConfigurationPush.parseFrom(body);
 			if (push.getVersion() > this.inForce.version() && !take(push)) {
-				ask(sender);
+				catchUp(sender);
 			}
 		}
 		catch (InvalidProtocolBufferException ex) {
