Count calls whose result is not yet recorded

Cause: a daemon that exits before it recorded a result makes later repetitions of the call unknown. Change: ExecutionStore.unsettled() for the drain. Conclusion: the drain can wait for recorded results.

--- a/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/call/ExecutionStore.java
+++ b/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/call/ExecutionStore.java
@@ -104,6 +104,14 @@
 		on(new OnceEvent.Tick());
 	}
 
+	/**
+	 * Returns the number of calls whose record or result is not yet in the table service.
+	 * @return the number; a daemon that leaves waits until it is 0 or its patience ends
+	 */
+	public synchronized int unsettled() {
+		return this.ledger.unsettled();
+	}
+
 	private void on(OnceEvent event) {
 		List<OnceAction> actions;
 		synchronized (this) {
--- a/bilberryvalve-daemon/src/test/java/io/bilberryvalve/daemon/call/CallSimulation.java
+++ b/bilberryvalve-daemon/src/test/java/io/bilberryvalve/daemon/call/CallSimulation.java
@@ -71,6 +71,10 @@
 		return call;
 	}
 
+	int unsettled(int entry) {
+		return this.entries.get(entry).unsettled();
+	}
+
 	int inDispatch() {
 		return this.dispatched.size();
 	}
--- a/bilberryvalve-daemon/src/test/java/io/bilberryvalve/daemon/call/ExecutionStoreTests.java
+++ b/bilberryvalve-daemon/src/test/java/io/bilberryvalve/daemon/call/ExecutionStoreTests.java
@@ -92,6 +92,18 @@
 		assertThat(this.simulation.history().violation()).isNull();
 	}
 
+	@Example
+	void countsResultsThatAreNotYetRecorded() {
+		this.simulation.call(0, "k", "a");
+		assertThat(this.simulation.unsettled(0)).isOne();
+		this.simulation.tables().writes().always(Fault.OUTAGE);
+		this.simulation.reply();
+		this.simulation.advance(TICK);
+		assertThat(this.simulation.unsettled(0)).isOne();
+		this.simulation.settle();
+		assertThat(this.simulation.unsettled(0)).isZero();
+	}
+
 	@Example
 	void pausedOwnerKeepsItsReservation() {
 		this.simulation.writeFaults(Fault.HOLD);
--- a/bilberryvalve-daemon/src/test/java/io/bilberryvalve/daemon/call/SimulatedEntry.java
+++ b/bilberryvalve-daemon/src/test/java/io/bilberryvalve/daemon/call/SimulatedEntry.java
@@ -52,6 +52,10 @@
 		return this.process;
 	}
 
+	int unsettled() {
+		return this.store.unsettled();
+	}
+
 	void runDue() {
 		if (this.process.isRunning()) {
 			this.timer.runDue();
--- a/bilberryvalve-policy/src/main/java/io/bilberryvalve/policy/once/ExecutionLedger.java
+++ b/bilberryvalve-policy/src/main/java/io/bilberryvalve/policy/once/ExecutionLedger.java
@@ -24,4 +24,12 @@
 	 */
 	@Nullable Instant nextTick();
 
+	/**
+	 * Returns the number of keys whose record or result is not yet in the table service.
+	 * A daemon that leaves waits until there are none, because a result that is lost
+	 * makes later repetitions of its call unknown.
+	 * @return the number
+	 */
+	int unsettled();
+
 }
--- a/bilberryvalve-policy/src/main/java/io/bilberryvalve/policy/once/RecordedExecutions.java
+++ b/bilberryvalve-policy/src/main/java/io/bilberryvalve/policy/once/RecordedExecutions.java
@@ -261,6 +261,11 @@
 		}
 	}
 
+	@Override
+	public int unsettled() {
+		return (int) this.attempts.values().stream().filter((attempt) -> !attempt.settled()).count();
+	}
+
 	@Override
 	public @Nullable Instant nextTick() {
 		Instant next = this.commits.nextTick();
