Test throughput at load 1 and 10; close connections on malformed digests

Cause: the throughput target was only a trial figure; a malformed member digest was swallowed by a stage. replacesRestartedPeerByNewIncarnation failed once in about eight runs: it took the old run, which is live until the first heartbeat of the new one, for the end of the restart.

The restart test waits for the new incarnation and then checks 40 rounds and the state, which is stricter than one check after the connection.

--- a/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/peer/PeerEvents.java
+++ b/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/peer/PeerEvents.java
@@ -3,6 +3,7 @@
 import java.lang.System.Logger;
 import java.lang.System.Logger.Level;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
 
 import com.google.protobuf.ByteString;
 import io.bilberryvalve.model.log.LogEvent;
@@ -50,14 +51,14 @@
 	public void opened(PeerConnection connection) {
 		PeerLink link = this.links.open(connection);
 		LogEvent.of("peer-connected").with("peer", connection).log(LOGGER, Level.INFO);
-		this.ready.thenAccept((now) -> now.rounds().greet(link));
+		whenReady((now) -> now.rounds().greet(link));
 	}
 
 	@Override
 	public void received(PeerConnection connection, PeerMessage message) {
 		switch (message.getContentCase()) {
 			case HEARTBEAT -> heartbeat(connection, message.getHeartbeat());
-			case MEMBERS -> this.ready.thenAccept((now) -> now.membership().learn(message.getMembers()));
+			case MEMBERS -> whenReady((now) -> now.membership().learn(message.getMembers()));
 			case PAYLOAD -> this.receivers.deliver(connection.remote().vm(), message.getPayload());
 			case CALL -> answer(connection, message.getCall());
 			case ANSWER -> this.calls.answered(connection, message.getAnswer());
@@ -72,12 +73,24 @@
 		LogEvent.of("peer-disconnected").with("peer", connection).with("reason", reason).log(LOGGER, Level.INFO);
 	}
 
+	// A malformed message throws on the thread of the transport, which then closes the
+	// connection; a stage would swallow the error.
+	private void whenReady(Consumer<Ready> action) {
+		Ready now = this.ready.getNow(null);
+		if (now != null) {
+			action.accept(now);
+		}
+		else {
+			this.ready.thenAccept(action);
+		}
+	}
+
 	private void heartbeat(PeerConnection connection, Heartbeat heartbeat) {
 		PeerLink link = this.links.find(connection);
 		if (link != null) {
 			link.heard(heartbeat);
 		}
-		this.ready.thenAccept((now) -> now.membership().heartbeat(connection.remote(), heartbeat));
+		whenReady((now) -> now.membership().heartbeat(connection.remote(), heartbeat));
 		this.stamps.seen(connection.remote().vm(),
 				new ConfigurationStamps.Stamp(heartbeat.getConfigurationVersion(), heartbeat.getConfigurationDigest()));
 	}
--- a/bilberryvalve-daemon/src/test/java/io/bilberryvalve/daemon/peer/NettyPeerNetworkTests.java
+++ b/bilberryvalve-daemon/src/test/java/io/bilberryvalve/daemon/peer/NettyPeerNetworkTests.java
@@ -97,8 +97,12 @@
 			federation.untilConnected();
 			federation.remove(old);
 			federation.add("vm-b", 6);
-			federation.untilConnected();
-			assertThat(a.peers()).extracting(Peer::incarnation).containsExactly(6L);
+			federation.until("the new run is known", () -> a.peers().get(0).incarnation() == 6);
+			for (int i = 0; i < 40; i++) {
+				federation.step();
+				assertThat(a.peers()).extracting(Peer::incarnation).containsExactly(6L);
+			}
+			assertThat(a.peers().get(0).state()).isEqualTo(Peer.State.LIVE);
 		}
 	}
 
--- a/bilberryvalve-daemon/src/test/java/io/bilberryvalve/daemon/share/FairAdmissionProperties.java
+++ b/bilberryvalve-daemon/src/test/java/io/bilberryvalve/daemon/share/FairAdmissionProperties.java
@@ -132,4 +132,18 @@
 		return simulation.tokens.getOrDefault(new TeamId(team), 0L);
 	}
 
+	// Guards the throughput of 0.97 of the bound when callers ask for as much as the
+	// runners can take, and goodput that is lost when they ask for ten times as much.
+	@Property(seed = "35", tries = 2)
+	void usesCapacityAtLoadOneAndTen(@ForAll @LongRange(max = 10_000) long seed) {
+		double bound = 90.0 * ShareSimulation.STREAMS * MEASURED.toSeconds();
+		for (int load : new int[] { 1, 10 }) {
+			ShareSimulation simulation = new ShareSimulation(seed, 4, CLUBS);
+			simulation.source("loud", "l", 100 * load, 90, -1);
+			simulation.source("quiet", "q", 100 * load, 90, -1);
+			simulation.run(WARM_UP, MEASURED);
+			assertThat((tokens(simulation, "l") + tokens(simulation, "q")) / bound).isGreaterThanOrEqualTo(0.97);
+		}
+	}
+
 }
