--- a/bilberryvalve-daemon/src/test/java/io/bilberryvalve/daemon/share/FairAdmissionProperties.java
+++ b/bilberryvalve-daemon/src/test/java/io/bilberryvalve/daemon/share/FairAdmissionProperties.java
@@ -107,11 +107,11 @@
 
 	// Guards against shares by requests or streams instead of token cost, and against
 	// shares that depend on the entry that callers use.
-	@Example
-	void busyClubsAndTeamsGetTokensByWeight() {
+	@Property(seed = "34", tries = 5)
+	void busyClubsAndTeamsGetTokensByWeight(@ForAll @LongRange(max = 10_000) long seed) {
 		Map<String, Map<String, Double>> clubs = Map.of("a", Map.of("a1", 1.0, "a2", 3.0), "b",
 				Map.of("b1", 1.0, "b2", 1.0, "b3", 2.0));
-		ShareSimulation simulation = new ShareSimulation(7, 4, clubs);
+		ShareSimulation simulation = new ShareSimulation(seed, 4, clubs);
 		simulation.source("a", "a1", 400, 40, 0);
 		simulation.source("a", "a2", 200, 200, -1);
 		simulation.source("b", "b1", 900, 20, 1);
@@ -132,4 +132,18 @@
 		return simulation.tokens.getOrDefault(new TeamId(team), 0L);
 	}
 
+	// Guards the throughput of 0.97 of the bound when callers ask for as much as the
+	// runners can take, and goodput that is lost when they ask for ten times as much.
+	@Property(seed = "35", tries = 2)
+	void usesCapacityAtLoadOneAndTen(@ForAll @LongRange(max = 10_000) long seed) {
+		double bound = 90.0 * ShareSimulation.STREAMS * MEASURED.toSeconds();
+		for (int load : new int[] { 1, 10 }) {
+			ShareSimulation simulation = new ShareSimulation(seed, 4, CLUBS);
+			simulation.source("loud", "l", 100 * load, 90, -1);
+			simulation.source("quiet", "q", 100 * load, 90, -1);
+			simulation.run(WARM_UP, MEASURED);
+			assertThat((tokens(simulation, "l") + tokens(simulation, "q")) / bound).isGreaterThanOrEqualTo(0.97);
+		}
+	}
+
 }
