Log the end of each reply of an engine

Change: the engine logs the end of each epoch with its tokens and readers. Conclusion: the next occurrence can be compared with the log of the engine.

--- a/bilberryvalve-standins/src/main/java/io/bilberryvalve/standins/engine/ReplyStream.java
+++ b/bilberryvalve-standins/src/main/java/io/bilberryvalve/standins/engine/ReplyStream.java
@@ -133,6 +133,12 @@
 	}
 
 	private void end(String event) {
+		LogEvent.of("reply-ended")
+			.with("stream", this.request.stream())
+			.with("epoch", this.request.epoch())
+			.with("tokens", this.tokens.size())
+			.with("readers", this.readers.size())
+			.log(LOGGER, Level.INFO);
 		this.end = event;
 		send(event);
 		this.readers.forEach(Processor::onComplete);
