--- a/bilberryvalve-bench/src/main/java/io/bilberryvalve/bench/process/ClientReply.java
+++ b/bilberryvalve-bench/src/main/java/io/bilberryvalve/bench/process/ClientReply.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 
+import io.bilberryvalve.model.EventId;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -29,7 +30,7 @@
 	}
 
 	void token(long nanos, int index, String text) {
-		this.tokens.add(new Token(nanos, index, text));
+		this.tokens.add(new Token(nanos, index, text, this.lastEvent));
 	}
 
 	void position(String event) {
@@ -140,6 +141,15 @@
 		return this.lastEvent;
 	}
 
+	/**
+	 * Returns the position of each token, in the order of arrival.
+	 * @return the positions
+	 * @throws IllegalArgumentException if a token came without a valid position
+	 */
+	public List<EventId> positions() {
+		return this.tokens.stream().map((token) -> EventId.parse(String.valueOf(token.event))).toList();
+	}
+
 	/**
 	 * Returns the HTTP status.
 	 * @return the status
@@ -156,7 +166,7 @@
 		return this.fault;
 	}
 
-	private record Token(long nanos, int index, String text) {
+	private record Token(long nanos, int index, String text, @Nullable String event) {
 
 	}
 
--- a/bilberryvalve-bench/src/main/java/io/bilberryvalve/bench/process/EntryClient.java
+++ b/bilberryvalve-bench/src/main/java/io/bilberryvalve/bench/process/EntryClient.java
@@ -20,6 +20,9 @@
  */
 public final class EntryClient {
 
+	/** Prompt of each request for a reply. */
+	public static final String PROMPT = "two boxes of wax cups please";
+
 	private static final Duration TIMEOUT = Duration.ofSeconds(60);
 
 	private static final String DATA = "data:";
@@ -68,21 +71,23 @@
 	 * @param operation the operation
 	 * @param key idempotency key
 	 * @param body the body
+	 * @param deadline how long the entry may take
 	 * @return status and body
 	 * @throws IOException if no answer arrives
 	 * @throws InterruptedException if the thread is interrupted
 	 */
-	public HttpResponse<String> call(String operation, String key, String body)
+	public HttpResponse<String> call(String operation, String key, String body, Duration deadline)
 			throws IOException, InterruptedException {
 		return this.http
 			.send(request("/v1/applications/orders/" + operation, "pavio-shop", body).header("idempotency-key", key)
+				.header("x-request-timeout", Long.toString(deadline.toMillis()))
 				.build(), HttpResponse.BodyHandlers.ofString());
 	}
 
 	private ClientReply stream(String club, int tokens, @Nullable String lastEvent, Consumer<ClientReply> onToken) {
 		String body = JSON.createObjectNode()
 			.put("model", club + "-notes")
-			.put("prompt", "two boxes of wax cups please")
+			.put("prompt", PROMPT)
 			.put("max_tokens", tokens)
 			.toString();
 		HttpRequest.Builder request = request("/v1/completions", club + "-shop", body);
--- a/bilberryvalve-bench/src/main/java/io/bilberryvalve/bench/process/LocalFederation.java
+++ b/bilberryvalve-bench/src/main/java/io/bilberryvalve/bench/process/LocalFederation.java
@@ -2,11 +2,6 @@
 
 import java.io.IOException;
 import java.io.UncheckedIOException;
-import java.net.InetAddress;
-import java.net.ServerSocket;
-import java.net.URI;
-import java.net.http.HttpClient;
-import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -23,7 +18,6 @@
 import io.bilberryvalve.config.KeyDigest;
 import io.bilberryvalve.daemon.Bilberryvalved;
 import io.bilberryvalve.model.Address;
-import io.bilberryvalve.operators.ClubDeclaration;
 import io.bilberryvalve.operators.Federation;
 import io.bilberryvalve.standins.Standins;
 
@@ -48,11 +42,9 @@
 
 	private static final String BOOTSTRAP_KEY = "bootstrap-key";
 
-	private static final String[] PLACES = { "south-a", "south-b", "west-a" };
-
 	private static final ObjectMapper JSON = new ObjectMapper();
 
-	private final HttpClient http = HttpClient.newBuilder().connectTimeout(Duration.ofSeconds(2)).build();
+	private final HttpCalls calls = new HttpCalls();
 
 	private final Map<String, Address> addresses = new LinkedHashMap<>();
 
@@ -113,7 +105,7 @@
 	 * @return the client
 	 */
 	public EntryClient client(int entry) {
-		return new EntryClient(this.http, address("entry-" + entry));
+		return new EntryClient(this.calls.http(), address("entry-" + entry));
 	}
 
 	/**
@@ -123,7 +115,7 @@
 	 * @throws Exception if the stand-in does not answer
 	 */
 	public void faults(String name, String document) throws Exception {
-		send("PUT", address(name), "/admin/faults", document, "");
+		this.calls.success("PUT", address(name), "/admin/faults", document, "");
 	}
 
 	/**
@@ -134,7 +126,7 @@
 	 * @throws Exception if the process does not answer with a success
 	 */
 	public String read(String name, String path) throws Exception {
-		return send("GET", address(name), path, null, BOOTSTRAP_KEY);
+		return this.calls.success("GET", address(name), path, null, BOOTSTRAP_KEY);
 	}
 
 	/**
@@ -166,8 +158,7 @@
 	 */
 	public void awaitEntry(int entry, long expected) throws Exception {
 		await("entry-" + entry,
-				() -> JSON.readTree(read("entry-" + entry, "/v1/status")).path("configuration").asLong() >= expected
-						&& read("entry-" + entry, "/readyz").contains("ready"));
+				() -> version(entry) >= expected && read("entry-" + entry, "/readyz").contains("ready"));
 	}
 
 	/**
@@ -180,15 +171,60 @@
 	 * @throws Exception if the submission is not accepted
 	 */
 	public long submit(int entry, String part, String document, String submission) throws Exception {
+		String key = submission.startsWith("start-") ? BOOTSTRAP_KEY : part + "-operator";
+		HttpResponse<String> answer = submitAt(entry, part, document, submission, this.version, key);
+		if (answer.statusCode() >= 300) {
+			throw new IOException("submission answered " + answer.statusCode() + ": " + answer.body());
+		}
+		this.version = JSON.readTree(answer.body()).get("version").asLong();
+		return this.version;
+	}
+
+	/**
+	 * Submits a part of the configuration as its club's operator, on a base version that
+	 * the caller names, and returns the answer whatever it is.
+	 * @param entry number of the entry
+	 * @param club name of the club
+	 * @param document its text
+	 * @param submission identifier of the submission
+	 * @param baseVersion version on which the submission is based
+	 * @return the answer
+	 * @throws Exception if no answer arrives
+	 */
+	public HttpResponse<String> submitAt(int entry, String club, String document, String submission, long baseVersion)
+			throws Exception {
+		return submitAt(entry, club, document, submission, baseVersion, club + "-operator");
+	}
+
+	private HttpResponse<String> submitAt(int entry, String part, String document, String submission, long base,
+			String key) throws Exception {
 		ObjectNode node = JSON.createObjectNode();
 		node.put("submission", submission);
-		node.put("baseVersion", this.version);
+		node.put("baseVersion", base);
 		node.put("part", part);
 		node.put("document", document);
-		String key = submission.startsWith("start-") ? BOOTSTRAP_KEY : part + "-operator";
-		String answer = send("POST", address("entry-" + entry), "/v1/configuration", node.toString(), key);
-		this.version = JSON.readTree(answer).get("version").asLong();
-		return this.version;
+		return this.calls.answer("POST", address("entry-" + entry), "/v1/configuration", node.toString(), key);
+	}
+
+	/**
+	 * Returns the configuration version that an entry has in force.
+	 * @param entry number of the entry
+	 * @return the version
+	 * @throws Exception if the entry does not answer
+	 */
+	public long version(int entry) throws Exception {
+		return JSON.readTree(read("entry-" + entry, "/v1/status")).path("configuration").asLong();
+	}
+
+	/**
+	 * Starts the application runner again after its end and waits until it answers.
+	 * @param delay time from the arrival of a call to its execution
+	 * @throws Exception if it does not answer in time
+	 */
+	public void restartApplication(Duration delay) throws Exception {
+		this.group.awaitExit("orders");
+		standin("orders", List.of("application", "--delay-ms", Long.toString(delay.toMillis())));
+		await("orders", () -> read("orders", "/v1/executions").contains("executions"));
 	}
 
 	/**
@@ -198,7 +234,7 @@
 	 * @return the text
 	 */
 	public String clubDocument(String club, int maxTokens) {
-		return declaration(maxTokens).print(club);
+		return new PlanDeclaration(this.plan, this::address).declare(maxTokens).print(club);
 	}
 
 	/**
@@ -234,7 +270,7 @@
 		for (int i = 0; i < this.plan.entries(); i++) {
 			awaitEntry(i, 0);
 		}
-		Federation declaration = declaration(this.plan.maxTokens());
+		Federation declaration = new PlanDeclaration(this.plan, this::address).declare(this.plan.maxTokens());
 		for (String part : List.of("federation", "pavio", "klokhuis")) {
 			submit(0, part, declaration.print(part), "start-" + part);
 		}
@@ -250,7 +286,11 @@
 		await("engine-" + engine, () -> read("engine-" + engine, "/v1/load").contains("runner"));
 	}
 
-	private int engines() {
+	/**
+	 * Returns the number of engines.
+	 * @return the number
+	 */
+	public int engines() {
 		return 2 * this.plan.chains();
 	}
 
@@ -263,15 +303,7 @@
 			names.add("entry-" + i);
 			names.add("peer-" + i);
 		}
-		List<ServerSocket> sockets = new ArrayList<>();
-		for (String name : names) {
-			ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
-			sockets.add(socket);
-			this.addresses.put(name, new Address("127.0.0.1", socket.getLocalPort()));
-		}
-		for (ServerSocket socket : sockets) {
-			socket.close();
-		}
+		this.addresses.putAll(FreePorts.choose(names));
 	}
 
 	private void standin(String name, List<String> arguments) throws IOException {
@@ -291,7 +323,7 @@
 		ObjectNode node = JSON.createObjectNode();
 		node.put("vm", "entry-" + entry);
 		node.put("region", "south");
-		node.put("dataCentre", PLACES[entry % PLACES.length]);
+		node.put("dataCentre", PlanDeclaration.place(entry));
 		node.put("callerAddress", address("entry-" + entry).toString());
 		node.put("peerAddress", address("peer-" + entry).toString());
 		ObjectNode platform = node.putObject("platform");
@@ -306,60 +338,13 @@
 		return file;
 	}
 
-	private Federation declaration(int maxTokens) {
-		Federation federation = Federation.declare().share("pavio", 50).share("klokhuis", 50);
-		for (String place : PLACES) {
-			federation.dataCentre(place, "south");
-		}
-		for (String from : PLACES) {
-			for (String to : PLACES) {
-				if (from.compareTo(to) <= 0) {
-					federation.link(from, to, Duration.ofNanos(100_000), 1_000_000_000L);
-				}
-			}
-		}
-		federation.accelerator("kind", this.plan.layersPerSecond(), this.plan.layersPerSecond() * 10)
-			.model("m", "1", (model) -> model.layers(LAYERS).activationBytes(8192).kvBytesPerTokenLayer(4096));
-		for (int i = 0; i < engines(); i++) {
-			int engine = i;
-			int first = (i % 2 == 0) ? 0 : LAYERS / 2;
-			federation.runner("engine-" + i,
-					(runner) -> runner.address(address("engine-" + engine).toString())
-						.dataCentre(PLACES[engine / 2 % PLACES.length])
-						.accelerator("kind")
-						.holds("m", "1", first, first + LAYERS / 2));
-		}
-		federation.applicationRunner("orders", "orders", "south-a", address("orders").toString());
-		return federation.club("pavio", (part) -> {
-			club(part, "pavio", maxTokens);
-			part.application("orders",
-					(application) -> application.callers("shop").atMostOnce("place").idempotent("status"));
-		}).club("klokhuis", (part) -> club(part, "klokhuis", maxTokens));
-	}
-
-	private static void club(ClubDeclaration part, String club, int maxTokens) {
-		part.team("shops", 1)
-			.caller("shop", "shops", KeyDigest.of(club + "-shop"))
-			.operator("operator", KeyDigest.of(club + "-operator"))
-			.pipeline(club + "-notes", (pipeline) -> pipeline.model("m", "1").maxTokens(maxTokens).callers("shop"));
-	}
-
-	private String send(String method, Address address, String path, String body, String key) throws Exception {
-		HttpRequest.BodyPublisher publisher = (body != null) ? HttpRequest.BodyPublishers.ofString(body)
-				: HttpRequest.BodyPublishers.noBody();
-		HttpRequest request = HttpRequest.newBuilder(URI.create("http://" + address + path))
-			.timeout(Duration.ofSeconds(15))
-			.header("authorization", "Bearer " + key)
-			.method(method, publisher)
-			.build();
-		HttpResponse<String> response = this.http.send(request, HttpResponse.BodyHandlers.ofString());
-		if (response.statusCode() >= 300) {
-			throw new IOException(method + " " + path + " answered " + response.statusCode() + ": " + response.body());
-		}
-		return response.body();
-	}
-
-	private void await(String name, Condition condition) throws Exception {
+	/**
+	 * Waits until a condition holds, at most one minute.
+	 * @param name name of the process whose output explains a failure
+	 * @param condition the condition; an {@link IOException} means that it does not hold
+	 * @throws Exception if it does not hold in time
+	 */
+	public void await(String name, Condition condition) throws Exception {
 		long end = System.nanoTime() + START_TIMEOUT.toNanos();
 		while (System.nanoTime() < end) {
 			try {
@@ -391,8 +376,13 @@
 	 * Something that is awaited.
 	 */
 	@FunctionalInterface
-	private interface Condition {
+	public interface Condition {
 
+		/**
+		 * Tells whether the condition holds now.
+		 * @return whether it holds
+		 * @throws Exception if that cannot be found out
+		 */
 		boolean holds() throws Exception;
 
 	}
--- a/bilberryvalve-standins/src/main/java/io/bilberryvalve/standins/application/ApplicationStandin.java
+++ b/bilberryvalve-standins/src/main/java/io/bilberryvalve/standins/application/ApplicationStandin.java
@@ -32,6 +32,8 @@
 
 	private final ConcurrentMap<CallKey, CompletableFuture<Receipt>> results = new ConcurrentHashMap<>();
 
+	private final AtomicLong received = new AtomicLong();
+
 	private final AtomicLong sequence = new AtomicLong();
 
 	/**
@@ -52,7 +54,9 @@
 		return List.of(
 				Route.of(HttpRequestMethod.POST, "/v1/operations/{operation}", Service.OPERATIONS, this::operation),
 				Route.of(HttpRequestMethod.GET, "/v1/executions", null,
-						Handler.direct((call) -> call.json(executions()))));
+						Handler.direct((call) -> call.json(executions()))),
+				Route.of(HttpRequestMethod.GET, "/admin/calls", null,
+						Handler.direct((call) -> call.json(new Calls(this.received.get())))));
 	}
 
 	/**
@@ -62,6 +66,7 @@
 	 * @return the receipt, once the call has been executed
 	 */
 	CompletableFuture<Receipt> execute(String operation, @Nullable String key) {
+		this.received.incrementAndGet();
 		CallKey call = new CallKey(operation, key);
 		if (key == null || !this.deduplicating) {
 			return start(call);
@@ -121,6 +126,15 @@
 
 	}
 
+	/**
+	 * The document of {@code GET /admin/calls}.
+	 *
+	 * @param received number of calls that have arrived, executed or not
+	 */
+	public record Calls(long received) {
+
+	}
+
 	/**
 	 * Number of executions.
 	 *
