Compute shares from the demand that was reported

Change: an entry computes with the demand that its report states, and a changed report is sent in full three times. Conclusion: the traffic reduction keeps the stated bound.

--- a/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/share/DemandReports.java
+++ b/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/share/DemandReports.java
@@ -27,6 +27,9 @@
 	/** Longest time between two full reports; well below the isolation limit of 3 s. */
 	static final Duration REPEAT = Duration.ofSeconds(2);
 
+	/** Full reports after a change beyond the first, in case one is lost. */
+	private static final int COPIES = 2;
+
 	/** Relative difference up to which a demand counts as unchanged. */
 	private static final double TOLERANCE = 0.1;
 
@@ -44,24 +47,50 @@
 
 	private long sentMillis;
 
+	private int copies;
+
+	private boolean unchanged;
+
 	DemandReports(Clock clock) {
 		this.clock = clock;
 	}
 
 	/**
-	 * Writes the next report.
+	 * Returns the demand that the next report will state. While the demand is close to
+	 * that of the last full report, this is the one of that report: this entry must
+	 * compute its share from the same numbers as the others, or the limits together
+	 * exceed the capacity.
 	 * @param demand demand at this entry
-	 * @return protobuf bytes
+	 * @return the demand to compute with and to report
 	 */
-	byte[] write(EntryDemand demand) {
+	EntryDemand settle(EntryDemand demand) {
 		EntryDemand last = this.sent;
 		long now = this.clock.millis();
-		if (last != null && now - this.sentMillis < REPEAT.toMillis() && close(last.clubs(), demand.clubs())) {
-			return DemandMessages.writeUnchanged(demand);
+		boolean same = last != null && close(last.clubs(), demand.clubs());
+		boolean due = now - this.sentMillis >= REPEAT.toMillis();
+		if (last != null && same && !due) {
+			this.copies--;
+			this.unchanged = this.copies < 0;
+			return new EntryDemand(demand.origin(), demand.incarnation(), demand.sequence(), demand.held(),
+					last.clubs());
 		}
+		this.copies = same ? 0 : COPIES;
+		this.unchanged = false;
 		this.sent = demand;
 		this.sentMillis = now;
-		return DemandMessages.write(demand);
+		return demand;
+	}
+
+	/**
+	 * Writes the next report.
+	 * @param settled the demand from {@link #settle}, with the number of the report
+	 * @return protobuf bytes
+	 */
+	byte[] write(EntryDemand settled) {
+		if (this.unchanged) {
+			return DemandMessages.writeUnchanged(settled);
+		}
+		return DemandMessages.write(settled);
 	}
 
 	/**
--- a/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/share/FairAdmission.java
+++ b/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/share/FairAdmission.java
@@ -192,8 +192,9 @@
 			.map((peer) -> new KnownEntry(peer.vm(), peer.state() == Peer.State.ABSENT))
 			.toList();
 		boolean before = this.book.isolated();
-		Allocation next = this.book.allocate(this.capacity.capacity(), this.weights, others,
-				demand(this.queue.running()));
+		EntryDemand own = this.reports.settle(
+				new EntryDemand(this.self, this.incarnation, this.sequence, this.queue.running(), this.queue.demand()));
+		Allocation next = this.book.allocate(this.capacity.capacity(), this.weights, others, own);
 		if (this.book.isolated() != before) {
 			LogEvent.of("share-mode-changed")
 				.with("isolated", this.book.isolated())
@@ -204,11 +205,8 @@
 		this.queue.allocate(next, this.weights);
 		this.sequence++;
 		this.reports.retain(others.stream().map(KnownEntry::vm).toList());
-		return this.reports.write(demand(Math.max(next.limit(), this.queue.running())));
-	}
-
-	private EntryDemand demand(int held) {
-		return new EntryDemand(this.self, this.incarnation, this.sequence, held, this.queue.demand());
+		return this.reports.write(new EntryDemand(this.self, this.incarnation, this.sequence,
+				Math.max(next.limit(), this.queue.running()), own.clubs()));
 	}
 
 	private void receive(VmId sender, byte[] body) {
--- a/bilberryvalve-wire/src/main/java/io/bilberryvalve/wire/proto/DemandReport.java
+++ b/bilberryvalve-wire/src/main/java/io/bilberryvalve/wire/proto/DemandReport.java
@@ -197,8 +197,8 @@
   private boolean unchanged_ = false;
   /**
    * <pre>
-   * The clubs are those of the last report of the origin that had this flag unset, within
-   * the tolerance of the exchange. They are left out.
+   * The clubs are those of the last full report of the origin, within the tolerance of the
+   * exchange. They are left out.
    * </pre>
    *
    * <code>bool unchanged = 7;</code>
@@ -1196,8 +1196,8 @@
     private boolean unchanged_ ;
     /**
      * <pre>
-     * The clubs are those of the last report of the origin that had this flag unset, within
-     * the tolerance of the exchange. They are left out.
+     * The clubs are those of the last full report of the origin, within the tolerance of the
+     * exchange. They are left out.
      * </pre>
      *
      * <code>bool unchanged = 7;</code>
@@ -1209,8 +1209,8 @@
     }
     /**
      * <pre>
-     * The clubs are those of the last report of the origin that had this flag unset, within
-     * the tolerance of the exchange. They are left out.
+     * The clubs are those of the last full report of the origin, within the tolerance of the
+     * exchange. They are left out.
      * </pre>
      *
      * <code>bool unchanged = 7;</code>
@@ -1226,8 +1226,8 @@
     }
     /**
      * <pre>
-     * The clubs are those of the last report of the origin that had this flag unset, within
-     * the tolerance of the exchange. They are left out.
+     * The clubs are those of the last full report of the origin, within the tolerance of the
+     * exchange. They are left out.
      * </pre>
      *
      * <code>bool unchanged = 7;</code>
--- a/bilberryvalve-wire/src/main/java/io/bilberryvalve/wire/proto/DemandReportOrBuilder.java
+++ b/bilberryvalve-wire/src/main/java/io/bilberryvalve/wire/proto/DemandReportOrBuilder.java
@@ -92,8 +92,8 @@
 
   /**
    * <pre>
-   * The clubs are those of the last report of the origin that had this flag unset, within
-   * the tolerance of the exchange. They are left out.
+   * The clubs are those of the last full report of the origin, within the tolerance of the
+   * exchange. They are left out.
    * </pre>
    *
    * <code>bool unchanged = 7;</code>
