--- a/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/reply/ReplySession.java
+++ b/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/reply/ReplySession.java
@@ -292,10 +292,8 @@
 
 	@Override
 	public void left() {
-		post(() -> {
-			this.readers.leave();
-			giveUpIfClosed();
-		});
+		post(this.readers::leave);
+		abandon();
 	}
 
 	/**
@@ -316,15 +314,13 @@
 		return answer;
 	}
 
-	// The caller went away before the reply opened.
+	// Ends the reply if nobody reads it.
 	void abandon() {
-		post(this::giveUpIfClosed);
-	}
-
-	private void giveUpIfClosed() {
-		if (inProgress() && this.readers.closed(this.services.settings().absence(), now())) {
-			end(ReplyProblems.abandoned(this.gate.closingOutcome()));
-		}
+		post(() -> {
+			if (inProgress() && this.readers.closed(this.services.settings().absence(), now())) {
+				end(ReplyProblems.abandoned(this.gate.closingOutcome()));
+			}
+		});
 	}
 
 	private void resumeReading() {
