--- a/bilberryvalve-bench/src/main/java/io/bilberryvalve/bench/process/ClientReply.java
+++ b/bilberryvalve-bench/src/main/java/io/bilberryvalve/bench/process/ClientReply.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 
+import io.bilberryvalve.model.EventId;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -29,7 +30,7 @@
 	}
 
 	void token(long nanos, int index, String text) {
-		this.tokens.add(new Token(nanos, index, text));
+		this.tokens.add(new Token(nanos, index, text, this.lastEvent));
 	}
 
 	void position(String event) {
@@ -94,6 +95,23 @@
 				: (this.tokens.get(0).nanos - this.start) / NANOS_PER_SECOND;
 	}
 
+	/**
+	 * Returns the time from an event to the first token.
+	 * @param event time of the event, from {@link System#nanoTime()}
+	 * @return time in seconds
+	 */
+	public double firstTokenSecondsAfter(long event) {
+		return (this.tokens.get(0).nanos - event) / NANOS_PER_SECOND;
+	}
+
+	/**
+	 * Returns the first runner of the chain that sent the last token.
+	 * @return name of the runner
+	 */
+	public String runner() {
+		return (this.lastEvent != null) ? this.lastEvent.substring(this.lastEvent.indexOf('@') + 1) : "";
+	}
+
 	/**
 	 * Returns the longest time between two tokens.
 	 * @return time in seconds, 0 for fewer than two tokens
@@ -123,6 +141,15 @@
 		return this.lastEvent;
 	}
 
+	/**
+	 * Returns the position of each token, in the order of arrival.
+	 * @return the positions
+	 * @throws IllegalArgumentException if a token came without a valid position
+	 */
+	public List<EventId> positions() {
+		return this.tokens.stream().map((token) -> EventId.parse(String.valueOf(token.event))).toList();
+	}
+
 	/**
 	 * Returns the HTTP status.
 	 * @return the status
@@ -139,7 +166,7 @@
 		return this.fault;
 	}
 
-	private record Token(long nanos, int index, String text) {
+	private record Token(long nanos, int index, String text, @Nullable String event) {
 
 	}
 
--- a/bilberryvalve-cli/src/main/java/io/bilberryvalve/cli/EntryOptions.java
+++ b/bilberryvalve-cli/src/main/java/io/bilberryvalve/cli/EntryOptions.java
@@ -1,6 +1,7 @@
 package io.bilberryvalve.cli;
 
 import java.io.IOException;
+import java.net.URI;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Duration;
@@ -31,7 +32,8 @@
 	@Option(name = "--key-file", metaVar = "FILE", usage = "file with the key (default: $" + KEY_VARIABLE + ")")
 	@Nullable Path keyFile;
 
-	@Option(name = "--timeout", metaVar = "SECONDS", usage = "time limit of one request (default: 10)")
+	@Option(name = "--timeout", metaVar = "SECONDS",
+			usage = "time limit of one request, and longest silence within a reply (default: 10)")
 	int timeoutSeconds = 10;
 
 	/**
@@ -47,13 +49,21 @@
 			texts = Arrays.asList(variable.trim().split("\\s*,\\s*"));
 		}
 		try {
-			return texts.stream().map(Address::parse).toList();
+			return texts.stream().map(EntryOptions::address).toList();
 		}
 		catch (IllegalArgumentException ex) {
 			throw new CommandException(ExitCode.USAGE, "--entry: " + ex.getMessage());
 		}
 	}
 
+	private static Address address(String text) {
+		Address address = Address.parse(text);
+		if (URI.create("http://" + address).getHost() == null) {
+			throw new IllegalArgumentException("host of '" + text + "' is not valid; give an IP address");
+		}
+		return address;
+	}
+
 	/**
 	 * Returns a client for the given entries.
 	 * @param console gives the environment
--- a/bilberryvalve-cli/src/test/java/io/bilberryvalve/cli/BilberryvalveTests.java
+++ b/bilberryvalve-cli/src/test/java/io/bilberryvalve/cli/BilberryvalveTests.java
@@ -8,12 +8,22 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.List;
 import java.util.Map;
 import java.util.stream.Stream;
 
 import io.bilberryvalve.operators.examples.FederationExample;
+import net.jqwik.api.Arbitraries;
+import net.jqwik.api.Arbitrary;
 import net.jqwik.api.Example;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.From;
+import net.jqwik.api.Property;
+import net.jqwik.api.Provide;
+import net.jqwik.api.constraints.Size;
 import net.jqwik.api.lifecycle.AfterTry;
 import net.jqwik.api.lifecycle.BeforeTry;
 
@@ -27,6 +37,8 @@
 
 	private final ByteArrayOutputStream err = new ByteArrayOutputStream();
 
+	private final List<Duration> pauses = new ArrayList<>();
+
 	private Path directory;
 
 	@BeforeTry
@@ -60,6 +72,27 @@
 		assertThat(err()).contains("write host:port");
 	}
 
+	// Guards against a stack trace in place of an error, whatever the arguments are.
+	@Property(seed = "41", tries = 300)
+	void answersAnyArgumentsWithAnExitCode(@ForAll @Size(max = 4) List<@From("words") String> arguments) {
+		assertThat(run(arguments.toArray(String[]::new))).isNotNull();
+	}
+
+	@Provide
+	Arbitrary<String> words() {
+		return Arbitraries.oneOf(Arbitraries.of("check", "diff", "submit", "show", "entries", "call", "drain", "status",
+				"report", "burn", "--json", "--base", "--key-file", "--timeout", "--entry", "--help", "a b:1", "a_b:1",
+				"[:1"), Arbitraries.strings().ofMaxLength(8).filter((text) -> text.indexOf(':') < 0));
+	}
+
+	// Guards against a command that fails without a remedy at a part with unknown keys.
+	@Example
+	void reportsPartsThatItCannotRead() {
+		this.entry.accept("federation", "{\"part\": \"federation\"}");
+		assertThat(run("show", "federation", "--entry", this.entry.address())).isEqualTo(ExitCode.REFUSED);
+		assertThat(err()).contains("use the command of the version that the entries run");
+	}
+
 	// Guards against a check that accepts broken references or prints no place.
 	@Example
 	void checksFiles() throws IOException {
@@ -106,6 +139,7 @@
 		assertThat(run("submit", "--json", file("federation"), "--entry", this.entry.address())).isEqualTo(ExitCode.OK);
 		assertThat(out()).contains("\"accepted\":true,\"version\":1");
 		assertThat(this.entry.version).isEqualTo(1);
+		assertThat(this.pauses).containsExactly(Duration.ofMillis(50), Duration.ofMillis(100), Duration.ofMillis(200));
 		this.entry.lose = 100;
 		assertThat(run("submit", file("pavio"), "--submission", "s-9", "--entry", this.entry.address()))
 			.isEqualTo(ExitCode.UNKNOWN);
@@ -197,6 +231,20 @@
 		assertThat(err()).contains("the runner failed (outcome unknown); repeat");
 	}
 
+	// Guards against a command that waits for ever for a connection that went silent.
+	@Example
+	void resumesASilentReply() {
+		this.entry.silent = true;
+		this.entry.answers.put("/v1/completions", "id: r_1_1/1/0@r1\ndata: {\"text\": \"two\"}\n\n");
+		try (FakeEntry other = new FakeEntry()) {
+			other.answers.put("/v1/completions", "data: {\"text\": \" wicks\"}\n\ndata: [DONE]\n\n");
+			assertThat(run("call", "refill-answers", "--timeout", "1", "--entry", this.entry.address(), "--entry",
+					other.address()))
+				.isEqualTo(ExitCode.OK);
+			assertThat(out()).isEqualToIgnoringNewLines("two wicks");
+		}
+	}
+
 	// Guards against an order whose key is unknown when its answer is lost.
 	@Example
 	void callsApplicationsWithAKey() {
@@ -212,7 +260,7 @@
 		this.err.reset();
 		Console console = new Console(new PrintStream(this.out, true, StandardCharsets.UTF_8),
 				new PrintStream(this.err, true, StandardCharsets.UTF_8),
-				Map.of(EntryOptions.KEY_VARIABLE, "operator-key\n"));
+				Map.of(EntryOptions.KEY_VARIABLE, "operator-key\n"), this.pauses::add);
 		return Bilberryvalve.run(console, arguments);
 	}
 
--- a/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/RequestParts.java
+++ b/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/RequestParts.java
@@ -90,12 +90,14 @@
 		LoadMonitor monitor = new LoadMonitor(this.fleet, engines, configuration, clock, new SplittableRandom(),
 				LoadMonitorSettings.defaults());
 		ReplyServices services = new ReplyServices(clock, engines, this.fleet, this.admission,
-				new FractionRepairBudget(REPAIRS_PER_REPLY, REPAIR_RESERVE), ReplySettings.defaults());
+				new FractionRepairBudget(REPAIRS_PER_REPLY, REPAIR_RESERVE), ReplySettings.of(settings.limits()));
 		this.completions = new CompletionHandler(services, configuration, peers, settings.vm(), incarnation);
 		this.calls = calls(settings, clock, background, configuration, peers, platform, incarnation);
 		background.every(REPLY_TICK, "replies", this.completions::tick).every(POLL_TICK, "loads", monitor::tick);
 		this.admission.start();
-		metrics.gauge("replies_in_progress", "Replies in progress.", this.completions::active);
+		metrics.gauge("replies_in_progress", "Replies in progress.", this.completions::active)
+			.gauge("requests_waiting", "Requests waiting for admission.", () -> this.admission.status().waiting())
+			.gauge("peer_bytes", "Bytes exchanged with other daemons since the start.", peers::traffic);
 	}
 
 	List<Route> routes() {
--- a/bilberryvalve-daemon/src/test/java/io/bilberryvalve/daemon/peer/NettyPeerNetworkTests.java
+++ b/bilberryvalve-daemon/src/test/java/io/bilberryvalve/daemon/peer/NettyPeerNetworkTests.java
@@ -1,11 +1,13 @@
 package io.bilberryvalve.daemon.peer;
 
+import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CopyOnWriteArrayList;
 
+import io.bilberryvalve.config.DaemonLimits;
 import io.bilberryvalve.daemon.lifecycle.ServingState;
 import io.bilberryvalve.model.Outcome;
 import io.bilberryvalve.model.Problem;
@@ -54,6 +56,28 @@
 		}
 	}
 
+	// Guards against a configuration that is accepted but too large for the messages
+	// between daemons, so that it never reaches a daemon that asks a peer for it.
+	@Example
+	void carriesTheLargestPartOfAConfiguration() {
+		try (TestFederation federation = new TestFederation()) {
+			NettyPeerNetwork a = federation.add("vm-a", 1);
+			NettyPeerNetwork b = federation.add("vm-b", 1);
+			byte[] part = new byte[DaemonLimits.defaults().submissionBytes()];
+			b.answer(MessageKind.CONFIGURATION_REQUEST, (sender, body) -> CompletableFuture.completedFuture(part));
+			List<Integer> pushed = new CopyOnWriteArrayList<>();
+			b.receive(MessageKind.CONFIGURATION_PUSH, (sender, body) -> pushed.add(body.length));
+			federation.untilConnected();
+			CompletableFuture<Result<byte[]>> answer = call(a, "vm-b", MessageKind.CONFIGURATION_REQUEST);
+			Await.until("answer", answer::isDone);
+			assertThat(answer.join()).isInstanceOfSatisfying(Result.Ok.class,
+					(ok) -> assertThat((byte[]) ok.value()).hasSize(part.length));
+			a.broadcast(MessageKind.CONFIGURATION_PUSH, part);
+			Await.until("push", () -> !pushed.isEmpty());
+			assertThat(pushed).containsExactly(part.length);
+		}
+	}
+
 	// Guards R3: only a call that was not sent may be reported as not run.
 	@Example
 	void reportsNotRunOnlyIfNothingWasSent() {
@@ -96,8 +120,12 @@
 			federation.untilConnected();
 			federation.remove(old);
 			federation.add("vm-b", 6);
-			federation.untilConnected();
-			assertThat(a.peers()).extracting(Peer::incarnation).containsExactly(6L);
+			federation.until("the new run is known", () -> a.peers().get(0).incarnation() == 6);
+			for (int i = 0; i < 40; i++) {
+				federation.step();
+				assertThat(a.peers()).extracting(Peer::incarnation).containsExactly(6L);
+			}
+			assertThat(a.peers().get(0).state()).isEqualTo(Peer.State.LIVE);
 		}
 	}
 
@@ -133,6 +161,34 @@
 		}
 	}
 
+	// Guards recovery: a connection that goes silent while new ones work must cost its
+	// limit once, and must not make the peer absent.
+	@Example
+	void replacesSilentConnectionOnce() throws IOException {
+		try (TestFederation federation = new TestFederation()) {
+			NettyPeerNetwork b = federation.add("vm-b", 1);
+			b.answer(MessageKind.KEY_CALL, (sender, body) -> CompletableFuture.completedFuture(body));
+			try (SilencingProxy proxy = new SilencingProxy(federation.seeds.get(0))) {
+				federation.seeds.set(0, proxy.address());
+				NettyPeerNetwork a = federation.add("vm-a", 1);
+				federation.untilConnected();
+				federation.seeds.clear();
+				proxy.silence();
+				federation.networks.forEach((network) -> federation.silent.addAll(network.connections()));
+				CompletableFuture<Result<byte[]>> lost = a
+					.call(new VmId("vm-b"), MessageKind.KEY_CALL, bytes("lost"), Duration.ofSeconds(30))
+					.toCompletableFuture();
+				long start = federation.clock.millis();
+				federation.until("the lost call ends", lost::isDone);
+				assertThat(federation.clock.millis() - start).isLessThanOrEqualTo(2500);
+				assertThat(outcome(lost.join())).isEqualTo(Outcome.UNKNOWN);
+				federation.untilConnected();
+				assertThat(federation.clock.millis() - start).isLessThan(5000);
+				assertThat(await(federation, a, "vm-b", MessageKind.KEY_CALL)).isInstanceOf(Result.Ok.class);
+			}
+		}
+	}
+
 	private static Result<byte[]> await(TestFederation federation, NettyPeerNetwork from, String to, MessageKind kind) {
 		CompletableFuture<Result<byte[]>> answer = call(from, to, kind);
 		federation.until("answer", answer::isDone);
--- a/bilberryvalve-standins/src/main/java/io/bilberryvalve/standins/engine/EngineStandin.java
+++ b/bilberryvalve-standins/src/main/java/io/bilberryvalve/standins/engine/EngineStandin.java
@@ -1,12 +1,16 @@
 package io.bilberryvalve.standins.engine;
 
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
 import java.time.Clock;
 import java.time.Duration;
+import java.time.Instant;
 import java.util.List;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 
 import io.bilberryvalve.model.ProblemKind;
+import io.bilberryvalve.model.log.LogEvent;
 import io.bilberryvalve.standins.fault.Faults;
 import io.bilberryvalve.standins.fault.Service;
 import io.bilberryvalve.standins.http.Call;
@@ -22,6 +26,8 @@
  */
 public final class EngineStandin {
 
+	private static final Logger LOGGER = System.getLogger(EngineStandin.class.getName());
+
 	private static final Duration SWEEP_INTERVAL = Duration.ofSeconds(1);
 
 	private static final Duration SAMPLE_INTERVAL = Duration.ofMillis(50);
@@ -29,8 +35,14 @@
 	/** A stream that had no step for this long does not count as running. */
 	private static final Duration ACTIVE = Duration.ofMillis(500);
 
+	private static final Duration LATE = Duration.ofMillis(500);
+
 	private static final int MAX_EXECUTIONS = 50_000;
 
+	private final Clock clock;
+
+	private Instant lastKeepAlive;
+
 	private final StreamTable streams;
 
 	private final OrderBook orders;
@@ -57,6 +69,8 @@
 	 */
 	public EngineStandin(EngineSettings settings, Clock clock, Faults faults, ScheduledExecutorService scheduler,
 			Runnable halt) {
+		this.clock = clock;
+		this.lastKeepAlive = clock.instant();
 		EngineSettings.Timing timing = settings.timing();
 		EngineSettings.Orders rules = settings.orders();
 		this.streams = new StreamTable(clock, timing.retention());
@@ -144,6 +158,7 @@
 	}
 
 	private void keepAlive() {
+		reportLateness();
 		for (StreamState state : this.streams.all()) {
 			ReplyStream reply = state.reply();
 			if (reply != null) {
@@ -152,8 +167,27 @@
 		}
 	}
 
+	// Keep-alives that are late because the machine is overloaded look like a silent
+	// engine.
+	private void reportLateness() {
+		Instant now = this.clock.instant();
+		long millis = Duration.between(this.lastKeepAlive, now).toMillis();
+		this.lastKeepAlive = now;
+		if (millis > LATE.toMillis()) {
+			LogEvent.of("keep-alive-late").with("millis", millis).log(LOGGER, Level.WARNING);
+		}
+	}
+
 	private static void repeat(ScheduledExecutorService scheduler, Duration interval, Runnable task) {
-		scheduler.scheduleAtFixedRate(task, interval.toMillis(), interval.toMillis(), TimeUnit.MILLISECONDS);
+		// The scheduler drops a periodic task after its first exception.
+		scheduler.scheduleAtFixedRate(() -> {
+			try {
+				task.run();
+			}
+			catch (RuntimeException ex) {
+				LogEvent.of("engine-task-failed").with("cause", ex).log(LOGGER, Level.ERROR);
+			}
+		}, interval.toMillis(), interval.toMillis(), TimeUnit.MILLISECONDS);
 	}
 
 	private record Cancelled(String stream, int epoch) {
--- a/bilberryvalve-wire/src/main/java/io/bilberryvalve/wire/PeerTransport.java
+++ b/bilberryvalve-wire/src/main/java/io/bilberryvalve/wire/PeerTransport.java
@@ -8,7 +8,6 @@
 import java.util.function.Supplier;
 
 import io.bilberryvalve.model.Address;
-import io.bilberryvalve.wire.proto.PeerMessage;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
@@ -19,9 +18,7 @@
 import io.netty.channel.nio.NioEventLoopGroup;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
-import io.netty.handler.codec.LengthFieldPrepender;
-import io.netty.handler.codec.protobuf.ProtobufDecoder;
-import io.netty.handler.codec.protobuf.ProtobufEncoder;
+import io.netty.handler.traffic.GlobalTrafficShapingHandler;
 import io.netty.util.concurrent.DefaultThreadFactory;
 import org.jspecify.annotations.Nullable;
 
@@ -46,6 +43,9 @@
 
 	private final EventLoopGroup loops = new NioEventLoopGroup(THREADS, new DefaultThreadFactory("peer", true));
 
+	/** Limits nothing; it counts the bytes of all connections. */
+	private final GlobalTrafficShapingHandler traffic = new GlobalTrafficShapingHandler(this.loops, 0);
+
 	private volatile @Nullable Channel server;
 
 	/**
@@ -107,8 +107,25 @@
 		return result;
 	}
 
+	/**
+	 * Returns the bytes sent on all connections.
+	 * @return number of bytes since the start
+	 */
+	public long bytesSent() {
+		return this.traffic.trafficCounter().cumulativeWrittenBytes();
+	}
+
+	/**
+	 * Returns the bytes received on all connections.
+	 * @return number of bytes since the start
+	 */
+	public long bytesReceived() {
+		return this.traffic.trafficCounter().cumulativeReadBytes();
+	}
+
 	@Override
 	public void close() {
+		this.traffic.release();
 		Channel listening = this.server;
 		if (listening != null) {
 			listening.close().awaitUninterruptibly();
@@ -142,11 +159,10 @@
 			PeerTransport transport = PeerTransport.this;
 			Handshake handshake = new Handshake(transport.secret, transport.self.get(), this.initiator);
 			CompletableFuture<PeerConnection> opened = (this.result != null) ? this.result : new CompletableFuture<>();
-			channel.pipeline()
-				.addLast(new PeerFrameDecoder(transport.limits.maxFrameBytes()),
-						new ProtobufDecoder(PeerMessage.getDefaultInstance()),
-						new LengthFieldPrepender(PeerFrameDecoder.LENGTH_BYTES), new ProtobufEncoder(),
-						new PeerHandler(handshake, this.initiator, transport.limits, transport.listener, opened));
+			PeerHandler handler = new PeerHandler(handshake, this.initiator, transport.limits, transport.listener,
+					opened);
+			channel.pipeline().addLast(transport.traffic);
+			handler.install(channel.pipeline());
 		}
 
 	}
