Repeat full demand reports for a second after a change

Change: full reports go on for 1 s after a change. Two tests of DemandReports expected the short form at once; they now advance the clock by that second and check the same.

--- a/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/share/DemandReports.java
+++ b/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/share/DemandReports.java
@@ -27,6 +27,12 @@
 	/** Longest time between two full reports; well below the isolation limit of 3 s. */
 	static final Duration REPEAT = Duration.ofSeconds(2);
 
+	// Full reports go on for this long after a change. If the only full report of a
+	// change
+	// is lost, other entries take the old demand for the current one and raise their
+	// limits.
+	static final Duration SETTLED = Duration.ofSeconds(1);
+
 	/** Relative difference up to which a demand counts as unchanged. */
 	private static final double TOLERANCE = 0.1;
 
@@ -44,6 +50,8 @@
 
 	private long sentMillis;
 
+	private long changedMillis;
+
 	DemandReports(Clock clock) {
 		this.clock = clock;
 	}
@@ -56,7 +64,11 @@
 	byte[] write(EntryDemand demand) {
 		EntryDemand last = this.sent;
 		long now = this.clock.millis();
-		if (last != null && now - this.sentMillis < REPEAT.toMillis() && close(last.clubs(), demand.clubs())) {
+		boolean same = last != null && close(last.clubs(), demand.clubs());
+		if (!same) {
+			this.changedMillis = now;
+		}
+		if (same && now - this.sentMillis < REPEAT.toMillis() && now - this.changedMillis >= SETTLED.toMillis()) {
 			return DemandMessages.writeUnchanged(demand);
 		}
 		this.sent = demand;
--- a/bilberryvalve-daemon/src/test/java/io/bilberryvalve/daemon/share/DemandReportsTests.java
+++ b/bilberryvalve-daemon/src/test/java/io/bilberryvalve/daemon/share/DemandReportsTests.java
@@ -28,6 +28,7 @@
 	@Example
 	void leavesOutUnchangedClubsAndRestoresThem() {
 		byte[] full = this.sender.write(demand(1, 1, 20));
+		this.clock.advance(DemandReports.SETTLED);
 		byte[] unchanged = this.sender.write(demand(1, 2, 21));
 		assertThat(unchanged.length).isLessThan(full.length / 2);
 		this.receiver.read(full);
@@ -60,6 +61,7 @@
 	@Example
 	void doesNotMixIncarnations() {
 		this.receiver.read(this.sender.write(demand(1, 1, 20)));
+		this.clock.advance(DemandReports.SETTLED);
 		byte[] restarted = this.sender.write(demand(2, 1, 20));
 		assertThat(this.receiver.read(restarted)).isEmpty();
 	}
