Report a starting entry as unavailable and record results before the stop

Cause: an entry without a configuration answered callers 401, which reads as a permanent refusal (seen in a rolling replacement with the wait for entry lists removed); and a stop could end before the result of a call was recorded, so that repetitions answer unknown. Change: counted routes of a starting entry answer 503 with Retry-After before the key is checked; the stop waits at most 10 s for unrecorded results. Measured: RouterTests has the case; the whole build follows. Conclusion: callers with an old entry list repeat instead of giving up.

--- a/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/Daemon.java
+++ b/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/Daemon.java
@@ -6,6 +6,7 @@
 import java.security.SecureRandom;
 import java.time.Clock;
 import java.time.Duration;
+import java.time.Instant;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -67,6 +68,14 @@
 
 	private static final Duration ORDER_TICK = Duration.ofMillis(200);
 
+	/**
+	 * How long a stop waits for the records of calls; an outage of the store must not
+	 * hold it.
+	 */
+	private static final Duration SETTLE_LIMIT = Duration.ofSeconds(10);
+
+	private static final Duration SETTLE_INTERVAL = Duration.ofMillis(50);
+
 	private static final Duration SUBMISSION_TIMEOUT = Duration.ofSeconds(10);
 
 	private static final Duration SUBMISSION_BODY_TIMEOUT = Duration.ofSeconds(10);
@@ -131,7 +140,7 @@
 		Daemon daemon = new Daemon(settings);
 		daemon.rollout.onReady(daemon::ready);
 		daemon.rollout.start();
-		daemon.drain.stopped().thenRun(daemon::stop);
+		daemon.drain.stopped().thenRun(() -> daemon.stopWhenSettled(daemon.clock.instant().plus(SETTLE_LIMIT)));
 		LogEvent.of("started")
 			.with("vm", settings.vm())
 			.with("callers", daemon.server.address())
@@ -170,6 +179,19 @@
 		}
 	}
 
+	// A result that is not recorded would make a repeated call answer unknown for ever.
+	private void stopWhenSettled(Instant limit) {
+		int unsettled = this.requests.unsettled();
+		if (unsettled > 0 && this.clock.instant().isBefore(limit)) {
+			this.background.timer().after(SETTLE_INTERVAL, () -> stopWhenSettled(limit));
+			return;
+		}
+		if (unsettled > 0) {
+			LogEvent.of("results-not-recorded").with("calls", unsettled).log(LOGGER, System.Logger.Level.WARNING);
+		}
+		stop();
+	}
+
 	private void stop() {
 		this.rollout.stop();
 		this.requests.close();
--- a/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/RequestParts.java
+++ b/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/RequestParts.java
@@ -74,6 +74,8 @@
 
 	private final CompletionHandler completions;
 
+	private final ExecutionStore executions;
+
 	private final CallHandler calls;
 
 	private final RunnerFleet fleet;
@@ -93,7 +95,8 @@
 				new FractionRepairBudget(REPAIRS_PER_REPLY, REPAIR_RESERVE), ReplySettings.of(settings.limits()));
 		this.completions = new CompletionHandler(services, configuration, peers, settings.vm(), incarnation,
 				new Bodies(settings.limits().bodyBytes(), BODY_TIMEOUT), burn);
-		this.calls = calls(settings, clock, background, configuration, peers, platform, incarnation);
+		this.executions = executions(settings, clock, background, platform, incarnation);
+		this.calls = calls(settings, clock, configuration, peers, incarnation);
 		background.every(REPLY_TICK, "replies", this.completions::tick).every(POLL_TICK, "loads", monitor::tick);
 		this.admission.start();
 		metrics.gauge("replies_in_progress", "Replies in progress.", this.completions::active)
@@ -121,23 +124,35 @@
 		node.put("plannedModels", this.fleet.table().sets().size());
 	}
 
-	private static CallHandler calls(DaemonSettings settings, Clock clock, Background background,
-			ConfigurationSource configuration, NettyPeerNetwork peers, Platform platform, long incarnation) {
-		SecureRandom random = new SecureRandom();
-		CallDispatcher dispatcher = new CallDispatcher(new RunnerRotation(configuration, clock),
-				new HttpApplicationClient(CONNECT_TIMEOUT), allowance(clock), clock);
+	/**
+	 * Returns the calls whose results are not recorded yet.
+	 * @return the number of calls
+	 */
+	int unsettled() {
+		return this.executions.unsettled();
+	}
+
+	private static ExecutionStore executions(DaemonSettings settings, Clock clock, Background background,
+			Platform platform, long incarnation) {
 		String run = settings.vm() + "_" + incarnation;
 		AtomicLong attempts = new AtomicLong();
 		RecordedExecutions ledger = new RecordedExecutions(clock, OnceLimits.defaults(),
 				() -> run + "_" + attempts.getAndIncrement());
-		ExecutionStore store = new ExecutionStore(platform.tables(), ledger, run, clock, background.timer());
-		IssuedKeys keys = new IssuedKeys(settings.vm(), incarnation, clock, random::nextLong, ISSUED_KEYS);
-		IssuedCalls issued = new IssuedCalls(settings.vm(), keys, dispatcher, peers, clock);
 		ExecutionCleaner cleaner = new ExecutionCleaner(platform.tables(),
 				new RecordExpiry(OnceLimits.defaults().lifetime()), clock);
 		background.every(CLEANING_INTERVAL, "execution-records", cleaner::step);
+		return new ExecutionStore(platform.tables(), ledger, run, clock, background.timer());
+	}
+
+	private CallHandler calls(DaemonSettings settings, Clock clock, ConfigurationSource configuration,
+			NettyPeerNetwork peers, long incarnation) {
+		SecureRandom random = new SecureRandom();
+		CallDispatcher dispatcher = new CallDispatcher(new RunnerRotation(configuration, clock),
+				new HttpApplicationClient(CONNECT_TIMEOUT), allowance(clock), clock);
+		IssuedKeys keys = new IssuedKeys(settings.vm(), incarnation, clock, random::nextLong, ISSUED_KEYS);
+		IssuedCalls issued = new IssuedCalls(settings.vm(), keys, dispatcher, peers, clock);
 		return new CallHandler(configuration, new Bodies(settings.limits().bodyBytes(), BODY_TIMEOUT), dispatcher,
-				store, issued, settings.limits().requestTimeout(), clock);
+				this.executions, issued, settings.limits().requestTimeout(), clock);
 	}
 
 	private static RetryAllowance allowance(Clock clock) {
--- a/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/http/Router.java
+++ b/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/http/Router.java
@@ -5,6 +5,7 @@
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Locale;
 
 import io.bilberryvalve.daemon.lifecycle.Lifecycle;
 import io.bilberryvalve.daemon.lifecycle.ServingState;
@@ -67,6 +68,11 @@
 		if (route == null) {
 			return refuse(request, responses, missing(request, candidates));
 		}
+		if (route.counted() && this.lifecycle.state() == ServingState.STARTING) {
+			// Without a configuration no key is known, so a refusal of the key would
+			// mislead.
+			return refuse(request, responses, unavailable());
+		}
 		Principal principal = this.credentials.principal(request.headers().get("authorization"));
 		Problem denied = denied(route.access(), principal);
 		if (denied != null) {
@@ -78,15 +84,19 @@
 
 	private Single<StreamingHttpResponse> handleCounted(Route route, Exchange exchange) {
 		if (!this.lifecycle.begin()) {
-			Problem problem = Problem
-				.notRun(ProblemKind.UNAVAILABLE, "this entry is " + this.lifecycle.state().name().toLowerCase(),
-						"ask GET /v1/entries of another entry for the entries to use and repeat the request there")
-				.retryAfter(RETRY_DELAY);
-			return refuse(exchange.request(), exchange.responses(), problem);
+			return refuse(exchange.request(), exchange.responses(), unavailable());
 		}
 		return answer(route, exchange).liftSync(new BeforeFinallyHttpOperator(this.lifecycle::end));
 	}
 
+	private Problem unavailable() {
+		String state = this.lifecycle.state().name().toLowerCase(Locale.ROOT);
+		return Problem
+			.notRun(ProblemKind.UNAVAILABLE, "this entry is " + state,
+					"ask GET /v1/entries of another entry for the entries to use and repeat the request there")
+			.retryAfter(RETRY_DELAY);
+	}
+
 	private Single<StreamingHttpResponse> answer(Route route, Exchange exchange) {
 		Instant start = this.clock.instant();
 		return call(route, exchange).onErrorReturn((cause) -> failure(exchange, cause)).map((response) -> {
--- a/bilberryvalve-daemon/src/test/java/io/bilberryvalve/daemon/http/RouterTests.java
+++ b/bilberryvalve-daemon/src/test/java/io/bilberryvalve/daemon/http/RouterTests.java
@@ -89,6 +89,22 @@
 		assertThat(response.body()).isEqualTo("hello");
 	}
 
+	// Guards against a caller that takes a key for unknown while the entry is starting.
+	@Example
+	void reportsAStartingEntryAsUnavailable() throws Exception {
+		Router starting = new Router(
+				List.of(Route.of(HttpRequestMethod.POST, "/v1/echo", Access.CALLER, true, this::echo)),
+				new Credentials(new ConfigurationHolder(), Map.of()), new Lifecycle(), (route, status, elapsed) -> {
+				}, new ManualClock());
+		this.server.close();
+		this.server = EntryServer.start(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), starting,
+				DaemonLimits.defaults());
+		HttpResponse<String> response = post("/v1/echo", "caller-key", "hello");
+		assertThat(response.statusCode()).isEqualTo(503);
+		assertThat(response.body()).contains("not-run").contains("starting");
+		assertThat(response.headers().firstValue("retry-after")).contains("1");
+	}
+
 	// Guards against a route that answers without checking the sender.
 	@Example
 	void refusesMissingUnknownAndWrongRole() throws Exception {
