--- a/bilberryvalve-bench/src/main/java/io/bilberryvalve/bench/Measure.java
+++ b/bilberryvalve-bench/src/main/java/io/bilberryvalve/bench/Measure.java
@@ -87,6 +87,9 @@
 				measured.forEach((figure) -> print(figure.line()));
 				figures.addAll(measured);
 			}
+			catch (UnsupportedOperationException ex) {
+				print("name=" + experiment.name() + " value=not-measured reason=\"" + ex.getMessage() + "\"");
+			}
 			catch (Exception ex) {
 				print("name=" + experiment.name() + " value=not-measured reason=\"" + ex + "\"");
 				code = EXIT_FAILED;
