Give runners on leaving VMs no new work

Cause: the daemon passed (runner) -> false for leaving runners, so the platform's list had no effect on model and application runners; only a runner's own load report had. Change: VmDirectory keeps the addresses of leaving VMs; ListedRunners and RunnerRotation leave their runners out.

--- a/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/Daemon.java
+++ b/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/Daemon.java
@@ -112,7 +112,9 @@
 		this.settings = settings;
 		this.platform = PlatformClients.connect(settings);
 		RolloutStamps stamps = new RolloutStamps();
-		this.peers = startPeers(stamps);
+		VmDirectory directory = new VmDirectory(settings.seedPeers(), this.platform.vms());
+		this.background.every(VM_LIST_INTERVAL, "vm-list", directory::refresh);
+		this.peers = startPeers(stamps, directory);
 		ConfigurationParser parser = new DocumentParser();
 		Timer timer = this.background.timer();
 		this.rollout = new ConfigurationRollout(this.configuration, parser, this.platform, this.peers, timer,
@@ -121,7 +123,7 @@
 		stamps.connect(this.rollout);
 		this.drain = new DrainCoordinator(this.lifecycle, this.peers::announce, settings.entryListTtl(), this.clock);
 		this.requests = new RequestParts(settings, this.clock, this.background, this.configuration, this.peers,
-				this.platform, this.metrics, this.burn);
+				directory, this.platform, this.metrics, this.burn);
 		orders();
 		Credentials credentials = new Credentials(this.configuration, bootstrapPrincipals(settings));
 		Router router = new Router(routes(parser, timer), credentials, this.lifecycle, this.metrics, this.clock);
@@ -218,9 +220,7 @@
 		this.metrics.gauge("leases_held", "Leases held by this daemon.", orders::held);
 	}
 
-	private NettyPeerNetwork startPeers(RolloutStamps stamps) throws Exception {
-		VmDirectory directory = new VmDirectory(this.settings.seedPeers(), this.platform.vms());
-		this.background.every(VM_LIST_INTERVAL, "vm-list", directory::refresh);
+	private NettyPeerNetwork startPeers(RolloutStamps stamps, VmDirectory directory) throws Exception {
 		String secret = Files.readString(this.settings.federationSecretFile(), StandardCharsets.UTF_8);
 		Address address = this.settings.peerAddress();
 		PeerSettings peerSettings = PeerSettings
--- a/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/RequestParts.java
+++ b/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/RequestParts.java
@@ -23,12 +23,14 @@
 import io.bilberryvalve.daemon.http.Bodies;
 import io.bilberryvalve.daemon.http.Route;
 import io.bilberryvalve.daemon.peer.NettyPeerNetwork;
+import io.bilberryvalve.daemon.peer.VmDirectory;
 import io.bilberryvalve.daemon.reply.CompletionHandler;
 import io.bilberryvalve.daemon.reply.FractionRepairBudget;
 import io.bilberryvalve.daemon.reply.ReplyServices;
 import io.bilberryvalve.daemon.reply.ReplySettings;
 import io.bilberryvalve.daemon.report.BurnTracker;
 import io.bilberryvalve.daemon.report.Metrics;
+import io.bilberryvalve.daemon.runner.ListedRunners;
 import io.bilberryvalve.daemon.runner.LoadMonitor;
 import io.bilberryvalve.daemon.runner.LoadMonitorSettings;
 import io.bilberryvalve.daemon.runner.RunnerFleet;
@@ -83,9 +85,10 @@
 	private final FairAdmission admission;
 
 	RequestParts(DaemonSettings settings, Clock clock, Background background, ConfigurationSource configuration,
-			NettyPeerNetwork peers, Platform platform, Metrics metrics, BurnTracker burn) {
+			NettyPeerNetwork peers, VmDirectory directory, Platform platform, Metrics metrics, BurnTracker burn) {
 		long incarnation = peers.identity().incarnation();
-		this.fleet = new RunnerFleet(clock, configuration, new FusedLoadChooser(CHOICE_SAMPLES), (runner) -> false);
+		this.fleet = new RunnerFleet(clock, configuration, new FusedLoadChooser(CHOICE_SAMPLES),
+				new ListedRunners(configuration, directory::leaving));
 		this.admission = new FairAdmission(settings.vm(), incarnation, this.fleet::capacity, configuration, peers,
 				new QueueLimits(settings.limits().teamQueue(), settings.limits().totalQueue()), clock);
 		HttpEngineClient engines = new HttpEngineClient(CONNECT_TIMEOUT, PROBE_TIMEOUT, ENGINE_CALL_TIMEOUT);
@@ -96,7 +99,7 @@
 		this.completions = new CompletionHandler(services, configuration, peers, settings.vm(), incarnation,
 				new Bodies(settings.limits().bodyBytes(), BODY_TIMEOUT), burn);
 		this.executions = executions(settings, clock, background, platform, incarnation);
-		this.calls = calls(settings, clock, configuration, peers, incarnation);
+		this.calls = calls(settings, clock, configuration, peers, directory, incarnation);
 		background.every(REPLY_TICK, "replies", this.completions::tick).every(POLL_TICK, "loads", monitor::tick);
 		this.admission.start();
 		metrics.gauge("replies_in_progress", "Replies in progress.", this.completions::active)
@@ -145,9 +148,9 @@
 	}
 
 	private CallHandler calls(DaemonSettings settings, Clock clock, ConfigurationSource configuration,
-			NettyPeerNetwork peers, long incarnation) {
+			NettyPeerNetwork peers, VmDirectory directory, long incarnation) {
 		SecureRandom random = new SecureRandom();
-		CallDispatcher dispatcher = new CallDispatcher(new RunnerRotation(configuration, clock),
+		CallDispatcher dispatcher = new CallDispatcher(new RunnerRotation(configuration, clock, directory::leaving),
 				new HttpApplicationClient(CONNECT_TIMEOUT), allowance(clock), clock);
 		IssuedKeys keys = new IssuedKeys(settings.vm(), incarnation, clock, random::nextLong, ISSUED_KEYS);
 		IssuedCalls issued = new IssuedCalls(settings.vm(), keys, dispatcher, peers, clock);
--- a/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/call/RunnerRotation.java
+++ b/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/call/RunnerRotation.java
@@ -8,8 +8,10 @@
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Predicate;
 
 import io.bilberryvalve.daemon.configuration.ConfigurationSource;
+import io.bilberryvalve.model.Address;
 import io.bilberryvalve.model.ApplicationId;
 import io.bilberryvalve.model.ApplicationRunner;
 import io.bilberryvalve.model.RunnerId;
@@ -26,6 +28,8 @@
 
 	private final Clock clock;
 
+	private final Predicate<Address> leaving;
+
 	private final AtomicInteger turn = new AtomicInteger();
 
 	private final Map<RunnerId, Instant> pausedUntil = new ConcurrentHashMap<>();
@@ -36,21 +40,32 @@
 	 * @param clock monotonic clock
 	 */
 	public RunnerRotation(ConfigurationSource configuration, Clock clock) {
+		this(configuration, clock, (address) -> false);
+	}
+
+	/**
+	 * Creates a rotation that leaves out runners on leaving VMs.
+	 * @param configuration gives the runners
+	 * @param clock monotonic clock
+	 * @param leaving tells whether the VM at an address is leaving
+	 */
+	public RunnerRotation(ConfigurationSource configuration, Clock clock, Predicate<Address> leaving) {
 		this.configuration = configuration;
 		this.clock = clock;
+		this.leaving = leaving;
 	}
 
 	/**
 	 * Returns the runners of an application in the order in which to try them.
 	 * @param application the application
-	 * @return the runners, paused ones last; empty if the application has none
+	 * @return the runners, paused ones last; empty if the application has none that stays
 	 */
 	public List<ApplicationRunner> candidates(ApplicationId application) {
 		List<ApplicationRunner> runners = this.configuration.current()
 			.federation()
 			.applicationRunners()
 			.stream()
-			.filter((runner) -> runner.application().equals(application))
+			.filter((runner) -> runner.application().equals(application) && !this.leaving.test(runner.address()))
 			.toList();
 		List<ApplicationRunner> live = new ArrayList<>();
 		List<ApplicationRunner> paused = new ArrayList<>();
--- a/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/peer/VmDirectory.java
+++ b/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/peer/VmDirectory.java
@@ -4,6 +4,7 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
+import java.util.stream.Collectors;
 
 import io.bilberryvalve.model.Address;
 import io.bilberryvalve.platform.Fetched;
@@ -21,6 +22,8 @@
 
 	private volatile List<VmList.Vm> known = List.of();
 
+	private volatile Set<Address> leaving = Set.of();
+
 	/**
 	 * Creates a directory that knows the seeds only.
 	 * @param seeds peer addresses of the settings
@@ -38,10 +41,24 @@
 		this.list.read().thenAccept((fetched) -> {
 			if (fetched instanceof Fetched.Found<List<VmList.Vm>> found) {
 				this.known = List.copyOf(found.value());
+				this.leaving = found.value()
+					.stream()
+					.filter(VmList.Vm::leaving)
+					.map(VmList.Vm::address)
+					.collect(Collectors.toUnmodifiableSet());
 			}
 		});
 	}
 
+	/**
+	 * Tells whether the list names the VM at an address as leaving.
+	 * @param address address of a runner or an entry
+	 * @return whether it gets no new work
+	 */
+	public boolean leaving(Address address) {
+		return this.leaving.contains(address);
+	}
+
 	@Override
 	public List<Address> addresses() {
 		Set<Address> addresses = new LinkedHashSet<>(this.seeds);
