Serve HTTP/2 with prior knowledge at an address of its own

Cause: the design names HTTP/1.1 and HTTP/2, but the HTTP/2 server was never started. Change: optional setting http2Address; the header connection: close is sent to HTTP/1.1 callers only, because HTTP/2 forbids it. Measured: RouterTests answers a call over HTTP/2 at a leaving entry. Conclusion: both protocols reach the same routes; TLS is not built yet.

--- a/bilberryvalve-config/src/main/java/io/bilberryvalve/config/DaemonSettings.java
+++ b/bilberryvalve-config/src/main/java/io/bilberryvalve/config/DaemonSettings.java
@@ -17,6 +17,8 @@
  * @param region region of the VM
  * @param dataCentre data centre of the VM
  * @param callerAddress where the daemon listens for callers and operators
+ * @param http2Address where the daemon listens for callers that use HTTP/2 with prior
+ * knowledge, or {@code null} for none
  * @param peerAddress where the daemon listens for other daemons
  * @param platform addresses of the platform services
  * @param federationSecretFile file with the secret that authenticates daemons to each
@@ -28,8 +30,8 @@
  * @param limits limits
  */
 public record DaemonSettings(VmId vm, RegionId region, DataCentreId dataCentre, Address callerAddress,
-		Address peerAddress, Platform platform, Path federationSecretFile, @Nullable String bootstrapOperatorDigest,
-		Duration entryListTtl, List<Address> seedPeers, DaemonLimits limits) {
+		@Nullable Address http2Address, Address peerAddress, Platform platform, Path federationSecretFile,
+		@Nullable String bootstrapOperatorDigest, Duration entryListTtl, List<Address> seedPeers, DaemonLimits limits) {
 
 	/** Time for which callers may cache the list of entries unless the settings say. */
 	public static final Duration DEFAULT_ENTRY_LIST_TTL = Duration.ofSeconds(5);
@@ -45,6 +47,10 @@
 			throw new IllegalArgumentException("callerAddress and peerAddress are both " + callerAddress
 					+ "; give the daemon two different ports");
 		}
+		if (callerAddress.equals(http2Address) || peerAddress.equals(http2Address)) {
+			throw new IllegalArgumentException("http2Address " + http2Address
+					+ " is also the address for callers or peers; give it a port of its own");
+		}
 		if (entryListTtl.isNegative() || entryListTtl.isZero()) {
 			throw new IllegalArgumentException("entryListTtl is not positive; use at least 1 ms");
 		}
--- a/bilberryvalve-config/src/main/java/io/bilberryvalve/config/SettingsFile.java
+++ b/bilberryvalve-config/src/main/java/io/bilberryvalve/config/SettingsFile.java
@@ -26,6 +26,7 @@
  *   "federationSecretFile": "federation.secret",
  *   "bootstrapOperatorDigest": "<SHA-256 of the first operator's key>", // optional, as all below
  *   "entryListTtlMillis": 5000,
+ *   "http2Address": "127.0.0.1:8201",
  *   "seedPeers": ["127.0.0.1:8102"],
  *   "limits": {"teamQueue": 256, "storeTimeoutMillis": 2000}
  * }
@@ -89,6 +90,7 @@
 		Value<RegionId> region = fields.text("region", RegionId::new);
 		Value<DataCentreId> dataCentre = fields.text("dataCentre", DataCentreId::new);
 		Value<Address> callers = fields.text("callerAddress", Address::parse);
+		Value<Optional<Address>> http2 = fields.optionalText("http2Address", Address::parse);
 		Value<Address> peers = fields.text("peerAddress", Address::parse);
 		Value<DaemonSettings.Platform> platform = fields.object("platform", SettingsFile::platform);
 		Value<Path> secret = fields.text("federationSecretFile", (path) -> resolve(directory, path));
@@ -98,9 +100,9 @@
 				new ArrayList<>());
 		Value<DaemonLimits> limits = fields.optional("limits", (key) -> fields.object(key, SettingsFile::limits),
 				DEFAULTS);
-		return fields
-			.build(() -> new DaemonSettings(vm.get(), region.get(), dataCentre.get(), callers.get(), peers.get(),
-					platform.get(), secret.get(), digest.get().orElse(null), ttl.get(), seeds.get(), limits.get()));
+		return fields.build(() -> new DaemonSettings(vm.get(), region.get(), dataCentre.get(), callers.get(),
+				http2.get().orElse(null), peers.get(), platform.get(), secret.get(), digest.get().orElse(null),
+				ttl.get(), seeds.get(), limits.get()));
 	}
 
 	private static Value<DaemonSettings.Platform> platform(Fields fields) {
--- a/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/Daemon.java
+++ b/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/Daemon.java
@@ -51,6 +51,7 @@
 import io.bilberryvalve.policy.lease.LeaseTimes;
 import io.bilberryvalve.policy.rollout.RefreshSchedule;
 import io.bilberryvalve.wire.FederationSecret;
+import org.jspecify.annotations.Nullable;
 
 /**
  * An entry daemon: creates its parts, connects them and stops them in order.
@@ -108,6 +109,8 @@
 
 	private final EntryServer server;
 
+	private final @Nullable EntryServer http2Server;
+
 	private Daemon(DaemonSettings settings) throws Exception {
 		this.settings = settings;
 		this.platform = PlatformClients.connect(settings);
@@ -127,9 +130,9 @@
 		orders();
 		Credentials credentials = new Credentials(this.configuration, bootstrapPrincipals(settings));
 		Router router = new Router(routes(parser, timer), credentials, this.lifecycle, this.metrics, this.clock);
-		Address address = settings.callerAddress();
-		this.server = EntryServer.start(new InetSocketAddress(address.host(), address.port()), router,
-				settings.limits());
+		this.server = EntryServer.start(socket(settings.callerAddress()), router, settings.limits());
+		this.http2Server = (settings.http2Address() != null)
+				? EntryServer.startHttp2(socket(settings.http2Address()), router, settings.limits()) : null;
 	}
 
 	/**
@@ -199,6 +202,9 @@
 		this.requests.close();
 		try {
 			this.server.close();
+			if (this.http2Server != null) {
+				this.http2Server.close();
+			}
 		}
 		catch (Exception ex) {
 			LogEvent.of("server-close-failed").with("cause", ex).log(LOGGER, System.Logger.Level.WARNING);
@@ -260,6 +266,10 @@
 		return routes;
 	}
 
+	private static InetSocketAddress socket(Address address) {
+		return new InetSocketAddress(address.host(), address.port());
+	}
+
 	private static Map<String, Principal> bootstrapPrincipals(DaemonSettings settings) {
 		Map<String, Principal> principals = new HashMap<>();
 		if (settings.bootstrapOperatorDigest() != null) {
--- a/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/http/Router.java
+++ b/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/http/Router.java
@@ -116,7 +116,9 @@
 
 	private StreamingHttpResponse closeIfLeaving(StreamingHttpResponse response) {
 		ServingState state = this.lifecycle.state();
-		if (state == ServingState.LEAVING || state == ServingState.DRAINING) {
+		// HTTP/2 has no such header; its connections end with the server.
+		boolean http1 = response.version().major() == 1;
+		if (http1 && (state == ServingState.LEAVING || state == ServingState.DRAINING)) {
 			response.headers().set("connection", "close");
 		}
 		return response;
--- a/bilberryvalve-daemon/src/test/java/io/bilberryvalve/daemon/http/RouterTests.java
+++ b/bilberryvalve-daemon/src/test/java/io/bilberryvalve/daemon/http/RouterTests.java
@@ -39,8 +39,11 @@
 import io.servicetalk.concurrent.api.Publisher;
 import io.servicetalk.concurrent.api.Single;
 import io.servicetalk.concurrent.api.SourceAdapters;
+import io.servicetalk.http.api.BlockingHttpClient;
 import io.servicetalk.http.api.HttpRequestMethod;
 import io.servicetalk.http.api.StreamingHttpResponse;
+import io.servicetalk.http.netty.HttpClients;
+import io.servicetalk.http.netty.HttpProtocolConfigs;
 import net.jqwik.api.Example;
 import net.jqwik.api.lifecycle.AfterTry;
 import net.jqwik.api.lifecycle.BeforeTry;
@@ -199,6 +202,29 @@
 		});
 	}
 
+	// Guards against a header that HTTP/2 forbids in the answer of a leaving entry.
+	@Example
+	void answersOverHttp2WhileLeaving() throws Exception {
+		Router router = new Router(
+				List.of(Route.of(HttpRequestMethod.POST, "/v1/echo", Access.CALLER, true, this::echo)),
+				new Credentials(this.configuration, Map.of()), this.lifecycle, (route, status, elapsed) -> {
+				}, new ManualClock());
+		this.lifecycle.advance(ServingState.LEAVING);
+		InetSocketAddress free = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
+		try (EntryServer http2 = EntryServer.startHttp2(free, router, DaemonLimits.defaults());
+				BlockingHttpClient caller = HttpClients.forResolvedAddress(http2.address())
+					.protocols(HttpProtocolConfigs.h2Default())
+					.buildBlocking()) {
+			io.servicetalk.http.api.HttpRequest request = caller.post("/v1/echo");
+			request.headers().set("authorization", "Bearer caller-key");
+			request.payloadBody(BufferAllocators.DEFAULT_ALLOCATOR.fromUtf8("hello"));
+			io.servicetalk.http.api.HttpResponse response = caller.request(request);
+			assertThat(response.status().code()).isEqualTo(200);
+			assertThat(response.version().major()).isEqualTo(2);
+			assertThat(response.payloadBody().toString(StandardCharsets.UTF_8)).isEqualTo("hello");
+		}
+	}
+
 	private void awaitIdle() {
 		long end = System.nanoTime() + Duration.ofSeconds(5).toNanos();
 		while (this.lifecycle.active() > 0 && System.nanoTime() < end) {
