--- a/bilberryvalve-daemon/src/test/java/io/bilberryvalve/daemon/order/LeaseSimulation.java
+++ b/bilberryvalve-daemon/src/test/java/io/bilberryvalve/daemon/order/LeaseSimulation.java
@@ -13,6 +13,7 @@
 import io.bilberryvalve.model.ModelId;
 import io.bilberryvalve.model.RegionId;
 import io.bilberryvalve.model.clock.ManualClock;
+import io.bilberryvalve.platform.lease.LeaseKeeper;
 import io.bilberryvalve.platform.memory.MemoryTables;
 import io.bilberryvalve.policy.lease.LeaseHolder;
 import io.bilberryvalve.policy.lease.LeaseScope;
@@ -96,7 +97,7 @@
 			Duration offset = Duration.ofSeconds(random.nextInt(100_000));
 			this.own = new OffsetClock(LeaseSimulation.this.clock, offset);
 			LeaseScope scope = new LeaseScope(new ModelId("m"), new RegionId("south"));
-			this.keeper = new LeaseKeeper(scope, new LeaseHolder(name, TIMES, this.own, random),
+			this.keeper = new LeaseKeeper(scope.toString(), new LeaseHolder(name, TIMES, this.own, random),
 					this.process.connect(LeaseSimulation.this.tables));
 		}
 
--- a/bilberryvalve-daemon/src/test/java/io/bilberryvalve/daemon/order/OrderServiceTests.java
+++ b/bilberryvalve-daemon/src/test/java/io/bilberryvalve/daemon/order/OrderServiceTests.java
@@ -22,6 +22,7 @@
 import io.bilberryvalve.model.RunnerId;
 import io.bilberryvalve.model.VmId;
 import io.bilberryvalve.model.clock.ManualClock;
+import io.bilberryvalve.platform.lease.LeaseKeeper;
 import io.bilberryvalve.platform.memory.Fault;
 import io.bilberryvalve.platform.memory.MemoryTables;
 import io.bilberryvalve.policy.lease.LeaseTimes;
--- /dev/null
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/fleet/LoadBook.java
@@ -0,0 +1,174 @@
+package io.bilberryvalve.gateway.fleet;
+
+import java.time.Clock;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+
+import io.bilberryvalve.model.RunnerId;
+import io.bilberryvalve.policy.path.PathLoads;
+import io.bilberryvalve.policy.path.RequestSize;
+
+/**
+ * Requests in progress at runners: those of this daemon, and those that other daemons
+ * reported. Safe for use by several threads.
+ */
+public final class LoadBook implements PathLoads {
+
+	/** A daemon that stopped reporting for this time no longer counts. */
+	private static final Duration REPORT_LIFETIME = Duration.ofSeconds(2);
+
+	private final Clock clock;
+
+	private final Map<RunnerId, Usage> own = new HashMap<>();
+
+	private final Map<String, Report> reports = new ConcurrentHashMap<>();
+
+	private Map<RunnerId, Usage> others = Map.of();
+
+	/**
+	 * Creates an empty book.
+	 * @param clock monotonic clock
+	 */
+	public LoadBook(Clock clock) {
+		this.clock = clock;
+	}
+
+	/**
+	 * Adds a request.
+	 * @param runners the runners that it passes, in order
+	 * @param size its size
+	 */
+	public synchronized void add(List<RunnerId> runners, RequestSize size) {
+		boolean first = true;
+		for (RunnerId runner : runners) {
+			change(runner, new Usage(1, size.tokens(), first ? 1 : 0, size.prompt()));
+			first = false;
+		}
+	}
+
+	/**
+	 * The prompt of a request has been read.
+	 * @param runners the runners that it passes
+	 * @param size its size
+	 */
+	public synchronized void read(List<RunnerId> runners, RequestSize size) {
+		runners.forEach((runner) -> change(runner, new Usage(0, 0, 0, -size.prompt())));
+	}
+
+	/**
+	 * Removes a request.
+	 * @param runners the runners that it passed, in order
+	 * @param size its size
+	 * @param read whether its prompt had been read
+	 */
+	public synchronized void remove(List<RunnerId> runners, RequestSize size, boolean read) {
+		boolean first = true;
+		for (RunnerId runner : runners) {
+			change(runner, new Usage(-1, -size.tokens(), first ? -1 : 0, read ? 0 : -size.prompt()));
+			first = false;
+		}
+	}
+
+	private void change(RunnerId runner, Usage change) {
+		Usage usage = this.own.getOrDefault(runner, Usage.NONE).plus(change);
+		if (usage.running() == 0) {
+			this.own.remove(runner);
+		}
+		else {
+			this.own.put(runner, usage);
+		}
+	}
+
+	/**
+	 * Returns the load of this daemon's requests.
+	 * @return usage by runner, only those in use
+	 */
+	public synchronized Map<RunnerId, Usage> own() {
+		return Map.copyOf(this.own);
+	}
+
+	/**
+	 * Takes the report of another daemon.
+	 * @param daemon name of the daemon
+	 * @param usage its usage by runner
+	 */
+	public synchronized void report(String daemon, Map<RunnerId, Usage> usage) {
+		this.reports.put(daemon, new Report(this.clock.millis(), usage));
+		sumOthers();
+	}
+
+	/**
+	 * Drops reports that are too old. Call it a few times a second.
+	 */
+	public synchronized void expire() {
+		long oldest = this.clock.millis() - REPORT_LIFETIME.toMillis();
+		if (this.reports.values().removeIf((report) -> report.millis < oldest)) {
+			sumOthers();
+		}
+	}
+
+	private void sumOthers() {
+		Map<RunnerId, Usage> sum = new HashMap<>();
+		for (Report report : this.reports.values()) {
+			report.usage.forEach((runner, usage) -> sum.merge(runner, usage, Usage::plus));
+		}
+		this.others = sum;
+	}
+
+	private synchronized Usage usage(RunnerId runner) {
+		return this.own.getOrDefault(runner, Usage.NONE).plus(this.others.getOrDefault(runner, Usage.NONE));
+	}
+
+	@Override
+	public int running(RunnerId runner) {
+		return usage(runner).running();
+	}
+
+	@Override
+	public int tokens(RunnerId runner) {
+		return usage(runner).tokens();
+	}
+
+	@Override
+	public int entered(RunnerId runner) {
+		return usage(runner).entered();
+	}
+
+	@Override
+	public int unread(RunnerId runner) {
+		return usage(runner).unread();
+	}
+
+	/**
+	 * Requests in progress at a runner.
+	 *
+	 * @param running requests that pass it
+	 * @param tokens their tokens with the expected answers
+	 * @param entered requests that it received as the first of their path
+	 * @param unread prompt tokens not read yet
+	 */
+	public record Usage(int running, int tokens, int entered, int unread) {
+
+		/** No request. */
+		public static final Usage NONE = new Usage(0, 0, 0, 0);
+
+		/**
+		 * Adds.
+		 * @param other another usage
+		 * @return the sum
+		 */
+		public Usage plus(Usage other) {
+			return new Usage(this.running + other.running, this.tokens + other.tokens, this.entered + other.entered,
+					this.unread + other.unread);
+		}
+
+	}
+
+	private record Report(long millis, Map<RunnerId, Usage> usage) {
+
+	}
+
+}
--- /dev/null
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/http/CallerConnection.java
@@ -0,0 +1,140 @@
+package io.bilberryvalve.gateway.http;
+
+import java.time.Clock;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.function.Consumer;
+
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.handler.codec.TooLongFrameException;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.util.ReferenceCountUtil;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * A connection of a caller. It answers one request at a time; pipelined requests wait.
+ */
+final class CallerConnection extends ChannelInboundHandlerAdapter {
+
+	/** Pipelined requests that may wait before the connection is read no further. */
+	private static final int MAX_PIPELINED = 8;
+
+	private final CallerServer server;
+
+	private final Consumer<CallerExchange> handler;
+
+	private final Clock clock;
+
+	private final Deque<FullHttpRequest> waiting = new ArrayDeque<>();
+
+	private @Nullable ChannelHandlerContext context;
+
+	private @Nullable CallerExchange current;
+
+	private long idleSince;
+
+	private boolean closed;
+
+	CallerConnection(CallerServer server, Consumer<CallerExchange> handler, Clock clock) {
+		this.server = server;
+		this.handler = handler;
+		this.clock = clock;
+		this.idleSince = clock.millis();
+	}
+
+	boolean closing() {
+		return this.server.leaving();
+	}
+
+	@Override
+	public void handlerAdded(ChannelHandlerContext added) {
+		this.context = added;
+	}
+
+	@Override
+	public void channelRead(ChannelHandlerContext own, Object message) {
+		if (this.closed || !(message instanceof FullHttpRequest request)) {
+			ReferenceCountUtil.release(message);
+			return;
+		}
+		if (this.current != null) {
+			this.waiting.addLast(request);
+			if (this.waiting.size() >= MAX_PIPELINED) {
+				own.channel().config().setAutoRead(false);
+			}
+			return;
+		}
+		start(own, request);
+	}
+
+	private void start(ChannelHandlerContext own, FullHttpRequest request) {
+		CallerExchange exchange = new CallerExchange(this, own, request);
+		this.current = exchange;
+		if (request.decoderResult().isFailure()) {
+			boolean tooLong = request.decoderResult().cause() instanceof TooLongFrameException;
+			HttpResponseStatus status = tooLong ? HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE
+					: HttpResponseStatus.BAD_REQUEST;
+			this.closed = true;
+			exchange.respond(status, new DefaultHttpHeaders(), "the request is not valid HTTP");
+			own.close();
+			return;
+		}
+		this.handler.accept(exchange);
+	}
+
+	void exchangeEnded(boolean keep) {
+		this.current = null;
+		this.idleSince = this.clock.millis();
+		ChannelHandlerContext own = this.context;
+		if (!keep) {
+			this.closed = true;
+		}
+		else if (own != null) {
+			FullHttpRequest next = this.waiting.pollFirst();
+			own.channel().config().setAutoRead(true);
+			if (next != null) {
+				own.executor().execute(() -> start(own, next));
+			}
+		}
+	}
+
+	/**
+	 * Closes the connection if it has been idle for some time.
+	 * @param millis least idle time
+	 */
+	void closeIdle(long millis) {
+		ChannelHandlerContext own = this.context;
+		if (this.current == null && own != null && this.clock.millis() - this.idleSince >= millis) {
+			own.close();
+		}
+	}
+
+	@Override
+	public void channelWritabilityChanged(ChannelHandlerContext own) {
+		CallerExchange exchange = this.current;
+		if (exchange != null) {
+			exchange.writabilityChanged();
+		}
+		own.fireChannelWritabilityChanged();
+	}
+
+	@Override
+	public void channelInactive(ChannelHandlerContext own) {
+		this.closed = true;
+		this.waiting.forEach(ReferenceCountUtil::release);
+		this.waiting.clear();
+		CallerExchange exchange = this.current;
+		if (exchange != null) {
+			exchange.gone();
+		}
+	}
+
+	@Override
+	public void exceptionCaught(ChannelHandlerContext own, Throwable cause) {
+		own.close();
+	}
+
+}
--- /dev/null
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/http/CallerExchange.java
@@ -0,0 +1,214 @@
+package io.bilberryvalve.gateway.http;
+
+import java.nio.charset.StandardCharsets;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.DefaultHttpContent;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
+
+/**
+ * One request of a caller and its response. Used on the event loop of the connection
+ * only.
+ */
+public final class CallerExchange {
+
+	private static final Runnable NOTHING = () -> {
+	};
+
+	private final CallerConnection connection;
+
+	private final ChannelHandlerContext context;
+
+	private final FullHttpRequest request;
+
+	private final boolean keepAlive;
+
+	private Runnable onGone = NOTHING;
+
+	private Runnable onWritable = NOTHING;
+
+	private boolean started;
+
+	private boolean ended;
+
+	CallerExchange(CallerConnection connection, ChannelHandlerContext context, FullHttpRequest request) {
+		this.connection = connection;
+		this.context = context;
+		this.request = request;
+		this.keepAlive = HttpUtil.isKeepAlive(request);
+	}
+
+	/**
+	 * Returns the request.
+	 * @return the whole request; it is released when the exchange ends
+	 */
+	public FullHttpRequest request() {
+		return this.request;
+	}
+
+	/**
+	 * Returns the context of the connection.
+	 * @return its context, for the event loop and the address
+	 */
+	public ChannelHandlerContext context() {
+		return this.context;
+	}
+
+	/**
+	 * Sets what to do when the caller closes the connection before the end.
+	 * @param action the action
+	 */
+	public void onGone(Runnable action) {
+		this.onGone = action;
+	}
+
+	/**
+	 * Sets what to do when the connection accepts or no longer accepts data.
+	 * @param action the action
+	 */
+	public void onWritabilityChanged(Runnable action) {
+		this.onWritable = action;
+	}
+
+	/**
+	 * Tells whether the connection accepts more data now.
+	 * @return whether data would not pile up
+	 */
+	public boolean writable() {
+		return this.context.channel().isWritable();
+	}
+
+	/**
+	 * Tells whether the head of the response was sent.
+	 * @return whether it was sent
+	 */
+	public boolean started() {
+		return this.started;
+	}
+
+	/**
+	 * Sends a complete response.
+	 * @param status the status
+	 * @param headers headers without framing
+	 * @param body the body; this exchange takes it over
+	 */
+	public void respond(HttpResponseStatus status, HttpHeaders headers, ByteBuf body) {
+		if (this.ended) {
+			body.release();
+			return;
+		}
+		FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, body);
+		response.headers().set(headers);
+		response.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes());
+		boolean keep = prepare(response);
+		this.started = true;
+		finish(this.context.writeAndFlush(response), keep);
+	}
+
+	/**
+	 * Sends a short text as the complete response.
+	 * @param status the status
+	 * @param headers headers without framing
+	 * @param text the text
+	 */
+	public void respond(HttpResponseStatus status, HttpHeaders headers, String text) {
+		respond(status, headers, Unpooled.copiedBuffer(text, StandardCharsets.UTF_8));
+	}
+
+	/**
+	 * Sends the head of a response whose body follows in parts.
+	 * @param response status and headers without framing
+	 */
+	public void start(HttpResponse response) {
+		this.started = true;
+		response.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
+		prepare(response);
+		this.context.write(response);
+	}
+
+	/**
+	 * Sends a part of the body.
+	 * @param content the bytes; this exchange takes them over
+	 */
+	public void write(ByteBuf content) {
+		if (this.ended) {
+			content.release();
+		}
+		else {
+			this.context.write(new DefaultHttpContent(content));
+		}
+	}
+
+	/**
+	 * Hands written parts to the network.
+	 */
+	public void flush() {
+		this.context.flush();
+	}
+
+	/**
+	 * Ends a response that was sent in parts.
+	 */
+	public void end() {
+		if (!this.ended) {
+			finish(this.context.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT), keeps());
+		}
+	}
+
+	/**
+	 * Closes the connection, so that the response does not look complete.
+	 */
+	public void abort() {
+		if (!this.ended) {
+			finish(this.context.newSucceededFuture(), false);
+		}
+	}
+
+	private boolean keeps() {
+		return this.keepAlive && !this.connection.closing();
+	}
+
+	private boolean prepare(HttpResponse response) {
+		boolean keep = keeps();
+		HttpUtil.setKeepAlive(response, keep);
+		return keep;
+	}
+
+	private void finish(ChannelFuture written, boolean keep) {
+		this.ended = true;
+		this.request.release();
+		if (!keep) {
+			written.addListener(ChannelFutureListener.CLOSE);
+		}
+		this.connection.exchangeEnded(keep);
+	}
+
+	void gone() {
+		if (!this.ended) {
+			this.ended = true;
+			this.onGone.run();
+			this.request.release();
+		}
+	}
+
+	void writabilityChanged() {
+		if (!this.ended) {
+			this.onWritable.run();
+		}
+	}
+
+}
--- /dev/null
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/http/CallerServer.java
@@ -0,0 +1,116 @@
+package io.bilberryvalve.gateway.http;
+
+import java.time.Clock;
+import java.time.Duration;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+
+import io.bilberryvalve.gateway.route.CallerLimits;
+import io.bilberryvalve.model.Address;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInitializer;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpServerCodec;
+
+/**
+ * Accepts HTTP requests at one address.
+ */
+public final class CallerServer {
+
+	private static final int MAX_LINE_BYTES = 8192;
+
+	private static final int MAX_CHUNK_BYTES = 65536;
+
+	/** Time beyond the declared idle time, so that a request on its way is not cut. */
+	private static final Duration IDLE_MARGIN = Duration.ofSeconds(2);
+
+	private static final long SWEEP_MILLIS = 1000;
+
+	private final Transport transport;
+
+	private final Supplier<CallerLimits> limits;
+
+	private final Consumer<CallerExchange> handler;
+
+	private final Clock clock;
+
+	private final Map<Channel, CallerConnection> connections = new ConcurrentHashMap<>();
+
+	private volatile boolean leaving;
+
+	/**
+	 * Creates a server.
+	 * @param transport its event loops
+	 * @param limits limits for new connections
+	 * @param clock monotonic clock
+	 * @param handler handles each request on the event loop of its connection
+	 */
+	public CallerServer(Transport transport, Supplier<CallerLimits> limits, Clock clock,
+			Consumer<CallerExchange> handler) {
+		this.transport = transport;
+		this.limits = limits;
+		this.handler = handler;
+		this.clock = clock;
+	}
+
+	/**
+	 * Starts to accept connections.
+	 * @param address where to listen
+	 * @throws IllegalStateException if the address cannot be used
+	 */
+	public void listen(Address address) {
+		ChannelFuture bound = this.transport.server().childHandler(new ChannelInitializer<Channel>() {
+
+			@Override
+			protected void initChannel(Channel channel) {
+				accept(channel);
+			}
+
+		}).bind(address.host(), address.port()).awaitUninterruptibly();
+		if (!bound.isSuccess()) {
+			throw new IllegalStateException("cannot listen on " + address + "; check that the address is free",
+					bound.cause());
+		}
+		this.transport.next()
+			.scheduleWithFixedDelay(this::closeIdle, SWEEP_MILLIS, SWEEP_MILLIS, TimeUnit.MILLISECONDS);
+	}
+
+	private void accept(Channel channel) {
+		CallerLimits now = this.limits.get();
+		CallerConnection connection = new CallerConnection(this, this.handler, this.clock);
+		this.connections.put(channel, connection);
+		channel.closeFuture().addListener((done) -> this.connections.remove(channel));
+		channel.pipeline()
+			.addLast(new HttpServerCodec(MAX_LINE_BYTES, now.headerBytes(), MAX_CHUNK_BYTES),
+					new HttpObjectAggregator(now.bodyBytes(), true), connection);
+	}
+
+	private void closeIdle() {
+		long millis = this.limits.get().idleTimeout().plus(IDLE_MARGIN).toMillis();
+		this.connections
+			.forEach((channel, connection) -> channel.eventLoop().execute(() -> connection.closeIdle(millis)));
+	}
+
+	/**
+	 * Closes connections without a request.
+	 */
+	public void closeUnused() {
+		this.connections.forEach((channel, connection) -> channel.eventLoop().execute(() -> connection.closeIdle(0)));
+	}
+
+	/**
+	 * Announces the end of each connection with its next response.
+	 */
+	public void leave() {
+		this.leaving = true;
+	}
+
+	boolean leaving() {
+		return this.leaving;
+	}
+
+}
--- /dev/null
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/http/Dialect.java
@@ -0,0 +1,35 @@
+package io.bilberryvalve.gateway.http;
+
+import java.util.Set;
+
+/**
+ * Header names that callers and runners of a deployment use.
+ *
+ * @param attempt identifies one attempt of a caller; runners repeat it in their responses
+ * @param deadline milliseconds that the caller waits
+ * @param key API key of the caller
+ * @param team team of the caller, for the runner
+ * @param expectedRunner runner that may run the request
+ * @param path runners that the request passes
+ * @param urgency rank of the request at the runner
+ * @param tokens number of prompt tokens and largest number of answer tokens
+ * @param answerHint expected number of answer tokens
+ * @param lastEvent last event that the caller received
+ * @param seal signature of a runner under its response
+ * @param notRun states that a runner has not run the request
+ * @param faultyRunner address of the runner that caused a failure
+ * @param expectedVersion version of the weights that may run the request
+ */
+public record Dialect(String attempt, String deadline, String key, String team, String expectedRunner, String path,
+		String urgency, String tokens, String answerHint, String lastEvent, String seal, String notRun,
+		String faultyRunner, String expectedVersion) {
+
+	/**
+	 * Returns the headers that only the router may set at a runner.
+	 * @return header names
+	 */
+	public Set<String> ownHeaders() {
+		return Set.of(this.deadline, this.key, this.team, this.expectedRunner, this.path, this.urgency);
+	}
+
+}
--- /dev/null
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/http/HttpCaller.java
@@ -0,0 +1,114 @@
+package io.bilberryvalve.gateway.http;
+
+import java.io.ByteArrayOutputStream;
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+
+import io.bilberryvalve.model.Address;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.util.concurrent.ScheduledFuture;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Makes short calls whose whole response is kept in memory. Safe for use by several
+ * threads.
+ */
+public final class HttpCaller {
+
+	private static final int MAX_BODY_BYTES = 16 << 20;
+
+	private final UpstreamPool pool;
+
+	/**
+	 * Creates a caller.
+	 * @param pool its connections
+	 */
+	public HttpCaller(UpstreamPool pool) {
+		this.pool = pool;
+	}
+
+	/**
+	 * Makes a call.
+	 * @param address where to
+	 * @param method the method
+	 * @param target the request target
+	 * @param body the body, empty for none
+	 * @param contentType media type of the body, or {@code null} without body
+	 * @param timeout longest time until the complete response
+	 * @return the reply; the future never fails
+	 */
+	public CompletableFuture<HttpReply> call(Address address, HttpMethod method, String target, byte[] body,
+			@Nullable String contentType, Duration timeout) {
+		HttpHeaders headers = new DefaultHttpHeaders().set(HttpHeaderNames.HOST, address.toString());
+		if (contentType != null) {
+			headers.set(HttpHeaderNames.CONTENT_TYPE, contentType);
+		}
+		if (body.length > 0 || method != HttpMethod.GET) {
+			headers.set(HttpHeaderNames.CONTENT_LENGTH, body.length);
+		}
+		Collector collector = new Collector();
+		UpstreamCall call = new UpstreamCall(method, target, headers, Unpooled.wrappedBuffer(body), false, null,
+				collector);
+		this.pool.loop().execute(() -> {
+			ScheduledFuture<?> timer = this.pool.loop().schedule(() -> {
+				call.cancel();
+				collector.failed(true, "no answer within " + timeout.toMillis() + " ms");
+			}, timeout.toMillis(), TimeUnit.MILLISECONDS);
+			collector.result.whenComplete((reply, failure) -> timer.cancel(false));
+			this.pool.send(address, call);
+		});
+		return collector.result;
+	}
+
+	private static final class Collector implements UpstreamListener {
+
+		private final CompletableFuture<HttpReply> result = new CompletableFuture<>();
+
+		private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+
+		private @Nullable HttpResponse head;
+
+		@Override
+		public void head(HttpResponse response) {
+			this.head = response;
+		}
+
+		@Override
+		public void content(ByteBuf content) {
+			if (this.body.size() + content.readableBytes() <= MAX_BODY_BYTES) {
+				byte[] bytes = new byte[content.readableBytes()];
+				content.readBytes(bytes);
+				this.body.writeBytes(bytes);
+			}
+			else {
+				failed(true, "response exceeds " + MAX_BODY_BYTES + " bytes");
+			}
+		}
+
+		@Override
+		public void end() {
+			HttpResponse response = this.head;
+			if (response != null) {
+				this.result.complete(
+						new HttpReply.Answer(response.status().code(), response.headers(), this.body.toByteArray()));
+			}
+			else {
+				failed(true, "response without head");
+			}
+		}
+
+		@Override
+		public void failed(boolean sent, String reason) {
+			this.result.complete(new HttpReply.Failed(sent, reason));
+		}
+
+	}
+
+}
--- /dev/null
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/http/Transport.java
@@ -0,0 +1,110 @@
+package io.bilberryvalve.gateway.http;
+
+import java.util.concurrent.TimeUnit;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.epoll.Epoll;
+import io.netty.channel.epoll.EpollChannelOption;
+import io.netty.channel.epoll.EpollDatagramChannel;
+import io.netty.channel.epoll.EpollEventLoopGroup;
+import io.netty.channel.epoll.EpollServerSocketChannel;
+import io.netty.channel.epoll.EpollSocketChannel;
+import io.netty.channel.nio.NioEventLoopGroup;
+import io.netty.channel.socket.nio.NioDatagramChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.util.concurrent.DefaultThreadFactory;
+
+/**
+ * Event loops and socket options. With the native transport, connections whose other side
+ * has gone silent are closed by keep-alive probes and a limit on unacknowledged data.
+ */
+public final class Transport implements AutoCloseable {
+
+	/**
+	 * Long enough for a lost opening packet on a local network, short against a deadline.
+	 */
+	private static final int CONNECT_TIMEOUT_MILLIS = 500;
+
+	/** Idle time before the first probe, and time between probes. */
+	private static final int PROBE_SECONDS = 1;
+
+	private static final int PROBES = 2;
+
+	/** Unacknowledged data closes the connection about when the probes would. */
+	private static final int UNACKNOWLEDGED_MILLIS = 3000;
+
+	/** Callers reconnect all at once after a restart. */
+	private static final int BACKLOG = 1024;
+
+	private final boolean epoll = Epoll.isAvailable();
+
+	private final EventLoopGroup loops;
+
+	/**
+	 * Creates event loops.
+	 * @param threads number of threads
+	 */
+	public Transport(int threads) {
+		DefaultThreadFactory factory = new DefaultThreadFactory("gateway", true);
+		this.loops = this.epoll ? new EpollEventLoopGroup(threads, factory) : new NioEventLoopGroup(threads, factory);
+	}
+
+	/**
+	 * Returns the next event loop.
+	 * @return an event loop, in turn
+	 */
+	public EventLoop next() {
+		return (EventLoop) this.loops.next();
+	}
+
+	/**
+	 * Tells whether the native transport is in use.
+	 * @return whether silent connections are detected by the operating system
+	 */
+	public boolean probesConnections() {
+		return this.epoll;
+	}
+
+	ServerBootstrap server() {
+		return new ServerBootstrap().group(this.loops)
+			.channel(this.epoll ? EpollServerSocketChannel.class : NioServerSocketChannel.class)
+			.option(ChannelOption.SO_REUSEADDR, true)
+			.option(ChannelOption.SO_BACKLOG, BACKLOG)
+			.childOption(ChannelOption.TCP_NODELAY, true);
+	}
+
+	Bootstrap client(EventLoop loop) {
+		Bootstrap bootstrap = new Bootstrap().group(loop)
+			.channel(this.epoll ? EpollSocketChannel.class : NioSocketChannel.class)
+			.option(ChannelOption.TCP_NODELAY, true)
+			.option(ChannelOption.SO_KEEPALIVE, true)
+			.option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS);
+		if (this.epoll) {
+			bootstrap.option(EpollChannelOption.TCP_KEEPIDLE, PROBE_SECONDS)
+				.option(EpollChannelOption.TCP_KEEPINTVL, PROBE_SECONDS)
+				.option(EpollChannelOption.TCP_KEEPCNT, PROBES)
+				.option(EpollChannelOption.TCP_USER_TIMEOUT, UNACKNOWLEDGED_MILLIS);
+		}
+		return bootstrap;
+	}
+
+	/**
+	 * Prepares a datagram socket.
+	 * @return a bootstrap without handler
+	 */
+	public Bootstrap datagrams() {
+		return new Bootstrap().group(this.loops)
+			.channel(this.epoll ? EpollDatagramChannel.class : NioDatagramChannel.class);
+	}
+
+	@Override
+	public void close() {
+		this.loops.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+	}
+
+}
--- /dev/null
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/http/UpstreamListener.java
@@ -0,0 +1,42 @@
+package io.bilberryvalve.gateway.http;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.handler.codec.http.HttpResponse;
+
+/**
+ * Receives the response to one request. All methods are called on the event loop of the
+ * connection; after {@link #end} or {@link #failed} none is called.
+ */
+public interface UpstreamListener {
+
+	/**
+	 * The head of the response arrived.
+	 * @param head status and headers
+	 */
+	void head(HttpResponse head);
+
+	/**
+	 * A part of the body arrived.
+	 * @param content the bytes, valid during the call only
+	 */
+	void content(ByteBuf content);
+
+	/**
+	 * Everything that has been received so far was passed on.
+	 */
+	default void readComplete() {
+	}
+
+	/**
+	 * The response is complete.
+	 */
+	void end();
+
+	/**
+	 * The response will not become complete.
+	 * @param sent whether the request may have reached the runner
+	 * @param reason what happened
+	 */
+	void failed(boolean sent, String reason);
+
+}
--- /dev/null
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/http/UpstreamPool.java
@@ -0,0 +1,157 @@
+package io.bilberryvalve.gateway.http;
+
+import java.time.Clock;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+import io.bilberryvalve.model.Address;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.EventLoop;
+import io.netty.handler.codec.http.HttpMessage;
+import io.netty.handler.codec.http.HttpRequestEncoder;
+import io.netty.handler.codec.http.HttpResponseDecoder;
+
+/**
+ * Connections of one event loop to runners. Not safe for use outside that loop.
+ */
+public final class UpstreamPool {
+
+	private static final int MAX_LINE_BYTES = 8192;
+
+	private static final int MAX_HEADER_BYTES = 32768;
+
+	private static final int MAX_CHUNK_BYTES = 65536;
+
+	/** Idle connections kept to one address. */
+	private static final int MAX_IDLE = 16;
+
+	private final Transport transport;
+
+	private final EventLoop loop;
+
+	private final Clock clock;
+
+	private final Map<String, Deque<UpstreamConnection>> idle = new HashMap<>();
+
+	/**
+	 * Creates a pool without connections.
+	 * @param transport opens connections
+	 * @param loop the event loop
+	 * @param clock monotonic clock
+	 */
+	public UpstreamPool(Transport transport, EventLoop loop, Clock clock) {
+		this.transport = transport;
+		this.loop = loop;
+		this.clock = clock;
+	}
+
+	/**
+	 * Returns the event loop.
+	 * @return the only thread that may use this pool
+	 */
+	public EventLoop loop() {
+		return this.loop;
+	}
+
+	/**
+	 * Sends a request.
+	 * @param address where to
+	 * @param call the request
+	 */
+	public void send(Address address, UpstreamCall call) {
+		String key = address.toString();
+		if (!call.onNewConnection()) {
+			Deque<UpstreamConnection> kept = this.idle.get(key);
+			UpstreamConnection connection = (kept != null) ? kept.pollLast() : null;
+			while (connection != null && kept != null) {
+				if (connection.usableAt(millis())) {
+					connection.send(call);
+					return;
+				}
+				connection.close();
+				connection = kept.pollLast();
+			}
+		}
+		connect(address, key, call);
+	}
+
+	private void connect(Address address, String key, UpstreamCall call) {
+		UpstreamConnection connection = new UpstreamConnection(this, key);
+		boolean headOnly = call.request().method().name().equals("HEAD");
+		ChannelFuture opened = this.transport.client(this.loop).handler(new ChannelInitializer<Channel>() {
+
+			@Override
+			protected void initChannel(Channel channel) {
+				channel.pipeline().addLast(new HttpRequestEncoder(), decoder(headOnly), connection);
+			}
+
+		}).connect(address.host(), address.port());
+		opened.addListener((done) -> {
+			if (call.ended()) {
+				call.request().release();
+				opened.channel().close();
+			}
+			else if (done.isSuccess()) {
+				connection.send(call);
+			}
+			else {
+				call.request().release();
+				call.fail(false, "no connection: " + done.cause().getMessage());
+			}
+		});
+	}
+
+	private static HttpResponseDecoder decoder(boolean headOnly) {
+		return new HttpResponseDecoder(MAX_LINE_BYTES, MAX_HEADER_BYTES, MAX_CHUNK_BYTES) {
+
+			@Override
+			protected boolean isContentAlwaysEmpty(HttpMessage message) {
+				return headOnly || super.isContentAlwaysEmpty(message);
+			}
+
+		};
+	}
+
+	long millis() {
+		return this.clock.millis();
+	}
+
+	void keep(UpstreamConnection connection) {
+		Deque<UpstreamConnection> kept = this.idle.computeIfAbsent(connection.key(), (key) -> new ArrayDeque<>());
+		kept.addLast(connection);
+		if (kept.size() > MAX_IDLE) {
+			kept.removeFirst().close();
+		}
+	}
+
+	void forget(UpstreamConnection connection) {
+		Deque<UpstreamConnection> kept = this.idle.get(connection.key());
+		if (kept != null) {
+			kept.remove(connection);
+			if (kept.isEmpty()) {
+				this.idle.remove(connection.key());
+			}
+		}
+	}
+
+	/**
+	 * Closes connections that have been idle for too long. Call it a few times a second.
+	 */
+	public void sweep() {
+		long now = millis();
+		for (Deque<UpstreamConnection> kept : List.copyOf(this.idle.values())) {
+			for (UpstreamConnection connection : List.copyOf(kept)) {
+				if (!connection.usableAt(now)) {
+					kept.remove(connection);
+					connection.close();
+				}
+			}
+		}
+	}
+
+}
--- /dev/null
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/http/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * HTTP connections to callers and runners.
+ */
+@NullMarked
+package io.bilberryvalve.gateway.http;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/layers/LayerKeeper.java
@@ -0,0 +1,311 @@
+package io.bilberryvalve.gateway.layers;
+
+import java.time.Clock;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import java.util.stream.Collectors;
+
+import io.bilberryvalve.gateway.fleet.FleetBoard;
+import io.bilberryvalve.gateway.fleet.ListedRunner;
+import io.bilberryvalve.gateway.route.RouteTable;
+import io.bilberryvalve.gateway.route.Service;
+import io.bilberryvalve.model.LayerRange;
+import io.bilberryvalve.model.RunnerId;
+import io.bilberryvalve.model.log.LogEvent;
+import io.bilberryvalve.platform.Commit;
+import io.bilberryvalve.platform.Fetched;
+import io.bilberryvalve.platform.Operation;
+import io.bilberryvalve.platform.Row;
+import io.bilberryvalve.platform.TableService;
+import io.bilberryvalve.platform.lease.LeaseKeeper;
+import io.bilberryvalve.policy.lease.LeaseHolder;
+import io.bilberryvalve.policy.placement.Card;
+import io.bilberryvalve.policy.placement.CardKind;
+import io.bilberryvalve.policy.placement.EngineProfile;
+import io.bilberryvalve.policy.placement.LayerAssigner;
+import io.bilberryvalve.policy.placement.LayerTemplate;
+import io.bilberryvalve.policy.placement.TemplateSearch;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Places the layers of models on runners, on the one daemon that holds the lease. The
+ * widths of the ranges are chosen once and kept in the store; everything else follows
+ * from what the runners hold, so that another daemon can continue at any point. Safe for
+ * use by several threads.
+ */
+public final class LayerKeeper {
+
+	private static final System.Logger LOGGER = System.getLogger(LayerKeeper.class.getName());
+
+	private static final String TABLE = "layer-templates";
+
+	/** The list of runners must be unchanged for this time before the first placement. */
+	private static final long SETTLE_MILLIS = 400;
+
+	/** An order without a visible effect is looked into after this time. */
+	private static final long LOOK_AFTER_MILLIS = 2500;
+
+	/** Orders that load at the same time slow each other down by at most this factor. */
+	private static final double LOAD_SLOWDOWN = 7;
+
+	private static final double MILLIS_PER_SECOND = 1000;
+
+	private final FleetBoard board;
+
+	private final LayerOrders orders;
+
+	private final TableService tables;
+
+	private final LeaseKeeper lease;
+
+	private final Clock clock;
+
+	private final Map<RunnerId, Pending> pending = new HashMap<>();
+
+	private final Map<RunnerId, Known> known = new HashMap<>();
+
+	private final Map<String, LayerTemplate> templates = new HashMap<>();
+
+	private int lastSize = -1;
+
+	private long unchangedSince;
+
+	private boolean storing;
+
+	/**
+	 * Creates a keeper.
+	 * @param board the runners
+	 * @param orders sends orders
+	 * @param tables keeps the templates
+	 * @param lease permits one daemon to order
+	 * @param clock monotonic clock
+	 */
+	public LayerKeeper(FleetBoard board, LayerOrders orders, TableService tables, LeaseKeeper lease, Clock clock) {
+		this.board = board;
+		this.orders = orders;
+		this.tables = tables;
+		this.lease = lease;
+		this.clock = clock;
+	}
+
+	/**
+	 * Does what is due. Call it a few times a second.
+	 * @param table the configuration in force
+	 * @param leads whether this daemon should take the lease
+	 */
+	public void tick(RouteTable table, boolean leads) {
+		boolean holds = this.lease.grant().isPresent();
+		this.lease.tick(leads || holds);
+		if (!holds) {
+			return;
+		}
+		for (Service service : table.services()) {
+			EngineProfile engine = service.engine();
+			if (engine != null) {
+				keep(service.name(), engine);
+			}
+		}
+	}
+
+	private synchronized void keep(String service, EngineProfile engine) {
+		List<ListedRunner> runners = this.board.fleet()
+			.of(service)
+			.stream()
+			.filter((runner) -> !runner.leaving() && engine.cards().containsKey(runner.card()))
+			.toList();
+		LayerTemplate template = this.templates.get(service);
+		if (template == null) {
+			load(service, engine, runners);
+			return;
+		}
+		for (LayerAssigner.Assignment assignment : new LayerAssigner(template).assign(cards(runners, engine))) {
+			this.board.fleet()
+				.find(assignment.card().runner())
+				.ifPresent((runner) -> order(runner, assignment.range(), engine));
+		}
+	}
+
+	private List<Card> cards(List<ListedRunner> runners, EngineProfile engine) {
+		return runners.stream().map((runner) -> card(runner, engine)).toList();
+	}
+
+	// A runner with the layers that it holds or is going to hold.
+	private Card card(ListedRunner runner, EngineProfile engine) {
+		CardKind kind = engine.cards().get(runner.card());
+		Pending open = this.pending.get(runner.id());
+		if (open != null && (open.started != runner.startedMillis() || open.range.equals(runner.layers()))) {
+			this.pending.remove(runner.id());
+			open = null;
+		}
+		if (open != null && this.clock.millis() >= open.lookAt) {
+			look(runner, open);
+		}
+		return new Card(runner.id(), runner.dataCentre(), kind, (open != null) ? open.range : runner.layers());
+	}
+
+	private void order(ListedRunner runner, LayerRange range, EngineProfile engine) {
+		Optional<LeaseHolder.Grant> grant = this.lease.grant();
+		if (grant.isEmpty()) {
+			return;
+		}
+		long fencing = grant.get().fencing().value();
+		Known state = this.known.get(runner.id());
+		boolean same = state != null && state.started == runner.startedMillis();
+		if (same && state.refusedFencing >= fencing) {
+			return;
+		}
+		long accepted = same ? state.accepted : 0;
+		long now = this.clock.millis();
+		long load = Math
+			.round(engine.loadSeconds() * range.size() / engine.layers() * LOAD_SLOWDOWN * MILLIS_PER_SECOND);
+		Pending open = new Pending(range, runner.startedMillis(), now + LOOK_AFTER_MILLIS, load);
+		this.pending.put(runner.id(), open);
+		this.orders.place(runner, range, fencing, accepted)
+			.thenAccept((answer) -> answered(runner, open, answer, accepted, fencing));
+	}
+
+	private synchronized void answered(ListedRunner runner, Pending open, LayerOrders.Answer answer, long accepted,
+			long fencing) {
+		LogEvent.of("layers-ordered")
+			.with("runner", runner.id())
+			.with("layers", open.range)
+			.with("fencing", fencing)
+			.with("accepted", accepted)
+			.with("answer", answer)
+			.log(LOGGER, System.Logger.Level.INFO);
+		if (this.pending.get(runner.id()) != open) {
+			return;
+		}
+		long now = this.clock.millis();
+		switch (answer) {
+			case ACCEPTED -> {
+				this.known.put(runner.id(), new Known(runner.startedMillis(), accepted + 1, 0));
+				open.lookAt = now + LOOK_AFTER_MILLIS + open.loadMillis;
+			}
+			case SUPERSEDED -> {
+				this.known.put(runner.id(), new Known(runner.startedMillis(), accepted, fencing));
+				this.pending.remove(runner.id());
+			}
+			case CONFLICT, REFUSED -> open.lookAt = now;
+			default -> open.lookAt = now + LOOK_AFTER_MILLIS;
+		}
+	}
+
+	// Reads the state of a runner whose order had no visible effect.
+	private void look(ListedRunner runner, Pending open) {
+		open.lookAt = this.clock.millis() + LOOK_AFTER_MILLIS;
+		this.orders.state(runner).thenAccept((state) -> seen(runner, open, state));
+	}
+
+	private synchronized void seen(ListedRunner runner, Pending open, LayerOrders.@Nullable State state) {
+		if (this.pending.get(runner.id()) != open || state == null) {
+			return;
+		}
+		this.known.put(runner.id(), new Known(runner.startedMillis(), state.accepted(), 0));
+		if (!state.busy()) {
+			this.pending.remove(runner.id());
+		}
+		LogEvent.of("layers-looked-up")
+			.with("runner", runner.id())
+			.with("ordered", open.range)
+			.with("holds", state.layers())
+			.with("busy", state.busy())
+			.log(LOGGER, System.Logger.Level.INFO);
+	}
+
+	private void load(String service, EngineProfile engine, List<ListedRunner> runners) {
+		if (runners.size() != this.lastSize) {
+			this.lastSize = runners.size();
+			this.unchangedSince = this.clock.millis();
+		}
+		boolean settled = this.clock.millis() - this.unchangedSince >= SETTLE_MILLIS;
+		if (this.storing || !settled || runners.isEmpty()) {
+			return;
+		}
+		this.storing = true;
+		this.tables.read(TABLE, service).thenAccept((fetched) -> read(service, engine, runners, fetched));
+	}
+
+	private synchronized void read(String service, EngineProfile engine, List<ListedRunner> runners,
+			Fetched<Row> fetched) {
+		this.storing = false;
+		if (fetched instanceof Fetched.Found<Row> found) {
+			use(service, parse(found.value().value(), engine.layers()));
+		}
+		else if (fetched instanceof Fetched.Missing<Row>) {
+			LayerTemplate best = new TemplateSearch(engine, cards(runners, engine)).best();
+			this.storing = true;
+			this.tables.commit(List.of(new Operation.Put(TABLE, service, Operation.ABSENT, format(best))))
+				.thenAccept((commit) -> stored(service, best, commit));
+		}
+	}
+
+	private synchronized void stored(String service, LayerTemplate template, Commit commit) {
+		this.storing = false;
+		if (commit instanceof Commit.Committed) {
+			use(service, template);
+		}
+	}
+
+	private void use(String service, LayerTemplate template) {
+		this.templates.put(service, template);
+		LogEvent.of("layer-template")
+			.with("service", service)
+			.with("widths", format(template))
+			.with("requests-per-second", template.requestsPerSecond())
+			.log(LOGGER, System.Logger.Level.INFO);
+	}
+
+	private static String format(LayerTemplate template) {
+		return new TreeMap<>(template.widths()).entrySet()
+			.stream()
+			.map((entry) -> entry.getKey() + ":" + entry.getValue())
+			.collect(Collectors.joining(","));
+	}
+
+	private static LayerTemplate parse(String text, int layers) {
+		Map<String, Integer> widths = new HashMap<>();
+		for (String entry : text.split(",")) {
+			int colon = entry.lastIndexOf(':');
+			if (colon > 0) {
+				widths.put(entry.substring(0, colon), Integer.parseInt(entry.substring(colon + 1)));
+			}
+		}
+		return new LayerTemplate(layers, widths, 0);
+	}
+
+	/** An order whose effect is not visible yet. */
+	private static final class Pending {
+
+		private final LayerRange range;
+
+		private final long started;
+
+		private final long loadMillis;
+
+		private long lookAt;
+
+		Pending(LayerRange range, long started, long lookAt, long loadMillis) {
+			this.range = range;
+			this.started = started;
+			this.lookAt = lookAt;
+			this.loadMillis = loadMillis;
+		}
+
+	}
+
+	/**
+	 * What is known of a start of a runner.
+	 *
+	 * @param started its start
+	 * @param accepted number of orders that it accepted
+	 * @param refusedFencing highest fencing number that it refused, 0 for none
+	 */
+	private record Known(long started, long accepted, long refusedFencing) {
+
+	}
+
+}
--- /dev/null
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/layers/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * Orders that place model layers on runners.
+ */
+@NullMarked
+package io.bilberryvalve.gateway.layers;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/log/StandardLog.java
@@ -0,0 +1,106 @@
+package io.bilberryvalve.gateway.log;
+
+import java.io.PrintStream;
+import java.time.Instant;
+import java.util.concurrent.ArrayBlockingQueue;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.logging.Handler;
+import java.util.logging.Level;
+import java.util.logging.LogManager;
+import java.util.logging.LogRecord;
+import java.util.logging.Logger;
+
+/**
+ * Writes log lines to standard output from a thread of its own. Callers never wait: when
+ * the queue is full, lines are dropped and their number is written later.
+ */
+public final class StandardLog extends Handler {
+
+	/** About a second of lines at a full load of one daemon. */
+	private static final int CAPACITY = 4096;
+
+	private final BlockingQueue<String> lines = new ArrayBlockingQueue<>(CAPACITY);
+
+	private final AtomicLong dropped = new AtomicLong();
+
+	private final PrintStream out;
+
+	private StandardLog(PrintStream out) {
+		this.out = out;
+	}
+
+	/**
+	 * Sends all log lines of the process to standard output. Must be called before any
+	 * logger is created.
+	 */
+	public static void install() {
+		System.setProperty("java.util.logging.manager", KeepingManager.class.getName());
+		Logger root = Logger.getLogger("");
+		for (Handler handler : root.getHandlers()) {
+			root.removeHandler(handler);
+		}
+		StandardLog log = new StandardLog(System.out);
+		root.addHandler(log);
+		Logger.getLogger("io.netty").setLevel(Level.WARNING);
+		Thread writer = new Thread(log::write, "log");
+		writer.setDaemon(true);
+		writer.start();
+	}
+
+	@Override
+	public void publish(LogRecord line) {
+		String text = "time=" + Instant.ofEpochMilli(line.getMillis()) + " level=" + line.getLevel() + ' '
+				+ line.getMessage();
+		if (line.getThrown() != null) {
+			text += " cause=\"" + line.getThrown() + '"';
+		}
+		if (!this.lines.offer(text)) {
+			this.dropped.incrementAndGet();
+		}
+	}
+
+	private void write() {
+		try {
+			while (true) {
+				String line = this.lines.take();
+				StringBuilder batch = new StringBuilder(line).append('\n');
+				for (line = this.lines.poll(); line != null; line = this.lines.poll()) {
+					batch.append(line).append('\n');
+				}
+				long lost = this.dropped.getAndSet(0);
+				if (lost > 0) {
+					batch.append("level=WARNING event=log-lines-dropped count=").append(lost).append('\n');
+				}
+				this.out.print(batch);
+				this.out.flush();
+			}
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
+	}
+
+	@Override
+	public void flush() {
+		while (!this.lines.isEmpty()) {
+			Thread.onSpinWait();
+		}
+	}
+
+	@Override
+	public void close() {
+	}
+
+	/**
+	 * Keeps the handler during shutdown, so that the last lines are written.
+	 */
+	public static final class KeepingManager extends LogManager {
+
+		@Override
+		public void reset() {
+		}
+
+	}
+
+}
--- /dev/null
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/log/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * Log lines on standard output.
+ */
+@NullMarked
+package io.bilberryvalve.gateway.log;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/peer/PeerState.java
@@ -0,0 +1,22 @@
+package io.bilberryvalve.gateway.peer;
+
+import io.bilberryvalve.model.Address;
+import io.bilberryvalve.model.DataCentreId;
+
+/**
+ * What another daemon said of itself last.
+ *
+ * @param vm its name
+ * @param incarnation its start
+ * @param sequence number of the message
+ * @param dataCentre where it stands
+ * @param callers where callers connect
+ * @param state where it receives states
+ * @param serving whether callers should use it
+ * @param configuration version of its configuration
+ * @param heardMillis when the message arrived
+ */
+public record PeerState(String vm, long incarnation, long sequence, DataCentreId dataCentre, Address callers,
+		Address state, boolean serving, long configuration, long heardMillis) {
+
+}
--- /dev/null
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/peer/StateExchange.java
@@ -0,0 +1,273 @@
+package io.bilberryvalve.gateway.peer;
+
+import java.net.InetSocketAddress;
+import java.time.Clock;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
+import java.util.function.LongConsumer;
+import java.util.function.LongSupplier;
+
+import com.google.protobuf.InvalidProtocolBufferException;
+import io.bilberryvalve.gateway.fleet.LoadBook;
+import io.bilberryvalve.gateway.http.Transport;
+import io.bilberryvalve.model.Address;
+import io.bilberryvalve.model.DataCentreId;
+import io.bilberryvalve.model.RunnerId;
+import io.bilberryvalve.model.log.LogEvent;
+import io.bilberryvalve.wire.proto.LoadMessages.DaemonState;
+import io.bilberryvalve.wire.proto.LoadMessages.RunnerUsage;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.DatagramPacket;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Tells the other daemons several times a second who this daemon is and which requests it
+ * has at runners. A lost datagram is replaced by the next one. Daemons learn of each
+ * other from the list in the store and from the datagrams themselves.
+ */
+public final class StateExchange {
+
+	private static final System.Logger LOGGER = System.getLogger(StateExchange.class.getName());
+
+	/** Limits how long two daemons can give away the same place. */
+	private static final long PERIOD_MILLIS = 150;
+
+	/** Seven lost datagrams in a row; callers are no longer sent to the daemon. */
+	private static final long ABSENT_MILLIS = 1100;
+
+	/** A daemon that has been absent for this time is no longer written to. */
+	private static final long FORGET_MILLIS = 60_000;
+
+	/** Absent daemons get each so-manieth state only. */
+	private static final int ABSENT_EVERY = 8;
+
+	private final Transport transport;
+
+	private final Self self;
+
+	private final LoadBook loads;
+
+	private final Clock clock;
+
+	private final long incarnation;
+
+	private final Map<Address, Long> targets = new ConcurrentHashMap<>();
+
+	private final Map<String, PeerState> peers = new ConcurrentHashMap<>();
+
+	private LongConsumer onNewerConfiguration = (version) -> {
+	};
+
+	private @Nullable Channel channel;
+
+	private long sequence;
+
+	/**
+	 * Creates an exchange without peers.
+	 * @param transport event loops
+	 * @param self what to say of this daemon
+	 * @param loads load to report and to fill
+	 * @param clock monotonic clock
+	 * @param incarnation start of this daemon, rising in time
+	 */
+	public StateExchange(Transport transport, Self self, LoadBook loads, Clock clock, long incarnation) {
+		this.transport = transport;
+		this.self = self;
+		this.loads = loads;
+		this.clock = clock;
+		this.incarnation = incarnation;
+	}
+
+	/**
+	 * Sets what to do when a peer has a newer configuration than this daemon.
+	 * @param action receives the version
+	 */
+	public void onNewerConfiguration(LongConsumer action) {
+		this.onNewerConfiguration = action;
+	}
+
+	/**
+	 * Starts to receive and to send.
+	 * @throws IllegalStateException if the address cannot be used
+	 */
+	public void start() {
+		Address address = this.self.state();
+		ChannelFuture bound = this.transport.datagrams()
+			.handler(new Receiver())
+			.bind(address.host(), address.port())
+			.awaitUninterruptibly();
+		if (!bound.isSuccess()) {
+			throw new IllegalStateException("cannot receive states at " + address + "; check that the port is free",
+					bound.cause());
+		}
+		this.channel = bound.channel();
+		bound.channel()
+			.eventLoop()
+			.scheduleWithFixedDelay(this::send, PERIOD_MILLIS, PERIOD_MILLIS, TimeUnit.MILLISECONDS);
+	}
+
+	/**
+	 * Adds an address that may belong to a daemon.
+	 * @param address where it receives states
+	 */
+	public void learn(Address address) {
+		if (!address.equals(this.self.state())) {
+			this.targets.putIfAbsent(address, this.clock.millis());
+		}
+	}
+
+	/**
+	 * Returns the daemons that were heard recently.
+	 * @return their states
+	 */
+	public List<PeerState> present() {
+		long oldest = this.clock.millis() - ABSENT_MILLIS;
+		return this.peers.values().stream().filter((peer) -> peer.heardMillis() >= oldest).toList();
+	}
+
+	/**
+	 * Tells whether this daemon has the least name of all that are present and serve.
+	 * @return whether it should do what one daemon does for all
+	 */
+	public boolean leads() {
+		return present().stream().noneMatch((peer) -> peer.serving() && peer.vm().compareTo(this.self.vm()) < 0);
+	}
+
+	/**
+	 * Sends the state at once.
+	 */
+	public void sendNow() {
+		Channel own = this.channel;
+		if (own != null) {
+			own.eventLoop().execute(this::send);
+		}
+	}
+
+	private void send() {
+		Channel own = this.channel;
+		if (own == null) {
+			return;
+		}
+		this.loads.expire();
+		this.sequence++;
+		byte[] bytes = state().toByteArray();
+		long now = this.clock.millis();
+		this.targets.values().removeIf((heard) -> now - heard > FORGET_MILLIS);
+		this.targets.forEach((address, heard) -> {
+			if (now - heard < ABSENT_MILLIS || this.sequence % ABSENT_EVERY == 0) {
+				own.write(new DatagramPacket(Unpooled.wrappedBuffer(bytes),
+						new InetSocketAddress(address.host(), address.port())));
+			}
+		});
+		own.flush();
+	}
+
+	private DaemonState state() {
+		DaemonState.Builder builder = DaemonState.newBuilder()
+			.setVm(this.self.vm())
+			.setIncarnation(this.incarnation)
+			.setSequence(this.sequence)
+			.setDataCentre(this.self.dataCentre().value())
+			.setCallerAddress(this.self.callers().toString())
+			.setStateAddress(this.self.state().toString())
+			.setServing(this.self.serving().getAsBoolean())
+			.setConfiguration(this.self.configuration().getAsLong());
+		this.loads.own()
+			.forEach((runner,
+					usage) -> builder.addUsage(RunnerUsage.newBuilder()
+						.setRunner(runner.value())
+						.setRunning(usage.running())
+						.setTokens(usage.tokens())
+						.setEntered(usage.entered())
+						.setUnread(usage.unread())));
+		return builder.build();
+	}
+
+	private void receive(byte[] bytes) {
+		try {
+			DaemonState state = DaemonState.parseFrom(bytes);
+			PeerState peer = new PeerState(state.getVm(), state.getIncarnation(), state.getSequence(),
+					new DataCentreId(state.getDataCentre()), Address.parse(state.getCallerAddress()),
+					Address.parse(state.getStateAddress()), state.getServing(), state.getConfiguration(),
+					this.clock.millis());
+			if (accept(peer)) {
+				this.loads.report(peer.vm(), usage(state));
+			}
+		}
+		catch (InvalidProtocolBufferException | IllegalArgumentException ex) {
+			LogEvent.of("state-unreadable").with("cause", ex.getMessage()).log(LOGGER, System.Logger.Level.WARNING);
+		}
+	}
+
+	private boolean accept(PeerState peer) {
+		PeerState before = this.peers.get(peer.vm());
+		boolean old = before != null && peer.heardMillis() - before.heardMillis() < ABSENT_MILLIS
+				&& (peer.incarnation() < before.incarnation()
+						|| (peer.incarnation() == before.incarnation() && peer.sequence() <= before.sequence()));
+		if (old || peer.vm().equals(this.self.vm())) {
+			return false;
+		}
+		this.peers.put(peer.vm(), peer);
+		this.targets.put(peer.state(), peer.heardMillis());
+		if (before == null || before.incarnation() != peer.incarnation() || before.serving() != peer.serving()) {
+			LogEvent.of("peer-heard")
+				.with("vm", peer.vm())
+				.with("incarnation", peer.incarnation())
+				.with("serving", peer.serving())
+				.log(LOGGER, System.Logger.Level.INFO);
+		}
+		if (peer.configuration() > this.self.configuration().getAsLong()) {
+			this.onNewerConfiguration.accept(peer.configuration());
+		}
+		return true;
+	}
+
+	private static Map<RunnerId, LoadBook.Usage> usage(DaemonState state) {
+		Map<RunnerId, LoadBook.Usage> usage = new HashMap<>();
+		for (RunnerUsage one : state.getUsageList()) {
+			usage.put(new RunnerId(one.getRunner()),
+					new LoadBook.Usage(one.getRunning(), one.getTokens(), one.getEntered(), one.getUnread()));
+		}
+		return usage;
+	}
+
+	/**
+	 * What this daemon says of itself.
+	 *
+	 * @param vm its name
+	 * @param dataCentre where it stands
+	 * @param callers where callers connect
+	 * @param state where it receives states
+	 * @param serving whether callers should use it
+	 * @param configuration version of its configuration, 0 for none
+	 */
+	public record Self(String vm, DataCentreId dataCentre, Address callers, Address state, BooleanSupplier serving,
+			LongSupplier configuration) {
+
+	}
+
+	/** Passes datagrams on. */
+	private final class Receiver extends SimpleChannelInboundHandler<DatagramPacket> {
+
+		@Override
+		protected void channelRead0(ChannelHandlerContext own, DatagramPacket packet) {
+			receive(ByteBufUtil.getBytes(packet.content()));
+		}
+
+		@Override
+		public void exceptionCaught(ChannelHandlerContext own, Throwable cause) {
+			LogEvent.of("state-socket-failed").with("cause", cause).log(LOGGER, System.Logger.Level.WARNING);
+		}
+
+	}
+
+}
--- /dev/null
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/peer/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * Exchange of load and membership between daemons.
+ */
+@NullMarked
+package io.bilberryvalve.gateway.peer;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/relay/PathSeats.java
@@ -0,0 +1,96 @@
+package io.bilberryvalve.gateway.relay;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+
+import io.bilberryvalve.gateway.fleet.Fleet;
+import io.bilberryvalve.gateway.fleet.FleetBoard;
+import io.bilberryvalve.gateway.fleet.ListedRunner;
+import io.bilberryvalve.gateway.fleet.LoadBook;
+import io.bilberryvalve.gateway.fleet.Trust;
+import io.bilberryvalve.model.LayerRange;
+import io.bilberryvalve.model.RunnerId;
+import io.bilberryvalve.policy.path.Holder;
+import io.bilberryvalve.policy.path.LayerPath;
+import io.bilberryvalve.policy.path.PathChooser;
+import io.bilberryvalve.policy.path.PathLoads;
+import io.bilberryvalve.policy.path.RequestSize;
+import io.bilberryvalve.policy.placement.CardKind;
+import io.bilberryvalve.policy.placement.EngineProfile;
+
+/**
+ * Places on paths of runners that each hold some layers of a model.
+ */
+final class PathSeats implements SeatPool {
+
+	private static final RequestSize SMALLEST = new RequestSize(1, 1);
+
+	private final String service;
+
+	private final EngineProfile profile;
+
+	private final PathChooser chooser;
+
+	private final FleetBoard board;
+
+	private final LoadBook loads;
+
+	private final Trust trust;
+
+	PathSeats(String service, EngineProfile profile, FleetBoard board, LoadBook loads, Trust trust) {
+		this.service = service;
+		this.profile = profile;
+		this.chooser = new PathChooser(profile);
+		this.board = board;
+		this.loads = loads;
+		this.trust = trust;
+	}
+
+	@Override
+	public Optional<Seat> take(RequestSize size, Set<RunnerId> excluded) {
+		Fleet fleet = this.board.fleet();
+		List<Holder> holders = holders(fleet);
+		Optional<LayerPath> path = this.chooser.choose(holders, this.loads, size,
+				(runner) -> !excluded.contains(runner) && this.trust.trusted(runner));
+		if (path.isEmpty() && !trustedPath(holders)) {
+			path = this.chooser.choose(holders, this.loads, size, (runner) -> !excluded.contains(runner));
+		}
+		return path.flatMap((found) -> seat(fleet, found, size));
+	}
+
+	// Whether trusted runners cover the model at all, so that waiting for them helps.
+	private boolean trustedPath(List<Holder> holders) {
+		return this.chooser.choose(holders, PathLoads.IDLE, SMALLEST, this.trust::trusted).isPresent();
+	}
+
+	private Optional<Seat> seat(Fleet fleet, LayerPath path, RequestSize size) {
+		List<ListedRunner> runners = new ArrayList<>();
+		for (LayerPath.Hop hop : path.hops()) {
+			fleet.find(hop.runner()).ifPresent(runners::add);
+		}
+		Seat seat = new Seat(runners, path, size);
+		this.loads.add(seat.used(), size);
+		return Optional.of(seat);
+	}
+
+	@Override
+	public boolean served() {
+		return this.chooser.choose(holders(this.board.fleet()), PathLoads.IDLE, SMALLEST, (runner) -> true).isPresent();
+	}
+
+	private List<Holder> holders(Fleet fleet) {
+		List<Holder> holders = new ArrayList<>();
+		for (ListedRunner runner : fleet.of(this.service)) {
+			String kind = runner.card();
+			CardKind card = (kind != null) ? this.profile.cards().get(kind) : null;
+			LayerRange layers = runner.layers();
+			if (!runner.leaving() && layers != null && card != null) {
+				holders.add(new Holder(runner.id(), layers, runner.dataCentre(), card, 1));
+			}
+		}
+		return holders;
+	}
+
+}
--- /dev/null
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/relay/RelayContext.java
@@ -0,0 +1,199 @@
+package io.bilberryvalve.gateway.relay;
+
+import java.time.Clock;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.Function;
+
+import io.bilberryvalve.gateway.fleet.FleetBoard;
+import io.bilberryvalve.gateway.fleet.LoadBook;
+import io.bilberryvalve.gateway.fleet.Trust;
+import io.bilberryvalve.gateway.http.Dialect;
+import io.bilberryvalve.gateway.http.UpstreamPool;
+import io.bilberryvalve.gateway.route.RouteTable;
+import io.bilberryvalve.gateway.route.Service;
+import io.bilberryvalve.model.DataCentreId;
+import io.bilberryvalve.model.log.LogEvent;
+import io.bilberryvalve.policy.placement.EngineProfile;
+import io.bilberryvalve.policy.retry.RetryBudget;
+import io.netty.channel.EventLoop;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * What all requests of a daemon share.
+ */
+public final class RelayContext {
+
+	private static final System.Logger LOGGER = System.getLogger(RelayContext.class.getName());
+
+	private final Dialect dialect;
+
+	private final DataCentreId here;
+
+	private final Clock clock;
+
+	private final FleetBoard board;
+
+	private final LoadBook loads;
+
+	private final Trust trust;
+
+	private final RetryBudget budget;
+
+	private final StallReports reports;
+
+	private final Function<EventLoop, UpstreamPool> pools;
+
+	private final AtomicReference<@Nullable RouteTable> table = new AtomicReference<>();
+
+	private final Map<String, Desk> desks = new ConcurrentHashMap<>();
+
+	private final Set<Relay> active = ConcurrentHashMap.newKeySet();
+
+	private volatile boolean refusing;
+
+	/**
+	 * Creates the context.
+	 * @param dialect header names
+	 * @param here data centre of this daemon
+	 * @param clock monotonic clock
+	 * @param board the runners
+	 * @param loads load of the runners
+	 * @param trust failures of the runners
+	 * @param budget limits repeated requests
+	 * @param reports asks runners about stalled paths
+	 * @param pools connections of each event loop
+	 */
+	public RelayContext(Dialect dialect, DataCentreId here, Clock clock, FleetBoard board, LoadBook loads, Trust trust,
+			RetryBudget budget, StallReports reports, Function<EventLoop, UpstreamPool> pools) {
+		this.dialect = dialect;
+		this.here = here;
+		this.clock = clock;
+		this.board = board;
+		this.loads = loads;
+		this.trust = trust;
+		this.budget = budget;
+		this.reports = reports;
+		this.pools = pools;
+		board.onChange(this::pump);
+	}
+
+	Dialect dialect() {
+		return this.dialect;
+	}
+
+	Clock clock() {
+		return this.clock;
+	}
+
+	FleetBoard board() {
+		return this.board;
+	}
+
+	LoadBook loads() {
+		return this.loads;
+	}
+
+	Trust trust() {
+		return this.trust;
+	}
+
+	RetryBudget budget() {
+		return this.budget;
+	}
+
+	StallReports reports() {
+		return this.reports;
+	}
+
+	UpstreamPool pool(EventLoop loop) {
+		return this.pools.apply(loop);
+	}
+
+	/**
+	 * Returns the configuration in force.
+	 * @return the newest table, or {@code null} before the first one
+	 */
+	public @Nullable RouteTable table() {
+		return this.table.get();
+	}
+
+	/**
+	 * Puts a configuration in force, unless a newer one is.
+	 * @param next the configuration
+	 * @return whether it is in force now
+	 */
+	public boolean configure(RouteTable next) {
+		RouteTable before = this.table
+			.getAndUpdate((now) -> (now == null || next.version() > now.version()) ? next : now);
+		boolean newer = before == null || next.version() > before.version();
+		if (newer) {
+			LogEvent.of("configuration-in-force")
+				.with("version", next.version())
+				.with("before", (before != null) ? before.version() : null)
+				.log(LOGGER, System.Logger.Level.INFO);
+		}
+		return newer;
+	}
+
+	SeatDesk desk(Service service) {
+		EngineProfile engine = service.engine();
+		return this.desks.compute(service.name(), (name, old) -> {
+			if (old != null && Objects.equals(old.engine, engine)) {
+				return old;
+			}
+			SeatPool pool = (engine != null) ? new PathSeats(name, engine, this.board, this.loads, this.trust)
+					: new RunnerSeats(name, this.here, this.board, this.loads, this.trust);
+			return new Desk(engine, new SeatDesk(pool, this.loads, this.clock));
+		}).desk;
+	}
+
+	/**
+	 * Gives free places to waiting requests.
+	 */
+	public void pump() {
+		this.desks.values().forEach((desk) -> desk.desk.pump());
+	}
+
+	/**
+	 * Checks the progress of all requests. Call it several times a second.
+	 */
+	public void sweep() {
+		this.active.forEach(Relay::checkProgress);
+	}
+
+	void started(Relay relay) {
+		this.active.add(relay);
+	}
+
+	void ended(Relay relay) {
+		this.active.remove(relay);
+	}
+
+	/**
+	 * Returns the number of requests in progress.
+	 * @return number of requests
+	 */
+	public int active() {
+		return this.active.size();
+	}
+
+	boolean refusing() {
+		return this.refusing;
+	}
+
+	/**
+	 * Rejects all further requests.
+	 */
+	public void refuse() {
+		this.refusing = true;
+	}
+
+	private record Desk(@Nullable EngineProfile engine, SeatDesk desk) {
+
+	}
+
+}
--- /dev/null
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/relay/RunnerSeats.java
@@ -0,0 +1,63 @@
+package io.bilberryvalve.gateway.relay;
+
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+
+import io.bilberryvalve.gateway.fleet.FleetBoard;
+import io.bilberryvalve.gateway.fleet.ListedRunner;
+import io.bilberryvalve.gateway.fleet.LoadBook;
+import io.bilberryvalve.gateway.fleet.Trust;
+import io.bilberryvalve.model.DataCentreId;
+import io.bilberryvalve.model.RunnerId;
+import io.bilberryvalve.policy.path.RequestSize;
+
+/**
+ * Places at plain application runners: the runner with the fewest requests in progress
+ * over all daemons, in the own data centre if there are several.
+ */
+final class RunnerSeats implements SeatPool {
+
+	private final String service;
+
+	private final DataCentreId here;
+
+	private final FleetBoard board;
+
+	private final LoadBook loads;
+
+	private final Trust trust;
+
+	RunnerSeats(String service, DataCentreId here, FleetBoard board, LoadBook loads, Trust trust) {
+		this.service = service;
+		this.here = here;
+		this.board = board;
+		this.loads = loads;
+		this.trust = trust;
+	}
+
+	@Override
+	public Optional<Seat> take(RequestSize size, Set<RunnerId> excluded) {
+		List<ListedRunner> ready = ready().stream().filter((runner) -> !excluded.contains(runner.id())).toList();
+		List<ListedRunner> trusted = ready.stream().filter((runner) -> this.trust.trusted(runner.id())).toList();
+		return (trusted.isEmpty() ? ready : trusted).stream()
+			.filter((runner) -> this.loads.running(runner.id()) < Math.max(1, runner.slots()))
+			.min(Comparator.comparingInt((ListedRunner runner) -> this.loads.running(runner.id()))
+				.thenComparing((runner) -> !runner.dataCentre().equals(this.here)))
+			.map((runner) -> {
+				this.loads.add(List.of(runner.id()), size);
+				return new Seat(List.of(runner), null, size);
+			});
+	}
+
+	@Override
+	public boolean served() {
+		return !ready().isEmpty();
+	}
+
+	private List<ListedRunner> ready() {
+		return this.board.fleet().of(this.service).stream().filter((runner) -> !runner.leaving()).toList();
+	}
+
+}
--- /dev/null
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/relay/SeatDesk.java
@@ -0,0 +1,117 @@
+package io.bilberryvalve.gateway.relay;
+
+import java.time.Clock;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+
+import io.bilberryvalve.gateway.fleet.LoadBook;
+import io.bilberryvalve.policy.line.WaitingLine;
+
+/**
+ * Hands out the places of one service. Requests that find none wait in a line. Safe for
+ * use by several threads; receivers are called outside the lock.
+ */
+final class SeatDesk {
+
+	/**
+	 * Without any runner that could serve, callers come back when one may have started.
+	 */
+	private static final long UNSERVED_RETRY_MILLIS = 1000;
+
+	private final SeatPool pool;
+
+	private final LoadBook loads;
+
+	private final Clock clock;
+
+	private final WaitingLine<SeatRequest> line = new WaitingLine<>();
+
+	SeatDesk(SeatPool pool, LoadBook loads, Clock clock) {
+		this.pool = pool;
+		this.loads = loads;
+		this.clock = clock;
+	}
+
+	/**
+	 * Asks for a place. The receiver is called now or later, once.
+	 * @param request the request
+	 */
+	void ask(SeatRequest request) {
+		Optional<Seat> seat;
+		long retry = 0;
+		synchronized (this.line) {
+			seat = (this.line.size() == 0) ? this.pool.take(request.size(), request.excluded()) : Optional.empty();
+			if (seat.isEmpty()) {
+				long now = this.clock.millis();
+				retry = this.pool.served() ? this.line.offer(request, request.priority(), now, request.patience())
+						: UNSERVED_RETRY_MILLIS;
+			}
+		}
+		if (seat.isPresent()) {
+			request.receiver().seated(seat.get());
+		}
+		else if (retry > 0) {
+			request.receiver().rejected(retry);
+		}
+		else {
+			pump();
+		}
+	}
+
+	/**
+	 * Withdraws a request, because its caller has left.
+	 * @param request the request
+	 * @return whether it still waited; otherwise the receiver was or will be called
+	 */
+	boolean withdraw(SeatRequest request) {
+		synchronized (this.line) {
+			return this.line.remove(request);
+		}
+	}
+
+	/**
+	 * Gives a place back.
+	 * @param seat the place
+	 * @param read whether the runners had read the prompt
+	 */
+	void release(Seat seat, boolean read) {
+		this.loads.remove(seat.used(), seat.size(), read);
+		pump();
+	}
+
+	/**
+	 * Gives free places to waiting requests and rejects those that waited too long. Call
+	 * it also when the load or the fleet may have changed.
+	 */
+	void pump() {
+		List<Runnable> outcomes = new ArrayList<>();
+		synchronized (this.line) {
+			long now = this.clock.millis();
+			for (SeatRequest request : this.line.expire(now)) {
+				long retry = this.line.retryMillis();
+				outcomes.add(() -> request.receiver().rejected(retry));
+			}
+			Optional<SeatRequest> first = this.line.first(now);
+			while (first.isPresent()) {
+				SeatRequest request = first.get();
+				Optional<Seat> seat = this.pool.take(request.size(), request.excluded());
+				if (seat.isEmpty()) {
+					break;
+				}
+				this.line.remove(request);
+				this.line.placed(now);
+				outcomes.add(() -> request.receiver().seated(seat.get()));
+				first = this.line.first(now);
+			}
+		}
+		outcomes.forEach(Runnable::run);
+	}
+
+	int waiting() {
+		synchronized (this.line) {
+			return this.line.size();
+		}
+	}
+
+}
--- /dev/null
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/relay/SeatPool.java
@@ -0,0 +1,28 @@
+package io.bilberryvalve.gateway.relay;
+
+import java.util.Optional;
+import java.util.Set;
+
+import io.bilberryvalve.model.RunnerId;
+import io.bilberryvalve.policy.path.RequestSize;
+
+/**
+ * Finds free places at the runners of a service.
+ */
+interface SeatPool {
+
+	/**
+	 * Reserves a place.
+	 * @param size size of the request
+	 * @param excluded runners that must not be used
+	 * @return the place, or empty if there is none now
+	 */
+	Optional<Seat> take(RequestSize size, Set<RunnerId> excluded);
+
+	/**
+	 * Tells whether any runner could serve a request once it is free.
+	 * @return whether waiting makes sense
+	 */
+	boolean served();
+
+}
--- /dev/null
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/route/RequestKind.java
@@ -0,0 +1,17 @@
+package io.bilberryvalve.gateway.route;
+
+/**
+ * What may be repeated.
+ */
+public enum RequestKind {
+
+	/** The request may run any number of times. */
+	IDEMPOTENT,
+
+	/** The request may run at most once. */
+	NON_IDEMPOTENT,
+
+	/** The response is a stream of events; it may run again only if it can be resumed. */
+	STREAMING
+
+}
--- /dev/null
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/route/RouteTable.java
@@ -0,0 +1,118 @@
+package io.bilberryvalve.gateway.route;
+
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Function;
+import java.util.stream.Collectors;
+
+/**
+ * One version of the configuration. Immutable; the request path reads the newest table
+ * through one reference.
+ */
+public final class RouteTable {
+
+	private final long version;
+
+	private final Map<String, List<Route>> longestFirstByHost;
+
+	private final Map<String, Service> services;
+
+	private final Map<String, Team> teamsByKey = new HashMap<>();
+
+	private final CallerLimits limits;
+
+	private final boolean teamsDeclared;
+
+	/**
+	 * Creates a table.
+	 * @param version version of the configuration
+	 * @param routes the routes
+	 * @param services the services
+	 * @param teams the teams; without any, callers need no key
+	 * @param limits what callers may send
+	 */
+	public RouteTable(long version, Collection<Route> routes, Collection<Service> services, Collection<Team> teams,
+			CallerLimits limits) {
+		this.version = version;
+		this.longestFirstByHost = routes.stream()
+			.sorted(Comparator.comparingInt((Route route) -> -route.prefix().length()))
+			.collect(Collectors.groupingBy((route) -> route.host().toLowerCase(Locale.ROOT)));
+		this.services = services.stream().collect(Collectors.toUnmodifiableMap(Service::name, Function.identity()));
+		teams.forEach((team) -> team.keys().forEach((key) -> this.teamsByKey.put(key, team)));
+		this.teamsDeclared = !teams.isEmpty();
+		this.limits = limits;
+	}
+
+	/**
+	 * Returns the version.
+	 * @return version of the configuration
+	 */
+	public long version() {
+		return this.version;
+	}
+
+	/**
+	 * Returns what callers may send.
+	 * @return the limits
+	 */
+	public CallerLimits limits() {
+		return this.limits;
+	}
+
+	/**
+	 * Returns the services.
+	 * @return all services
+	 */
+	public Collection<Service> services() {
+		return this.services.values();
+	}
+
+	/**
+	 * Finds a service.
+	 * @param name its name
+	 * @return the service, or empty
+	 */
+	public Optional<Service> service(String name) {
+		return Optional.ofNullable(this.services.get(name));
+	}
+
+	/**
+	 * Finds the route with the longest matching prefix.
+	 * @param host value of the host header, with or without port
+	 * @param target request target; a query does not count
+	 * @return the route, or empty
+	 */
+	public Optional<Route> route(String host, String target) {
+		int colon = host.lastIndexOf(':');
+		String name = ((colon > 0) ? host.substring(0, colon) : host).toLowerCase(Locale.ROOT);
+		int query = target.indexOf('?');
+		String path = (query >= 0) ? target.substring(0, query) : target;
+		return this.longestFirstByHost.getOrDefault(name, List.of())
+			.stream()
+			.filter((route) -> path.startsWith(route.prefix()))
+			.findFirst();
+	}
+
+	/**
+	 * Tells whether callers need a key.
+	 * @return whether teams are declared
+	 */
+	public boolean needsKey() {
+		return this.teamsDeclared;
+	}
+
+	/**
+	 * Finds the team of a key.
+	 * @param key the key
+	 * @return the team, or empty
+	 */
+	public Optional<Team> team(String key) {
+		return Optional.ofNullable(this.teamsByKey.get(key));
+	}
+
+}
--- a/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/order/LeaseKeeper.java
+++ b/bilberryvalve-platform/src/main/java/io/bilberryvalve/platform/lease/LeaseKeeper.java
@@ -1,4 +1,4 @@
-package io.bilberryvalve.daemon.order;
+package io.bilberryvalve.platform.lease;
 
 import java.io.IOException;
 import java.util.List;
@@ -15,38 +15,52 @@
 import io.bilberryvalve.policy.lease.Lease;
 import io.bilberryvalve.policy.lease.LeaseAction;
 import io.bilberryvalve.policy.lease.LeaseHolder;
-import io.bilberryvalve.policy.lease.LeaseScope;
 import org.jspecify.annotations.Nullable;
 
 /**
  * Carries the actions of one {@link LeaseHolder} to the table service. Safe for use by
  * several threads.
  */
-final class LeaseKeeper {
+public final class LeaseKeeper {
 
-	static final String TABLE = "leases";
+	/** Table of the leases. */
+	public static final String TABLE = "leases";
 
 	private static final ObjectMapper JSON = new ObjectMapper();
 
-	private final LeaseScope scope;
+	private final String scope;
 
 	private final LeaseHolder holder;
 
 	private final TableService tables;
 
-	LeaseKeeper(LeaseScope scope, LeaseHolder holder, TableService tables) {
+	/**
+	 * Creates a keeper.
+	 * @param scope key of the row
+	 * @param holder decides
+	 * @param tables where the row lies
+	 */
+	public LeaseKeeper(String scope, LeaseHolder holder, TableService tables) {
 		this.scope = scope;
 		this.holder = holder;
 		this.tables = tables;
 	}
 
-	Optional<LeaseHolder.Grant> grant() {
+	/**
+	 * Returns the grant under which the daemon may act now.
+	 * @return the grant, or empty
+	 */
+	public Optional<LeaseHolder.Grant> grant() {
 		synchronized (this.holder) {
 			return this.holder.grant();
 		}
 	}
 
-	void tick(boolean competes) {
+	/**
+	 * Does what is due. Call it several times in the duration of the lease.
+	 * @param competes whether the daemon is a candidate
+	 */
+	public void tick(boolean competes) {
 		LeaseAction action;
 		synchronized (this.holder) {
 			action = this.holder.tick(competes);
@@ -56,11 +70,10 @@
 
 	private void run(LeaseAction action) {
 		if (action instanceof LeaseAction.Read) {
-			this.tables.read(TABLE, this.scope.toString()).thenAccept((fetched) -> run(read(fetched)));
+			this.tables.read(TABLE, this.scope).thenAccept((fetched) -> run(read(fetched)));
 		}
 		else if (action instanceof LeaseAction.Write write) {
-			Operation put = new Operation.Put(TABLE, this.scope.toString(), write.expectVersion(),
-					encode(write.lease()));
+			Operation put = new Operation.Put(TABLE, this.scope, write.expectVersion(), encode(write.lease()));
 			this.tables.commit(List.of(put)).thenAccept(this::written);
 		}
 	}
--- /dev/null
+++ b/bilberryvalve-platform/src/main/java/io/bilberryvalve/platform/lease/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * Leases kept in the table service.
+ */
+@NullMarked
+package io.bilberryvalve.platform.lease;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/bilberryvalve-policy/src/main/java/io/bilberryvalve/policy/line/WaitingLine.java
@@ -0,0 +1,162 @@
+package io.bilberryvalve.policy.line;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Optional;
+import java.util.TreeSet;
+
+/**
+ * Requests that wait for a place at the runners of one service. Answers the load pattern
+ * of a burst above the capacity: requests that can still be answered on time go first, in
+ * the order of priority and arrival; those that are late already use what is left; a
+ * request whose expected wait exceeds its patience is rejected at once instead of waiting
+ * in vain. An instance is not safe for use by several threads.
+ *
+ * @param <T> type of the requests
+ */
+public final class WaitingLine<T> {
+
+	/** Weight of the newest interval between places in the estimate. */
+	private static final double SMOOTHING = 0.1;
+
+	/**
+	 * Shortest time to tell a caller to wait; an immediate return would find no place.
+	 */
+	private static final long LEAST_RETRY_MILLIS = 200;
+
+	/** Longest time to tell a caller to wait. */
+	private static final long MOST_RETRY_MILLIS = 3000;
+
+	/** Before any place became free, places are expected at this interval. */
+	private static final double FIRST_INTERVAL_MILLIS = 50;
+
+	private final Comparator<Waiting<T>> order = Comparator.comparingInt((Waiting<T> waiting) -> waiting.priority)
+		.thenComparingLong((waiting) -> waiting.arrived)
+		.thenComparingLong((waiting) -> waiting.sequence);
+
+	private final TreeSet<Waiting<T>> onTime = new TreeSet<>(this.order);
+
+	private final TreeSet<Waiting<T>> late = new TreeSet<>(this.order);
+
+	private long sequence;
+
+	private long lastPlace = -1;
+
+	private double interval = FIRST_INTERVAL_MILLIS;
+
+	/**
+	 * Adds a request that found no place.
+	 * @param item the request
+	 * @param priority rank, 0 first
+	 * @param now time in milliseconds
+	 * @param patience how long it may wait
+	 * @return 0 if the request waits, otherwise it is rejected and the value is the time
+	 * in milliseconds after which the caller may come back
+	 */
+	public long offer(T item, int priority, long now, Patience patience) {
+		double wait = (this.onTime.size() + 1) * this.interval;
+		if (now + wait > patience.giveUpAt()) {
+			return retryMillis();
+		}
+		Waiting<T> waiting = new Waiting<>(item, priority, now, this.sequence++, patience);
+		((now < patience.onTimeUntil()) ? this.onTime : this.late).add(waiting);
+		return 0;
+	}
+
+	/**
+	 * Returns the time after which a rejected caller may come back: when the present line
+	 * has drained.
+	 * @return milliseconds
+	 */
+	public long retryMillis() {
+		double drain = (size() + 1) * this.interval;
+		return Math.round(Math.min(MOST_RETRY_MILLIS, Math.max(LEAST_RETRY_MILLIS, drain)));
+	}
+
+	/**
+	 * Returns the request that should get the next place, without removing it.
+	 * @param now time in milliseconds
+	 * @return the request, or empty if nobody waits
+	 */
+	public Optional<T> first(long now) {
+		while (!this.onTime.isEmpty()) {
+			Waiting<T> waiting = this.onTime.first();
+			if (now < waiting.patience.onTimeUntil()) {
+				return Optional.of(waiting.item);
+			}
+			this.onTime.remove(waiting);
+			this.late.add(waiting);
+		}
+		return this.late.isEmpty() ? Optional.empty() : Optional.of(this.late.first().item);
+	}
+
+	/**
+	 * Removes a request, because it got a place or its caller has left.
+	 * @param item the request
+	 * @return whether it waited
+	 */
+	public boolean remove(T item) {
+		return this.onTime.removeIf((waiting) -> waiting.item == item)
+				|| this.late.removeIf((waiting) -> waiting.item == item);
+	}
+
+	/**
+	 * A request got a place after waiting; the interval between places is the basis of
+	 * the expected wait.
+	 * @param now time in milliseconds
+	 */
+	public void placed(long now) {
+		if (this.lastPlace >= 0) {
+			this.interval += SMOOTHING * (Math.min(now - this.lastPlace, 1000) - this.interval);
+		}
+		this.lastPlace = now;
+	}
+
+	/**
+	 * Removes the requests that have waited as long as they may.
+	 * @param now time in milliseconds
+	 * @return the requests, to be rejected
+	 */
+	public List<T> expire(long now) {
+		List<T> expired = new ArrayList<>();
+		expire(this.onTime, now, expired);
+		expire(this.late, now, expired);
+		return expired;
+	}
+
+	private void expire(TreeSet<Waiting<T>> set, long now, List<T> expired) {
+		for (Iterator<Waiting<T>> all = set.iterator(); all.hasNext();) {
+			Waiting<T> waiting = all.next();
+			if (now >= waiting.patience.giveUpAt()) {
+				all.remove();
+				expired.add(waiting.item);
+			}
+		}
+	}
+
+	/**
+	 * Returns the length of the line.
+	 * @return number of waiting requests
+	 */
+	public int size() {
+		return this.onTime.size() + this.late.size();
+	}
+
+	/**
+	 * How long a request may wait.
+	 *
+	 * @param onTimeUntil time in milliseconds until which a place leads to an answer
+	 * within the target latency
+	 * @param giveUpAt time in milliseconds at which the request is rejected
+	 */
+	public record Patience(long onTimeUntil, long giveUpAt) {
+
+	}
+
+	private record Waiting<T>(T item, int priority, long arrived, long sequence, Patience patience) {
+
+	}
+
+}
--- /dev/null
+++ b/bilberryvalve-policy/src/main/java/io/bilberryvalve/policy/line/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * Decides which requests wait for a place, in which order, and which are rejected.
+ */
+@NullMarked
+package io.bilberryvalve.policy.line;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/bilberryvalve-policy/src/main/java/io/bilberryvalve/policy/placement/TemplateSearch.java
@@ -0,0 +1,209 @@
+package io.bilberryvalve.policy.placement;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.stream.Collectors;
+
+import io.bilberryvalve.model.LayerRange;
+import io.bilberryvalve.model.RunnerId;
+import io.bilberryvalve.policy.path.Holder;
+import io.bilberryvalve.policy.path.LayerPath;
+import io.bilberryvalve.policy.path.PathChooser;
+import io.bilberryvalve.policy.path.PathLoads;
+import io.bilberryvalve.policy.path.RequestSize;
+
+/**
+ * Finds the layer template with the highest estimated throughput for the cards of a
+ * deployment. For each combination of widths it lets {@link LayerAssigner} place the
+ * layers, takes one path after the other out of the cards, and sums the requests per
+ * second of the paths: memory bounds how many requests a path runs at once, the time of a
+ * token bounds how long each stays, and links between data centres bound paths that cross
+ * them.
+ */
+public final class TemplateSearch {
+
+	/** A path that holds fewer usual requests than this cannot batch. */
+	private static final int LEAST_CONCURRENT = 12;
+
+	/** Memory is planned to this part, since answers are longer or shorter than usual. */
+	private static final double MEMORY_PART = 0.85;
+
+	/** Links are planned to this part, since transfers wait for each other. */
+	private static final double PIPE_PART = 0.4;
+
+	/**
+	 * A token that takes longer makes a stream late on all but the most patient routes.
+	 */
+	private static final double SLOWEST_TOKEN_MILLIS = 60;
+
+	/** Narrower ranges make longer paths without more memory for requests. */
+	private static final int LEAST_PARTS = 24;
+
+	private static final double MILLIS_PER_SECOND = 1000;
+
+	/**
+	 * Links are assumed to be in use, so that paths within a data centre are taken first.
+	 */
+	private static final PathLoads BUSY_LINKS = new BusyLinks();
+
+	private final EngineProfile profile;
+
+	private final List<Card> cards;
+
+	private final List<CardKind> fastestFirst;
+
+	private final RequestSize usual;
+
+	private final PathChooser chooser;
+
+	/**
+	 * Creates a search.
+	 * @param profile the engines
+	 * @param cards all cards; what they hold does not matter
+	 */
+	public TemplateSearch(EngineProfile profile, Collection<Card> cards) {
+		this.profile = profile;
+		this.cards = cards.stream()
+			.map((card) -> new Card(card.runner(), card.dataCentre(), card.kind(), null))
+			.toList();
+		this.fastestFirst = cards.stream()
+			.map(Card::kind)
+			.distinct()
+			.sorted(Comparator.comparingDouble(CardKind::stepFactor).thenComparing(CardKind::name))
+			.toList();
+		this.usual = new RequestSize(profile.promptTokens(), profile.answerTokens());
+		this.chooser = new PathChooser(profile);
+	}
+
+	/**
+	 * Searches all combinations of widths in which each width is a multiple of the next
+	 * smaller one and the smallest divides the model.
+	 * @return the best template; without widths if no card holds a layer
+	 */
+	public LayerTemplate best() {
+		LayerTemplate best = new LayerTemplate(this.profile.layers(), Map.of(), 0);
+		List<CardKind> smallestFirst = this.fastestFirst.stream()
+			.sorted(Comparator.comparingDouble(CardKind::megabytes).thenComparing(CardKind::name))
+			.toList();
+		int least = Math.max(1, this.profile.layers() / LEAST_PARTS);
+		for (int unit = least; unit <= this.profile.layers(); unit++) {
+			if (this.profile.layers() % unit == 0) {
+				best = search(smallestFirst, 0, unit, new HashMap<>(), best);
+			}
+		}
+		return best;
+	}
+
+	private LayerTemplate search(List<CardKind> kinds, int index, int unit, Map<String, Integer> widths,
+			LayerTemplate best) {
+		if (index == kinds.size()) {
+			return better(widths, best);
+		}
+		CardKind kind = kinds.get(index);
+		LayerTemplate result = best;
+		boolean placed = false;
+		for (int width = unit; width <= this.profile.layers() && fits(kind, width); width += unit) {
+			placed = true;
+			widths.put(kind.name(), width);
+			result = search(kinds, index + 1, width, widths, result);
+			widths.remove(kind.name());
+		}
+		return placed ? result : search(kinds, index + 1, unit, widths, result);
+	}
+
+	private LayerTemplate better(Map<String, Integer> widths, LayerTemplate best) {
+		LayerTemplate template = new LayerTemplate(this.profile.layers(), widths, 0);
+		double rate = throughput(template);
+		return (rate > best.requestsPerSecond()) ? new LayerTemplate(this.profile.layers(), widths, rate) : best;
+	}
+
+	private boolean fits(CardKind kind, int width) {
+		return this.profile.tokenCapacity(kind, width) * MEMORY_PART >= LEAST_CONCURRENT * this.usual.tokens();
+	}
+
+	private double throughput(LayerTemplate template) {
+		Map<RunnerId, Holder> left = new LayerAssigner(template).assign(this.cards)
+			.stream()
+			.map(TemplateSearch::holder)
+			.collect(Collectors.toMap(Holder::runner, (holder) -> holder));
+		double sum = 0;
+		while (true) {
+			Optional<LayerPath> path = this.chooser.choose(new ArrayList<>(left.values()), BUSY_LINKS, this.usual,
+					(runner) -> true);
+			if (path.isEmpty()) {
+				return sum;
+			}
+			List<Holder> holders = path.get().hops().stream().map((hop) -> left.remove(hop.runner())).toList();
+			sum += throughput(holders);
+		}
+	}
+
+	private static Holder holder(LayerAssigner.Assignment assignment) {
+		Card card = assignment.card();
+		LayerRange range = assignment.range();
+		return new Holder(card.runner(), range, card.dataCentre(), card.kind(), 1);
+	}
+
+	private double throughput(List<Holder> path) {
+		double memory = Double.MAX_VALUE;
+		for (Holder holder : path) {
+			memory = Math.min(memory, this.profile.tokenCapacity(holder.card(), holder.layers().size()));
+		}
+		double running = Math.min(memory * MEMORY_PART / this.usual.tokens(), this.profile.slots());
+		double tokenMillis = 0;
+		double readMillis = 0;
+		double pipeLimit = Double.MAX_VALUE;
+		Holder before = null;
+		for (Holder holder : path) {
+			int held = holder.layers().size();
+			tokenMillis += this.profile.stepMillis(holder.card(), held, running, running * this.usual.tokens());
+			readMillis += this.profile.readMillis(holder.card(), held, this.usual.prompt());
+			if (before != null) {
+				tokenMillis += this.profile.delayMillis(before.dataCentre(), holder.dataCentre());
+				if (!before.dataCentre().equals(holder.dataCentre())) {
+					double pipe = this.profile.pipeMillis(this.usual.tokens());
+					pipeLimit = (pipe > 0) ? PIPE_PART * MILLIS_PER_SECOND / pipe : pipeLimit;
+				}
+			}
+			before = holder;
+		}
+		if (tokenMillis > SLOWEST_TOKEN_MILLIS) {
+			return 0;
+		}
+		double residence = this.usual.answer() * tokenMillis + readMillis;
+		return Math.min(MILLIS_PER_SECOND * running / residence, pipeLimit);
+	}
+
+	/** Runners without requests and links with some. */
+	private static final class BusyLinks implements PathLoads {
+
+		private static final int CROSSING = 15;
+
+		@Override
+		public int running(RunnerId runner) {
+			return runner.value().startsWith("link.") ? CROSSING : 0;
+		}
+
+		@Override
+		public int tokens(RunnerId runner) {
+			return 0;
+		}
+
+		@Override
+		public int entered(RunnerId runner) {
+			return 0;
+		}
+
+		@Override
+		public int unread(RunnerId runner) {
+			return 0;
+		}
+
+	}
+
+}
--- /dev/null
+++ b/bilberryvalve-policy/src/main/java/io/bilberryvalve/policy/placement/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * Decides which runner holds which layers of a model.
+ */
+@NullMarked
+package io.bilberryvalve.policy.placement;
+
+import org.jspecify.annotations.NullMarked;
