--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/fleet/Trust.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/fleet/Trust.java
@@ -44,19 +44,19 @@
 	 */
 	public void failed(RunnerId runner, String reason) {
 		long now = this.clock.millis();
-		Failures record = this.records.compute(runner, (id, old) -> {
-			if (old != null && now < old.until) {
-				return old;
-			}
-			int doublings = (old != null) ? Math.min(old.count, MAX_DOUBLINGS) : 0;
-			long time = Math.min(FIRST_MILLIS << doublings, LONGEST_MILLIS);
-			return new Failures(((old != null) ? old.count : 0) + 1, now + time);
-		});
+		Failures before = this.records.get(runner);
+		if (before != null && now < before.until) {
+			return;
+		}
+		int doublings = (before != null) ? Math.min(before.count, MAX_DOUBLINGS) : 0;
+		long time = Math.min(FIRST_MILLIS << doublings, LONGEST_MILLIS);
+		Failures next = new Failures(((before != null) ? before.count : 0) + 1, now + time);
+		this.records.put(runner, next);
 		LogEvent.of("runner-avoided")
 			.with("runner", runner)
 			.with("reason", reason)
-			.with("failures", record.count)
-			.with("millis", record.until - now)
+			.with("failures", next.count)
+			.with("millis", time)
 			.log(LOGGER, System.Logger.Level.INFO);
 	}
 
--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/relay/PathSeats.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/relay/PathSeats.java
@@ -54,6 +54,9 @@
 		List<Holder> holders = holders(fleet);
 		Optional<LayerPath> path = this.chooser.choose(holders, this.loads, size,
 				(runner) -> !excluded.contains(runner) && this.trust.trusted(runner));
+		if (path.isEmpty() && !excluded.isEmpty()) {
+			path = this.chooser.choose(holders, this.loads, size, this.trust::trusted);
+		}
 		if (path.isEmpty() && !trustedPath(holders)) {
 			path = this.chooser.choose(holders, this.loads, size, (runner) -> !excluded.contains(runner));
 		}
--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/relay/RelayContext.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/relay/RelayContext.java
@@ -76,7 +76,7 @@
 		this.loads = loads;
 		this.trust = trust;
 		this.budget = budget;
-		this.reports = reports;
+		this.reports = new SharedReports(reports, clock);
 		this.pools = pools;
 		board.onChange(this::pump);
 	}
--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/relay/SeatDesk.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/relay/SeatDesk.java
@@ -19,6 +19,9 @@
 	 */
 	private static final long UNSERVED_RETRY_MILLIS = 1000;
 
+	/** Waiting requests that are tried in turn; each costs a search for a path. */
+	private static final int LOOK_AHEAD = 6;
+
 	private final SeatPool pool;
 
 	private final LoadBook loads;
@@ -92,17 +95,13 @@
 				long retry = this.line.retryMillis();
 				outcomes.add(() -> request.receiver().rejected(retry));
 			}
-			Optional<SeatRequest> first = this.line.first(now);
-			while (first.isPresent()) {
-				SeatRequest request = first.get();
+			for (SeatRequest request : this.line.next(now, LOOK_AHEAD)) {
 				Optional<Seat> seat = this.pool.take(request.size(), request.excluded());
-				if (seat.isEmpty()) {
-					break;
+				if (seat.isPresent()) {
+					this.line.remove(request);
+					this.line.placed(now);
+					outcomes.add(() -> request.receiver().seated(seat.get()));
 				}
-				this.line.remove(request);
-				this.line.placed(now);
-				outcomes.add(() -> request.receiver().seated(seat.get()));
-				first = this.line.first(now);
 			}
 		}
 		outcomes.forEach(Runnable::run);
--- a/bilberryvalve-policy/src/main/java/io/bilberryvalve/policy/line/WaitingLine.java
+++ b/bilberryvalve-policy/src/main/java/io/bilberryvalve/policy/line/WaitingLine.java
@@ -4,8 +4,8 @@
 import java.util.Comparator;
 import java.util.Iterator;
 import java.util.List;
-import java.util.Optional;
 import java.util.TreeSet;
+import java.util.stream.Stream;
 
 /**
  * Requests that wait for a place at the runners of one service. Answers the load pattern
@@ -76,20 +76,21 @@
 	}
 
 	/**
-	 * Returns the request that should get the next place, without removing it.
+	 * Returns the requests that should get the next places, without removing them. Some
+	 * may fit nowhere at present, because they are large or must avoid some runners;
+	 * those behind them need not wait for that.
 	 * @param now time in milliseconds
-	 * @return the request, or empty if nobody waits
+	 * @param most largest number of requests
+	 * @return the requests in their order
 	 */
-	public Optional<T> first(long now) {
-		while (!this.onTime.isEmpty()) {
-			Waiting<T> waiting = this.onTime.first();
-			if (now < waiting.patience.onTimeUntil()) {
-				return Optional.of(waiting.item);
-			}
-			this.onTime.remove(waiting);
-			this.late.add(waiting);
+	public List<T> next(long now, int most) {
+		while (!this.onTime.isEmpty() && now >= this.onTime.first().patience.onTimeUntil()) {
+			this.late.add(this.onTime.pollFirst());
 		}
-		return this.late.isEmpty() ? Optional.empty() : Optional.of(this.late.first().item);
+		return Stream.concat(this.onTime.stream(), this.late.stream())
+			.limit(most)
+			.map((waiting) -> waiting.item)
+			.toList();
 	}
 
 	/**
--- a/bilberryvalve-policy/src/main/java/io/bilberryvalve/policy/path/PathChooser.java
+++ b/bilberryvalve-policy/src/main/java/io/bilberryvalve/policy/path/PathChooser.java
@@ -28,6 +28,12 @@
 	/** Unread prompt tokens in milliseconds of reading that a runner may have. */
 	private static final double MAX_BACKLOG_MILLIS = 250;
 
+	/**
+	 * Part of the requests on a path that meet in one pass of a runner; the others are
+	 * elsewhere.
+	 */
+	private static final double SHARE_OF_PASS = 0.15;
+
 	/** Typical time of a request at the runners, over which its transfers spread. */
 	private static final double USUAL_RESIDENCE_MILLIS = 3000;
 
@@ -153,9 +159,9 @@
 			this.holder = holder;
 			int held = holder.layers().size();
 			RunnerId runner = holder.runner();
-			double tokens = loads.tokens(runner) + size.tokens();
-			this.stepMillis = holder.slowness()
-					* profile.stepMillis(holder.card(), held, loads.running(runner) + 1, tokens);
+			double together = (loads.running(runner) + 1) * SHARE_OF_PASS;
+			double tokens = (loads.tokens(runner) + size.tokens()) * SHARE_OF_PASS;
+			this.stepMillis = holder.slowness() * profile.stepMillis(holder.card(), held, together, tokens);
 			this.readMillis = holder.slowness()
 					* profile.readMillis(holder.card(), held, loads.unread(runner) + size.prompt());
 		}
--- a/bilberryvalve-policy/src/main/java/io/bilberryvalve/policy/placement/TemplateSearch.java
+++ b/bilberryvalve-policy/src/main/java/io/bilberryvalve/policy/placement/TemplateSearch.java
@@ -2,7 +2,6 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -27,8 +26,11 @@
  */
 public final class TemplateSearch {
 
-	/** A path that holds fewer usual requests than this cannot batch. */
-	private static final int LEAST_CONCURRENT = 12;
+	/** Smallest memory that is tried, as a part of what the slots of a runner can use. */
+	private static final double SMALLEST_PART = 0.08;
+
+	/** Factor from one tried memory to the next. */
+	private static final double NEXT_PART = 0.94;
 
 	/** Memory is planned to this part, since answers are longer or shorter than usual. */
 	private static final double MEMORY_PART = 0.85;
@@ -41,9 +43,6 @@
 	 */
 	private static final double SLOWEST_TOKEN_MILLIS = 60;
 
-	/** Narrower ranges make longer paths without more memory for requests. */
-	private static final int LEAST_PARTS = 24;
-
 	private static final double MILLIS_PER_SECOND = 1000;
 
 	/**
@@ -55,7 +54,7 @@
 
 	private final List<Card> cards;
 
-	private final List<CardKind> fastestFirst;
+	private final List<CardKind> kinds;
 
 	private final RequestSize usual;
 
@@ -71,49 +70,42 @@
 		this.cards = cards.stream()
 			.map((card) -> new Card(card.runner(), card.dataCentre(), card.kind(), null))
 			.toList();
-		this.fastestFirst = cards.stream()
-			.map(Card::kind)
-			.distinct()
-			.sorted(Comparator.comparingDouble(CardKind::stepFactor).thenComparing(CardKind::name))
-			.toList();
+		this.kinds = cards.stream().map(Card::kind).distinct().toList();
 		this.usual = new RequestSize(profile.promptTokens(), profile.answerTokens());
 		this.chooser = new PathChooser(profile);
 	}
 
 	/**
-	 * Searches all combinations of widths in which each width is a multiple of the next
-	 * smaller one and the smallest divides the model.
+	 * Searches widths with which all cards have memory for about the same number of
+	 * tokens, for many such numbers and grids.
 	 * @return the best template; without widths if no card holds a layer
 	 */
 	public LayerTemplate best() {
 		LayerTemplate best = new LayerTemplate(this.profile.layers(), Map.of(), 0);
-		List<CardKind> smallestFirst = this.fastestFirst.stream()
-			.sorted(Comparator.comparingDouble(CardKind::megabytes).thenComparing(CardKind::name))
-			.toList();
-		int least = Math.max(1, this.profile.layers() / LEAST_PARTS);
-		for (int unit = least; unit <= this.profile.layers(); unit++) {
-			if (this.profile.layers() % unit == 0) {
-				best = search(smallestFirst, 0, unit, new HashMap<>(), best);
+		double most = this.profile.slots() * this.usual.tokens();
+		for (int unit = 1; unit <= this.profile.layers(); unit++) {
+			if (this.profile.layers() % unit != 0) {
+				continue;
+			}
+			for (double part = 1; part > SMALLEST_PART; part *= NEXT_PART) {
+				best = better(widths(unit, part * most), best);
 			}
 		}
 		return best;
 	}
 
-	private LayerTemplate search(List<CardKind> kinds, int index, int unit, Map<String, Integer> widths,
-			LayerTemplate best) {
-		if (index == kinds.size()) {
-			return better(widths, best);
-		}
-		CardKind kind = kinds.get(index);
-		LayerTemplate result = best;
-		boolean placed = false;
-		for (int width = unit; width <= this.profile.layers() && fits(kind, width); width += unit) {
-			placed = true;
-			widths.put(kind.name(), width);
-			result = search(kinds, index + 1, width, widths, result);
-			widths.remove(kind.name());
+	private Map<String, Integer> widths(int unit, double tokens) {
+		Map<String, Integer> widths = new HashMap<>();
+		for (CardKind kind : this.kinds) {
+			int width = 0;
+			while (width < this.profile.layers() && this.profile.tokenCapacity(kind, width + unit) >= tokens) {
+				width += unit;
+			}
+			if (width > 0) {
+				widths.put(kind.name(), width);
+			}
 		}
-		return placed ? result : search(kinds, index + 1, unit, widths, result);
+		return widths;
 	}
 
 	private LayerTemplate better(Map<String, Integer> widths, LayerTemplate best) {
@@ -122,10 +114,6 @@
 		return (rate > best.requestsPerSecond()) ? new LayerTemplate(this.profile.layers(), widths, rate) : best;
 	}
 
-	private boolean fits(CardKind kind, int width) {
-		return this.profile.tokenCapacity(kind, width) * MEMORY_PART >= LEAST_CONCURRENT * this.usual.tokens();
-	}
-
 	private double throughput(LayerTemplate template) {
 		Map<RunnerId, Holder> left = new LayerAssigner(template).assign(this.cards)
 			.stream()
@@ -161,7 +149,8 @@
 		Holder before = null;
 		for (Holder holder : path) {
 			int held = holder.layers().size();
-			tokenMillis += this.profile.stepMillis(holder.card(), held, running, running * this.usual.tokens());
+			double together = running / path.size();
+			tokenMillis += this.profile.stepMillis(holder.card(), held, together, together * this.usual.tokens());
 			readMillis += this.profile.readMillis(holder.card(), held, this.usual.prompt());
 			if (before != null) {
 				tokenMillis += this.profile.delayMillis(before.dataCentre(), holder.dataCentre());
