--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/Gateway.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/Gateway.java
@@ -80,7 +80,7 @@
 	 * store that answers slowly.
 	 */
 	private static final LeaseTimes LEASE = new LeaseTimes(Duration.ofSeconds(4), Duration.ofMillis(500),
-			Duration.ofMillis(1300), Duration.ofSeconds(1));
+			Duration.ofMillis(1000), Duration.ofSeconds(1));
 
 	private final GatewaySettings settings;
 
@@ -133,8 +133,16 @@
 				settings.callers(), settings.state(), this::serving, this::configuration), this.loads, clock,
 				incarnation);
 		this.server = new CallerServer(transport, this::limits, clock, new RelayHandler(this.context));
-		LeaseHolder holder = new LeaseHolder(settings.vm() + "/" + incarnation, LEASE, clock, new Random(incarnation));
-		this.keeper = new LayerKeeper(this.board, orders, tables, new LeaseKeeper("layers", holder, tables), clock);
+		LeaseHolder holder = new LeaseHolder(settings.vm() + "/" + incarnation, LEASE, clock, new Random(incarnation),
+				this::holderEnded);
+		this.keeper = new LayerKeeper(this.board, orders, tables, new LeaseKeeper("layers", holder, tables), clock,
+				settings.runnerHeartbeat());
+	}
+
+	private boolean holderEnded(String holder) {
+		int slash = holder.lastIndexOf('/');
+		return slash > 0
+				&& this.exchange.ended(holder.substring(0, slash), Long.parseLong(holder.substring(slash + 1)));
 	}
 
 	private UpstreamPool pool(EventLoop loop) {
@@ -223,7 +231,7 @@
 	private void keep() {
 		RouteTable table = this.context.table();
 		if (table != null && this.board.known()) {
-			this.keeper.tick(table, !this.leaving && this.exchange.leads());
+			this.keeper.tick(table, this.exchange.leads(), this.leaving);
 		}
 	}
 
--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/GatewaySettings.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/GatewaySettings.java
@@ -16,8 +16,9 @@
  * @param retryFraction repeated requests as a fraction of all
  * @param retryFloor repeated requests that each daemon may send in any case
  * @param retryWindow time in which repeated requests are counted
+ * @param runnerHeartbeat interval at which runners renew their entries
  */
 public record GatewaySettings(String vm, DataCentreId dataCentre, Address callers, Address state, int threads,
-		double retryFraction, int retryFloor, Duration retryWindow) {
+		double retryFraction, int retryFloor, Duration retryWindow, Duration runnerHeartbeat) {
 
 }
--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/fleet/LoadBook.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/fleet/LoadBook.java
@@ -38,37 +38,37 @@
 
 	/**
 	 * Adds a request.
-	 * @param runners the runners that it passes, in order
+	 * @param parts the runners and links that it uses, its first runner first
 	 * @param size its size
 	 */
-	public synchronized void add(List<RunnerId> runners, RequestSize size) {
-		boolean first = true;
-		for (RunnerId runner : runners) {
-			change(runner, new Usage(1, size.tokens(), first ? 1 : 0, size.prompt()));
-			first = false;
+	public synchronized void add(List<Part> parts, RequestSize size) {
+		for (int i = 0; i < parts.size(); i++) {
+			Part part = parts.get(i);
+			change(part.runner(), new Usage(1, (long) size.tokens() * part.layers(), (i == 0) ? 1 : 0,
+					(long) size.prompt() * part.layers()));
 		}
 	}
 
 	/**
 	 * The prompt of a request has been read.
-	 * @param runners the runners that it passes
+	 * @param parts the runners and links that it uses
 	 * @param size its size
 	 */
-	public synchronized void read(List<RunnerId> runners, RequestSize size) {
-		runners.forEach((runner) -> change(runner, new Usage(0, 0, 0, -size.prompt())));
+	public synchronized void read(List<Part> parts, RequestSize size) {
+		parts.forEach((part) -> change(part.runner(), new Usage(0, 0, 0, -(long) size.prompt() * part.layers())));
 	}
 
 	/**
 	 * Removes a request.
-	 * @param runners the runners that it passed, in order
+	 * @param parts the runners and links that it used, its first runner first
 	 * @param size its size
 	 * @param read whether its prompt had been read
 	 */
-	public synchronized void remove(List<RunnerId> runners, RequestSize size, boolean read) {
-		boolean first = true;
-		for (RunnerId runner : runners) {
-			change(runner, new Usage(-1, -size.tokens(), first ? -1 : 0, read ? 0 : -size.prompt()));
-			first = false;
+	public synchronized void remove(List<Part> parts, RequestSize size, boolean read) {
+		for (int i = 0; i < parts.size(); i++) {
+			Part part = parts.get(i);
+			change(part.runner(), new Usage(-1, -(long) size.tokens() * part.layers(), (i == 0) ? -1 : 0,
+					read ? 0 : -(long) size.prompt() * part.layers()));
 		}
 	}
 
@@ -128,8 +128,8 @@
 	}
 
 	@Override
-	public int tokens(RunnerId runner) {
-		return usage(runner).tokens();
+	public long tokenLayers(RunnerId runner) {
+		return usage(runner).tokenLayers();
 	}
 
 	@Override
@@ -138,19 +138,29 @@
 	}
 
 	@Override
-	public int unread(RunnerId runner) {
-		return usage(runner).unread();
+	public long unreadLayers(RunnerId runner) {
+		return usage(runner).unreadLayers();
+	}
+
+	/**
+	 * What a request uses of a runner.
+	 *
+	 * @param runner the runner, or the identifier of a link
+	 * @param layers layers that it passes there
+	 */
+	public record Part(RunnerId runner, int layers) {
+
 	}
 
 	/**
 	 * Requests in progress at a runner.
 	 *
 	 * @param running requests that pass it
-	 * @param tokens their tokens with the expected answers
+	 * @param tokenLayers their tokens with the expected answers, times layers
 	 * @param entered requests that it received as the first of their path
-	 * @param unread prompt tokens not read yet
+	 * @param unreadLayers prompt tokens not read yet, times layers
 	 */
-	public record Usage(int running, int tokens, int entered, int unread) {
+	public record Usage(int running, long tokenLayers, int entered, long unreadLayers) {
 
 		/** No request. */
 		public static final Usage NONE = new Usage(0, 0, 0, 0);
@@ -161,8 +171,8 @@
 		 * @return the sum
 		 */
 		public Usage plus(Usage other) {
-			return new Usage(this.running + other.running, this.tokens + other.tokens, this.entered + other.entered,
-					this.unread + other.unread);
+			return new Usage(this.running + other.running, this.tokenLayers + other.tokenLayers,
+					this.entered + other.entered, this.unreadLayers + other.unreadLayers);
 		}
 
 	}
--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/layers/LayerKeeper.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/layers/LayerKeeper.java
@@ -1,6 +1,7 @@
 package io.bilberryvalve.gateway.layers;
 
 import java.time.Clock;
+import java.time.Duration;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -12,6 +13,7 @@
 import io.bilberryvalve.gateway.fleet.ListedRunner;
 import io.bilberryvalve.gateway.route.RouteTable;
 import io.bilberryvalve.gateway.route.Service;
+import io.bilberryvalve.model.DataCentreId;
 import io.bilberryvalve.model.LayerRange;
 import io.bilberryvalve.model.RunnerId;
 import io.bilberryvalve.model.log.LogEvent;
@@ -27,6 +29,7 @@
 import io.bilberryvalve.policy.placement.EngineProfile;
 import io.bilberryvalve.policy.placement.LayerAssigner;
 import io.bilberryvalve.policy.placement.LayerTemplate;
+import io.bilberryvalve.policy.placement.Rebalancer;
 import io.bilberryvalve.policy.placement.TemplateSearch;
 import org.jspecify.annotations.Nullable;
 
@@ -42,8 +45,15 @@
 
 	private static final String TABLE = "layer-templates";
 
-	/** The list of runners must be unchanged for this time before the first placement. */
-	private static final long SETTLE_MILLIS = 400;
+	/** Heartbeats within which all runners are listed after a start. */
+	private static final double SETTLE_HEARTBEATS = 1.25;
+
+	/**
+	 * With so many times the cards for which it was made, a template wastes most of them.
+	 */
+	private static final double OUTGROWN = 1.25;
+
+	private static final String CARDS = "cards=";
 
 	/** An order without a visible effect is looked into after this time. */
 	private static final long LOOK_AFTER_MILLIS = 2500;
@@ -51,6 +61,9 @@
 	/** Orders that load at the same time slow each other down by at most this factor. */
 	private static final double LOAD_SLOWDOWN = 7;
 
+	/** A card that crashed is often back, and empty, within this time of its removal. */
+	private static final long REBALANCE_AFTER_MILLIS = 1200;
+
 	private static final double MILLIS_PER_SECOND = 1000;
 
 	private final FleetBoard board;
@@ -63,11 +76,15 @@
 
 	private final Clock clock;
 
+	private final long settleMillis;
+
 	private final Map<RunnerId, Pending> pending = new HashMap<>();
 
 	private final Map<RunnerId, Known> known = new HashMap<>();
 
-	private final Map<String, LayerTemplate> templates = new HashMap<>();
+	private final Map<String, Placed> templates = new HashMap<>();
+
+	private final Map<DataCentreId, Long> incompleteSince = new HashMap<>();
 
 	private int lastSize = -1;
 
@@ -75,6 +92,8 @@
 
 	private boolean storing;
 
+	private volatile boolean held;
+
 	/**
 	 * Creates a keeper.
 	 * @param board the runners
@@ -82,8 +101,11 @@
 	 * @param tables keeps the templates
 	 * @param lease permits one daemon to order
 	 * @param clock monotonic clock
+	 * @param heartbeat interval at which runners renew their entries
 	 */
-	public LayerKeeper(FleetBoard board, LayerOrders orders, TableService tables, LeaseKeeper lease, Clock clock) {
+	public LayerKeeper(FleetBoard board, LayerOrders orders, TableService tables, LeaseKeeper lease, Clock clock,
+			Duration heartbeat) {
+		this.settleMillis = Math.round(heartbeat.toMillis() * SETTLE_HEARTBEATS);
 		this.board = board;
 		this.orders = orders;
 		this.tables = tables;
@@ -95,10 +117,17 @@
 	 * Does what is due. Call it a few times a second.
 	 * @param table the configuration in force
 	 * @param leads whether this daemon should take the lease
+	 * @param leaving whether this daemon gives the lease up
 	 */
-	public void tick(RouteTable table, boolean leads) {
+	public void tick(RouteTable table, boolean leads, boolean leaving) {
 		boolean holds = this.lease.grant().isPresent();
-		this.lease.tick(leads || holds);
+		if (holds != this.held) {
+			this.held = holds;
+			LogEvent.of(holds ? "layer-lease-gained" : "layer-lease-lost")
+				.with("fencing", this.lease.grant().map((grant) -> grant.fencing().value()).orElse(null))
+				.log(LOGGER, System.Logger.Level.INFO);
+		}
+		this.lease.tick(!leaving && (leads || holds));
 		if (!holds) {
 			return;
 		}
@@ -116,18 +145,45 @@
 			.stream()
 			.filter((runner) -> !runner.leaving() && engine.cards().containsKey(runner.card()))
 			.toList();
-		LayerTemplate template = this.templates.get(service);
-		if (template == null) {
+		Placed placed = this.templates.get(service);
+		if (placed == null || runners.size() >= placed.cards * OUTGROWN) {
 			load(service, engine, runners);
-			return;
 		}
-		for (LayerAssigner.Assignment assignment : new LayerAssigner(template).assign(cards(runners, engine))) {
+		if (placed != null) {
+			place(runners, engine, placed.template);
+		}
+	}
+
+	private void place(List<ListedRunner> runners, EngineProfile engine, LayerTemplate template) {
+		List<Card> cards = cards(runners, engine);
+		LayerAssigner assigner = new LayerAssigner(template);
+		List<LayerAssigner.Assignment> assignments = assigner.assign(cards);
+		if (assignments.isEmpty()) {
+			assignments = rebalance(assigner, new Rebalancer(engine, template), cards);
+		}
+		else {
+			this.incompleteSince.clear();
+		}
+		for (LayerAssigner.Assignment assignment : assignments) {
 			this.board.fleet()
 				.find(assignment.card().runner())
 				.ifPresent((runner) -> order(runner, assignment.range(), engine));
 		}
 	}
 
+	// Spreads the model over the cards that a data centre has left, once no card has come
+	// for a while.
+	private List<LayerAssigner.Assignment> rebalance(LayerAssigner assigner, Rebalancer rebalancer, List<Card> cards) {
+		Optional<DataCentreId> incomplete = assigner.incomplete(cards);
+		this.incompleteSince.keySet().removeIf((dataCentre) -> !dataCentre.equals(incomplete.orElse(null)));
+		if (incomplete.isEmpty()) {
+			return List.of();
+		}
+		long now = this.clock.millis();
+		long since = this.incompleteSince.computeIfAbsent(incomplete.get(), (dataCentre) -> now);
+		return (now - since >= REBALANCE_AFTER_MILLIS) ? rebalancer.rebalance(cards, incomplete.get()) : List.of();
+	}
+
 	private List<Card> cards(List<ListedRunner> runners, EngineProfile engine) {
 		return runners.stream().map((runner) -> card(runner, engine)).toList();
 	}
@@ -147,23 +203,27 @@
 	}
 
 	private void order(ListedRunner runner, LayerRange range, EngineProfile engine) {
+		long now = this.clock.millis();
+		long load = Math
+			.round(engine.loadSeconds() * range.size() / engine.layers() * LOAD_SLOWDOWN * MILLIS_PER_SECOND);
+		send(runner, new Pending(range, runner.startedMillis(), now + LOOK_AFTER_MILLIS, load));
+	}
+
+	private void send(ListedRunner runner, Pending open) {
 		Optional<LeaseHolder.Grant> grant = this.lease.grant();
-		if (grant.isEmpty()) {
-			return;
-		}
-		long fencing = grant.get().fencing().value();
 		Known state = this.known.get(runner.id());
 		boolean same = state != null && state.started == runner.startedMillis();
-		if (same && state.refusedFencing >= fencing) {
+		if (grant.isEmpty() || (same && state.refusedFencing >= grant.get().fencing().value())) {
+			this.pending.remove(runner.id());
 			return;
 		}
-		long accepted = same ? state.accepted : 0;
-		long now = this.clock.millis();
-		long load = Math
-			.round(engine.loadSeconds() * range.size() / engine.layers() * LOAD_SLOWDOWN * MILLIS_PER_SECOND);
-		Pending open = new Pending(range, runner.startedMillis(), now + LOOK_AFTER_MILLIS, load);
+		long fencing = grant.get().fencing().value();
+		// A runner that holds layers has usually had one order; a wrong guess is refused
+		// and looked up.
+		long guess = (runner.layers() != null) ? 1 : 0;
+		long accepted = same ? state.accepted : guess;
 		this.pending.put(runner.id(), open);
-		this.orders.place(runner, range, fencing, accepted)
+		this.orders.place(runner, open.range, fencing, accepted)
 			.thenAccept((answer) -> answered(runner, open, answer, accepted, fencing));
 	}
 
@@ -189,7 +249,11 @@
 				this.known.put(runner.id(), new Known(runner.startedMillis(), accepted, fencing));
 				this.pending.remove(runner.id());
 			}
-			case CONFLICT, REFUSED -> open.lookAt = now;
+			case CONFLICT -> {
+				open.conflict = true;
+				look(runner, open);
+			}
+			case REFUSED -> open.lookAt = now;
 			default -> open.lookAt = now + LOOK_AFTER_MILLIS;
 		}
 	}
@@ -205,7 +269,12 @@
 			return;
 		}
 		this.known.put(runner.id(), new Known(runner.startedMillis(), state.accepted(), 0));
-		if (!state.busy()) {
+		boolean again = open.conflict && !state.busy() && !open.range.equals(state.layers());
+		open.conflict = false;
+		if (again) {
+			send(runner, open);
+		}
+		else if (!state.busy()) {
 			this.pending.remove(runner.id());
 		}
 		LogEvent.of("layers-looked-up")
@@ -221,7 +290,7 @@
 			this.lastSize = runners.size();
 			this.unchangedSince = this.clock.millis();
 		}
-		boolean settled = this.clock.millis() - this.unchangedSince >= SETTLE_MILLIS;
+		boolean settled = this.clock.millis() - this.unchangedSince >= this.settleMillis;
 		if (this.storing || !settled || runners.isEmpty()) {
 			return;
 		}
@@ -232,49 +301,73 @@
 	private synchronized void read(String service, EngineProfile engine, List<ListedRunner> runners,
 			Fetched<Row> fetched) {
 		this.storing = false;
-		if (fetched instanceof Fetched.Found<Row> found) {
-			use(service, parse(found.value().value(), engine.layers()));
+		Placed known = (fetched instanceof Fetched.Found<Row> found) ? parse(found.value().value(), engine.layers())
+				: null;
+		if (known != null && runners.size() < known.cards * OUTGROWN) {
+			use(service, known);
 		}
-		else if (fetched instanceof Fetched.Missing<Row>) {
+		else if (!(fetched instanceof Fetched.Failed<Row>)) {
 			LayerTemplate best = new TemplateSearch(engine, cards(runners, engine)).best();
-			this.storing = true;
-			this.tables.commit(List.of(new Operation.Put(TABLE, service, Operation.ABSENT, format(best))))
-				.thenAccept((commit) -> stored(service, best, commit));
+			long version = (fetched instanceof Fetched.Found<Row> found) ? found.value().version() : Operation.ABSENT;
+			if (!best.widths().isEmpty()) {
+				store(service, new Placed(best, runners.size()), version);
+			}
 		}
 	}
 
-	private synchronized void stored(String service, LayerTemplate template, Commit commit) {
+	private void store(String service, Placed placed, long version) {
+		this.storing = true;
+		this.tables.commit(List.of(new Operation.Put(TABLE, service, version, format(placed))))
+			.thenAccept((commit) -> stored(service, placed, commit));
+	}
+
+	private synchronized void stored(String service, Placed placed, Commit commit) {
 		this.storing = false;
 		if (commit instanceof Commit.Committed) {
-			use(service, template);
+			use(service, placed);
 		}
 	}
 
-	private void use(String service, LayerTemplate template) {
-		this.templates.put(service, template);
+	private void use(String service, Placed placed) {
+		this.templates.put(service, placed);
 		LogEvent.of("layer-template")
 			.with("service", service)
-			.with("widths", format(template))
-			.with("requests-per-second", template.requestsPerSecond())
+			.with("template", format(placed))
+			.with("requests-per-second", placed.template.requestsPerSecond())
 			.log(LOGGER, System.Logger.Level.INFO);
 	}
 
-	private static String format(LayerTemplate template) {
-		return new TreeMap<>(template.widths()).entrySet()
-			.stream()
-			.map((entry) -> entry.getKey() + ":" + entry.getValue())
-			.collect(Collectors.joining(","));
+	private static String format(Placed placed) {
+		return CARDS + placed.cards + ','
+				+ new TreeMap<>(placed.template.widths()).entrySet()
+					.stream()
+					.map((entry) -> entry.getKey() + ":" + entry.getValue())
+					.collect(Collectors.joining(","));
 	}
 
-	private static LayerTemplate parse(String text, int layers) {
+	private static @Nullable Placed parse(String text, int layers) {
 		Map<String, Integer> widths = new HashMap<>();
+		int cards = 0;
 		for (String entry : text.split(",")) {
 			int colon = entry.lastIndexOf(':');
 			if (colon > 0) {
 				widths.put(entry.substring(0, colon), Integer.parseInt(entry.substring(colon + 1)));
 			}
+			else if (entry.startsWith(CARDS)) {
+				cards = Integer.parseInt(entry.substring(CARDS.length()));
+			}
 		}
-		return new LayerTemplate(layers, widths, 0);
+		return widths.isEmpty() ? null : new Placed(new LayerTemplate(layers, widths, 0), cards);
+	}
+
+	/**
+	 * A template in use.
+	 *
+	 * @param template the template
+	 * @param cards number of cards for which it was made
+	 */
+	private record Placed(LayerTemplate template, int cards) {
+
 	}
 
 	/** An order whose effect is not visible yet. */
@@ -288,6 +381,8 @@
 
 		private long lookAt;
 
+		private boolean conflict;
+
 		Pending(LayerRange range, long started, long lookAt, long loadMillis) {
 			this.range = range;
 			this.started = started;
--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/peer/StateExchange.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/peer/StateExchange.java
@@ -44,6 +44,9 @@
 	/** Seven lost datagrams in a row; callers are no longer sent to the daemon. */
 	private static final long ABSENT_MILLIS = 1100;
 
+	/** A daemon that has been silent for this time is taken to have ended. */
+	private static final long GONE_MILLIS = 1600;
+
 	/** A daemon that has been absent for this time is no longer written to. */
 	private static final long FORGET_MILLIS = 60_000;
 
@@ -60,6 +63,8 @@
 
 	private final long incarnation;
 
+	private final long startedAt;
+
 	private final Map<Address, Long> targets = new ConcurrentHashMap<>();
 
 	private final Map<String, PeerState> peers = new ConcurrentHashMap<>();
@@ -85,6 +90,7 @@
 		this.loads = loads;
 		this.clock = clock;
 		this.incarnation = incarnation;
+		this.startedAt = clock.millis();
 	}
 
 	/**
@@ -142,6 +148,25 @@
 		return present().stream().noneMatch((peer) -> peer.serving() && peer.vm().compareTo(this.self.vm()) < 0);
 	}
 
+	/**
+	 * Tells whether a start of another daemon has ended: it was heard, and no longer is
+	 * or has started again, or this daemon has listened for a while without hearing it.
+	 * @param vm name of the daemon
+	 * @param start its incarnation
+	 * @return whether it no longer acts
+	 */
+	public boolean ended(String vm, long start) {
+		if (vm.equals(this.self.vm())) {
+			return start != this.incarnation;
+		}
+		long now = this.clock.millis();
+		PeerState peer = this.peers.get(vm);
+		if (peer == null) {
+			return now - this.startedAt >= GONE_MILLIS;
+		}
+		return peer.incarnation() != start || !peer.serving() || now - peer.heardMillis() > GONE_MILLIS;
+	}
+
 	/**
 	 * Sends the state at once.
 	 */
@@ -186,9 +211,9 @@
 					usage) -> builder.addUsage(RunnerUsage.newBuilder()
 						.setRunner(runner.value())
 						.setRunning(usage.running())
-						.setTokens(usage.tokens())
+						.setTokenLayers(usage.tokenLayers())
 						.setEntered(usage.entered())
-						.setUnread(usage.unread())));
+						.setUnreadLayers(usage.unreadLayers())));
 		return builder.build();
 	}
 
@@ -234,8 +259,8 @@
 	private static Map<RunnerId, LoadBook.Usage> usage(DaemonState state) {
 		Map<RunnerId, LoadBook.Usage> usage = new HashMap<>();
 		for (RunnerUsage one : state.getUsageList()) {
-			usage.put(new RunnerId(one.getRunner()),
-					new LoadBook.Usage(one.getRunning(), one.getTokens(), one.getEntered(), one.getUnread()));
+			usage.put(new RunnerId(one.getRunner()), new LoadBook.Usage(one.getRunning(), one.getTokenLayers(),
+					one.getEntered(), one.getUnreadLayers()));
 		}
 		return usage;
 	}
--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/relay/PathSeats.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/relay/PathSeats.java
@@ -74,7 +74,7 @@
 			fleet.find(hop.runner()).ifPresent(runners::add);
 		}
 		Seat seat = new Seat(runners, path, size);
-		this.loads.add(seat.used(), size);
+		this.loads.add(seat.parts(), size);
 		return Optional.of(seat);
 	}
 
--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/relay/Relay.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/relay/Relay.java
@@ -479,7 +479,7 @@
 		Seat place = this.seat;
 		if (!this.read && place != null) {
 			this.read = true;
-			this.context.loads().read(place.used(), place.size());
+			this.context.loads().read(place.parts(), place.size());
 		}
 	}
 
--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/relay/RunnerSeats.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/relay/RunnerSeats.java
@@ -46,8 +46,9 @@
 			.min(Comparator.comparingInt((ListedRunner runner) -> this.loads.running(runner.id()))
 				.thenComparing((runner) -> !runner.dataCentre().equals(this.here)))
 			.map((runner) -> {
-				this.loads.add(List.of(runner.id()), size);
-				return new Seat(List.of(runner), null, size);
+				Seat seat = new Seat(List.of(runner), null, size);
+				this.loads.add(seat.parts(), size);
+				return seat;
 			});
 	}
 
--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/relay/Seat.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/relay/Seat.java
@@ -4,6 +4,7 @@
 import java.util.List;
 
 import io.bilberryvalve.gateway.fleet.ListedRunner;
+import io.bilberryvalve.gateway.fleet.LoadBook;
 import io.bilberryvalve.model.DataCentreId;
 import io.bilberryvalve.model.RunnerId;
 import io.bilberryvalve.policy.path.LayerPath;
@@ -29,16 +30,21 @@
 	}
 
 	// Runners and links that the request uses, the first runner first.
-	List<RunnerId> used() {
-		List<RunnerId> used = new ArrayList<>(ids());
+	List<LoadBook.Part> parts() {
+		LayerPath layers = this.path;
+		List<LoadBook.Part> parts = new ArrayList<>();
+		for (int i = 0; i < this.runners.size(); i++) {
+			int held = (layers != null) ? layers.hops().get(i).layers().size() : 1;
+			parts.add(new LoadBook.Part(this.runners.get(i).id(), held));
+		}
 		for (int i = 1; i < this.runners.size(); i++) {
 			DataCentreId from = this.runners.get(i - 1).dataCentre();
 			DataCentreId to = this.runners.get(i).dataCentre();
 			if (!from.equals(to)) {
-				used.add(PathLoads.link(from, to));
+				parts.add(new LoadBook.Part(PathLoads.link(from, to), 1));
 			}
 		}
-		return used;
+		return parts;
 	}
 
 }
--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/relay/SeatDesk.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/relay/SeatDesk.java
@@ -79,7 +79,7 @@
 	 * @param read whether the runners had read the prompt
 	 */
 	void release(Seat seat, boolean read) {
-		this.loads.remove(seat.used(), seat.size(), read);
+		this.loads.remove(seat.parts(), seat.size(), read);
 		pump();
 	}
 
--- a/bilberryvalve-policy/src/main/java/io/bilberryvalve/policy/lease/LeaseHolder.java
+++ b/bilberryvalve-policy/src/main/java/io/bilberryvalve/policy/lease/LeaseHolder.java
@@ -4,6 +4,7 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.Optional;
+import java.util.function.Predicate;
 import java.util.random.RandomGenerator;
 
 import org.jspecify.annotations.Nullable;
@@ -30,6 +31,8 @@
 
 	private final RandomGenerator random;
 
+	private final Predicate<String> ended;
+
 	private long version = -1;
 
 	private @Nullable Lease seen;
@@ -54,6 +57,21 @@
 	 * @param random spreads renewals and reads
 	 */
 	public LeaseHolder(String self, LeaseTimes times, Clock clock, RandomGenerator random) {
+		this(self, times, clock, random, (holder) -> false);
+	}
+
+	/**
+	 * Creates a competitor that does not wait for the end of a lease whose holder has
+	 * ended. Only for leases whose orders are all checked by their fencing number, since
+	 * the holder may be paused and act once more.
+	 * @param self incarnation of the daemon, unique across daemons and restarts
+	 * @param times times of the lease
+	 * @param clock monotonic clock
+	 * @param random spreads renewals and reads
+	 * @param ended tells whether an incarnation has ended
+	 */
+	public LeaseHolder(String self, LeaseTimes times, Clock clock, RandomGenerator random, Predicate<String> ended) {
+		this.ended = ended;
 		this.self = self;
 		this.times = times;
 		this.clock = clock;
@@ -122,7 +140,7 @@
 		if (lease.holder().equals(this.self)) {
 			return write(lease);
 		}
-		if (lease.released() || expired()) {
+		if (lease.released() || expired() || this.ended.test(lease.holder())) {
 			return write(new Lease(this.self, lease.fencing().next()));
 		}
 		return NONE;
--- a/bilberryvalve-policy/src/main/java/io/bilberryvalve/policy/path/PathChooser.java
+++ b/bilberryvalve-policy/src/main/java/io/bilberryvalve/policy/path/PathChooser.java
@@ -2,20 +2,24 @@
 
 import java.util.ArrayList;
 import java.util.Collections;
-import java.util.Comparator;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.Predicate;
 
+import io.bilberryvalve.model.DataCentreId;
+import io.bilberryvalve.model.LayerRange;
 import io.bilberryvalve.model.RunnerId;
 import io.bilberryvalve.policy.placement.EngineProfile;
 import org.jspecify.annotations.Nullable;
 
 /**
- * Chooses the path with the least expected time of a whole answer over the runners' layer
- * boundaries, among paths whose runners all have memory for the request. Answers the load
- * pattern of one fast chain that fills up while slower cards idle: requests overflow to
- * the next best path, part by part.
+ * Chooses the path with the least expected time of a whole answer, among paths whose
+ * runners all have memory for the request. Ranges of runners may overlap; a path then
+ * passes a runner in a part of its layers only. Answers the load pattern of one fast
+ * chain that fills up while slower cards idle: requests overflow to the next best path,
+ * part by part, and leave a data centre only where its own runners cannot serve them.
  */
 public final class PathChooser {
 
@@ -38,7 +42,7 @@
 	private static final double USUAL_RESIDENCE_MILLIS = 3000;
 
 	/** Above this use, tokens wait for prompts of others at each step. */
-	private static final double MAX_LINK_USE = 0.4;
+	private static final double MAX_LINK_USE = 0.6;
 
 	private final EngineProfile profile;
 
@@ -60,69 +64,18 @@
 	 */
 	public Optional<LayerPath> choose(List<Holder> holders, PathLoads loads, RequestSize size,
 			Predicate<RunnerId> allowed) {
-		List<Holder> usable = holders.stream()
-			.filter((holder) -> allowed.test(holder.runner()) && hasRoom(holder, loads, size))
-			.sorted(Comparator.comparing(Holder::layers).thenComparing(Holder::runner))
-			.toList();
-		Step[] best = new Step[usable.size()];
-		Step end = null;
-		for (int i = 0; i < best.length; i++) {
-			best[i] = reach(usable, best, i, loads, size);
-			boolean last = usable.get(i).layers().end() == this.profile.layers();
-			if (last && best[i] != null && (end == null || best[i].cost < end.cost)) {
-				end = best[i];
-			}
-		}
-		return (end != null) ? Optional.of(path(end)) : Optional.empty();
-	}
-
-	private @Nullable Step reach(List<Holder> usable, Step[] best, int index, PathLoads loads, RequestSize size) {
-		Holder holder = usable.get(index);
-		if (holder.layers().first() == 0) {
-			boolean full = loads.entered(holder.runner()) >= this.profile.slots();
-			return full ? null : new Step(holder, this.profile, loads, size).from(null, Crossing.NONE, size);
-		}
-		Step result = null;
-		for (int i = 0; i < index; i++) {
-			Holder before = usable.get(i);
-			if (best[i] == null || before.layers().end() != holder.layers().first()) {
-				continue;
-			}
-			Crossing crossing = crossing(before, holder, loads);
-			if (crossing == null) {
-				continue;
-			}
-			Step next = new Step(holder, this.profile, loads, size).from(best[i], crossing, size);
-			if (result == null || next.cost < result.cost) {
-				result = next;
-			}
+		List<Holder> usable = holders.stream().filter((holder) -> allowed.test(holder.runner())).toList();
+		Optional<LayerPath> path = new Search(usable, loads, size, false).run();
+		if (path.isPresent() && repeatsRunner(path.get())) {
+			return new Search(usable, loads, size, true).run();
 		}
-		return result;
+		return path;
 	}
 
-	// The link between two data centres, or null if it carries too much.
-	private @Nullable Crossing crossing(Holder before, Holder holder, PathLoads loads) {
-		double delay = this.profile.delayMillis(before.dataCentre(), holder.dataCentre());
-		double token = this.profile.pipeMillis(1);
-		if (before.dataCentre().equals(holder.dataCentre()) || token == 0) {
-			return new Crossing(delay, 0);
-		}
-		int others = loads.running(PathLoads.link(before.dataCentre(), holder.dataCentre()));
-		double usual = this.profile.promptTokens() + this.profile.answerTokens();
-		double used = (others + 1) * usual * token / USUAL_RESIDENCE_MILLIS;
-		if (used > MAX_LINK_USE) {
-			return null;
-		}
-		double wait = this.profile.promptTokens() * token * used / (2 * (1 - used));
-		return new Crossing(delay + token + wait, token);
-	}
-
-	private boolean hasRoom(Holder holder, PathLoads loads, RequestSize size) {
-		int held = holder.layers().size();
-		double capacity = this.profile.tokenCapacity(holder.card(), held) * MEMORY_PART;
-		double backlog = this.profile.readMillis(holder.card(), held, loads.unread(holder.runner()));
-		return loads.tokens(holder.runner()) + size.tokens() <= capacity
-				&& backlog * holder.slowness() <= MAX_BACKLOG_MILLIS;
+	// A path may not return to a runner; whole ranges exclude that.
+	private static boolean repeatsRunner(LayerPath path) {
+		Set<RunnerId> seen = new HashSet<>();
+		return !path.hops().stream().allMatch((hop) -> seen.add(hop.runner()));
 	}
 
 	private static LayerPath path(Step end) {
@@ -130,49 +83,184 @@
 		double first = 0;
 		double token = 0;
 		for (Step step = end; step != null; step = step.previous) {
-			hops.add(new LayerPath.Hop(step.holder.runner(), step.holder.layers()));
-			first += step.readMillis + step.transferMillis + step.stepMillis + step.delay;
-			token += step.stepMillis + step.delay;
+			hops.add(new LayerPath.Hop(step.candidate.holder.runner(), new LayerRange(step.first, step.end)));
+			double each = step.stepMillis() + step.crossing.tokenMillis;
+			first += step.readMillis() + step.crossing.readMillis + each;
+			token += each;
 		}
 		Collections.reverse(hops);
 		return new LayerPath(hops, first, token);
 	}
 
-	/** A runner at the end of the cheapest path that reaches it. */
-	private static final class Step {
+	/** One search, by layer and data centre of the last runner. */
+	private final class Search {
 
-		private final Holder holder;
+		private final List<Candidate> candidates;
 
-		private final double stepMillis;
+		private final PathLoads loads;
 
-		private final double readMillis;
+		private final RequestSize size;
 
-		private @Nullable Step previous;
+		private final boolean toTheEnd;
 
-		private double delay;
+		private final List<DataCentreId> dataCentres;
 
-		private double transferMillis;
+		private final boolean[] boundary;
 
-		private double cost;
+		private final @Nullable Step[][] best;
 
-		Step(Holder holder, EngineProfile profile, PathLoads loads, RequestSize size) {
+		Search(List<Holder> usable, PathLoads loads, RequestSize size, boolean toTheEnd) {
+			this.loads = loads;
+			this.size = size;
+			this.toTheEnd = toTheEnd;
+			int layers = PathChooser.this.profile.layers();
+			this.candidates = usable.stream()
+				.filter((holder) -> holder.layers().end() <= layers)
+				.map((holder) -> new Candidate(holder, loads, size, PathChooser.this.profile))
+				.filter((candidate) -> candidate.room > 0)
+				.toList();
+			this.dataCentres = usable.stream().map(Holder::dataCentre).distinct().sorted().toList();
+			this.boundary = new boolean[layers + 1];
+			this.boundary[layers] = true;
+			this.candidates.forEach((candidate) -> this.boundary[candidate.holder.layers().first()] = true);
+			this.best = new Step[layers + 1][this.dataCentres.size()];
+		}
+
+		Optional<LayerPath> run() {
+			int layers = PathChooser.this.profile.layers();
+			for (int layer = 0; layer < layers; layer++) {
+				for (Candidate candidate : this.candidates) {
+					LayerRange range = candidate.holder.layers();
+					if (range.first() <= layer && layer < range.end()) {
+						extend(candidate, layer);
+					}
+				}
+			}
+			Step end = null;
+			for (Step step : this.best[layers]) {
+				if (step != null && (end == null || step.cost < end.cost)) {
+					end = step;
+				}
+			}
+			return (end != null) ? Optional.of(path(end)) : Optional.empty();
+		}
+
+		private void extend(Candidate candidate, int layer) {
+			Step from = (layer > 0) ? cheapest(candidate, layer) : null;
+			boolean full = layer == 0
+					&& this.loads.entered(candidate.holder.runner()) >= PathChooser.this.profile.slots();
+			if (full || (layer > 0 && from == null)) {
+				return;
+			}
+			int end = candidate.holder.layers().end();
+			int most = Math.min(end, layer + candidate.room);
+			int zone = this.dataCentres.indexOf(candidate.holder.dataCentre());
+			for (int next = layer + 1; next <= most; next++) {
+				if (next == end || (this.boundary[next] && !this.toTheEnd)) {
+					Step step = new Step(candidate, layer, next, from,
+							(from != null) ? crossing(from.candidate.holder, candidate.holder) : Crossing.NONE,
+							this.size);
+					Step known = this.best[next][zone];
+					if (known == null || step.cost < known.cost) {
+						this.best[next][zone] = step;
+					}
+				}
+			}
+		}
+
+		private @Nullable Step cheapest(Candidate candidate, int layer) {
+			Step result = null;
+			double cost = Double.MAX_VALUE;
+			for (Step step : this.best[layer]) {
+				Crossing crossing = (step != null && step.candidate != candidate)
+						? crossing(step.candidate.holder, candidate.holder) : null;
+				if (step != null && crossing != null && step.cost + crossing.cost(this.size) < cost) {
+					cost = step.cost + crossing.cost(this.size);
+					result = step;
+				}
+			}
+			return result;
+		}
+
+		// The link between two runners, or null if it carries too much.
+		private @Nullable Crossing crossing(Holder before, Holder holder) {
+			EngineProfile engine = PathChooser.this.profile;
+			double delay = engine.delayMillis(before.dataCentre(), holder.dataCentre());
+			double token = engine.pipeMillis(1);
+			if (before.dataCentre().equals(holder.dataCentre()) || token == 0) {
+				return new Crossing(delay, 0);
+			}
+			int others = this.loads.running(PathLoads.link(before.dataCentre(), holder.dataCentre()));
+			double usual = engine.promptTokens() + engine.answerTokens();
+			double used = (others + 1) * usual * token / USUAL_RESIDENCE_MILLIS;
+			if (used > MAX_LINK_USE) {
+				return null;
+			}
+			double wait = engine.promptTokens() * token * used / (2 * (1 - used));
+			return new Crossing(delay + token + wait, token);
+		}
+
+	}
+
+	/** A runner with its times for one layer. */
+	private static final class Candidate {
+
+		private final Holder holder;
+
+		private final double stepMillis;
+
+		private final double readMillis;
+
+		private final int room;
+
+		Candidate(Holder holder, PathLoads loads, RequestSize size, EngineProfile profile) {
 			this.holder = holder;
-			int held = holder.layers().size();
 			RunnerId runner = holder.runner();
+			int held = holder.layers().size();
 			double together = (loads.running(runner) + 1) * SHARE_OF_PASS;
-			double tokens = (loads.tokens(runner) + size.tokens()) * SHARE_OF_PASS;
-			this.stepMillis = holder.slowness() * profile.stepMillis(holder.card(), held, together, tokens);
-			this.readMillis = holder.slowness()
-					* profile.readMillis(holder.card(), held, loads.unread(runner) + size.prompt());
+			double context = (loads.tokenLayers(runner) / (double) held + size.tokens()) * SHARE_OF_PASS;
+			this.stepMillis = holder.slowness() * profile.stepMillis(holder.card(), 1, together, context);
+			double layerRead = holder.slowness() * profile.readMillis(holder.card(), 1, 1);
+			double backlog = layerRead * loads.unreadLayers(runner);
+			this.readMillis = layerRead * size.prompt();
+			double capacity = profile.tokenCapacity(holder.card(), held) * MEMORY_PART * held;
+			double free = capacity - loads.tokenLayers(runner);
+			this.room = (backlog > MAX_BACKLOG_MILLIS) ? 0 : (int) Math.min(held, free / Math.max(1, size.tokens()));
+		}
+
+	}
+
+	/** A runner at the end of the cheapest path that reaches a layer. */
+	private static final class Step {
+
+		private final Candidate candidate;
+
+		private final int first;
+
+		private final int end;
+
+		private final @Nullable Step previous;
+
+		private final Crossing crossing;
+
+		private final double cost;
+
+		Step(Candidate candidate, int first, int end, @Nullable Step previous, Crossing crossing, RequestSize size) {
+			this.candidate = candidate;
+			this.first = first;
+			this.end = end;
+			this.previous = previous;
+			this.crossing = crossing;
+			this.cost = ((previous != null) ? previous.cost : 0) + crossing.cost(size) + readMillis()
+					+ size.answer() * stepMillis();
 		}
 
-		Step from(@Nullable Step before, Crossing crossing, RequestSize size) {
-			this.previous = before;
-			this.delay = crossing.tokenMillis;
-			this.transferMillis = size.prompt() * crossing.readMillis;
-			this.cost = ((before != null) ? before.cost : 0) + this.transferMillis + this.readMillis
-					+ size.answer() * (this.stepMillis + this.delay);
-			return this;
+		double stepMillis() {
+			return this.candidate.stepMillis * (this.end - this.first);
+		}
+
+		double readMillis() {
+			return this.candidate.readMillis * (this.end - this.first);
 		}
 
 	}
@@ -187,6 +275,10 @@
 
 		private static final Crossing NONE = new Crossing(0, 0);
 
+		double cost(RequestSize size) {
+			return size.prompt() * this.readMillis + size.answer() * this.tokenMillis;
+		}
+
 	}
 
 }
--- a/bilberryvalve-policy/src/main/java/io/bilberryvalve/policy/path/PathLoads.java
+++ b/bilberryvalve-policy/src/main/java/io/bilberryvalve/policy/path/PathLoads.java
@@ -20,7 +20,7 @@
 		}
 
 		@Override
-		public int tokens(RunnerId runner) {
+		public long tokenLayers(RunnerId runner) {
 			return 0;
 		}
 
@@ -30,7 +30,7 @@
 		}
 
 		@Override
-		public int unread(RunnerId runner) {
+		public long unreadLayers(RunnerId runner) {
 			return 0;
 		}
 
@@ -57,11 +57,11 @@
 	int running(RunnerId runner);
 
 	/**
-	 * Returns the tokens of the requests that pass a runner, with the expected answers.
+	 * Returns the memory of the requests that pass a runner, with the expected answers.
 	 * @param runner the runner
-	 * @return number of tokens
+	 * @return sum of tokens times layers that they pass there
 	 */
-	int tokens(RunnerId runner);
+	long tokenLayers(RunnerId runner);
 
 	/**
 	 * Returns the requests that entered their path at a runner.
@@ -73,8 +73,8 @@
 	/**
 	 * Returns the prompt tokens that a runner has still to read.
 	 * @param runner the runner
-	 * @return number of tokens
+	 * @return sum of tokens times layers that they pass there
 	 */
-	int unread(RunnerId runner);
+	long unreadLayers(RunnerId runner);
 
 }
--- a/bilberryvalve-policy/src/main/java/io/bilberryvalve/policy/placement/LayerAssigner.java
+++ b/bilberryvalve-policy/src/main/java/io/bilberryvalve/policy/placement/LayerAssigner.java
@@ -41,17 +41,42 @@
 			.sorted(Comparator.comparingDouble((Card card) -> card.kind().stepFactor()).thenComparing(Card::runner))
 			.toList();
 		List<Assignment> result = new ArrayList<>();
+		List<Card> left = new ArrayList<>();
 		for (Card card : empty) {
-			LayerRange range = cut(card, coverage.thinnest(card.dataCentre()));
-			coverage.add(card.dataCentre(), range, 1);
-			result.add(new Assignment(card, range));
+			Optional<LayerRange> gap = coverage.gap(card.dataCentre());
+			gap.ifPresent((run) -> result.add(take(card, run, coverage)));
+			if (gap.isEmpty()) {
+				left.add(card);
+			}
 		}
+		left.forEach((card) -> result.add(take(card, coverage.thinnest(card.dataCentre()), coverage)));
 		if (result.isEmpty()) {
 			move(cards, coverage).ifPresent(result::add);
 		}
 		return result;
 	}
 
+	/**
+	 * Finds a data centre that lacks layers.
+	 * @param cards all cards that can be used
+	 * @return a data centre that has cards and does not hold the whole model, or empty
+	 */
+	public Optional<DataCentreId> incomplete(Collection<Card> cards) {
+		Coverage coverage = new Coverage(this.template.layers(), cards);
+		return cards.stream()
+			.map(Card::dataCentre)
+			.distinct()
+			.sorted()
+			.filter((dataCentre) -> coverage.gap(dataCentre).isPresent())
+			.findFirst();
+	}
+
+	private Assignment take(Card card, LayerRange run, Coverage coverage) {
+		LayerRange range = cut(card, run);
+		coverage.add(card.dataCentre(), range, 1);
+		return new Assignment(card, range);
+	}
+
 	private LayerRange cut(Card card, LayerRange run) {
 		int width = this.template.width(card.kind().name());
 		return new LayerRange(run.first(), Math.min(run.end(), run.first() + width));
--- /dev/null
+++ b/bilberryvalve-policy/src/main/java/io/bilberryvalve/policy/placement/Rebalancer.java
@@ -0,0 +1,98 @@
+package io.bilberryvalve.policy.placement;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.List;
+
+import io.bilberryvalve.model.DataCentreId;
+import io.bilberryvalve.model.LayerRange;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Spreads the layers of a model over the remaining cards of a data centre that has lost
+ * some for good. Each card holds more layers and has less memory for requests; the order
+ * of the cards along the model stays, so that most layers stay where they are.
+ */
+public final class Rebalancer {
+
+	/**
+	 * Below this part of the usual memory, a copy serves too few requests to be worth it.
+	 */
+	private static final double LEAST_PART = 0.25;
+
+	/** Factor from one tried memory to the next. */
+	private static final double NEXT_PART = 0.96;
+
+	private final EngineProfile profile;
+
+	private final LayerTemplate template;
+
+	/**
+	 * Creates a rebalancer.
+	 * @param profile the engines
+	 * @param template widths with all cards
+	 */
+	public Rebalancer(EngineProfile profile, LayerTemplate template) {
+		this.profile = profile;
+		this.template = template;
+	}
+
+	/**
+	 * Rebalances a data centre.
+	 * @param cards all cards that can be used
+	 * @param dataCentre the data centre
+	 * @return the changed assignments, empty if its cards cannot hold the model
+	 */
+	public List<LayerAssigner.Assignment> rebalance(Collection<Card> cards, DataCentreId dataCentre) {
+		List<Card> here = cards.stream()
+			.filter((card) -> card.dataCentre().equals(dataCentre) && this.template.width(card.kind().name()) > 0)
+			.sorted(Comparator.comparingInt((Card card) -> first(card.held())).thenComparing(Card::runner))
+			.toList();
+		double usual = usualTokens(here);
+		for (double part = 1; part >= LEAST_PART; part *= NEXT_PART) {
+			double tokens = usual * part;
+			int sum = here.stream().mapToInt((card) -> width(card.kind(), tokens)).sum();
+			if (sum >= this.profile.layers()) {
+				return assign(here, tokens);
+			}
+		}
+		return List.of();
+	}
+
+	private int first(@Nullable LayerRange held) {
+		return (held != null) ? held.first() : this.profile.layers();
+	}
+
+	private double usualTokens(List<Card> here) {
+		return here.stream()
+			.mapToDouble((card) -> this.profile.tokenCapacity(card.kind(), this.template.width(card.kind().name())))
+			.min()
+			.orElse(0);
+	}
+
+	private int width(CardKind kind, double tokens) {
+		int width = 0;
+		while (width < this.profile.layers() && this.profile.tokenCapacity(kind, width + 1) >= tokens) {
+			width++;
+		}
+		return width;
+	}
+
+	private List<LayerAssigner.Assignment> assign(List<Card> here, double tokens) {
+		List<LayerAssigner.Assignment> result = new ArrayList<>();
+		int next = 0;
+		for (Card card : here) {
+			int end = Math.min(this.profile.layers(), next + width(card.kind(), tokens));
+			if (end > next) {
+				LayerRange range = new LayerRange(next, end);
+				if (!range.equals(card.held())) {
+					result.add(new LayerAssigner.Assignment(card, range));
+				}
+				next = end;
+			}
+		}
+		return result;
+	}
+
+}
--- a/bilberryvalve-policy/src/main/java/io/bilberryvalve/policy/placement/TemplateSearch.java
+++ b/bilberryvalve-policy/src/main/java/io/bilberryvalve/policy/placement/TemplateSearch.java
@@ -126,11 +126,19 @@
 			if (path.isEmpty()) {
 				return sum;
 			}
-			List<Holder> holders = path.get().hops().stream().map((hop) -> left.remove(hop.runner())).toList();
+			List<Holder> holders = path.get()
+				.hops()
+				.stream()
+				.map((hop) -> part(left.remove(hop.runner()), hop))
+				.toList();
 			sum += throughput(holders);
 		}
 	}
 
+	private static Holder part(Holder holder, LayerPath.Hop hop) {
+		return new Holder(holder.runner(), hop.layers(), holder.dataCentre(), holder.card(), holder.slowness());
+	}
+
 	private static Holder holder(LayerAssigner.Assignment assignment) {
 		Card card = assignment.card();
 		LayerRange range = assignment.range();
@@ -179,7 +187,7 @@
 		}
 
 		@Override
-		public int tokens(RunnerId runner) {
+		public long tokenLayers(RunnerId runner) {
 			return 0;
 		}
 
@@ -189,7 +197,7 @@
 		}
 
 		@Override
-		public int unread(RunnerId runner) {
+		public long unreadLayers(RunnerId runner) {
 			return 0;
 		}
 
--- a/bilberryvalve-wire/src/main/java/io/bilberryvalve/wire/proto/LoadMessages.java
+++ b/bilberryvalve-wire/src/main/java/io/bilberryvalve/wire/proto/LoadMessages.java
@@ -1986,13 +1986,13 @@
 
     /**
      * <pre>
-     * Their tokens with the expected answers.
+     * Their tokens with the expected answers, times layers that they pass there.
      * </pre>
      *
-     * <code>int32 tokens = 3;</code>
-     * @return The tokens.
+     * <code>int64 token_layers = 3;</code>
+     * @return The tokenLayers.
      */
-    int getTokens();
+    long getTokenLayers();
 
     /**
      * <pre>
@@ -2006,13 +2006,13 @@
 
     /**
      * <pre>
-     * Prompt tokens not read yet.
+     * Prompt tokens not read yet, times layers that they pass there.
      * </pre>
      *
-     * <code>int32 unread = 5;</code>
-     * @return The unread.
+     * <code>int64 unread_layers = 5;</code>
+     * @return The unreadLayers.
      */
-    int getUnread();
+    long getUnreadLayers();
   }
   /**
    * <pre>
@@ -2110,19 +2110,19 @@
       return running_;
     }
 
-    public static final int TOKENS_FIELD_NUMBER = 3;
-    private int tokens_ = 0;
+    public static final int TOKEN_LAYERS_FIELD_NUMBER = 3;
+    private long tokenLayers_ = 0L;
     /**
      * <pre>
-     * Their tokens with the expected answers.
+     * Their tokens with the expected answers, times layers that they pass there.
      * </pre>
      *
-     * <code>int32 tokens = 3;</code>
-     * @return The tokens.
+     * <code>int64 token_layers = 3;</code>
+     * @return The tokenLayers.
      */
     @java.lang.Override
-    public int getTokens() {
-      return tokens_;
+    public long getTokenLayers() {
+      return tokenLayers_;
     }
 
     public static final int ENTERED_FIELD_NUMBER = 4;
@@ -2140,19 +2140,19 @@
       return entered_;
     }
 
-    public static final int UNREAD_FIELD_NUMBER = 5;
-    private int unread_ = 0;
+    public static final int UNREAD_LAYERS_FIELD_NUMBER = 5;
+    private long unreadLayers_ = 0L;
     /**
      * <pre>
-     * Prompt tokens not read yet.
+     * Prompt tokens not read yet, times layers that they pass there.
      * </pre>
      *
-     * <code>int32 unread = 5;</code>
-     * @return The unread.
+     * <code>int64 unread_layers = 5;</code>
+     * @return The unreadLayers.
      */
     @java.lang.Override
-    public int getUnread() {
-      return unread_;
+    public long getUnreadLayers() {
+      return unreadLayers_;
     }
 
     private byte memoizedIsInitialized = -1;
@@ -2175,14 +2175,14 @@
       if (running_ != 0) {
         output.writeInt32(2, running_);
       }
-      if (tokens_ != 0) {
-        output.writeInt32(3, tokens_);
+      if (tokenLayers_ != 0L) {
+        output.writeInt64(3, tokenLayers_);
       }
       if (entered_ != 0) {
         output.writeInt32(4, entered_);
       }
-      if (unread_ != 0) {
-        output.writeInt32(5, unread_);
+      if (unreadLayers_ != 0L) {
+        output.writeInt64(5, unreadLayers_);
       }
       getUnknownFields().writeTo(output);
     }
@@ -2200,17 +2200,17 @@
         size += com.google.protobuf.CodedOutputStream
           .computeInt32Size(2, running_);
       }
-      if (tokens_ != 0) {
+      if (tokenLayers_ != 0L) {
         size += com.google.protobuf.CodedOutputStream
-          .computeInt32Size(3, tokens_);
+          .computeInt64Size(3, tokenLayers_);
       }
       if (entered_ != 0) {
         size += com.google.protobuf.CodedOutputStream
           .computeInt32Size(4, entered_);
       }
-      if (unread_ != 0) {
+      if (unreadLayers_ != 0L) {
         size += com.google.protobuf.CodedOutputStream
-          .computeInt32Size(5, unread_);
+          .computeInt64Size(5, unreadLayers_);
       }
       size += getUnknownFields().getSerializedSize();
       memoizedSize = size;
@@ -2231,12 +2231,12 @@
           .equals(other.getRunner())) return false;
       if (getRunning()
           != other.getRunning()) return false;
-      if (getTokens()
-          != other.getTokens()) return false;
+      if (getTokenLayers()
+          != other.getTokenLayers()) return false;
       if (getEntered()
           != other.getEntered()) return false;
-      if (getUnread()
-          != other.getUnread()) return false;
+      if (getUnreadLayers()
+          != other.getUnreadLayers()) return false;
       if (!getUnknownFields().equals(other.getUnknownFields())) return false;
       return true;
     }
@@ -2252,12 +2252,14 @@
       hash = (53 * hash) + getRunner().hashCode();
       hash = (37 * hash) + RUNNING_FIELD_NUMBER;
       hash = (53 * hash) + getRunning();
-      hash = (37 * hash) + TOKENS_FIELD_NUMBER;
-      hash = (53 * hash) + getTokens();
+      hash = (37 * hash) + TOKEN_LAYERS_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getTokenLayers());
       hash = (37 * hash) + ENTERED_FIELD_NUMBER;
       hash = (53 * hash) + getEntered();
-      hash = (37 * hash) + UNREAD_FIELD_NUMBER;
-      hash = (53 * hash) + getUnread();
+      hash = (37 * hash) + UNREAD_LAYERS_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getUnreadLayers());
       hash = (29 * hash) + getUnknownFields().hashCode();
       memoizedHashCode = hash;
       return hash;
@@ -2395,9 +2397,9 @@
         bitField0_ = 0;
         runner_ = "";
         running_ = 0;
-        tokens_ = 0;
+        tokenLayers_ = 0L;
         entered_ = 0;
-        unread_ = 0;
+        unreadLayers_ = 0L;
         return this;
       }
 
@@ -2438,13 +2440,13 @@
           result.running_ = running_;
         }
         if (((from_bitField0_ & 0x00000004) != 0)) {
-          result.tokens_ = tokens_;
+          result.tokenLayers_ = tokenLayers_;
         }
         if (((from_bitField0_ & 0x00000008) != 0)) {
           result.entered_ = entered_;
         }
         if (((from_bitField0_ & 0x00000010) != 0)) {
-          result.unread_ = unread_;
+          result.unreadLayers_ = unreadLayers_;
         }
       }
 
@@ -2468,14 +2470,14 @@
         if (other.getRunning() != 0) {
           setRunning(other.getRunning());
         }
-        if (other.getTokens() != 0) {
-          setTokens(other.getTokens());
+        if (other.getTokenLayers() != 0L) {
+          setTokenLayers(other.getTokenLayers());
         }
         if (other.getEntered() != 0) {
           setEntered(other.getEntered());
         }
-        if (other.getUnread() != 0) {
-          setUnread(other.getUnread());
+        if (other.getUnreadLayers() != 0L) {
+          setUnreadLayers(other.getUnreadLayers());
         }
         this.mergeUnknownFields(other.getUnknownFields());
         onChanged();
@@ -2514,7 +2516,7 @@
                 break;
               } // case 16
               case 24: {
-                tokens_ = input.readInt32();
+                tokenLayers_ = input.readInt64();
                 bitField0_ |= 0x00000004;
                 break;
               } // case 24
@@ -2524,7 +2526,7 @@
                 break;
               } // case 32
               case 40: {
-                unread_ = input.readInt32();
+                unreadLayers_ = input.readInt64();
                 bitField0_ |= 0x00000010;
                 break;
               } // case 40
@@ -2661,46 +2663,46 @@
         return this;
       }
 
-      private int tokens_ ;
+      private long tokenLayers_ ;
       /**
        * <pre>
-       * Their tokens with the expected answers.
+       * Their tokens with the expected answers, times layers that they pass there.
        * </pre>
        *
-       * <code>int32 tokens = 3;</code>
-       * @return The tokens.
+       * <code>int64 token_layers = 3;</code>
+       * @return The tokenLayers.
        */
       @java.lang.Override
-      public int getTokens() {
-        return tokens_;
+      public long getTokenLayers() {
+        return tokenLayers_;
       }
       /**
        * <pre>
-       * Their tokens with the expected answers.
+       * Their tokens with the expected answers, times layers that they pass there.
        * </pre>
        *
-       * <code>int32 tokens = 3;</code>
-       * @param value The tokens to set.
+       * <code>int64 token_layers = 3;</code>
+       * @param value The tokenLayers to set.
        * @return This builder for chaining.
        */
-      public Builder setTokens(int value) {
+      public Builder setTokenLayers(long value) {
 
-        tokens_ = value;
+        tokenLayers_ = value;
         bitField0_ |= 0x00000004;
         onChanged();
         return this;
       }
       /**
        * <pre>
-       * Their tokens with the expected answers.
+       * Their tokens with the expected answers, times layers that they pass there.
        * </pre>
        *
-       * <code>int32 tokens = 3;</code>
+       * <code>int64 token_layers = 3;</code>
        * @return This builder for chaining.
        */
-      public Builder clearTokens() {
+      public Builder clearTokenLayers() {
         bitField0_ = (bitField0_ & ~0x00000004);
-        tokens_ = 0;
+        tokenLayers_ = 0L;
         onChanged();
         return this;
       }
@@ -2749,46 +2751,46 @@
         return this;
       }
 
-      private int unread_ ;
+      private long unreadLayers_ ;
       /**
        * <pre>
-       * Prompt tokens not read yet.
+       * Prompt tokens not read yet, times layers that they pass there.
        * </pre>
        *
-       * <code>int32 unread = 5;</code>
-       * @return The unread.
+       * <code>int64 unread_layers = 5;</code>
+       * @return The unreadLayers.
        */
       @java.lang.Override
-      public int getUnread() {
-        return unread_;
+      public long getUnreadLayers() {
+        return unreadLayers_;
       }
       /**
        * <pre>
-       * Prompt tokens not read yet.
+       * Prompt tokens not read yet, times layers that they pass there.
        * </pre>
        *
-       * <code>int32 unread = 5;</code>
-       * @param value The unread to set.
+       * <code>int64 unread_layers = 5;</code>
+       * @param value The unreadLayers to set.
        * @return This builder for chaining.
        */
-      public Builder setUnread(int value) {
+      public Builder setUnreadLayers(long value) {
 
-        unread_ = value;
+        unreadLayers_ = value;
         bitField0_ |= 0x00000010;
         onChanged();
         return this;
       }
       /**
        * <pre>
-       * Prompt tokens not read yet.
+       * Prompt tokens not read yet, times layers that they pass there.
        * </pre>
        *
-       * <code>int32 unread = 5;</code>
+       * <code>int64 unread_layers = 5;</code>
        * @return This builder for chaining.
        */
-      public Builder clearUnread() {
+      public Builder clearUnreadLayers() {
         bitField0_ = (bitField0_ & ~0x00000010);
-        unread_ = 0;
+        unreadLayers_ = 0L;
         onChanged();
         return this;
       }
@@ -2869,11 +2871,11 @@
       "\022\026\n\016caller_address\030\005 \001(\t\022\025\n\rstate_addres" +
       "s\030\006 \001(\t\022\017\n\007serving\030\007 \001(\010\022\025\n\rconfiguratio" +
       "n\030\010 \001(\003\022.\n\005usage\030\t \003(\0132\037.bilberryvalve.l" +
-      "oad.RunnerUsage\"_\n\013RunnerUsage\022\016\n\006runner" +
-      "\030\001 \001(\t\022\017\n\007running\030\002 \001(\005\022\016\n\006tokens\030\003 \001(\005\022" +
-      "\017\n\007entered\030\004 \001(\005\022\016\n\006unread\030\005 \001(\005B+\n\033io.b" +
-      "ilberryvalve.wire.protoB\014LoadMessagesb\006p" +
-      "roto3"
+      "oad.RunnerUsage\"l\n\013RunnerUsage\022\016\n\006runner" +
+      "\030\001 \001(\t\022\017\n\007running\030\002 \001(\005\022\024\n\014token_layers\030" +
+      "\003 \001(\003\022\017\n\007entered\030\004 \001(\005\022\025\n\runread_layers\030" +
+      "\005 \001(\003B+\n\033io.bilberryvalve.wire.protoB\014Lo" +
+      "adMessagesb\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -2890,7 +2892,7 @@
     internal_static_bilberryvalve_load_RunnerUsage_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_bilberryvalve_load_RunnerUsage_descriptor,
-        new java.lang.String[] { "Runner", "Running", "Tokens", "Entered", "Unread", });
+        new java.lang.String[] { "Runner", "Running", "TokenLayers", "Entered", "UnreadLayers", });
     descriptor.resolveAllFeaturesImmutable();
   }
 
