--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/Gateway.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/Gateway.java
@@ -190,7 +190,7 @@
 	 * @throws IllegalStateException if an address cannot be used
 	 */
 	public void start() {
-		this.server.listen(this.settings.callers());
+		this.server.listen(this.settings.callers().host(), this.settings.callers().port());
 		this.exchange.start();
 		register();
 		EventLoop loop = this.transport.next();
--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/http/CallerServer.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/http/CallerServer.java
@@ -1,5 +1,6 @@
 package io.bilberryvalve.gateway.http;
 
+import java.net.InetSocketAddress;
 import java.time.Clock;
 import java.time.Duration;
 import java.util.Map;
@@ -59,10 +60,12 @@
 
 	/**
 	 * Starts to accept connections.
-	 * @param address where to listen
+	 * @param host the IP address to listen on
+	 * @param port the port, or 0 for any free port
+	 * @return the address on which the server listens
 	 * @throws IllegalStateException if the address cannot be used
 	 */
-	public void listen(Address address) {
+	public Address listen(String host, int port) {
 		ChannelFuture bound = this.transport.server().childHandler(new ChannelInitializer<Channel>() {
 
 			@Override
@@ -70,13 +73,14 @@
 				accept(channel);
 			}
 
-		}).bind(address.host(), address.port()).awaitUninterruptibly();
+		}).bind(host, port).awaitUninterruptibly();
 		if (!bound.isSuccess()) {
-			throw new IllegalStateException("cannot listen on " + address + "; check that the address is free",
-					bound.cause());
+			throw new IllegalStateException(
+					"cannot listen on " + host + ":" + port + "; check that the address is free", bound.cause());
 		}
 		this.transport.next()
 			.scheduleWithFixedDelay(this::closeIdle, SWEEP_MILLIS, SWEEP_MILLIS, TimeUnit.MILLISECONDS);
+		return new Address(host, ((InetSocketAddress) bound.channel().localAddress()).getPort());
 	}
 
 	private void accept(Channel channel) {
--- /dev/null
+++ b/bilberryvalve-gateway/src/test/java/io/bilberryvalve/gateway/relay/RelayFixture.java
@@ -0,0 +1,162 @@
+package io.bilberryvalve.gateway.relay;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.OptionalInt;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+
+import io.bilberryvalve.gateway.fleet.FleetBoard;
+import io.bilberryvalve.gateway.fleet.ListedRunner;
+import io.bilberryvalve.gateway.fleet.LoadBook;
+import io.bilberryvalve.gateway.fleet.Trust;
+import io.bilberryvalve.gateway.http.CallerServer;
+import io.bilberryvalve.gateway.http.Dialect;
+import io.bilberryvalve.gateway.http.Transport;
+import io.bilberryvalve.gateway.http.UpstreamPool;
+import io.bilberryvalve.gateway.route.CallerLimits;
+import io.bilberryvalve.gateway.route.RequestKind;
+import io.bilberryvalve.gateway.route.Route;
+import io.bilberryvalve.gateway.route.RouteTable;
+import io.bilberryvalve.gateway.route.Service;
+import io.bilberryvalve.gateway.route.Team;
+import io.bilberryvalve.model.Address;
+import io.bilberryvalve.model.DataCentreId;
+import io.bilberryvalve.model.RunnerId;
+import io.bilberryvalve.model.clock.MonotonicClock;
+import io.bilberryvalve.policy.retry.RetryBudget;
+import io.netty.channel.EventLoop;
+
+/**
+ * A router on loopback with scripted runners and raw callers.
+ */
+final class RelayFixture implements AutoCloseable {
+
+	static final Dialect DIALECT = new Dialect("x-attempt", "x-deadline", "x-key", "x-team", "x-expect", "x-path",
+			"x-urgency", "x-tokens", "x-hint", "last-event-id", "x-seal", "x-not-run", "x-faulty", "x-version");
+
+	private static final CallerLimits LIMITS = new CallerLimits(4096, 1 << 16, Duration.ofSeconds(3),
+			Duration.ofSeconds(15));
+
+	private static final DataCentreId HERE = new DataCentreId("a");
+
+	private final MonotonicClock clock = new MonotonicClock();
+
+	private final Transport transport = new Transport(1);
+
+	private final Map<EventLoop, UpstreamPool> pools = new ConcurrentHashMap<>();
+
+	private final FleetBoard board = new FleetBoard(this.clock);
+
+	private final LoadBook loads = new LoadBook(this.clock);
+
+	private final RelayContext context;
+
+	private final Address address;
+
+	RelayFixture(ScriptedRunner... runners) {
+		RetryBudget budget = new RetryBudget(this.clock, 0.2, 10, Duration.ofSeconds(10));
+		this.context = new RelayContext(DIALECT, HERE, this.clock, this.board, this.loads, new Trust(this.clock),
+				budget, (first) -> CompletableFuture.completedFuture(new StallReports.Stall(true, List.of())),
+				(loop) -> this.pools.computeIfAbsent(loop, (key) -> new UpstreamPool(this.transport, key, this.clock)));
+		Map<RunnerId, ListedRunner> listed = new HashMap<>();
+		for (int i = 0; i < runners.length; i++) {
+			RunnerId id = new RunnerId("runner-" + i);
+			listed.put(id, new ListedRunner(id, runners[i].address(), "app", HERE, 4, false, null, null, 1));
+		}
+		this.board.replace(listed);
+		CallerServer server = new CallerServer(this.transport, () -> LIMITS, this.clock,
+				new RelayHandler(this.context));
+		this.address = server.listen("127.0.0.1", 0);
+	}
+
+	RelayFixture configured() {
+		this.context.configure(table(1, List.of("secret")));
+		return this;
+	}
+
+	RelayContext context() {
+		return this.context;
+	}
+
+	LoadBook loads() {
+		return this.loads;
+	}
+
+	static RouteTable table(long version, List<String> keys) {
+		List<Route> routes = new ArrayList<>();
+		routes.add(route("/read/", RequestKind.IDEMPOTENT, 2, false));
+		routes.add(route("/book/", RequestKind.NON_IDEMPOTENT, 1, false));
+		routes.add(route("/stream/", RequestKind.STREAMING, 2, true));
+		return new RouteTable(version, routes, List.of(new Service("app", 10, null)),
+				List.of(new Team("team-1", keys, OptionalInt.empty())), LIMITS);
+	}
+
+	private static Route route(String prefix, RequestKind kind, int attempts, boolean resumable) {
+		return new Route(prefix, "host.example", prefix, kind, Duration.ofSeconds(5), Duration.ofSeconds(2),
+				Duration.ofMillis(200), 1, List.of(new Route.Target("app", 1)), attempts, false, resumable);
+	}
+
+	/**
+	 * Sends a request on a new connection and reads all bytes until the router closes it.
+	 * @param request head without the usual headers, and body
+	 * @return the bytes of the response
+	 * @throws IOException if the connection fails
+	 */
+	String call(String request) throws IOException {
+		try (Socket socket = open()) {
+			send(socket, request);
+			return new String(socket.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1);
+		}
+	}
+
+	Socket open() throws IOException {
+		return new Socket(this.address.host(), this.address.port());
+	}
+
+	static void send(Socket socket, String request) throws IOException {
+		OutputStream out = socket.getOutputStream();
+		out.write(request.getBytes(StandardCharsets.ISO_8859_1));
+		out.flush();
+	}
+
+	static String request(String method, String path, String attempt, String more, String body) {
+		String length = body.isEmpty() ? "" : "Content-Length: " + body.length() + "\r\n";
+		return method + " " + path + " HTTP/1.1\r\nHost: host.example\r\nx-attempt: " + attempt
+				+ "\r\nx-key: secret\r\nx-deadline: 4000\r\n" + length + more + "\r\n" + body;
+	}
+
+	/**
+	 * Reads until the text ends with a suffix.
+	 * @param in the connection
+	 * @param suffix the suffix
+	 * @return the text
+	 * @throws IOException if the connection fails
+	 */
+	static String readUntil(InputStream in, String suffix) throws IOException {
+		ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+		while (!bytes.toString(StandardCharsets.ISO_8859_1).endsWith(suffix)) {
+			int next = in.read();
+			if (next < 0) {
+				throw new AssertionError("closed after: " + bytes.toString(StandardCharsets.ISO_8859_1));
+			}
+			bytes.write(next);
+		}
+		return bytes.toString(StandardCharsets.ISO_8859_1);
+	}
+
+	@Override
+	public void close() {
+		this.transport.close();
+	}
+
+}
--- /dev/null
+++ b/bilberryvalve-gateway/src/test/java/io/bilberryvalve/gateway/relay/RelayTests.java
@@ -0,0 +1,326 @@
+package io.bilberryvalve.gateway.relay;
+
+import java.io.IOException;
+import java.io.OutputStream;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Locale;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+
+import net.jqwik.api.Example;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class RelayTests {
+
+	private static final String CLOSE = "Connection: close\r\n";
+
+	private static String ok(String attempt, String body) {
+		return "HTTP/1.1 200 OK\r\nx-attempt: " + attempt + "\r\nx-seal: s1\r\nContent-Length: " + body.length()
+				+ "\r\n\r\n" + body;
+	}
+
+	private static void write(OutputStream out, String text) throws IOException {
+		out.write(text.getBytes(StandardCharsets.ISO_8859_1));
+		out.flush();
+	}
+
+	private static String attempt(String request) {
+		int at = request.indexOf("x-attempt: ") + 11;
+		return request.substring(at, request.indexOf('\r', at));
+	}
+
+	private static void reset(Socket socket) throws IOException {
+		socket.setSoLinger(true, 0);
+		socket.close();
+	}
+
+	private static ScriptedRunner echoing() {
+		return new ScriptedRunner((request, count, socket, out) -> write(out, ok(attempt(request), "hello")));
+	}
+
+	// Guards against answers that were changed on the way, and against keys that leave.
+	@Example
+	void responseIsUnchangedAndTheKeyIsNotPassedOn() throws IOException {
+		try (ScriptedRunner runner = echoing(); RelayFixture router = new RelayFixture(runner).configured()) {
+			String more = CLOSE + "x-team: forged\r\nx-expect: forged\r\nx-custom: kept\r\n";
+			String response = router.call(RelayFixture.request("POST", "/book/1?q=2", "a1", more, "order"));
+			assertThat(response).startsWith("HTTP/1.1 200 OK\r\n").contains("x-seal: s1").endsWith("\r\n\r\nhello");
+			String received = runner.next();
+			assertThat(received).startsWith("POST /book/1?q=2 HTTP/1.1\r\n").endsWith("\r\n\r\norder");
+			assertThat(received).contains("x-team: team-1", "x-expect: runner-0", "x-custom: kept")
+				.doesNotContain("secret", "forged");
+		}
+	}
+
+	// Guards against a runner that works longer than its caller waits.
+	@Example
+	void deadlinePassedOnIsWhatIsLeft() throws IOException {
+		try (ScriptedRunner runner = echoing(); RelayFixture router = new RelayFixture(runner).configured()) {
+			router.call(RelayFixture.request("GET", "/read/1", "a1", CLOSE, ""));
+			String received = runner.next();
+			int at = received.indexOf("x-deadline: ") + 12;
+			assertThat(Integer.parseInt(received.substring(at, received.indexOf('\r', at)))).isBetween(1, 4000);
+		}
+	}
+
+	// Guards against a booking that runs twice: a cut response does not say that it has
+	// not run.
+	@Example
+	void nonIdempotentRequestIsNotSentAgainAfterACutResponse() throws IOException {
+		ScriptedRunner.Script cut = (request, count, socket, out) -> {
+			write(out, "HTTP/1.1 200 OK\r\nx-attempt: a1\r\nx-seal: s\r\nContent-Length: 50\r\n\r\npart");
+			reset(socket);
+		};
+		try (ScriptedRunner one = new ScriptedRunner(cut);
+				ScriptedRunner two = new ScriptedRunner(cut);
+				RelayFixture router = new RelayFixture(one, two).configured()) {
+			String response = router.call(RelayFixture.request("POST", "/book/1", "a1", CLOSE, "order"));
+			assertThat(response).startsWith("HTTP/1.1 502 ").doesNotContain("x-seal");
+			assertThat(one.hasRequest() && two.hasRequest()).isFalse();
+		}
+	}
+
+	// Guards against a truthless 503: only the statement of the runner permits one.
+	@Example
+	void requestThatTheRunnerDidNotRunIsRejectedWithRetryAfter() throws IOException {
+		try (ScriptedRunner runner = new ScriptedRunner((request, count, socket, out) -> write(out,
+				"HTTP/1.1 503 Busy\r\nx-attempt: a1\r\nx-not-run: 1\r\nContent-Length: 0\r\n\r\n"));
+				RelayFixture router = new RelayFixture(runner).configured()) {
+			String response = router.call(RelayFixture.request("POST", "/book/1", "a1", CLOSE, "order"));
+			assertThat(response).startsWith("HTTP/1.1 503 ").containsIgnoringCase("retry-after: 0.");
+		}
+	}
+
+	@Example
+	void failureOfTheRunnerWithoutStatementIsPassedOnWithItsSeal() throws IOException {
+		try (ScriptedRunner runner = new ScriptedRunner((request, count, socket, out) -> write(out,
+				"HTTP/1.1 500 Error\r\nx-attempt: a1\r\nx-seal: s9\r\nContent-Length: 3\r\n\r\nbad"));
+				RelayFixture router = new RelayFixture(runner).configured()) {
+			String response = router.call(RelayFixture.request("POST", "/book/1", "a1", CLOSE, "order"));
+			assertThat(response).startsWith("HTTP/1.1 500 ").contains("x-seal: s9").endsWith("bad");
+		}
+	}
+
+	// Guards against lookups lost with one runner.
+	@Example
+	void idempotentRequestIsRepeatedAtAnotherRunner() throws IOException {
+		BlockingQueue<Boolean> broken = new LinkedBlockingQueue<>(List.of(true));
+		ScriptedRunner.Script once = (request, count, socket, out) -> {
+			if (broken.poll() != null) {
+				reset(socket);
+			}
+			else {
+				write(out, ok(attempt(request), "hello"));
+			}
+		};
+		try (ScriptedRunner one = new ScriptedRunner(once);
+				ScriptedRunner two = new ScriptedRunner(once);
+				RelayFixture router = new RelayFixture(one, two).configured()) {
+			String response = router.call(RelayFixture.request("GET", "/read/1", "a1", CLOSE, ""));
+			assertThat(response).startsWith("HTTP/1.1 200 OK").endsWith("hello");
+			assertThat(one.hasRequest() && two.hasRequest()).isTrue();
+		}
+	}
+
+	// Guards against bytes that are no answer of the runner: unsealed, encoded or
+	// malformed.
+	@Example
+	void damagedSuccessIsNotPassedOn() throws IOException {
+		List<String> damaged = List.of("HTTP/1.1 200 OK\r\nx-attempt: a1\r\nContent-Length: 2\r\n\r\nhi",
+				"HTTP/1.1 200 OK\r\nx-attempt: a1\r\nx-seal: s\r\nContent-Encoding: gzip\r\nContent-Length: 2\r\n\r\nhi",
+				"\u0000\u0001garbage\r\n\r\n");
+		for (String bytes : damaged) {
+			try (ScriptedRunner runner = new ScriptedRunner((request, count, socket, out) -> write(out, bytes));
+					RelayFixture router = new RelayFixture(runner).configured()) {
+				String response = router.call(RelayFixture.request("POST", "/book/1", "a1", CLOSE, "order"));
+				assertThat(response).startsWith("HTTP/1.1 502 ");
+			}
+		}
+	}
+
+	// Guards against an answer to another request that arrives late on a kept connection.
+	@Example
+	void responseToAnotherRequestIsSkipped() throws IOException {
+		try (ScriptedRunner runner = new ScriptedRunner((request, count, socket, out) -> write(out,
+				((count == 1) ? ok("old", "wrong") : "") + ok(attempt(request), "right")));
+				RelayFixture router = new RelayFixture(runner).configured()) {
+			for (int i = 0; i < 3; i++) {
+				String response = router.call(RelayFixture.request("GET", "/read/1", "a" + i, CLOSE, ""));
+				assertThat(response).endsWith("right");
+			}
+		}
+	}
+
+	// Guards against bytes after an answer that are taken for the next one.
+	@Example
+	void bytesAfterAResponseReachNoCaller() throws IOException {
+		try (ScriptedRunner runner = new ScriptedRunner((request, count, socket, out) -> write(out,
+				ok(attempt(request), "right") + "HTTP/1.1 200 OK\r\nx-seal: s\r\nContent-Length: 5\r\n\r\nextra"));
+				RelayFixture router = new RelayFixture(runner).configured()) {
+			for (int i = 0; i < 3; i++) {
+				String response = router.call(RelayFixture.request("GET", "/read/1", "a" + i, CLOSE, ""));
+				assertThat(response).endsWith("right");
+			}
+		}
+	}
+
+	// Guards against a stream that ends in the middle: it continues after the last whole
+	// event.
+	@Example
+	void brokenStreamContinuesAtAnotherRunnerAfterTheLastWholeEvent() throws IOException {
+		ScriptedRunner.Script script = (request, count, socket, out) -> {
+			String head = "HTTP/1.1 200 OK\r\nx-attempt: a1\r\nx-seal: s1\r\nContent-Type: text/event-stream\r\n"
+					+ "Transfer-Encoding: chunked\r\n\r\n";
+			if (request.toLowerCase(Locale.ROOT).contains("last-event-id: 2\r\n")) {
+				write(out, head + chunk("id: 3\ndata: c\n\n") + "0\r\n\r\n");
+			}
+			else {
+				write(out, head + chunk("id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\nda"));
+				reset(socket);
+			}
+		};
+		try (ScriptedRunner one = new ScriptedRunner(script);
+				ScriptedRunner two = new ScriptedRunner(script);
+				RelayFixture router = new RelayFixture(one, two).configured()) {
+			String response = router.call(RelayFixture.request("POST", "/stream/1", "a1", CLOSE, "prompt"));
+			assertThat(events(response)).containsExactly("id: 1\ndata: a", "id: 2\ndata: b", "id: 3\ndata: c");
+			assertThat(response).endsWith("0\r\n\r\n");
+		}
+	}
+
+	// Guards against a stream that looks complete though no runner could end it.
+	@Example
+	void streamThatCannotContinueIsCutWithoutEnd() throws IOException {
+		ScriptedRunner.Script script = (request, count, socket, out) -> {
+			write(out, "HTTP/1.1 200 OK\r\nx-attempt: a1\r\nx-seal: s1\r\nContent-Type: text/event-stream\r\n"
+					+ "Transfer-Encoding: chunked\r\n\r\n" + chunk("id: 1\ndata: a\n\n"));
+			reset(socket);
+		};
+		try (ScriptedRunner one = new ScriptedRunner(script);
+				ScriptedRunner two = new ScriptedRunner(script);
+				RelayFixture router = new RelayFixture(one, two).configured()) {
+			String response = router.call(RelayFixture.request("POST", "/stream/1", "a1", CLOSE, "prompt"));
+			assertThat(response).doesNotEndWith("0\r\n\r\n");
+		}
+	}
+
+	private static String chunk(String text) {
+		return Integer.toHexString(text.length()) + "\r\n" + text + "\r\n";
+	}
+
+	private static List<String> events(String response) {
+		String body = response.substring(response.indexOf("\r\n\r\n") + 4);
+		StringBuilder text = new StringBuilder();
+		int at = 0;
+		while (at < body.length()) {
+			int line = body.indexOf("\r\n", at);
+			int size = Integer.parseInt(body.substring(at, line), 16);
+			text.append(body, line + 2, line + 2 + size);
+			at = line + 2 + size + 2;
+		}
+		return List.of(text.toString().split("\n\n"));
+	}
+
+	// Guards against runners that work for callers who have left.
+	@Example
+	void workIsGivenUpWhenTheCallerLeaves() throws IOException {
+		try (ScriptedRunner runner = new ScriptedRunner((request, count, socket, out) -> {
+		}); RelayFixture router = new RelayFixture(runner).configured()) {
+			try (Socket caller = router.open()) {
+				RelayFixture.send(caller, RelayFixture.request("GET", "/read/1", "a1", "", ""));
+				runner.next();
+			}
+			runner.awaitClose();
+		}
+	}
+
+	// Guards against a starting daemon that denies what the configuration allows.
+	@Example
+	void withoutConfigurationRequestsAreRejectedNotDenied() throws IOException {
+		try (RelayFixture router = new RelayFixture()) {
+			String response = router.call(RelayFixture.request("GET", "/read/1", "a1", CLOSE, ""));
+			assertThat(response).startsWith("HTTP/1.1 503 ").containsIgnoringCase("retry-after");
+		}
+	}
+
+	@Example
+	void unknownRouteAndUnknownKeyAreDenied() throws IOException {
+		try (ScriptedRunner runner = echoing(); RelayFixture router = new RelayFixture(runner).configured()) {
+			assertThat(router.call(RelayFixture.request("GET", "/none/1", "a1", CLOSE, "")))
+				.startsWith("HTTP/1.1 404 ");
+			router.context().configure(RelayFixture.table(2, List.of("other")));
+			assertThat(router.call(RelayFixture.request("GET", "/read/1", "a2", CLOSE, "")))
+				.startsWith("HTTP/1.1 401 ");
+			assertThat(runner.hasRequest()).isFalse();
+		}
+	}
+
+	// Guards against a configuration that goes back when an old row is read late.
+	@Example
+	void olderConfigurationIsIgnored() throws IOException {
+		try (ScriptedRunner runner = echoing(); RelayFixture router = new RelayFixture(runner)) {
+			router.context().configure(RelayFixture.table(5, List.of("secret")));
+			router.context().configure(RelayFixture.table(4, List.of("other")));
+			assertThat(router.call(RelayFixture.request("GET", "/read/1", "a1", CLOSE, "")))
+				.startsWith("HTTP/1.1 200 ");
+		}
+	}
+
+	// Guards against a second request hidden in the body of the first.
+	@Example
+	void requestWithTwoFramingsReachesTheRunnerAsOne() throws IOException {
+		try (ScriptedRunner runner = echoing(); RelayFixture router = new RelayFixture(runner).configured()) {
+			String hidden = "GET /read/hidden HTTP/1.1\r\n\r\n";
+			String more = CLOSE + "Transfer-Encoding: chunked\r\nContent-Length: 5\r\n";
+			router.call(RelayFixture.request("POST", "/read/1", "a1", more, "") + chunk(hidden) + "0\r\n\r\n");
+			String received = runner.next();
+			assertThat(received).endsWith(hidden).doesNotContainIgnoringCase("transfer-encoding");
+			assertThat(runner.hasRequest()).isFalse();
+		}
+	}
+
+	// Guards against answers that change places: pipelined requests are answered in
+	// order.
+	@Example
+	void pipelinedRequestsAreAnsweredInOrder() throws IOException {
+		try (ScriptedRunner runner = new ScriptedRunner(
+				(request, count, socket, out) -> write(out, ok(attempt(request), "for " + attempt(request))));
+				RelayFixture router = new RelayFixture(runner).configured();
+				Socket caller = router.open()) {
+			RelayFixture.send(caller, RelayFixture.request("GET", "/read/1", "a1", "", "")
+					+ RelayFixture.request("GET", "/read/2", "a2", "", ""));
+			assertThat(RelayFixture.readUntil(caller.getInputStream(), "for a1")).doesNotContain("for a2");
+			assertThat(RelayFixture.readUntil(caller.getInputStream(), "for a2")).contains("200 OK");
+		}
+	}
+
+	// Guards against places that stay reserved after their requests have ended.
+	@Example
+	void allPlacesAreFreeAfterMixedEnds() throws Exception {
+		ScriptedRunner.Script mixed = (request, count, socket, out) -> {
+			switch (attempt(request)) {
+				case "a0" -> reset(socket);
+				case "a1" -> write(out, "HTTP/1.1 503 Busy\r\nx-not-run: 1\r\nContent-Length: 0\r\n\r\n");
+				default -> write(out, ok(attempt(request), "hello"));
+			}
+		};
+		try (ScriptedRunner one = new ScriptedRunner(mixed);
+				ScriptedRunner two = new ScriptedRunner(mixed);
+				RelayFixture router = new RelayFixture(one, two).configured()) {
+			for (int i = 0; i < 4; i++) {
+				router.call(RelayFixture.request("GET", "/read/1", "a" + i, CLOSE, ""));
+			}
+			long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(10);
+			while (!router.loads().own().isEmpty() && System.nanoTime() < end) {
+				Thread.onSpinWait();
+			}
+			assertThat(router.loads().own()).isEmpty();
+			assertThat(router.context().active()).isZero();
+		}
+	}
+
+}
