--- /dev/null
+++ b/bilberryvalve-gateway/src/test/java/io/bilberryvalve/gateway/layers/LayerKeeperTests.java
@@ -0,0 +1,170 @@
+package io.bilberryvalve.gateway.layers;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+
+import io.bilberryvalve.gateway.fleet.FleetBoard;
+import io.bilberryvalve.gateway.fleet.ListedRunner;
+import io.bilberryvalve.gateway.route.CallerLimits;
+import io.bilberryvalve.gateway.route.RouteTable;
+import io.bilberryvalve.gateway.route.Service;
+import io.bilberryvalve.model.Address;
+import io.bilberryvalve.model.DataCentreId;
+import io.bilberryvalve.model.LayerRange;
+import io.bilberryvalve.model.RunnerId;
+import io.bilberryvalve.model.clock.ManualClock;
+import io.bilberryvalve.platform.lease.LeaseKeeper;
+import io.bilberryvalve.platform.memory.MemoryTables;
+import io.bilberryvalve.policy.lease.LeaseHolder;
+import io.bilberryvalve.policy.lease.LeaseTimes;
+import io.bilberryvalve.policy.placement.CardKind;
+import io.bilberryvalve.policy.placement.EngineProfile;
+import net.jqwik.api.Example;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class LayerKeeperTests {
+
+	private static final int LAYERS = 20;
+
+	private static final DataCentreId HERE = new DataCentreId("a");
+
+	private static final EngineProfile PROFILE = new EngineProfile(100, LAYERS, 1000, 100_000, 1, 0.01, 0.01, 200, 2,
+			500, 100, 0, 0, 10, Map.of("card", new CardKind("card", 8000, 2, 2)), Map.of());
+
+	private static final LeaseTimes TIMES = new LeaseTimes(Duration.ofSeconds(4), Duration.ofMillis(500),
+			Duration.ofSeconds(1), Duration.ofSeconds(1));
+
+	private final ManualClock clock = new ManualClock();
+
+	private final FleetBoard board = new FleetBoard(this.clock);
+
+	private final MemoryTables tables = new MemoryTables();
+
+	private final SimulatedRunners runners = new SimulatedRunners(this.board);
+
+	private final Map<String, LayerKeeper> keepers = new HashMap<>();
+
+	private LayerKeeper keeper(String name) {
+		return this.keepers.computeIfAbsent(name, (vm) -> {
+			LeaseHolder holder = new LeaseHolder(vm, TIMES, this.clock, new Random(1));
+			return new LayerKeeper(this.board, this.runners, this.tables,
+					new LeaseKeeper("layers", holder, this.tables), this.clock, Duration.ofMillis(400));
+		});
+	}
+
+	private static RouteTable table() {
+		return new RouteTable(1, List.of(), List.of(new Service("model", 100, PROFILE)), List.of(),
+				new CallerLimits(1000, 1000, Duration.ofSeconds(1), Duration.ofSeconds(1)));
+	}
+
+	private static List<ListedRunner> cards(int count) {
+		List<ListedRunner> cards = new ArrayList<>();
+		for (int i = 0; i < count; i++) {
+			cards.add(new ListedRunner(new RunnerId("r" + i), new Address("10.0.0.1", 1000 + i), "model", HERE, 100,
+					false, "card", null, 1));
+		}
+		return cards;
+	}
+
+	private void run(String vm, Duration time) {
+		for (long passed = 0; passed < time.toMillis(); passed += 250) {
+			this.clock.advance(Duration.ofMillis(250));
+			keeper(vm).tick(table(), true, false);
+		}
+	}
+
+	private boolean complete() {
+		boolean[] held = new boolean[LAYERS];
+		for (ListedRunner runner : this.board.fleet().of("model")) {
+			LayerRange layers = runner.layers();
+			for (int i = (layers != null) ? layers.first() : 0; layers != null && i < layers.end(); i++) {
+				held[i] = true;
+			}
+		}
+		for (boolean layer : held) {
+			if (!layer) {
+				return false;
+			}
+		}
+		return true;
+	}
+
+	@Example
+	void emptyRunnersGetTheWholeModel() {
+		this.runners.list(cards(6));
+		run("one", Duration.ofSeconds(6));
+		assertThat(complete()).isTrue();
+		int orders = this.runners.orders();
+		run("one", Duration.ofSeconds(30));
+		assertThat(this.runners.orders()).isEqualTo(orders);
+	}
+
+	// Guards against orders that are repeated blindly: those without an answer take
+	// effect
+	// late, and newer ones must not be undone by them.
+	@Example
+	void ordersWithoutAnswerAreLookedUpNotRepeatedBlindly() {
+		this.runners.list(cards(6));
+		this.runners.delayOrders(true);
+		run("one", Duration.ofSeconds(4));
+		this.runners.delayOrders(false);
+		this.runners.carryOutLateOrders();
+		run("one", Duration.ofSeconds(12));
+		assertThat(complete()).isTrue();
+		this.runners.carryOutLateOrders();
+		assertThat(complete()).isTrue();
+	}
+
+	// Guards against a model that stays incomplete when the daemon that placed it is
+	// gone.
+	@Example
+	void anotherDaemonContinuesAfterTheHolderHasEnded() {
+		this.runners.list(cards(6));
+		run("one", Duration.ofSeconds(6));
+		List<ListedRunner> replaced = new ArrayList<>(this.board.fleet().of("model"));
+		int before = replaced.size();
+		replaced.removeIf(LayerKeeperTests::holdsFirstLayer);
+		for (int i = replaced.size(); i < before; i++) {
+			replaced.add(new ListedRunner(new RunnerId("new" + i), new Address("10.0.0.1", 2000 + i), "model", HERE,
+					100, false, "card", null, 1));
+		}
+		this.runners.list(replaced);
+		assertThat(complete()).isFalse();
+		run("two", Duration.ofSeconds(15));
+		assertThat(complete()).isTrue();
+	}
+
+	private static boolean holdsFirstLayer(ListedRunner runner) {
+		LayerRange layers = runner.layers();
+		return layers != null && layers.first() == 0;
+	}
+
+	// Guards against a template that was made from the first few runners of the list.
+	@Example
+	void templateIsMadeAgainWhenTheFleetHasOutgrownIt() {
+		this.runners.list(cards(4));
+		run("one", Duration.ofSeconds(5));
+		this.runners.list(cards(8));
+		run("one", Duration.ofSeconds(10));
+		assertThat(this.tables.row("layer-templates", "model").value()).startsWith("cards=8,");
+	}
+
+	// Guards against orders without the lease while the store is away.
+	@Example
+	void withoutLeaseNothingIsOrdered() {
+		this.runners.list(cards(6));
+		keeper("one").tick(table(), false, false);
+		run("two", Duration.ofSeconds(3));
+		int orders = this.runners.orders();
+		for (int i = 0; i < 20; i++) {
+			keeper("one").tick(table(), true, false);
+		}
+		assertThat(this.runners.orders()).isEqualTo(orders);
+	}
+
+}
--- /dev/null
+++ b/bilberryvalve-gateway/src/test/java/io/bilberryvalve/gateway/layers/SimulatedRunners.java
@@ -0,0 +1,124 @@
+package io.bilberryvalve.gateway.layers;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+
+import io.bilberryvalve.gateway.fleet.FleetBoard;
+import io.bilberryvalve.gateway.fleet.ListedRunner;
+import io.bilberryvalve.model.LayerRange;
+import io.bilberryvalve.model.RunnerId;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Runners that check fencing numbers and order counts as engines do. Orders may get no
+ * answer and take effect late.
+ */
+final class SimulatedRunners implements LayerOrders {
+
+	private final FleetBoard board;
+
+	private final Map<RunnerId, Engine> engines = new HashMap<>();
+
+	private final List<Runnable> late = new ArrayList<>();
+
+	private boolean unanswered;
+
+	private int orders;
+
+	SimulatedRunners(FleetBoard board) {
+		this.board = board;
+	}
+
+	void delayOrders(boolean delay) {
+		this.unanswered = delay;
+	}
+
+	void carryOutLateOrders() {
+		List<Runnable> due = List.copyOf(this.late);
+		this.late.clear();
+		due.forEach(Runnable::run);
+		publish();
+	}
+
+	int orders() {
+		return this.orders;
+	}
+
+	void list(List<ListedRunner> runners) {
+		Map<RunnerId, ListedRunner> listed = new HashMap<>();
+		runners.forEach((runner) -> listed.put(runner.id(), runner));
+		this.engines.keySet().retainAll(listed.keySet());
+		runners.forEach((runner) -> this.engines.computeIfAbsent(runner.id(), (id) -> new Engine(runner)));
+		publish();
+	}
+
+	private void publish() {
+		Map<RunnerId, ListedRunner> listed = new HashMap<>();
+		this.engines.forEach((id, engine) -> listed.put(id, engine.listed()));
+		this.board.replace(listed);
+	}
+
+	@Override
+	public CompletionStage<Answer> place(ListedRunner runner, LayerRange range, long fencing, long accepted) {
+		this.orders++;
+		Engine engine = this.engines.get(runner.id());
+		if (engine == null) {
+			return CompletableFuture.completedFuture(Answer.REFUSED);
+		}
+		if (this.unanswered) {
+			this.late.add(() -> engine.order(range, fencing, accepted));
+			return CompletableFuture.completedFuture(Answer.UNKNOWN);
+		}
+		Answer answer = engine.order(range, fencing, accepted);
+		publish();
+		return CompletableFuture.completedFuture(answer);
+	}
+
+	@Override
+	public CompletionStage<@Nullable State> state(ListedRunner runner) {
+		Engine engine = this.engines.get(runner.id());
+		return CompletableFuture
+			.completedFuture((engine != null) ? new State(false, engine.accepted, engine.layers) : null);
+	}
+
+	/** One runner. */
+	private static final class Engine {
+
+		private final ListedRunner base;
+
+		private long fencing;
+
+		private long accepted;
+
+		private @Nullable LayerRange layers;
+
+		Engine(ListedRunner base) {
+			this.base = base;
+			this.layers = base.layers();
+		}
+
+		Answer order(LayerRange range, long number, long expected) {
+			if (number < this.fencing) {
+				return Answer.SUPERSEDED;
+			}
+			if (expected != this.accepted) {
+				return Answer.CONFLICT;
+			}
+			this.fencing = number;
+			this.accepted++;
+			this.layers = range;
+			return Answer.ACCEPTED;
+		}
+
+		ListedRunner listed() {
+			return new ListedRunner(this.base.id(), this.base.address(), this.base.service(), this.base.dataCentre(),
+					this.base.slots(), this.base.leaving(), this.base.card(), this.layers, this.base.startedMillis());
+		}
+
+	}
+
+}
--- /dev/null
+++ b/bilberryvalve-platform/src/test/java/io/bilberryvalve/platform/watch/ManualTimer.java
@@ -0,0 +1,39 @@
+package io.bilberryvalve.platform.watch;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.concurrent.Callable;
+import java.util.concurrent.ScheduledFuture;
+import java.util.concurrent.ScheduledThreadPoolExecutor;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * A timer that runs its tasks in order when told to, without waiting.
+ */
+final class ManualTimer extends ScheduledThreadPoolExecutor {
+
+	private final Deque<Runnable> tasks = new ArrayDeque<>();
+
+	ManualTimer() {
+		super(0);
+	}
+
+	@Override
+	public void execute(Runnable task) {
+		this.tasks.add(task);
+	}
+
+	@Override
+	public ScheduledFuture<?> schedule(Runnable task, long delay, TimeUnit unit) {
+		this.tasks.add(task);
+		return super.schedule((Callable<Void>) () -> null, Long.MAX_VALUE / 2, TimeUnit.NANOSECONDS);
+	}
+
+	void runAll() {
+		for (Runnable task = this.tasks.poll(); task != null; task = this.tasks.poll()) {
+			task.run();
+		}
+		shutdownNow();
+	}
+
+}
--- /dev/null
+++ b/bilberryvalve-platform/src/test/java/io/bilberryvalve/platform/watch/TableWatchTests.java
@@ -0,0 +1,148 @@
+package io.bilberryvalve.platform.watch;
+
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+
+import io.bilberryvalve.platform.Fetched;
+import io.bilberryvalve.platform.Row;
+import io.bilberryvalve.platform.StoreFailure;
+import net.jqwik.api.Example;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class TableWatchTests {
+
+	private final ScriptedFeed feed = new ScriptedFeed();
+
+	private final ManualTimer timer = new ManualTimer();
+
+	private final List<String> events = new ArrayList<>();
+
+	private final TableWatch watch = new TableWatch("t", this.feed, this.timer, new Recorder());
+
+	private static Row row(String value) {
+		return new Row("t", "k", 1, value);
+	}
+
+	private static <T> Fetched<T> failed() {
+		return new Fetched.Failed<>(StoreFailure.of(StoreFailure.Kind.OUTAGE, "down"));
+	}
+
+	private static Fetched<TableFeed.Snapshot> snapshot(long version, String value) {
+		return new Fetched.Found<>(new TableFeed.Snapshot(List.of(row(value)), version));
+	}
+
+	private static Fetched<TableFeed.Changes> change(long version, String value) {
+		return new Fetched.Found<>(new TableFeed.Changes(List.of(new TableFeed.Change(row(value), false)), version));
+	}
+
+	@Example
+	void readsTheTableThenFollowsItsChanges() {
+		this.feed.snapshots.add(snapshot(5, "one"));
+		this.feed.changes.add(change(7, "two"));
+		this.watch.start();
+		this.timer.runAll();
+		assertThat(this.events).containsExactly("available", "replaced one", "changed two");
+		assertThat(this.feed.after).containsExactly(5L, 7L);
+	}
+
+	// Guards against a feed that stays dead after an outage.
+	@Example
+	void followsOnFromTheKnownVersionAfterAnOutage() {
+		this.feed.snapshots.add(snapshot(5, "one"));
+		this.feed.changes.add(failed());
+		this.feed.changes.add(failed());
+		this.feed.changes.add(change(9, "two"));
+		this.watch.start();
+		this.timer.runAll();
+		assertThat(this.events).containsExactly("available", "replaced one", "lost", "available", "changed two");
+		assertThat(this.feed.after).containsExactly(5L, 5L, 5L, 9L);
+	}
+
+	// Guards against changes that are missed when the store has dropped its history.
+	@Example
+	void readsTheWholeTableWhenTheHistoryIsGone() {
+		this.feed.snapshots.add(snapshot(5, "one"));
+		this.feed.changes.add(new Fetched.Missing<>());
+		this.feed.snapshots.add(snapshot(30, "two"));
+		this.watch.start();
+		this.timer.runAll();
+		assertThat(this.events).containsExactly("available", "replaced one", "replaced two");
+		assertThat(this.feed.after).containsExactly(5L, 30L);
+	}
+
+	// Guards against older rows that replace newer ones while the store recovers.
+	@Example
+	void olderSnapshotIsNotUsed() {
+		this.feed.snapshots.add(snapshot(5, "one"));
+		this.feed.changes.add(change(20, "two"));
+		this.feed.changes.add(new Fetched.Missing<>());
+		this.feed.snapshots.add(snapshot(12, "old"));
+		this.feed.snapshots.add(snapshot(21, "three"));
+		this.watch.start();
+		this.timer.runAll();
+		assertThat(this.events).containsExactly("available", "replaced one", "changed two", "replaced three");
+	}
+
+	private final class Recorder implements TableWatch.Listener {
+
+		@Override
+		public void replaced(List<Row> rows) {
+			TableWatchTests.this.events.add("replaced " + rows.get(0).value());
+		}
+
+		@Override
+		public void changed(List<TableFeed.Change> changes) {
+			TableWatchTests.this.events.add("changed " + changes.get(0).row().value());
+		}
+
+		@Override
+		public void refreshed(List<Row> rows) {
+			TableWatchTests.this.events.add("refreshed");
+		}
+
+		@Override
+		public void lost() {
+			TableWatchTests.this.events.add("lost");
+		}
+
+		@Override
+		public void available() {
+			TableWatchTests.this.events.add("available");
+		}
+
+	}
+
+	/** A store that answers from a script and then no more. */
+	private static final class ScriptedFeed implements TableFeed {
+
+		private final Deque<Fetched<Snapshot>> snapshots = new ArrayDeque<>();
+
+		private final Deque<Fetched<Changes>> changes = new ArrayDeque<>();
+
+		private final List<Long> after = new ArrayList<>();
+
+		private static <T> CompletionStage<Fetched<T>> next(Deque<Fetched<T>> script) {
+			Fetched<T> next = script.poll();
+			return (next != null) ? CompletableFuture.completedFuture(next) : new CompletableFuture<>();
+		}
+
+		@Override
+		public CompletionStage<Fetched<Snapshot>> snapshot(String table) {
+			return next(this.snapshots);
+		}
+
+		@Override
+		public CompletionStage<Fetched<Changes>> changes(String table, long version, Duration wait) {
+			this.after.add(version);
+			return next(this.changes);
+		}
+
+	}
+
+}
