Keep serving on leaving daemons while no other does; gather store changes

Cause: three daemons left in turn while the fourth lost power; callers had no address for 1.6 s. Each change of a group cost a call to the store. Change: LeavePlan accepts what ends in time when no other daemon serves; the directory names leaving daemons then; feeds pause 120 ms after a change.

--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/Gateway.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/Gateway.java
@@ -8,6 +8,7 @@
 import java.util.Random;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Predicate;
 
 import io.bilberryvalve.gateway.fleet.FleetBoard;
 import io.bilberryvalve.gateway.fleet.LoadBook;
@@ -36,6 +37,7 @@
 import io.bilberryvalve.platform.lease.LeaseKeeper;
 import io.bilberryvalve.policy.lease.LeaseHolder;
 import io.bilberryvalve.policy.lease.LeaseTimes;
+import io.bilberryvalve.policy.membership.LeavePlan;
 import io.bilberryvalve.policy.retry.RetryBudget;
 import io.netty.channel.EventLoop;
 
@@ -129,9 +131,10 @@
 				settings.retryWindow());
 		this.context = new RelayContext(dialect, settings.dataCentre(), clock, this.board, this.loads, new Trust(clock),
 				budget, reports, this::pool);
-		this.exchange = new StateExchange(transport, new StateExchange.Self(settings.vm(), settings.dataCentre(),
-				settings.callers(), settings.state(), this::serving, this::configuration), this.loads, clock,
-				incarnation);
+		this.exchange = new StateExchange(
+				transport, new StateExchange.Self(settings.vm(), settings.dataCentre(), settings.callers(),
+						settings.state(), this::serving, () -> this.leaving, this::configuration),
+				this.loads, clock, incarnation);
 		this.server = new CallerServer(transport, this::limits, clock, new RelayHandler(this.context));
 		LeaseHolder holder = new LeaseHolder(settings.vm() + "/" + incarnation, LEASE, clock, new Random(incarnation),
 				this::holderEnded);
@@ -245,17 +248,28 @@
 
 	/**
 	 * Returns where callers should connect.
-	 * @return addresses of the gateways that serve, this one first
+	 * @return addresses of the gateways that serve, this one first; if none does, those
+	 * that are leaving
 	 */
 	public List<Address> entries() {
+		List<PeerState> present = this.exchange.present();
+		List<Address> entries = entries(present, serving(), PeerState::serving);
+		return entries.isEmpty() ? entries(present, this.leaving, PeerState::leaving) : entries;
+	}
+
+	private List<Address> entries(List<PeerState> present, boolean self, Predicate<PeerState> which) {
 		List<Address> entries = new ArrayList<>();
-		if (serving()) {
+		if (self) {
 			entries.add(this.settings.callers());
 		}
-		this.exchange.present().stream().filter(PeerState::serving).map(PeerState::callers).forEach(entries::add);
+		present.stream().filter(which).map(PeerState::callers).forEach(entries::add);
 		return entries;
 	}
 
+	private boolean othersServe() {
+		return this.exchange.present().stream().anyMatch(PeerState::serving);
+	}
+
 	/**
 	 * Leaves: callers are sent elsewhere, requests in progress end, and late callers are
 	 * still served for a while. Returns when no request is left, or when the time is
@@ -269,14 +283,14 @@
 		this.exchange.sendNow();
 		LogEvent.of("leaving").with("requests", this.context.active()).log(LOGGER, System.Logger.Level.INFO);
 		long start = this.clock.millis();
-		long refuseAt = start + Math.min(LEAVE_MILLIS, limit.toMillis() / 2);
 		long end = start + limit.toMillis();
+		long refuseAt = start + Math.min(LEAVE_MILLIS, limit.toMillis() / 2);
+		this.context.leave(new LeavePlan(refuseAt, end), this::othersServe);
 		while (this.clock.millis() < refuseAt) {
 			Thread.sleep(LEAVE_POLL_MILLIS);
 		}
-		this.context.refuse();
 		this.server.closeUnused();
-		while (this.context.active() > 0 && this.clock.millis() < end) {
+		while ((this.context.active() > 0 || !othersServe()) && this.clock.millis() < end) {
 			Thread.sleep(LEAVE_POLL_MILLIS);
 		}
 		LogEvent.of("left").with("requests", this.context.active()).log(LOGGER, System.Logger.Level.INFO);
--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/peer/StateExchange.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/peer/StateExchange.java
@@ -205,6 +205,7 @@
 			.setCallerAddress(this.self.callers().toString())
 			.setStateAddress(this.self.state().toString())
 			.setServing(this.self.serving().getAsBoolean())
+			.setLeaving(this.self.leaving().getAsBoolean())
 			.setConfiguration(this.self.configuration().getAsLong());
 		this.loads.own()
 			.forEach((runner,
@@ -222,8 +223,8 @@
 			DaemonState state = DaemonState.parseFrom(bytes);
 			PeerState peer = new PeerState(state.getVm(), state.getIncarnation(), state.getSequence(),
 					new DataCentreId(state.getDataCentre()), Address.parse(state.getCallerAddress()),
-					Address.parse(state.getStateAddress()), state.getServing(), state.getConfiguration(),
-					this.clock.millis());
+					Address.parse(state.getStateAddress()), state.getServing(), state.getLeaving(),
+					state.getConfiguration(), this.clock.millis());
 			if (accept(peer)) {
 				this.loads.report(peer.vm(), usage(state));
 			}
@@ -273,10 +274,11 @@
 	 * @param callers where callers connect
 	 * @param state where it receives states
 	 * @param serving whether callers should use it
+	 * @param leaving whether it is stopping
 	 * @param configuration version of its configuration, 0 for none
 	 */
 	public record Self(String vm, DataCentreId dataCentre, Address callers, Address state, BooleanSupplier serving,
-			LongSupplier configuration) {
+			BooleanSupplier leaving, LongSupplier configuration) {
 
 	}
 
--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/relay/Relay.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/relay/Relay.java
@@ -81,6 +81,12 @@
 	/** Time for a rejected request to come back while the router starts. */
 	private static final long STARTING_RETRY_MILLIS = 500;
 
+	/** A caller that is sent to another daemon may come at once; this covers its list. */
+	private static final long LEAVING_RETRY_MILLIS = 100;
+
+	/** Time of a token on a usual path. */
+	private static final long USUAL_TOKEN_MILLIS = 25;
+
 	private static final double MILLIS_PER_SECOND = 1000;
 
 	private final RelayContext context;
@@ -165,10 +171,6 @@
 			reject(STARTING_RETRY_MILLIS, "no configuration yet");
 			return;
 		}
-		if (this.context.refusing()) {
-			reject(STARTING_RETRY_MILLIS, "this daemon is leaving");
-			return;
-		}
 		FullHttpRequest request = this.exchange.request();
 		Optional<Route> found = table.route(requestHeaders().get(HttpHeaderNames.HOST, ""), request.uri());
 		if (found.isEmpty()) {
@@ -200,6 +202,11 @@
 			this.size = size(engine);
 		}
 		long limit = Math.min(chosen.timeout().toMillis(), number(dialect().deadline(), chosen.timeout().toMillis()));
+		if (this.context
+			.refuses((engine != null) ? this.size.answer() * USUAL_TOKEN_MILLIS : chosen.timeout().toMillis())) {
+			reject(LEAVING_RETRY_MILLIS, "this daemon is leaving");
+			return;
+		}
 		this.endAt = this.arrived + limit;
 		this.lastEvent = requestHeaders().get(dialect().lastEvent());
 		this.exchange.onGone(this::callerGone);
--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/relay/RelayContext.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/relay/RelayContext.java
@@ -6,6 +6,7 @@
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.BooleanSupplier;
 import java.util.function.Function;
 
 import io.bilberryvalve.gateway.fleet.FleetBoard;
@@ -17,6 +18,7 @@
 import io.bilberryvalve.gateway.route.Service;
 import io.bilberryvalve.model.DataCentreId;
 import io.bilberryvalve.model.log.LogEvent;
+import io.bilberryvalve.policy.membership.LeavePlan;
 import io.bilberryvalve.policy.placement.EngineProfile;
 import io.bilberryvalve.policy.retry.RetryBudget;
 import io.netty.channel.EventLoop;
@@ -53,7 +55,9 @@
 
 	private final Set<Relay> active = ConcurrentHashMap.newKeySet();
 
-	private volatile boolean refusing;
+	private volatile BooleanSupplier othersServe = () -> true;
+
+	private volatile @Nullable LeavePlan leavePlan;
 
 	/**
 	 * Creates the context.
@@ -181,15 +185,24 @@
 		return this.active.size();
 	}
 
-	boolean refusing() {
-		return this.refusing;
+	/**
+	 * Tells whether a request comes too late, because this daemon is leaving.
+	 * @param expectedMillis expected time of the request
+	 * @return whether to reject it
+	 */
+	boolean refuses(long expectedMillis) {
+		LeavePlan plan = this.leavePlan;
+		return plan != null && plan.refuses(this.clock.millis(), expectedMillis, this.othersServe.getAsBoolean());
 	}
 
 	/**
-	 * Rejects all further requests.
+	 * Starts to leave.
+	 * @param plan which requests are still accepted
+	 * @param others whether callers can go to other daemons
 	 */
-	public void refuse() {
-		this.refusing = true;
+	public void leave(LeavePlan plan, BooleanSupplier others) {
+		this.othersServe = others;
+		this.leavePlan = plan;
 	}
 
 	private record Desk(@Nullable EngineProfile engine, SeatDesk desk) {
--- a/bilberryvalve-platform/src/main/java/io/bilberryvalve/platform/watch/TableWatch.java
+++ b/bilberryvalve-platform/src/main/java/io/bilberryvalve/platform/watch/TableWatch.java
@@ -22,6 +22,11 @@
 	/** Changes are answered at once, so that a long wait only saves calls. */
 	private static final Duration WAIT = Duration.ofSeconds(25);
 
+	/**
+	 * Changes often come in groups; gathering them saves calls and delays them little.
+	 */
+	private static final long GATHER_MILLIS = 120;
+
 	private static final long FIRST_PAUSE_MILLIS = 150;
 
 	/** Bounds the calls of a daemon during an outage, and the time to notice its end. */
@@ -117,8 +122,11 @@
 			this.version = Math.max(this.version, found.value().version());
 			if (!found.value().changes().isEmpty()) {
 				this.listener.changed(found.value().changes());
+				this.timer.schedule(this::follow, GATHER_MILLIS, TimeUnit.MILLISECONDS);
+			}
+			else {
+				follow();
 			}
-			follow();
 		}
 		else if (fetched instanceof Fetched.Missing<TableFeed.Changes>) {
 			LogEvent.of("store-history-gone")
--- /dev/null
+++ b/bilberryvalve-policy/src/test/java/io/bilberryvalve/policy/membership/LeavePlanTests.java
@@ -0,0 +1,30 @@
+package io.bilberryvalve.policy.membership;
+
+import net.jqwik.api.Example;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class LeavePlanTests {
+
+	private final LeavePlan plan = new LeavePlan(3000, 7500);
+
+	// Callers still hold the address of a leaving daemon for a while.
+	@Example
+	void acceptsAllAtFirst() {
+		assertThat(this.plan.refuses(2999, 60_000, true)).isFalse();
+	}
+
+	@Example
+	void sendsCallersToOthersLater() {
+		assertThat(this.plan.refuses(3000, 1, true)).isTrue();
+	}
+
+	// Replays three daemons that leave in turn while the fourth loses power.
+	@Example
+	void acceptsWhatEndsInTimeWhileNoOtherServes() {
+		assertThat(this.plan.refuses(4000, 1700, false)).isFalse();
+		assertThat(this.plan.refuses(4000, 1800, false)).isTrue();
+		assertThat(this.plan.refuses(7400, 60, false)).isTrue();
+	}
+
+}
--- a/bilberryvalve-wire/src/main/java/io/bilberryvalve/wire/proto/LoadMessages.java
+++ b/bilberryvalve-wire/src/main/java/io/bilberryvalve/wire/proto/LoadMessages.java
@@ -185,6 +185,16 @@
      */
     io.bilberryvalve.wire.proto.LoadMessages.RunnerUsageOrBuilder getUsageOrBuilder(
         int index);
+
+    /**
+     * <pre>
+     * Whether this daemon is stopping; it may still take requests if no other daemon serves.
+     * </pre>
+     *
+     * <code>bool leaving = 10;</code>
+     * @return The leaving.
+     */
+    boolean getLeaving();
   }
   /**
    * <pre>
@@ -533,6 +543,21 @@
       return usage_.get(index);
     }
 
+    public static final int LEAVING_FIELD_NUMBER = 10;
+    private boolean leaving_ = false;
+    /**
+     * <pre>
+     * Whether this daemon is stopping; it may still take requests if no other daemon serves.
+     * </pre>
+     *
+     * <code>bool leaving = 10;</code>
+     * @return The leaving.
+     */
+    @java.lang.Override
+    public boolean getLeaving() {
+      return leaving_;
+    }
+
     private byte memoizedIsInitialized = -1;
     @java.lang.Override
     public final boolean isInitialized() {
@@ -574,6 +599,9 @@
       for (int i = 0; i < usage_.size(); i++) {
         output.writeMessage(9, usage_.get(i));
       }
+      if (leaving_ != false) {
+        output.writeBool(10, leaving_);
+      }
       getUnknownFields().writeTo(output);
     }
 
@@ -615,6 +643,10 @@
         size += com.google.protobuf.CodedOutputStream
           .computeMessageSize(9, usage_.get(i));
       }
+      if (leaving_ != false) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeBoolSize(10, leaving_);
+      }
       size += getUnknownFields().getSerializedSize();
       memoizedSize = size;
       return size;
@@ -648,6 +680,8 @@
           != other.getConfiguration()) return false;
       if (!getUsageList()
           .equals(other.getUsageList())) return false;
+      if (getLeaving()
+          != other.getLeaving()) return false;
       if (!getUnknownFields().equals(other.getUnknownFields())) return false;
       return true;
     }
@@ -683,6 +717,9 @@
         hash = (37 * hash) + USAGE_FIELD_NUMBER;
         hash = (53 * hash) + getUsageList().hashCode();
       }
+      hash = (37 * hash) + LEAVING_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+          getLeaving());
       hash = (29 * hash) + getUnknownFields().hashCode();
       memoizedHashCode = hash;
       return hash;
@@ -833,6 +870,7 @@
           usageBuilder_.clear();
         }
         bitField0_ = (bitField0_ & ~0x00000100);
+        leaving_ = false;
         return this;
       }
 
@@ -903,6 +941,9 @@
         if (((from_bitField0_ & 0x00000080) != 0)) {
           result.configuration_ = configuration_;
         }
+        if (((from_bitField0_ & 0x00000200) != 0)) {
+          result.leaving_ = leaving_;
+        }
       }
 
       @java.lang.Override
@@ -975,6 +1016,9 @@
             }
           }
         }
+        if (other.getLeaving() != false) {
+          setLeaving(other.getLeaving());
+        }
         this.mergeUnknownFields(other.getUnknownFields());
         onChanged();
         return this;
@@ -1054,6 +1098,11 @@
                 }
                 break;
               } // case 74
+              case 80: {
+                leaving_ = input.readBool();
+                bitField0_ |= 0x00000200;
+                break;
+              } // case 80
               default: {
                 if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                   done = true; // was an endgroup tag
@@ -1907,6 +1956,50 @@
         return usageBuilder_;
       }
 
+      private boolean leaving_ ;
+      /**
+       * <pre>
+       * Whether this daemon is stopping; it may still take requests if no other daemon serves.
+       * </pre>
+       *
+       * <code>bool leaving = 10;</code>
+       * @return The leaving.
+       */
+      @java.lang.Override
+      public boolean getLeaving() {
+        return leaving_;
+      }
+      /**
+       * <pre>
+       * Whether this daemon is stopping; it may still take requests if no other daemon serves.
+       * </pre>
+       *
+       * <code>bool leaving = 10;</code>
+       * @param value The leaving to set.
+       * @return This builder for chaining.
+       */
+      public Builder setLeaving(boolean value) {
+
+        leaving_ = value;
+        bitField0_ |= 0x00000200;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * Whether this daemon is stopping; it may still take requests if no other daemon serves.
+       * </pre>
+       *
+       * <code>bool leaving = 10;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearLeaving() {
+        bitField0_ = (bitField0_ & ~0x00000200);
+        leaving_ = false;
+        onChanged();
+        return this;
+      }
+
       // @@protoc_insertion_point(builder_scope:bilberryvalve.load.DaemonState)
     }
 
@@ -2865,17 +2958,17 @@
       descriptor;
   static {
     java.lang.String[] descriptorData = {
-      "\n\nload.proto\022\022bilberryvalve.load\"\334\001\n\013Dae" +
+      "\n\nload.proto\022\022bilberryvalve.load\"\355\001\n\013Dae" +
       "monState\022\n\n\002vm\030\001 \001(\t\022\023\n\013incarnation\030\002 \001(" +
       "\003\022\020\n\010sequence\030\003 \001(\003\022\023\n\013data_centre\030\004 \001(\t" +
       "\022\026\n\016caller_address\030\005 \001(\t\022\025\n\rstate_addres" +
       "s\030\006 \001(\t\022\017\n\007serving\030\007 \001(\010\022\025\n\rconfiguratio" +
       "n\030\010 \001(\003\022.\n\005usage\030\t \003(\0132\037.bilberryvalve.l" +
-      "oad.RunnerUsage\"l\n\013RunnerUsage\022\016\n\006runner" +
-      "\030\001 \001(\t\022\017\n\007running\030\002 \001(\005\022\024\n\014token_layers\030" +
-      "\003 \001(\003\022\017\n\007entered\030\004 \001(\005\022\025\n\runread_layers\030" +
-      "\005 \001(\003B+\n\033io.bilberryvalve.wire.protoB\014Lo" +
-      "adMessagesb\006proto3"
+      "oad.RunnerUsage\022\017\n\007leaving\030\n \001(\010\"l\n\013Runn" +
+      "erUsage\022\016\n\006runner\030\001 \001(\t\022\017\n\007running\030\002 \001(\005" +
+      "\022\024\n\014token_layers\030\003 \001(\003\022\017\n\007entered\030\004 \001(\005\022" +
+      "\025\n\runread_layers\030\005 \001(\003B+\n\033io.bilberryval" +
+      "ve.wire.protoB\014LoadMessagesb\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -2886,7 +2979,7 @@
     internal_static_bilberryvalve_load_DaemonState_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_bilberryvalve_load_DaemonState_descriptor,
-        new java.lang.String[] { "Vm", "Incarnation", "Sequence", "DataCentre", "CallerAddress", "StateAddress", "Serving", "Configuration", "Usage", });
+        new java.lang.String[] { "Vm", "Incarnation", "Sequence", "DataCentre", "CallerAddress", "StateAddress", "Serving", "Configuration", "Usage", "Leaving", });
     internal_static_bilberryvalve_load_RunnerUsage_descriptor =
       getDescriptor().getMessageType(1);
     internal_static_bilberryvalve_load_RunnerUsage_fieldAccessorTable = new
