Keep placement going while a daemon is turned away by the store

Cause: the store turned one daemon away that the others saw serving, so nobody ordered layers for 9 s; two data centres were rebalanced at once; a spare moved between the gaps of two other data centres every 0.25 s. Ruled out: moving spares across data centres; links serve few requests.

--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/Gateway.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/Gateway.java
@@ -131,9 +131,9 @@
 				settings.retryWindow());
 		this.context = new RelayContext(dialect, settings.dataCentre(), clock, this.board, this.loads, new Trust(clock),
 				budget, reports, this::pool);
-		this.exchange = new StateExchange(
-				transport, new StateExchange.Self(settings.vm(), settings.dataCentre(), settings.callers(),
-						settings.state(), this::serving, () -> this.leaving, this::configuration),
+		this.exchange = new StateExchange(transport,
+				new StateExchange.Self(settings.vm(), settings.dataCentre(), settings.callers(), settings.state(),
+						this::serving, () -> this.leaving, this.board::reachable, this::configuration),
 				this.loads, clock, incarnation);
 		this.server = new CallerServer(transport, this::limits, clock, new RelayHandler(this.context));
 		LeaseHolder holder = new LeaseHolder(settings.vm() + "/" + incarnation, LEASE, clock, new Random(incarnation),
--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/fleet/FleetBoard.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/fleet/FleetBoard.java
@@ -64,6 +64,14 @@
 		return this.known;
 	}
 
+	/**
+	 * Tells whether the list can be read.
+	 * @return whether the last read succeeded
+	 */
+	public synchronized boolean reachable() {
+		return this.known && !this.lost;
+	}
+
 	/**
 	 * Adds a listener that is called after each change.
 	 * @param listener the listener; it must not block
--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/peer/PeerState.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/peer/PeerState.java
@@ -14,10 +14,11 @@
  * @param state where it receives states
  * @param serving whether callers should use it
  * @param leaving whether it is stopping
+ * @param storeReachable whether it reaches the store
  * @param configuration version of its configuration
  * @param heardMillis when the message arrived
  */
 public record PeerState(String vm, long incarnation, long sequence, DataCentreId dataCentre, Address callers,
-		Address state, boolean serving, boolean leaving, long configuration, long heardMillis) {
+		Address state, boolean serving, boolean leaving, boolean storeReachable, long configuration, long heardMillis) {
 
 }
--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/peer/StateExchange.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/peer/StateExchange.java
@@ -141,11 +141,13 @@
 	}
 
 	/**
-	 * Tells whether this daemon has the least name of all that are present and serve.
+	 * Tells whether this daemon has the least name of all that are present, serve and
+	 * reach the store.
 	 * @return whether it should do what one daemon does for all
 	 */
 	public boolean leads() {
-		return present().stream().noneMatch((peer) -> peer.serving() && peer.vm().compareTo(this.self.vm()) < 0);
+		return this.self.storeReachable().getAsBoolean() && present().stream()
+			.noneMatch((peer) -> peer.serving() && peer.storeReachable() && peer.vm().compareTo(this.self.vm()) < 0);
 	}
 
 	/**
@@ -164,7 +166,8 @@
 		if (peer == null) {
 			return now - this.startedAt >= GONE_MILLIS;
 		}
-		return peer.incarnation() != start || !peer.serving() || now - peer.heardMillis() > GONE_MILLIS;
+		return peer.incarnation() != start || !peer.serving() || !peer.storeReachable()
+				|| now - peer.heardMillis() > GONE_MILLIS;
 	}
 
 	/**
@@ -206,6 +209,7 @@
 			.setStateAddress(this.self.state().toString())
 			.setServing(this.self.serving().getAsBoolean())
 			.setLeaving(this.self.leaving().getAsBoolean())
+			.setStoreReachable(this.self.storeReachable().getAsBoolean())
 			.setConfiguration(this.self.configuration().getAsLong());
 		this.loads.own()
 			.forEach((runner,
@@ -224,7 +228,7 @@
 			PeerState peer = new PeerState(state.getVm(), state.getIncarnation(), state.getSequence(),
 					new DataCentreId(state.getDataCentre()), Address.parse(state.getCallerAddress()),
 					Address.parse(state.getStateAddress()), state.getServing(), state.getLeaving(),
-					state.getConfiguration(), this.clock.millis());
+					state.getStoreReachable(), state.getConfiguration(), this.clock.millis());
 			if (accept(peer)) {
 				this.loads.report(peer.vm(), usage(state));
 			}
@@ -275,10 +279,11 @@
 	 * @param state where it receives states
 	 * @param serving whether callers should use it
 	 * @param leaving whether it is stopping
+	 * @param storeReachable whether it reaches the store
 	 * @param configuration version of its configuration, 0 for none
 	 */
 	public record Self(String vm, DataCentreId dataCentre, Address callers, Address state, BooleanSupplier serving,
-			BooleanSupplier leaving, LongSupplier configuration) {
+			BooleanSupplier leaving, BooleanSupplier storeReachable, LongSupplier configuration) {
 
 	}
 
--- a/bilberryvalve-policy/src/main/java/io/bilberryvalve/policy/placement/LayerAssigner.java
+++ b/bilberryvalve-policy/src/main/java/io/bilberryvalve/policy/placement/LayerAssigner.java
@@ -14,7 +14,7 @@
  * their holder. Each card continues the first gap in its data centre, faster cards first:
  * links between data centres carry few prompts, so each data centre gets a whole copy of
  * the model first. Cards that are left over hold the layers that are held least, and move
- * to gaps that appear later.
+ * to gaps that appear later in their data centre.
  */
 public final class LayerAssigner {
 
@@ -71,6 +71,16 @@
 			.findFirst();
 	}
 
+	/**
+	 * Tells whether a data centre holds the whole model.
+	 * @param cards all cards that can be used
+	 * @param dataCentre the data centre
+	 * @return whether it has a holder of each layer
+	 */
+	public boolean complete(Collection<Card> cards, DataCentreId dataCentre) {
+		return new Coverage(this.template.layers(), cards).gap(dataCentre).isEmpty();
+	}
+
 	private Assignment take(Card card, LayerRange run, Coverage coverage) {
 		LayerRange range = cut(card, run);
 		coverage.add(card.dataCentre(), range, 1);
@@ -94,18 +104,18 @@
 		return Optional.empty();
 	}
 
-	// A card whose layers others in its data centre hold too; the nearest and slowest
-	// one.
+	// A card whose layers others in its data centre hold too; the one that fills most,
+	// then the
+	// slowest. Cards do not move for other data centres: paths across links serve few
+	// requests.
 	private Optional<Assignment> spare(Collection<Card> cards, Coverage coverage, DataCentreId dataCentre,
 			LayerRange gap) {
 		return cards.stream()
-			.filter((card) -> this.template.width(card.kind().name()) > 0)
+			.filter((card) -> card.dataCentre().equals(dataCentre) && this.template.width(card.kind().name()) > 0)
 			.filter((card) -> isSpare(card, coverage))
-			.min(Comparator.comparing((Card card) -> !card.dataCentre().equals(dataCentre))
-				.thenComparing((card) -> -cut(card, gap).size())
-				.thenComparing((card) -> -card.kind().stepFactor())
+			.min(Comparator.comparingInt((Card card) -> -cut(card, gap).size())
+				.thenComparingDouble((card) -> -card.kind().stepFactor())
 				.thenComparing(Card::runner))
-			.filter((card) -> card.dataCentre().equals(dataCentre) || !covered(cards, cut(card, gap)))
 			.map((card) -> new Assignment(card, cut(card, gap)));
 	}
 
@@ -114,12 +124,6 @@
 		return held != null && coverage.least(card.dataCentre(), held) > 1;
 	}
 
-	// Whether a spare of another data centre already holds these layers as a range of its
-	// own.
-	private static boolean covered(Collection<Card> cards, LayerRange range) {
-		return cards.stream().anyMatch((card) -> range.equals(card.held()));
-	}
-
 	/**
 	 * Layers for a card.
 	 *
--- a/bilberryvalve-wire/src/main/java/io/bilberryvalve/wire/proto/LoadMessages.java
+++ b/bilberryvalve-wire/src/main/java/io/bilberryvalve/wire/proto/LoadMessages.java
@@ -195,6 +195,16 @@
      * @return The leaving.
      */
     boolean getLeaving();
+
+    /**
+     * <pre>
+     * Whether this daemon reaches the store.
+     * </pre>
+     *
+     * <code>bool store_reachable = 11;</code>
+     * @return The storeReachable.
+     */
+    boolean getStoreReachable();
   }
   /**
    * <pre>
@@ -558,6 +568,21 @@
       return leaving_;
     }
 
+    public static final int STORE_REACHABLE_FIELD_NUMBER = 11;
+    private boolean storeReachable_ = false;
+    /**
+     * <pre>
+     * Whether this daemon reaches the store.
+     * </pre>
+     *
+     * <code>bool store_reachable = 11;</code>
+     * @return The storeReachable.
+     */
+    @java.lang.Override
+    public boolean getStoreReachable() {
+      return storeReachable_;
+    }
+
     private byte memoizedIsInitialized = -1;
     @java.lang.Override
     public final boolean isInitialized() {
@@ -602,6 +627,9 @@
       if (leaving_ != false) {
         output.writeBool(10, leaving_);
       }
+      if (storeReachable_ != false) {
+        output.writeBool(11, storeReachable_);
+      }
       getUnknownFields().writeTo(output);
     }
 
@@ -647,6 +675,10 @@
         size += com.google.protobuf.CodedOutputStream
           .computeBoolSize(10, leaving_);
       }
+      if (storeReachable_ != false) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeBoolSize(11, storeReachable_);
+      }
       size += getUnknownFields().getSerializedSize();
       memoizedSize = size;
       return size;
@@ -682,6 +714,8 @@
           .equals(other.getUsageList())) return false;
       if (getLeaving()
           != other.getLeaving()) return false;
+      if (getStoreReachable()
+          != other.getStoreReachable()) return false;
       if (!getUnknownFields().equals(other.getUnknownFields())) return false;
       return true;
     }
@@ -720,6 +754,9 @@
       hash = (37 * hash) + LEAVING_FIELD_NUMBER;
       hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
           getLeaving());
+      hash = (37 * hash) + STORE_REACHABLE_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+          getStoreReachable());
       hash = (29 * hash) + getUnknownFields().hashCode();
       memoizedHashCode = hash;
       return hash;
@@ -871,6 +908,7 @@
         }
         bitField0_ = (bitField0_ & ~0x00000100);
         leaving_ = false;
+        storeReachable_ = false;
         return this;
       }
 
@@ -944,6 +982,9 @@
         if (((from_bitField0_ & 0x00000200) != 0)) {
           result.leaving_ = leaving_;
         }
+        if (((from_bitField0_ & 0x00000400) != 0)) {
+          result.storeReachable_ = storeReachable_;
+        }
       }
 
       @java.lang.Override
@@ -1019,6 +1060,9 @@
         if (other.getLeaving() != false) {
           setLeaving(other.getLeaving());
         }
+        if (other.getStoreReachable() != false) {
+          setStoreReachable(other.getStoreReachable());
+        }
         this.mergeUnknownFields(other.getUnknownFields());
         onChanged();
         return this;
@@ -1103,6 +1147,11 @@
                 bitField0_ |= 0x00000200;
                 break;
               } // case 80
+              case 88: {
+                storeReachable_ = input.readBool();
+                bitField0_ |= 0x00000400;
+                break;
+              } // case 88
               default: {
                 if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                   done = true; // was an endgroup tag
@@ -2000,6 +2049,50 @@
         return this;
       }
 
+      private boolean storeReachable_ ;
+      /**
+       * <pre>
+       * Whether this daemon reaches the store.
+       * </pre>
+       *
+       * <code>bool store_reachable = 11;</code>
+       * @return The storeReachable.
+       */
+      @java.lang.Override
+      public boolean getStoreReachable() {
+        return storeReachable_;
+      }
+      /**
+       * <pre>
+       * Whether this daemon reaches the store.
+       * </pre>
+       *
+       * <code>bool store_reachable = 11;</code>
+       * @param value The storeReachable to set.
+       * @return This builder for chaining.
+       */
+      public Builder setStoreReachable(boolean value) {
+
+        storeReachable_ = value;
+        bitField0_ |= 0x00000400;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * Whether this daemon reaches the store.
+       * </pre>
+       *
+       * <code>bool store_reachable = 11;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearStoreReachable() {
+        bitField0_ = (bitField0_ & ~0x00000400);
+        storeReachable_ = false;
+        onChanged();
+        return this;
+      }
+
       // @@protoc_insertion_point(builder_scope:bilberryvalve.load.DaemonState)
     }
 
@@ -2958,17 +3051,18 @@
       descriptor;
   static {
     java.lang.String[] descriptorData = {
-      "\n\nload.proto\022\022bilberryvalve.load\"\355\001\n\013Dae" +
+      "\n\nload.proto\022\022bilberryvalve.load\"\206\002\n\013Dae" +
       "monState\022\n\n\002vm\030\001 \001(\t\022\023\n\013incarnation\030\002 \001(" +
       "\003\022\020\n\010sequence\030\003 \001(\003\022\023\n\013data_centre\030\004 \001(\t" +
       "\022\026\n\016caller_address\030\005 \001(\t\022\025\n\rstate_addres" +
       "s\030\006 \001(\t\022\017\n\007serving\030\007 \001(\010\022\025\n\rconfiguratio" +
       "n\030\010 \001(\003\022.\n\005usage\030\t \003(\0132\037.bilberryvalve.l" +
-      "oad.RunnerUsage\022\017\n\007leaving\030\n \001(\010\"l\n\013Runn" +
-      "erUsage\022\016\n\006runner\030\001 \001(\t\022\017\n\007running\030\002 \001(\005" +
-      "\022\024\n\014token_layers\030\003 \001(\003\022\017\n\007entered\030\004 \001(\005\022" +
-      "\025\n\runread_layers\030\005 \001(\003B+\n\033io.bilberryval" +
-      "ve.wire.protoB\014LoadMessagesb\006proto3"
+      "oad.RunnerUsage\022\017\n\007leaving\030\n \001(\010\022\027\n\017stor" +
+      "e_reachable\030\013 \001(\010\"l\n\013RunnerUsage\022\016\n\006runn" +
+      "er\030\001 \001(\t\022\017\n\007running\030\002 \001(\005\022\024\n\014token_layer" +
+      "s\030\003 \001(\003\022\017\n\007entered\030\004 \001(\005\022\025\n\runread_layer" +
+      "s\030\005 \001(\003B+\n\033io.bilberryvalve.wire.protoB\014" +
+      "LoadMessagesb\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -2979,7 +3073,7 @@
     internal_static_bilberryvalve_load_DaemonState_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_bilberryvalve_load_DaemonState_descriptor,
-        new java.lang.String[] { "Vm", "Incarnation", "Sequence", "DataCentre", "CallerAddress", "StateAddress", "Serving", "Configuration", "Usage", "Leaving", });
+        new java.lang.String[] { "Vm", "Incarnation", "Sequence", "DataCentre", "CallerAddress", "StateAddress", "Serving", "Configuration", "Usage", "Leaving", "StoreReachable", });
     internal_static_bilberryvalve_load_RunnerUsage_descriptor =
       getDescriptor().getMessageType(1);
     internal_static_bilberryvalve_load_RunnerUsage_fieldAccessorTable = new
