--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/Gateway.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/Gateway.java
@@ -25,6 +25,7 @@
 import io.bilberryvalve.gateway.relay.RelayContext;
 import io.bilberryvalve.gateway.relay.RelayHandler;
 import io.bilberryvalve.gateway.relay.StallReports;
+import io.bilberryvalve.gateway.report.Metrics;
 import io.bilberryvalve.gateway.route.CallerLimits;
 import io.bilberryvalve.gateway.route.RouteTable;
 import io.bilberryvalve.model.Address;
@@ -238,6 +239,14 @@
 		}
 	}
 
+	/**
+	 * Returns the metrics.
+	 * @return counters and histograms
+	 */
+	public Metrics metrics() {
+		return this.context.metrics();
+	}
+
 	/**
 	 * Tells whether callers should use this gateway.
 	 * @return whether it knows its configuration and runners and is not leaving
--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/relay/Relay.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/relay/Relay.java
@@ -318,6 +318,9 @@
 		this.seatedAt = this.context.clock().millis();
 		this.progressAt = this.seatedAt;
 		Route now = this.route;
+		if (now != null) {
+			this.context.metrics().seated(now.kind(), this.seatedAt - this.arrived);
+		}
 		boolean fresh = now == null || !now.repeatable();
 		FullHttpRequest request = this.exchange.request();
 		UpstreamCall next = new UpstreamCall(request.method(), request.uri(), upstreamHeaders(place),
@@ -486,6 +489,9 @@
 		Seat place = this.seat;
 		if (!this.read && place != null) {
 			this.read = true;
+			if (!this.exchange.started()) {
+				this.context.metrics().firstEvent(this.context.clock().millis() - this.arrived);
+			}
 			this.context.loads().read(place.parts(), place.size());
 		}
 	}
@@ -651,6 +657,7 @@
 		Route now = this.route;
 		boolean allowed = now != null && this.sends < now.maxAttempts() && (!this.mayHaveRun || now.repeatable());
 		boolean granted = allowed && this.context.budget().tryRetry();
+		this.context.metrics().attemptFailed(granted);
 		LogEvent.of("attempt-failed")
 			.with("request", requestHeaders().get(dialect().attempt()))
 			.with("runner", (place != null) ? place.first().id() : null)
@@ -822,6 +829,9 @@
 		Team owner = this.team;
 		long ended = this.context.clock().millis();
 		RouteTable table = this.context.table();
+		if (now != null) {
+			this.context.metrics().ended(now.kind(), status, ended - this.arrived);
+		}
 		LogEvent.of("request-ended")
 			.with("request", requestHeaders().get(dialect().attempt()))
 			.with("route", (now != null) ? now.name() : null)
--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/relay/RelayContext.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/relay/RelayContext.java
@@ -14,6 +14,7 @@
 import io.bilberryvalve.gateway.fleet.Trust;
 import io.bilberryvalve.gateway.http.Dialect;
 import io.bilberryvalve.gateway.http.UpstreamPool;
+import io.bilberryvalve.gateway.report.Metrics;
 import io.bilberryvalve.gateway.route.RouteTable;
 import io.bilberryvalve.gateway.route.Service;
 import io.bilberryvalve.model.DataCentreId;
@@ -51,6 +52,8 @@
 
 	private final AtomicReference<@Nullable RouteTable> table = new AtomicReference<>();
 
+	private final Metrics metrics = new Metrics();
+
 	private final Map<String, Desk> desks = new ConcurrentHashMap<>();
 
 	private final Set<Relay> active = ConcurrentHashMap.newKeySet();
@@ -83,6 +86,27 @@
 		this.reports = new SharedReports(reports, clock);
 		this.pools = pools;
 		board.onChange(this::pump);
+		this.metrics.gauge("bilberryvalve_requests_active", "Requests in progress", this.active::size);
+		this.metrics.gauge("bilberryvalve_requests_waiting", "Requests that wait for a place", this::waiting);
+		this.metrics.gauge("bilberryvalve_runners", "Runners listed", () -> board.fleet().all().size());
+		this.metrics.gauge("bilberryvalve_configuration_version", "Configuration in force", this::version);
+	}
+
+	private double waiting() {
+		return this.desks.values().stream().mapToInt((desk) -> desk.desk.waiting()).sum();
+	}
+
+	private double version() {
+		RouteTable now = this.table.get();
+		return (now != null) ? now.version() : 0;
+	}
+
+	/**
+	 * Returns the metrics.
+	 * @return counters and histograms of all requests
+	 */
+	public Metrics metrics() {
+		return this.metrics;
 	}
 
 	Dialect dialect() {
--- /dev/null
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/report/Metrics.java
@@ -0,0 +1,124 @@
+package io.bilberryvalve.gateway.report;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.charset.StandardCharsets;
+import java.util.function.DoubleSupplier;
+
+import io.bilberryvalve.gateway.route.RequestKind;
+import io.prometheus.metrics.core.metrics.Counter;
+import io.prometheus.metrics.core.metrics.GaugeWithCallback;
+import io.prometheus.metrics.core.metrics.Histogram;
+import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+
+/**
+ * Metrics of a gateway. Safe for use by several threads.
+ */
+public final class Metrics {
+
+	/** From a fast plain answer to the longest stream. */
+	private static final double[] SECONDS = { 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2, 5, 10, 20 };
+
+	private static final double MILLIS_PER_SECOND = 1000;
+
+	private final PrometheusRegistry registry = new PrometheusRegistry();
+
+	private final Counter requests = Counter.builder()
+		.name("bilberryvalve_requests_total")
+		.help("Ended requests by kind and status; status 0 is a response that was cut or a caller that left")
+		.labelNames("kind", "status")
+		.register(this.registry);
+
+	private final Counter failedAttempts = Counter.builder()
+		.name("bilberryvalve_failed_attempts_total")
+		.help("Attempts at runners that failed, by whether they were repeated")
+		.labelNames("repeated")
+		.register(this.registry);
+
+	private final Histogram duration = histogram("bilberryvalve_request_seconds",
+			"Time from a request to the end of its response");
+
+	private final Histogram firstEvent = histogram("bilberryvalve_first_event_seconds",
+			"Time from a request to the first event of its stream");
+
+	private final Histogram wait = histogram("bilberryvalve_wait_seconds",
+			"Time from a request to its place at runners");
+
+	private Histogram histogram(String name, String help) {
+		return Histogram.builder()
+			.name(name)
+			.help(help)
+			.labelNames("kind")
+			.classicOnly()
+			.classicUpperBounds(SECONDS)
+			.register(this.registry);
+	}
+
+	/**
+	 * Adds a value that is read when the metrics are.
+	 * @param name name of the gauge
+	 * @param help what it tells
+	 * @param value reads the value
+	 */
+	public void gauge(String name, String help, DoubleSupplier value) {
+		GaugeWithCallback.builder()
+			.name(name)
+			.help(help)
+			.callback((callback) -> callback.call(value.getAsDouble()))
+			.register(this.registry);
+	}
+
+	/**
+	 * Counts the end of a request.
+	 * @param kind kind of the route
+	 * @param status status of the response, 0 for none
+	 * @param millis time since its arrival
+	 */
+	public void ended(RequestKind kind, int status, long millis) {
+		this.requests.labelValues(kind.name(), Integer.toString(status)).inc();
+		this.duration.labelValues(kind.name()).observe(millis / MILLIS_PER_SECOND);
+	}
+
+	/**
+	 * Counts the first event of a stream.
+	 * @param millis time since the arrival of the request
+	 */
+	public void firstEvent(long millis) {
+		this.firstEvent.labelValues(RequestKind.STREAMING.name()).observe(millis / MILLIS_PER_SECOND);
+	}
+
+	/**
+	 * Counts a place at runners.
+	 * @param kind kind of the route
+	 * @param millis time since the arrival of the request
+	 */
+	public void seated(RequestKind kind, long millis) {
+		this.wait.labelValues(kind.name()).observe(millis / MILLIS_PER_SECOND);
+	}
+
+	/**
+	 * Counts a failed attempt.
+	 * @param repeated whether the request is sent again
+	 */
+	public void attemptFailed(boolean repeated) {
+		this.failedAttempts.labelValues(Boolean.toString(repeated)).inc();
+	}
+
+	/**
+	 * Writes all metrics.
+	 * @return the Prometheus text format
+	 */
+	public String text() {
+		ByteArrayOutputStream out = new ByteArrayOutputStream();
+		try {
+			PrometheusTextFormatWriter.create().write(out, this.registry.scrape());
+		}
+		catch (IOException ex) {
+			throw new UncheckedIOException(ex);
+		}
+		return out.toString(StandardCharsets.UTF_8);
+	}
+
+}
