--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/layers/LayerKeeper.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/layers/LayerKeeper.java
@@ -305,12 +305,14 @@
 			this.lastSize = runners.size();
 			this.unchangedSince = this.clock.millis();
 		}
-		boolean settled = this.clock.millis() - this.unchangedSince >= this.settleMillis;
-		if (this.storing || !settled || runners.isEmpty()) {
-			return;
+		if (!this.storing && !runners.isEmpty()) {
+			this.storing = true;
+			this.tables.read(TABLE, service).thenAccept((fetched) -> read(service, engine, runners, fetched));
 		}
-		this.storing = true;
-		this.tables.read(TABLE, service).thenAccept((fetched) -> read(service, engine, runners, fetched));
+	}
+
+	private boolean settled() {
+		return this.clock.millis() - this.unchangedSince >= this.settleMillis;
 	}
 
 	private synchronized void read(String service, EngineProfile engine, List<ListedRunner> runners,
@@ -321,7 +323,7 @@
 		if (known != null && runners.size() < known.cards * OUTGROWN) {
 			use(service, known);
 		}
-		else if (!(fetched instanceof Fetched.Failed<Row>)) {
+		else if (!(fetched instanceof Fetched.Failed<Row>) && settled()) {
 			LayerTemplate best = new TemplateSearch(engine, cards(runners, engine)).best();
 			long version = (fetched instanceof Fetched.Found<Row> found) ? found.value().version() : Operation.ABSENT;
 			if (!best.widths().isEmpty()) {
--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/peer/StateExchange.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/peer/StateExchange.java
@@ -5,11 +5,13 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import java.util.function.LongConsumer;
 import java.util.function.LongSupplier;
+import java.util.stream.Collectors;
 
 import com.google.protobuf.InvalidProtocolBufferException;
 import io.bilberryvalve.gateway.fleet.LoadBook;
@@ -44,8 +46,22 @@
 	/** Seven lost datagrams in a row; callers are no longer sent to the daemon. */
 	private static final long ABSENT_MILLIS = 1100;
 
+	/**
+	 * Longest interval to other data centres, in periods; loads seen there are that old.
+	 */
+	private static final int MAX_CROSS_EVERY = 4;
+
+	/** Daemons for each further period between states to other data centres. */
+	private static final int DAEMONS_PER_CROSS_STEP = 7;
+
+	/**
+	 * States from another data centre that may be lost in a row before a daemon is
+	 * absent.
+	 */
+	private static final int CROSS_LOSSES = 3;
+
 	/** A daemon that has been silent for this time is taken to have ended. */
-	private static final long GONE_MILLIS = 1600;
+	private static final long GONE_MILLIS = 2000;
 
 	/** A daemon that has been absent for this time is no longer written to. */
 	private static final long FORGET_MILLIS = 60_000;
@@ -136,7 +152,7 @@
 	 * @return their states
 	 */
 	public List<PeerState> present() {
-		long oldest = this.clock.millis() - ABSENT_MILLIS;
+		long oldest = this.clock.millis() - absentMillis();
 		return this.peers.values().stream().filter((peer) -> peer.heardMillis() >= oldest).toList();
 	}
 
@@ -190,8 +206,11 @@
 		byte[] bytes = state().toByteArray();
 		long now = this.clock.millis();
 		this.targets.values().removeIf((heard) -> now - heard > FORGET_MILLIS);
+		Set<Address> near = near();
+		int crossEvery = crossEvery(this.targets.size());
 		this.targets.forEach((address, heard) -> {
-			if (now - heard < ABSENT_MILLIS || this.sequence % ABSENT_EVERY == 0) {
+			int every = (now - heard >= absentMillis()) ? ABSENT_EVERY : near.contains(address) ? 1 : crossEvery;
+			if (this.sequence % every == 0) {
 				own.write(new DatagramPacket(Unpooled.wrappedBuffer(bytes),
 						new InetSocketAddress(address.host(), address.port())));
 			}
@@ -199,6 +218,24 @@
 		own.flush();
 	}
 
+	private Set<Address> near() {
+		return this.peers.values()
+			.stream()
+			.filter((peer) -> peer.dataCentre().equals(this.self.dataCentre()))
+			.map(PeerState::state)
+			.collect(Collectors.toSet());
+	}
+
+	// Traffic between data centres grows with the square of the daemons, so many write
+	// less often.
+	private static int crossEvery(int daemons) {
+		return Math.max(1, Math.min(MAX_CROSS_EVERY, daemons / DAEMONS_PER_CROSS_STEP));
+	}
+
+	private long absentMillis() {
+		return Math.max(ABSENT_MILLIS, CROSS_LOSSES * crossEvery(this.targets.size()) * PERIOD_MILLIS);
+	}
+
 	private DaemonState state() {
 		DaemonState.Builder builder = DaemonState.newBuilder()
 			.setVm(this.self.vm())
@@ -240,7 +277,7 @@
 
 	private boolean accept(PeerState peer) {
 		PeerState before = this.peers.get(peer.vm());
-		boolean old = before != null && peer.heardMillis() - before.heardMillis() < ABSENT_MILLIS
+		boolean old = before != null && peer.heardMillis() - before.heardMillis() < absentMillis()
 				&& (peer.incarnation() < before.incarnation()
 						|| (peer.incarnation() == before.incarnation() && peer.sequence() <= before.sequence()));
 		if (old || peer.vm().equals(this.self.vm())) {
