Log the inputs of rejections and failed attempts

Cause: a rejected request did not say how long the line was or how old the list of runners. Change: line length, retry time, age of the fleet, all runners of a path and those blamed.

--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/fleet/FleetBoard.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/fleet/FleetBoard.java
@@ -40,6 +40,8 @@
 
 	private boolean lost;
 
+	private long lostSince;
+
 	/**
 	 * Creates a board without runners.
 	 * @param clock monotonic clock
@@ -72,6 +74,14 @@
 		return this.known && !this.lost;
 	}
 
+	/**
+	 * Returns the age of the fleet.
+	 * @return milliseconds for which the list could not be read, 0 if it can
+	 */
+	public synchronized long ageMillis() {
+		return this.lost ? this.clock.millis() - this.lostSince : 0;
+	}
+
 	/**
 	 * Adds a listener that is called after each change.
 	 * @param listener the listener; it must not block
@@ -86,6 +96,7 @@
 	public synchronized void lost() {
 		if (!this.lost) {
 			this.lost = true;
+			this.lostSince = this.clock.millis();
 			LogEvent.of("runner-list-lost")
 				.with("runners", this.listed.size())
 				.log(LOGGER, System.Logger.Level.WARNING);
--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/relay/Relay.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/relay/Relay.java
@@ -147,6 +147,12 @@
 
 	private boolean diagnosing;
 
+	private @Nullable Integer lineLength;
+
+	private @Nullable Long retryAfter;
+
+	private final Set<RunnerId> blamed = new HashSet<>();
+
 	private long diagnoseAfter;
 
 	Relay(RelayContext context, CallerExchange exchange) {
@@ -291,6 +297,8 @@
 		}
 		this.waiting = null;
 		if (!this.done) {
+			SeatDesk asked = this.desk;
+			this.lineLength = (asked != null) ? asked.waiting() : 0;
 			giveUp(retryMillis, "no place at the runners");
 		}
 	}
@@ -660,7 +668,9 @@
 		this.context.metrics().attemptFailed(granted);
 		LogEvent.of("attempt-failed")
 			.with("request", requestHeaders().get(dialect().attempt()))
-			.with("runner", (place != null) ? place.first().id() : null)
+			.with("runners", (place != null) ? place.ids() : null)
+			.with("blamed", this.blamed.isEmpty() ? null : this.blamed)
+			.with("fleet-age", this.context.board().ageMillis())
 			.with("sends", this.sends)
 			.with("reason", reason)
 			.with("repeat", granted)
@@ -692,6 +702,7 @@
 	private void reject(long retryMillis, String reason) {
 		HttpHeaders headers = new DefaultHttpHeaders();
 		headers.set(HttpHeaderNames.RETRY_AFTER, retryMillis / MILLIS_PER_SECOND);
+		this.retryAfter = retryMillis;
 		this.exchange.respond(HttpResponseStatus.SERVICE_UNAVAILABLE, headers, reason);
 		finish(HttpResponseStatus.SERVICE_UNAVAILABLE.code(), reason);
 	}
@@ -783,6 +794,7 @@
 			this.diagnosing = false;
 			stall.waitsFor().forEach((address) -> faulty(address.toString()).ifPresent((runner) -> {
 				this.excluded.add(runner);
+				this.blamed.add(runner);
 				this.context.trust().failed(runner, "named in a report of a stalled path");
 			}));
 			if (!stall.answered()) {
@@ -842,6 +854,9 @@
 			.with("sends", this.sends)
 			.with("runners", (place != null) ? place.ids() : null)
 			.with("wait", (this.seatedAt > 0) ? this.seatedAt - this.arrived : null)
+			.with("line", this.lineLength)
+			.with("retry-after", this.retryAfter)
+			.with("fleet-age", this.context.board().ageMillis())
 			.with("millis", ended - this.arrived)
 			.with("last-event", this.lastEvent)
 			.log(LOGGER, System.Logger.Level.INFO);
