Accept peers only once the identity of a daemon is known

Cause: the listener accepted connections before the network had its identity, which failed with 'the peer network is not started' when a peer connected during the start. Change: PeerTransport reserves the address first and accepts after the identity is set. Measured: PeerTransportTests connects before the identity is set and completes.

--- a/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/peer/NettyPeerNetwork.java
+++ b/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/peer/NettyPeerNetwork.java
@@ -215,13 +215,14 @@
 		PeerEvents events = new PeerEvents(this.receivers, this.calls, this.links, this.stamps);
 		PeerTransport transport = new PeerTransport(this.settings.secret(), this::identity, this.settings.limits(),
 				events);
-		Address address = transport.listen(this.settings.host(), this.settings.port());
+		Address address = transport.bind(this.settings.host(), this.settings.port());
 		PeerMembership membership = new PeerMembership(this.settings, address, this.lifecycle, this.clock,
 				this.regions);
 		PeerRounds rounds = new PeerRounds(this.settings, this.directory, this.stamps, membership, this.links,
 				transport, this.clock);
 		events.ready(membership, rounds);
 		this.running = new Running(transport, membership, rounds);
+		transport.accept();
 		return address;
 	}
 
--- a/bilberryvalve-wire/src/main/java/io/bilberryvalve/wire/PeerTransport.java
+++ b/bilberryvalve-wire/src/main/java/io/bilberryvalve/wire/PeerTransport.java
@@ -64,16 +64,18 @@
 	}
 
 	/**
-	 * Starts to accept connections.
+	 * Reserves an address. Connections wait until {@link #accept()}, so that the identity
+	 * of this daemon, which may contain the address, can be made first.
 	 * @param host the IP address to listen on
 	 * @param port the port, or 0 for any free port
 	 * @return the address on which the transport listens
 	 * @throws IllegalStateException if the address cannot be used
 	 */
-	public Address listen(String host, int port) {
+	public Address bind(String host, int port) {
 		ServerBootstrap bootstrap = new ServerBootstrap().group(this.loops)
 			.channel(NioServerSocketChannel.class)
 			.option(ChannelOption.SO_REUSEADDR, true)
+			.option(ChannelOption.AUTO_READ, false)
 			.childOption(ChannelOption.TCP_NODELAY, true)
 			.childHandler(new Initializer(false, null));
 		ChannelFuture bound = bootstrap.bind(host, port).awaitUninterruptibly();
@@ -86,6 +88,31 @@
 		return new Address(host, local.getPort());
 	}
 
+	/**
+	 * Starts to accept connections at the reserved address.
+	 * @throws IllegalStateException if no address is reserved
+	 */
+	public void accept() {
+		Channel bound = this.server;
+		if (bound == null) {
+			throw new IllegalStateException("no address is reserved; call bind() first");
+		}
+		bound.config().setAutoRead(true);
+	}
+
+	/**
+	 * Reserves an address and starts to accept connections.
+	 * @param host the IP address to listen on
+	 * @param port the port, or 0 for any free port
+	 * @return the address on which the transport listens
+	 * @throws IllegalStateException if the address cannot be used
+	 */
+	public Address listen(String host, int port) {
+		Address address = bind(host, port);
+		accept();
+		return address;
+	}
+
 	/**
 	 * Opens a connection.
 	 * @param address address of the other daemon
--- a/bilberryvalve-wire/src/test/java/io/bilberryvalve/wire/PeerTransportTests.java
+++ b/bilberryvalve-wire/src/test/java/io/bilberryvalve/wire/PeerTransportTests.java
@@ -1,7 +1,9 @@
 package io.bilberryvalve.wire;
 
+import java.util.Objects;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicReference;
 
 import com.google.protobuf.ByteString;
 import io.bilberryvalve.model.Address;
@@ -38,9 +40,30 @@
 		}
 	}
 
-	private static PeerTransport transport(String vm, ConnectionListener listener) {
-		PeerIdentity self = new PeerIdentity(new VmId(vm), 1, new DataCentreId("dc"), new Address("127.0.0.1", 1),
+	// Guards against connections that reach a starting daemon before its identity is
+	// known.
+	@Example
+	void connectionWaitsUntilTheIdentityIsKnown() throws Exception {
+		AtomicReference<PeerIdentity> identity = new AtomicReference<>();
+		CompletableFuture<Void> release = CompletableFuture.completedFuture(null);
+		try (PeerTransport starting = new PeerTransport(TestPeer.SECRET, () -> Objects.requireNonNull(identity.get()),
+				TransportLimits.defaults(), new Stalled(release));
+				PeerTransport peer = transport("vm-a", new Stalled(release))) {
+			Address address = starting.bind("127.0.0.1", 0);
+			CompletableFuture<PeerConnection> connection = peer.connect(address).toCompletableFuture();
+			identity.set(identity("vm-b"));
+			starting.accept();
+			assertThat(connection.get(10, TimeUnit.SECONDS)).isNotNull();
+		}
+	}
+
+	private static PeerIdentity identity(String vm) {
+		return new PeerIdentity(new VmId(vm), 1, new DataCentreId("dc"), new Address("127.0.0.1", 1),
 				new Address("127.0.0.1", 2));
+	}
+
+	private static PeerTransport transport(String vm, ConnectionListener listener) {
+		PeerIdentity self = identity(vm);
 		return new PeerTransport(TestPeer.SECRET, () -> self, TransportLimits.defaults(), listener);
 	}
 
