Mend the data centre that lacks least, and wait for the first configuration

Change: the data centre that lacks the fewest layers is mended first; requests wait up to 0.7 s for the first configuration.

--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/layers/LayerKeeper.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/layers/LayerKeeper.java
@@ -181,22 +181,15 @@
 		}
 		long now = this.clock.millis();
 		long since = this.incompleteSince.computeIfAbsent(incomplete.get(), (dataCentre) -> now);
-		boolean due = now - since >= REBALANCE_AFTER_MILLIS;
-		return (due && othersServe(assigner, cards, incomplete.get())) ? rebalancer.rebalance(cards, incomplete.get())
-				: List.of();
+		boolean due = now - since >= REBALANCE_AFTER_MILLIS && !otherChanges(cards, incomplete.get());
+		return due ? rebalancer.rebalance(cards, incomplete.get()) : List.of();
 	}
 
 	// Cards that change their layers serve nothing for seconds, so one data centre
 	// changes at a time.
-	private boolean othersServe(LayerAssigner assigner, List<Card> cards, DataCentreId changing) {
-		boolean changes = cards.stream()
+	private boolean otherChanges(List<Card> cards, DataCentreId changing) {
+		return cards.stream()
 			.anyMatch((card) -> !card.dataCentre().equals(changing) && this.pending.containsKey(card.runner()));
-		boolean complete = cards.stream()
-			.map(Card::dataCentre)
-			.distinct()
-			.anyMatch((dataCentre) -> !dataCentre.equals(changing) && assigner.complete(cards, dataCentre));
-		boolean alone = cards.stream().allMatch((card) -> card.dataCentre().equals(changing));
-		return !changes && (complete || alone);
 	}
 
 	private List<Card> cards(List<ListedRunner> runners, EngineProfile engine) {
--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/relay/Relay.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/relay/Relay.java
@@ -78,6 +78,12 @@
 	/** Part of the caller's time that a plain request may wait for a place. */
 	private static final double PLAIN_PATIENCE_PART = 0.5;
 
+	/**
+	 * Usual time from the start of a daemon until it knows its configuration, with a
+	 * margin.
+	 */
+	private static final long STARTING_WAIT_MILLIS = 700;
+
 	/** Time for a rejected request to come back while the router starts. */
 	private static final long STARTING_RETRY_MILLIS = 500;
 
@@ -170,10 +176,32 @@
 		return this.exchange.request().headers();
 	}
 
+	// A daemon that has just started knows its configuration within a few reads of the
+	// store.
+	void begin() {
+		boolean waits = !this.context.ready() && this.context.whenReady(() -> this.loop.execute(this::startIfWaiting));
+		if (!waits) {
+			start();
+			return;
+		}
+		this.exchange.onGone(this::callerGone);
+		this.timer = this.loop.schedule(this::startIfWaiting, STARTING_WAIT_MILLIS, TimeUnit.MILLISECONDS);
+	}
+
+	private void startIfWaiting() {
+		ScheduledFuture<?> waitingForStart = this.timer;
+		if (!this.done && waitingForStart != null && this.mode == Mode.IDLE) {
+			waitingForStart.cancel(false);
+			this.timer = null;
+			this.mode = Mode.WAITING;
+			start();
+		}
+	}
+
 	// Checks the request against the configuration and asks for a place.
 	void start() {
 		RouteTable table = this.context.table();
-		if (table == null || !this.context.board().known()) {
+		if (table == null || !this.context.ready()) {
 			reject(STARTING_RETRY_MILLIS, "no configuration yet");
 			return;
 		}
@@ -217,7 +245,8 @@
 		this.lastEvent = requestHeaders().get(dialect().lastEvent());
 		this.exchange.onGone(this::callerGone);
 		this.exchange.onWritabilityChanged(this::writabilityChanged);
-		this.timer = this.loop.schedule(this::timeLimitReached, limit, TimeUnit.MILLISECONDS);
+		this.timer = this.loop.schedule(this::timeLimitReached, this.endAt - this.context.clock().millis(),
+				TimeUnit.MILLISECONDS);
 		this.context.started(this);
 		this.context.budget().request();
 		askForSeat(chosen);
--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/relay/RelayContext.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/relay/RelayContext.java
@@ -3,8 +3,10 @@
 import java.time.Clock;
 import java.util.Map;
 import java.util.Objects;
+import java.util.Queue;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.BooleanSupplier;
 import java.util.function.Function;
@@ -32,6 +34,11 @@
 
 	private static final System.Logger LOGGER = System.getLogger(RelayContext.class.getName());
 
+	/**
+	 * Requests that may wait for the first configuration; about ten seconds of callers.
+	 */
+	private static final int MAX_STARTING = 500;
+
 	private final Dialect dialect;
 
 	private final DataCentreId here;
@@ -58,6 +65,8 @@
 
 	private final Set<Relay> active = ConcurrentHashMap.newKeySet();
 
+	private final Queue<Runnable> starting = new ConcurrentLinkedQueue<>();
+
 	private volatile BooleanSupplier othersServe = () -> true;
 
 	private volatile @Nullable LeavePlan leavePlan;
@@ -85,7 +94,7 @@
 		this.budget = budget;
 		this.reports = new SharedReports(reports, clock);
 		this.pools = pools;
-		board.onChange(this::pump);
+		board.onChange(this::fleetChanged);
 		this.metrics.gauge("bilberryvalve_requests_active", "Requests in progress", this.active::size);
 		this.metrics.gauge("bilberryvalve_requests_waiting", "Requests that wait for a place", this::waiting);
 		this.metrics.gauge("bilberryvalve_runners", "Runners listed", () -> board.fleet().all().size());
@@ -141,6 +150,39 @@
 		return this.pools.apply(loop);
 	}
 
+	private void fleetChanged() {
+		startWaiting();
+		pump();
+	}
+
+	/**
+	 * Tells whether requests can be served.
+	 * @return whether the configuration and the runners are known
+	 */
+	boolean ready() {
+		return this.table.get() != null && this.board.known();
+	}
+
+	/**
+	 * Runs an action once requests can be served.
+	 * @param action the action; it must not block
+	 * @return whether it will run; {@code false} if too many wait already
+	 */
+	boolean whenReady(Runnable action) {
+		if (this.starting.size() >= MAX_STARTING) {
+			return false;
+		}
+		this.starting.add(action);
+		startWaiting();
+		return true;
+	}
+
+	private void startWaiting() {
+		for (Runnable next = ready() ? this.starting.poll() : null; next != null; next = this.starting.poll()) {
+			next.run();
+		}
+	}
+
 	/**
 	 * Returns the configuration in force.
 	 * @return the newest table, or {@code null} before the first one
@@ -163,6 +205,7 @@
 				.with("version", next.version())
 				.with("before", (before != null) ? before.version() : null)
 				.log(LOGGER, System.Logger.Level.INFO);
+			startWaiting();
 		}
 		return newer;
 	}
--- a/bilberryvalve-gateway/src/test/java/io/bilberryvalve/gateway/relay/RelayTests.java
+++ b/bilberryvalve-gateway/src/test/java/io/bilberryvalve/gateway/relay/RelayTests.java
@@ -247,6 +247,18 @@
 		}
 	}
 
+	// Guards against callers who are sent away in the moment in which a daemon starts.
+	@Example
+	void requestWaitsForTheFirstConfiguration() throws IOException {
+		try (ScriptedRunner runner = echoing();
+				RelayFixture router = new RelayFixture(runner);
+				Socket caller = router.open()) {
+			RelayFixture.send(caller, RelayFixture.request("GET", "/read/1", "a1", CLOSE, ""));
+			router.configured();
+			assertThat(RelayFixture.readUntil(caller.getInputStream(), "hello")).startsWith("HTTP/1.1 200 ");
+		}
+	}
+
 	@Example
 	void unknownRouteAndUnknownKeyAreDenied() throws IOException {
 		try (ScriptedRunner runner = echoing(); RelayFixture router = new RelayFixture(runner).configured()) {
--- a/bilberryvalve-policy/src/main/java/io/bilberryvalve/policy/placement/Coverage.java
+++ b/bilberryvalve-policy/src/main/java/io/bilberryvalve/policy/placement/Coverage.java
@@ -61,6 +61,15 @@
 			.orElse(0);
 	}
 
+	/**
+	 * Counts layers without a holder in a data centre.
+	 * @param dataCentre the data centre
+	 * @return number of layers
+	 */
+	int missing(DataCentreId dataCentre) {
+		return (int) IntStream.of(of(dataCentre)).filter((holders) -> holders == 0).count();
+	}
+
 	/**
 	 * Finds layers without a holder in a data centre.
 	 * @param dataCentre the data centre
--- a/bilberryvalve-policy/src/main/java/io/bilberryvalve/policy/placement/LayerAssigner.java
+++ b/bilberryvalve-policy/src/main/java/io/bilberryvalve/policy/placement/LayerAssigner.java
@@ -57,7 +57,7 @@
 	}
 
 	/**
-	 * Finds a data centre that lacks layers.
+	 * Finds the data centre that lacks the fewest layers, but some.
 	 * @param cards all cards that can be used
 	 * @return a data centre that has cards and does not hold the whole model, or empty
 	 */
@@ -66,19 +66,8 @@
 		return cards.stream()
 			.map(Card::dataCentre)
 			.distinct()
-			.sorted()
-			.filter((dataCentre) -> coverage.gap(dataCentre).isPresent())
-			.findFirst();
-	}
-
-	/**
-	 * Tells whether a data centre holds the whole model.
-	 * @param cards all cards that can be used
-	 * @param dataCentre the data centre
-	 * @return whether it has a holder of each layer
-	 */
-	public boolean complete(Collection<Card> cards, DataCentreId dataCentre) {
-		return new Coverage(this.template.layers(), cards).gap(dataCentre).isEmpty();
+			.filter((dataCentre) -> coverage.missing(dataCentre) > 0)
+			.min(Comparator.comparingInt(coverage::missing).thenComparing(Comparator.naturalOrder()));
 	}
 
 	private Assignment take(Card card, LayerRange run, Coverage coverage) {
--- a/bilberryvalve-policy/src/test/java/io/bilberryvalve/policy/placement/PlacementTests.java
+++ b/bilberryvalve-policy/src/test/java/io/bilberryvalve/policy/placement/PlacementTests.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.Random;
 
 import io.bilberryvalve.model.DataCentreId;
@@ -97,6 +98,25 @@
 		assertThat(Cards.copies(Cards.apply(cards, orders), "a")).isPositive();
 	}
 
+	// Replays losses in all data centres: the one that lacks least is mended first,
+	// although
+	// no other is complete.
+	@Example
+	void dataCentreThatLacksLeastIsMendedFirst() {
+		List<Card> cards = new ArrayList<>(Cards.apply(Cards.all(), this.assigner.assign(Cards.all())));
+		for (String lost : List.of("a-tiny-1", "a-small-0", "b-large-0", "c-small-1", "c-small-2", "c-small-3")) {
+			cards.removeIf((card) -> card.runner().value().equals(lost));
+		}
+		assertThat(Cards.DATA_CENTRES).allMatch((dataCentre) -> Cards.copies(cards, dataCentre) == 0);
+		DataCentreId first = this.assigner.incomplete(cards).orElseThrow();
+		Coverage coverage = new Coverage(Cards.LAYERS, cards);
+		assertThat(Cards.DATA_CENTRES)
+			.allMatch((dataCentre) -> coverage.missing(first) <= coverage.missing(new DataCentreId(dataCentre)));
+		List<Card> mended = Cards.apply(cards, new Rebalancer(this.profile, this.template).rebalance(cards, first));
+		assertThat(Cards.copies(mended, first.value())).isPositive();
+		assertThat(this.assigner.incomplete(mended)).isNotEqualTo(Optional.of(first));
+	}
+
 	// Guards against endless orders for a data centre that cannot hold the model.
 	@Example
 	void dataCentreWithTooFewCardsIsLeftAlone() {
