--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/http/Dialect.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/http/Dialect.java
@@ -18,11 +18,10 @@
  * @param seal signature of a runner under its response
  * @param notRun states that a runner has not run the request
  * @param faultyRunner address of the runner that caused a failure
- * @param expectedVersion version of the weights that may run the request
  */
 public record Dialect(String attempt, String deadline, String key, String team, String expectedRunner, String path,
 		String urgency, String tokens, String answerHint, String lastEvent, String seal, String notRun,
-		String faultyRunner, String expectedVersion) {
+		String faultyRunner) {
 
 	/**
 	 * Returns the headers that only the router may set at a runner.
--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/relay/Relay.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/relay/Relay.java
@@ -11,7 +11,6 @@
 import io.bilberryvalve.gateway.http.Dialect;
 import io.bilberryvalve.gateway.http.UpstreamCall;
 import io.bilberryvalve.gateway.http.UpstreamListener;
-import io.bilberryvalve.gateway.route.RequestKind;
 import io.bilberryvalve.gateway.route.Route;
 import io.bilberryvalve.gateway.route.RouteTable;
 import io.bilberryvalve.gateway.route.Service;
@@ -20,7 +19,6 @@
 import io.bilberryvalve.model.RunnerId;
 import io.bilberryvalve.model.log.LogEvent;
 import io.bilberryvalve.policy.line.WaitingLine;
-import io.bilberryvalve.policy.path.LayerPath;
 import io.bilberryvalve.policy.path.RequestSize;
 import io.bilberryvalve.policy.placement.EngineProfile;
 import io.netty.buffer.ByteBuf;
@@ -52,32 +50,9 @@
 	/** Connections refused in a row before the request is rejected. */
 	private static final int MAX_REFUSED_CONNECTIONS = 3;
 
-	/** Shortest silence of a stream that counts as a stall; engines pause for less. */
-	private static final long LEAST_STALL_MILLIS = 600;
-
-	/**
-	 * Silence before the first event; prompts wait in the engine for some of this time.
-	 */
-	private static final long FIRST_EVENT_STALL_MILLIS = 1100;
-
 	/** Time until a silent path on which no runner is stalled is looked at again. */
 	private static final long DIAGNOSE_AGAIN_MILLIS = 400;
 
-	/** Multiple of the target gap that counts as a stall. */
-	private static final double STALL_GAPS = 2.5;
-
-	/** Multiple of the target latency after which an idempotent request is repeated. */
-	private static final double STALL_TARGETS = 2.5;
-
-	/** Share of the target latency within which a place leads to an answer on time. */
-	private static final double ON_TIME_PART = 0.6;
-
-	/** Longest wait of a stream for a place; callers leave after 2 s without an event. */
-	private static final long STREAM_PATIENCE_MILLIS = 1000;
-
-	/** Part of the caller's time that a plain request may wait for a place. */
-	private static final double PLAIN_PATIENCE_PART = 0.5;
-
 	/**
 	 * Usual time from the start of a daemon until it knows its configuration, with a
 	 * margin.
@@ -103,6 +78,8 @@
 
 	private final long arrived;
 
+	private final RequestHead request;
+
 	private final Set<RunnerId> excluded = new HashSet<>();
 
 	private @Nullable Route route;
@@ -166,16 +143,13 @@
 		this.exchange = exchange;
 		this.loop = (EventLoop) exchange.context().executor();
 		this.arrived = context.clock().millis();
+		this.request = new RequestHead(exchange.request().headers(), context.dialect());
 	}
 
 	private Dialect dialect() {
 		return this.context.dialect();
 	}
 
-	private HttpHeaders requestHeaders() {
-		return this.exchange.request().headers();
-	}
-
 	// A daemon that has just started knows its configuration within a few reads of the
 	// store.
 	void begin() {
@@ -205,27 +179,27 @@
 			reject(STARTING_RETRY_MILLIS, "no configuration yet");
 			return;
 		}
-		FullHttpRequest request = this.exchange.request();
-		Optional<Route> found = table.route(requestHeaders().get(HttpHeaderNames.HOST, ""), request.uri());
+		Optional<Route> found = table.route(this.request.host(), this.exchange.request().uri());
 		if (found.isEmpty()) {
 			deny(HttpResponseStatus.NOT_FOUND, "no route for this host and path", table);
 			return;
 		}
 		Route chosen = found.get();
+		String attempt = this.request.attempt();
 		this.route = chosen;
-		if (!requestHeaders().contains(dialect().attempt())) {
+		if (attempt == null) {
 			deny(HttpResponseStatus.BAD_REQUEST, "the request has no " + dialect().attempt(), table);
 			return;
 		}
 		if (table.needsKey() && !chosen.open()) {
-			Optional<Team> owner = table.team(requestHeaders().get(dialect().key(), ""));
+			Optional<Team> owner = table.team(this.request.key());
 			if (owner.isEmpty()) {
 				deny(HttpResponseStatus.UNAUTHORIZED, "the key is unknown", table);
 				return;
 			}
 			this.team = owner.get();
 		}
-		Optional<Service> service = table.service(chosen.service(requestHeaders().get(dialect().attempt()).hashCode()));
+		Optional<Service> service = table.service(chosen.service(attempt.hashCode()));
 		if (service.isEmpty()) {
 			reject(STARTING_RETRY_MILLIS, "the service of the route is not declared");
 			return;
@@ -233,16 +207,16 @@
 		this.desk = this.context.desk(service.get());
 		EngineProfile engine = service.get().engine();
 		if (engine != null) {
-			this.size = size(engine);
+			this.size = this.request.size(engine);
 		}
-		long limit = Math.min(chosen.timeout().toMillis(), number(dialect().deadline(), chosen.timeout().toMillis()));
+		long limit = Math.min(chosen.timeout().toMillis(), this.request.deadlineMillis(chosen.timeout().toMillis()));
 		if (this.context
 			.refuses((engine != null) ? this.size.answer() * USUAL_TOKEN_MILLIS : chosen.timeout().toMillis())) {
 			reject(LEAVING_RETRY_MILLIS, "this daemon is leaving");
 			return;
 		}
 		this.endAt = this.arrived + limit;
-		this.lastEvent = requestHeaders().get(dialect().lastEvent());
+		this.lastEvent = this.request.lastEvent();
 		this.exchange.onGone(this::callerGone);
 		this.exchange.onWritabilityChanged(this::writabilityChanged);
 		this.timer = this.loop.schedule(this::timeLimitReached, this.endAt - this.context.clock().millis(),
@@ -252,27 +226,6 @@
 		askForSeat(chosen);
 	}
 
-	private RequestSize size(EngineProfile engine) {
-		String[] parts = requestHeaders().get(dialect().tokens(), "").split(",");
-		int prompt = (parts.length > 0) ? parse(parts[0], engine.promptTokens()) : engine.promptTokens();
-		int most = (parts.length > 1) ? parse(parts[1], engine.answerTokens()) : engine.answerTokens();
-		int hint = (int) number(dialect().answerHint(), engine.answerTokens());
-		return new RequestSize(prompt, Math.min(most, hint));
-	}
-
-	private long number(String header, long otherwise) {
-		return parse(requestHeaders().get(header, ""), (int) Math.min(Integer.MAX_VALUE, otherwise));
-	}
-
-	private static int parse(String text, int otherwise) {
-		try {
-			return Math.max(0, Integer.parseInt(text.trim()));
-		}
-		catch (NumberFormatException ex) {
-			return otherwise;
-		}
-	}
-
 	private void askForSeat(Route now) {
 		SeatDesk desk = this.desk;
 		if (desk == null) {
@@ -291,14 +244,8 @@
 	}
 
 	private WaitingLine.Patience patience(Route now) {
-		long time = this.context.clock().millis();
-		if (this.exchange.started()) {
-			return new WaitingLine.Patience(this.endAt, Math.min(this.endAt, time + STREAM_PATIENCE_MILLIS));
-		}
-		long onTime = this.arrived + Math.round(now.targetLatency().toMillis() * ON_TIME_PART);
-		long most = (now.kind() == RequestKind.STREAMING) ? this.arrived + STREAM_PATIENCE_MILLIS
-				: this.arrived + Math.round((this.endAt - this.arrived) * PLAIN_PATIENCE_PART);
-		return new WaitingLine.Patience(onTime, Math.min(this.endAt, most));
+		return this.exchange.started() ? RelayTimes.resumption(this.context.clock().millis(), this.endAt)
+				: RelayTimes.patience(now, this.arrived, this.endAt);
 	}
 
 	@Override
@@ -359,54 +306,15 @@
 			this.context.metrics().seated(now.kind(), this.seatedAt - this.arrived);
 		}
 		boolean fresh = now == null || !now.repeatable();
-		FullHttpRequest request = this.exchange.request();
-		UpstreamCall next = new UpstreamCall(request.method(), request.uri(), upstreamHeaders(place),
-				request.content().retainedDuplicate(), fresh, dialect().attempt(), this);
+		FullHttpRequest received = this.exchange.request();
+		HttpHeaders headers = this.request.upstream(place, this.endAt - this.seatedAt, this.team, this.lastEvent,
+				received.content().readableBytes());
+		UpstreamCall next = new UpstreamCall(received.method(), received.uri(), headers,
+				received.content().retainedDuplicate(), fresh, dialect().attempt(), this);
 		this.call = next;
 		this.context.pool(this.loop).send(place.first().address(), next);
 	}
 
-	private HttpHeaders upstreamHeaders(Seat place) {
-		HttpHeaders headers = Headers.passing(requestHeaders());
-		Dialect names = dialect();
-		names.ownHeaders().forEach(headers::remove);
-		long left = Math.max(1, this.endAt - this.context.clock().millis());
-		headers.set(names.deadline(), left);
-		headers.set(names.expectedRunner(), place.first().id().value());
-		Team owner = this.team;
-		if (owner != null) {
-			headers.set(names.team(), owner.name());
-		}
-		LayerPath path = place.path();
-		if (path != null) {
-			headers.set(names.path(), pathText(place, path));
-		}
-		String last = this.lastEvent;
-		if (last != null) {
-			headers.set(names.lastEvent(), last);
-		}
-		int length = this.exchange.request().content().readableBytes();
-		if (length > 0 || requestHeaders().contains(HttpHeaderNames.CONTENT_LENGTH)
-				|| requestHeaders().contains(HttpHeaderNames.TRANSFER_ENCODING)) {
-			headers.set(HttpHeaderNames.CONTENT_LENGTH, length);
-		}
-		return headers;
-	}
-
-	private static String pathText(Seat place, LayerPath path) {
-		StringBuilder text = new StringBuilder();
-		for (int i = 0; i < place.runners().size(); i++) {
-			LayerPath.Hop hop = path.hops().get(i);
-			text.append((i > 0) ? "," : "")
-				.append(place.runners().get(i).address())
-				.append('=')
-				.append(hop.layers().first())
-				.append('-')
-				.append(hop.layers().end());
-		}
-		return text.toString();
-	}
-
 	@Override
 	public void head(HttpResponse response) {
 		this.progressAt = this.context.clock().millis();
@@ -696,7 +604,7 @@
 		boolean granted = allowed && this.context.budget().tryRetry();
 		this.context.metrics().attemptFailed(granted);
 		LogEvent.of("attempt-failed")
-			.with("request", requestHeaders().get(dialect().attempt()))
+			.with("request", this.request.attempt())
 			.with("runners", (place != null) ? place.ids() : null)
 			.with("blamed", this.blamed.isEmpty() ? null : this.blamed)
 			.with("fleet-age", this.context.board().ageMillis())
@@ -797,20 +705,13 @@
 				return;
 			}
 			long silent = this.context.clock().millis() - this.progressAt;
-			if (silent >= stallMillis(now) && this.context.clock().millis() >= this.diagnoseAfter) {
+			if (silent >= RelayTimes.stallMillis(now, this.read)
+					&& this.context.clock().millis() >= this.diagnoseAfter) {
 				diagnose(place, silent);
 			}
 		});
 	}
 
-	private long stallMillis(Route now) {
-		if (now.kind() != RequestKind.STREAMING) {
-			return Math.round(now.targetLatency().toMillis() * STALL_TARGETS);
-		}
-		long gap = Math.max(LEAST_STALL_MILLIS, Math.round(now.targetGap().toMillis() * STALL_GAPS));
-		return this.read ? gap : Math.max(gap, FIRST_EVENT_STALL_MILLIS);
-	}
-
 	// Finds out which runner a silent path waits for, then continues elsewhere.
 	private void diagnose(Seat place, long silent) {
 		if (place.path() == null) {
@@ -874,7 +775,7 @@
 			this.context.metrics().ended(now.kind(), status, ended - this.arrived);
 		}
 		LogEvent.of("request-ended")
-			.with("request", requestHeaders().get(dialect().attempt()))
+			.with("request", this.request.attempt())
 			.with("route", (now != null) ? now.name() : null)
 			.with("team", (owner != null) ? owner.name() : null)
 			.with("configuration", (table != null) ? table.version() : null)
--- a/bilberryvalve-gateway/src/test/java/io/bilberryvalve/gateway/relay/RelayFixture.java
+++ b/bilberryvalve-gateway/src/test/java/io/bilberryvalve/gateway/relay/RelayFixture.java
@@ -42,7 +42,7 @@
 final class RelayFixture implements AutoCloseable {
 
 	static final Dialect DIALECT = new Dialect("x-attempt", "x-deadline", "x-key", "x-team", "x-expect", "x-path",
-			"x-urgency", "x-tokens", "x-hint", "last-event-id", "x-seal", "x-not-run", "x-faulty", "x-version");
+			"x-urgency", "x-tokens", "x-hint", "last-event-id", "x-seal", "x-not-run", "x-faulty");
 
 	private static final CallerLimits LIMITS = new CallerLimits(4096, 1 << 16, Duration.ofSeconds(3),
 			Duration.ofSeconds(15));
