Reject what may outlast a stopping daemon

Change: after the first 3 s only requests whose time limit ends before the daemon does are accepted. Ruled out: the grace period; the daemon used it whole. Measured: RelayTests.stoppingDaemonRejectsWhatMayOutlastIt fails without the change.

--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/relay/Relay.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/relay/Relay.java
@@ -65,9 +65,6 @@
 	/** A caller that is sent to another daemon may come at once; this covers its list. */
 	private static final long LEAVING_RETRY_MILLIS = 100;
 
-	/** Time of a token on a usual path. */
-	private static final long USUAL_TOKEN_MILLIS = 25;
-
 	private static final double MILLIS_PER_SECOND = 1000;
 
 	private final RelayContext context;
@@ -210,8 +207,7 @@
 			this.size = this.request.size(engine);
 		}
 		long limit = Math.min(chosen.timeout().toMillis(), this.request.deadlineMillis(chosen.timeout().toMillis()));
-		if (this.context
-			.refuses((engine != null) ? this.size.answer() * USUAL_TOKEN_MILLIS : chosen.timeout().toMillis())) {
+		if (this.context.refuses(limit)) {
 			reject(LEAVING_RETRY_MILLIS, "this daemon is leaving");
 			return;
 		}
--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/relay/RelayContext.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/relay/RelayContext.java
@@ -254,12 +254,12 @@
 
 	/**
 	 * Tells whether a request comes too late, because this daemon is leaving.
-	 * @param expectedMillis expected time of the request
+	 * @param longestMillis longest time that the request may take
 	 * @return whether to reject it
 	 */
-	boolean refuses(long expectedMillis) {
+	boolean refuses(long longestMillis) {
 		LeavePlan plan = this.leavePlan;
-		return plan != null && plan.refuses(this.clock.millis(), expectedMillis, this.othersServe.getAsBoolean());
+		return plan != null && plan.refuses(this.clock.millis(), longestMillis, this.othersServe.getAsBoolean());
 	}
 
 	/**
--- a/bilberryvalve-gateway/src/test/java/io/bilberryvalve/gateway/relay/RelayTests.java
+++ b/bilberryvalve-gateway/src/test/java/io/bilberryvalve/gateway/relay/RelayTests.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 
+import io.bilberryvalve.policy.membership.LeavePlan;
 import net.jqwik.api.Example;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -247,6 +248,20 @@
 		}
 	}
 
+	// // Guards against a stream that a stopping daemon accepts late and cuts when it
+	// exits: it was
+	// expected to be short, but its time limit lay beyond the exit.
+	@Example
+	void stoppingDaemonRejectsWhatMayOutlastIt() throws IOException {
+		try (ScriptedRunner runner = echoing(); RelayFixture router = new RelayFixture(runner).configured()) {
+			long now = router.millis();
+			router.context().leave(new LeavePlan(now - 1, now + 3000), () -> false);
+			String request = RelayFixture.request("POST", "/model/1", "a1", CLOSE + "x-tokens: 10,10\r\n", "prompt");
+			assertThat(router.call(request)).startsWith("HTTP/1.1 503 ");
+			assertThat(runner.hasRequest()).isFalse();
+		}
+	}
+
 	// Guards against callers who are sent away in the moment in which a daemon starts.
 	@Example
 	void requestWaitsForTheFirstConfiguration() throws IOException {
