Read the load of a runner once for a path, and keep holders by fleet

Cause: choosing a path read four figures of each runner under a lock each, and built the list of holders anew for each request; LoadBook.Usage and PathLoads said the same thing. Change: one record RunnerLoad; PathLoads has one method; PathSeats keeps the holders until the fleet changes. Measured: the tests of the modules pass; no behaviour changes.

--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/fleet/LoadBook.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/fleet/LoadBook.java
@@ -10,6 +10,7 @@
 import io.bilberryvalve.model.RunnerId;
 import io.bilberryvalve.policy.path.PathLoads;
 import io.bilberryvalve.policy.path.RequestSize;
+import io.bilberryvalve.policy.path.RunnerLoad;
 
 /**
  * Requests in progress at runners: those of this daemon, and those that other daemons
@@ -22,11 +23,11 @@
 
 	private final Clock clock;
 
-	private final Map<RunnerId, Usage> own = new HashMap<>();
+	private final Map<RunnerId, RunnerLoad> own = new HashMap<>();
 
 	private final Map<String, Report> reports = new ConcurrentHashMap<>();
 
-	private Map<RunnerId, Usage> others = Map.of();
+	private Map<RunnerId, RunnerLoad> others = Map.of();
 
 	/**
 	 * Creates an empty book.
@@ -44,7 +45,7 @@
 	public synchronized void add(List<Part> parts, RequestSize size) {
 		for (int i = 0; i < parts.size(); i++) {
 			Part part = parts.get(i);
-			change(part.runner(), new Usage(1, (long) size.tokens() * part.layers(), (i == 0) ? 1 : 0,
+			change(part.runner(), new RunnerLoad(1, (long) size.tokens() * part.layers(), (i == 0) ? 1 : 0,
 					(long) size.prompt() * part.layers()));
 		}
 	}
@@ -55,7 +56,7 @@
 	 * @param size its size
 	 */
 	public synchronized void read(List<Part> parts, RequestSize size) {
-		parts.forEach((part) -> change(part.runner(), new Usage(0, 0, 0, -(long) size.prompt() * part.layers())));
+		parts.forEach((part) -> change(part.runner(), new RunnerLoad(0, 0, 0, -(long) size.prompt() * part.layers())));
 	}
 
 	/**
@@ -67,13 +68,13 @@
 	public synchronized void remove(List<Part> parts, RequestSize size, boolean read) {
 		for (int i = 0; i < parts.size(); i++) {
 			Part part = parts.get(i);
-			change(part.runner(), new Usage(-1, -(long) size.tokens() * part.layers(), (i == 0) ? -1 : 0,
+			change(part.runner(), new RunnerLoad(-1, -(long) size.tokens() * part.layers(), (i == 0) ? -1 : 0,
 					read ? 0 : -(long) size.prompt() * part.layers()));
 		}
 	}
 
-	private void change(RunnerId runner, Usage change) {
-		Usage usage = this.own.getOrDefault(runner, Usage.NONE).plus(change);
+	private void change(RunnerId runner, RunnerLoad change) {
+		RunnerLoad usage = this.own.getOrDefault(runner, RunnerLoad.NONE).plus(change);
 		if (usage.running() == 0) {
 			this.own.remove(runner);
 		}
@@ -86,7 +87,7 @@
 	 * Returns the load of this daemon's requests.
 	 * @return usage by runner, only those in use
 	 */
-	public synchronized Map<RunnerId, Usage> own() {
+	public synchronized Map<RunnerId, RunnerLoad> own() {
 		return Map.copyOf(this.own);
 	}
 
@@ -95,7 +96,7 @@
 	 * @param daemon name of the daemon
 	 * @param usage its usage by runner
 	 */
-	public synchronized void report(String daemon, Map<RunnerId, Usage> usage) {
+	public synchronized void report(String daemon, Map<RunnerId, RunnerLoad> usage) {
 		this.reports.put(daemon, new Report(this.clock.millis(), usage));
 		sumOthers();
 	}
@@ -111,35 +112,16 @@
 	}
 
 	private void sumOthers() {
-		Map<RunnerId, Usage> sum = new HashMap<>();
+		Map<RunnerId, RunnerLoad> sum = new HashMap<>();
 		for (Report report : this.reports.values()) {
-			report.usage.forEach((runner, usage) -> sum.merge(runner, usage, Usage::plus));
+			report.usage.forEach((runner, usage) -> sum.merge(runner, usage, RunnerLoad::plus));
 		}
 		this.others = sum;
 	}
 
-	private synchronized Usage usage(RunnerId runner) {
-		return this.own.getOrDefault(runner, Usage.NONE).plus(this.others.getOrDefault(runner, Usage.NONE));
-	}
-
-	@Override
-	public int running(RunnerId runner) {
-		return usage(runner).running();
-	}
-
-	@Override
-	public long tokenLayers(RunnerId runner) {
-		return usage(runner).tokenLayers();
-	}
-
-	@Override
-	public int entered(RunnerId runner) {
-		return usage(runner).entered();
-	}
-
 	@Override
-	public long unreadLayers(RunnerId runner) {
-		return usage(runner).unreadLayers();
+	public synchronized RunnerLoad of(RunnerId runner) {
+		return this.own.getOrDefault(runner, RunnerLoad.NONE).plus(this.others.getOrDefault(runner, RunnerLoad.NONE));
 	}
 
 	/**
@@ -152,32 +134,7 @@
 
 	}
 
-	/**
-	 * Requests in progress at a runner.
-	 *
-	 * @param running requests that pass it
-	 * @param tokenLayers their tokens with the expected answers, times layers
-	 * @param entered requests that it received as the first of their path
-	 * @param unreadLayers prompt tokens not read yet, times layers
-	 */
-	public record Usage(int running, long tokenLayers, int entered, long unreadLayers) {
-
-		/** No request. */
-		public static final Usage NONE = new Usage(0, 0, 0, 0);
-
-		/**
-		 * Adds.
-		 * @param other another usage
-		 * @return the sum
-		 */
-		public Usage plus(Usage other) {
-			return new Usage(this.running + other.running, this.tokenLayers + other.tokenLayers,
-					this.entered + other.entered, this.unreadLayers + other.unreadLayers);
-		}
-
-	}
-
-	private record Report(long millis, Map<RunnerId, Usage> usage) {
+	private record Report(long millis, Map<RunnerId, RunnerLoad> usage) {
 
 	}
 
--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/peer/StateExchange.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/peer/StateExchange.java
@@ -20,6 +20,7 @@
 import io.bilberryvalve.model.DataCentreId;
 import io.bilberryvalve.model.RunnerId;
 import io.bilberryvalve.model.log.LogEvent;
+import io.bilberryvalve.policy.path.RunnerLoad;
 import io.bilberryvalve.wire.proto.LoadMessages.DaemonState;
 import io.bilberryvalve.wire.proto.LoadMessages.RunnerUsage;
 import io.netty.buffer.ByteBufUtil;
@@ -298,11 +299,11 @@
 		return true;
 	}
 
-	private static Map<RunnerId, LoadBook.Usage> usage(DaemonState state) {
-		Map<RunnerId, LoadBook.Usage> usage = new HashMap<>();
+	private static Map<RunnerId, RunnerLoad> usage(DaemonState state) {
+		Map<RunnerId, RunnerLoad> usage = new HashMap<>();
 		for (RunnerUsage one : state.getUsageList()) {
-			usage.put(new RunnerId(one.getRunner()), new LoadBook.Usage(one.getRunning(), one.getTokenLayers(),
-					one.getEntered(), one.getUnreadLayers()));
+			usage.put(new RunnerId(one.getRunner()),
+					new RunnerLoad(one.getRunning(), one.getTokenLayers(), one.getEntered(), one.getUnreadLayers()));
 		}
 		return usage;
 	}
--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/relay/PathSeats.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/relay/PathSeats.java
@@ -39,6 +39,8 @@
 
 	private final Trust trust;
 
+	private volatile Known known = new Known(Fleet.EMPTY, List.of());
+
 	PathSeats(String service, EngineProfile profile, FleetBoard board, LoadBook loads, Trust trust) {
 		this.service = service;
 		this.profile = profile;
@@ -83,7 +85,17 @@
 		return this.chooser.choose(holders(this.board.fleet()), PathLoads.IDLE, SMALLEST, (runner) -> true).isPresent();
 	}
 
+	// The holders change with the fleet only, which is a new object after each change.
 	private List<Holder> holders(Fleet fleet) {
+		Known now = this.known;
+		if (now.fleet != fleet) {
+			now = new Known(fleet, read(fleet));
+			this.known = now;
+		}
+		return now.holders;
+	}
+
+	private List<Holder> read(Fleet fleet) {
 		List<Holder> holders = new ArrayList<>();
 		for (ListedRunner runner : fleet.of(this.service)) {
 			String kind = runner.card();
@@ -96,4 +108,14 @@
 		return holders;
 	}
 
+	/**
+	 * Holders of a fleet.
+	 *
+	 * @param fleet the fleet
+	 * @param holders its runners that hold layers and take work
+	 */
+	private record Known(Fleet fleet, List<Holder> holders) {
+
+	}
+
 }
--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/relay/RunnerSeats.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/relay/RunnerSeats.java
@@ -42,8 +42,8 @@
 		List<ListedRunner> ready = ready().stream().filter((runner) -> !excluded.contains(runner.id())).toList();
 		List<ListedRunner> trusted = ready.stream().filter((runner) -> this.trust.trusted(runner.id())).toList();
 		return (trusted.isEmpty() ? ready : trusted).stream()
-			.filter((runner) -> this.loads.running(runner.id()) < Math.max(1, runner.slots()))
-			.min(Comparator.comparingInt((ListedRunner runner) -> this.loads.running(runner.id()))
+			.filter((runner) -> this.loads.of(runner.id()).running() < Math.max(1, runner.slots()))
+			.min(Comparator.comparingInt((ListedRunner runner) -> this.loads.of(runner.id()).running())
 				.thenComparing((runner) -> !runner.dataCentre().equals(this.here)))
 			.map((runner) -> {
 				Seat seat = new Seat(List.of(runner), null, size);
--- a/bilberryvalve-policy/src/main/java/io/bilberryvalve/policy/path/PathChooser.java
+++ b/bilberryvalve-policy/src/main/java/io/bilberryvalve/policy/path/PathChooser.java
@@ -153,8 +153,7 @@
 
 		private void extend(Candidate candidate, int layer) {
 			Step from = (layer > 0) ? cheapest(candidate, layer) : null;
-			boolean full = layer == 0
-					&& this.loads.entered(candidate.holder.runner()) >= PathChooser.this.profile.slots();
+			boolean full = layer == 0 && candidate.load.entered() >= PathChooser.this.profile.slots();
 			if (full || (layer > 0 && from == null)) {
 				return;
 			}
@@ -196,7 +195,7 @@
 			if (before.dataCentre().equals(holder.dataCentre()) || token == 0) {
 				return new Crossing(delay, 0, 0);
 			}
-			int others = this.loads.running(PathLoads.link(before.dataCentre(), holder.dataCentre()));
+			int others = this.loads.of(PathLoads.link(before.dataCentre(), holder.dataCentre())).running();
 			double usual = engine.promptTokens() + engine.answerTokens();
 			double used = (others + 1) * usual * token / USUAL_RESIDENCE_MILLIS;
 			if (used > MAX_LINK_USE) {
@@ -213,6 +212,8 @@
 
 		private final Holder holder;
 
+		private final RunnerLoad load;
+
 		private final double stepMillis;
 
 		private final double readMillis;
@@ -221,16 +222,16 @@
 
 		Candidate(Holder holder, PathLoads loads, RequestSize size, EngineProfile profile) {
 			this.holder = holder;
-			RunnerId runner = holder.runner();
+			this.load = loads.of(holder.runner());
 			int held = holder.layers().size();
-			double together = (loads.running(runner) + 1) * SHARE_OF_PASS;
-			double context = (loads.tokenLayers(runner) / (double) held + size.tokens()) * SHARE_OF_PASS;
+			double together = (this.load.running() + 1) * SHARE_OF_PASS;
+			double context = (this.load.tokenLayers() / (double) held + size.tokens()) * SHARE_OF_PASS;
 			this.stepMillis = holder.slowness() * profile.stepMillis(holder.card(), 1, together, context);
 			double layerRead = holder.slowness() * profile.readMillis(holder.card(), 1, 1);
-			double backlog = layerRead * loads.unreadLayers(runner);
+			double backlog = layerRead * this.load.unreadLayers();
 			this.readMillis = layerRead * size.prompt();
 			double capacity = profile.tokenCapacity(holder.card(), held) * MEMORY_PART * held;
-			double free = capacity - loads.tokenLayers(runner);
+			double free = capacity - this.load.tokenLayers();
 			this.room = (backlog > MAX_BACKLOG_MILLIS) ? 0 : (int) Math.min(held, free / Math.max(1, size.tokens()));
 		}
 
--- a/bilberryvalve-policy/src/main/java/io/bilberryvalve/policy/path/PathLoads.java
+++ b/bilberryvalve-policy/src/main/java/io/bilberryvalve/policy/path/PathLoads.java
@@ -4,37 +4,16 @@
 import io.bilberryvalve.model.RunnerId;
 
 /**
- * Load of runners over all daemons.
+ * Loads of runners over all daemons.
  */
+@FunctionalInterface
 public interface PathLoads {
 
-	/** Longest identifier of a runner. */
-	int MAX_NAME = 63;
-
 	/** Runners without requests. */
-	PathLoads IDLE = new PathLoads() {
-
-		@Override
-		public int running(RunnerId runner) {
-			return 0;
-		}
-
-		@Override
-		public long tokenLayers(RunnerId runner) {
-			return 0;
-		}
+	PathLoads IDLE = (runner) -> RunnerLoad.NONE;
 
-		@Override
-		public int entered(RunnerId runner) {
-			return 0;
-		}
-
-		@Override
-		public long unreadLayers(RunnerId runner) {
-			return 0;
-		}
-
-	};
+	/** Longest identifier of a runner. */
+	int MAX_NAME = 63;
 
 	/**
 	 * Returns the identifier under which the requests that cross between two data centres
@@ -50,31 +29,10 @@
 	}
 
 	/**
-	 * Returns the requests that pass a runner.
-	 * @param runner the runner
-	 * @return number of requests
-	 */
-	int running(RunnerId runner);
-
-	/**
-	 * Returns the memory of the requests that pass a runner, with the expected answers.
-	 * @param runner the runner
-	 * @return sum of tokens times layers that they pass there
-	 */
-	long tokenLayers(RunnerId runner);
-
-	/**
-	 * Returns the requests that entered their path at a runner.
-	 * @param runner the runner
-	 * @return number of requests
-	 */
-	int entered(RunnerId runner);
-
-	/**
-	 * Returns the prompt tokens that a runner has still to read.
-	 * @param runner the runner
-	 * @return sum of tokens times layers that they pass there
+	 * Returns the load of a runner.
+	 * @param runner the runner, or the identifier of a link
+	 * @return its load
 	 */
-	long unreadLayers(RunnerId runner);
+	RunnerLoad of(RunnerId runner);
 
 }
--- /dev/null
+++ b/bilberryvalve-policy/src/main/java/io/bilberryvalve/policy/path/RunnerLoad.java
@@ -0,0 +1,27 @@
+package io.bilberryvalve.policy.path;
+
+/**
+ * Requests in progress at a runner, or on a link.
+ *
+ * @param running requests that pass it
+ * @param tokenLayers their tokens with the expected answers, times layers that they pass
+ * there
+ * @param entered requests that it received as the first of their path
+ * @param unreadLayers prompt tokens not read yet, times layers that they pass there
+ */
+public record RunnerLoad(int running, long tokenLayers, int entered, long unreadLayers) {
+
+	/** No request. */
+	public static final RunnerLoad NONE = new RunnerLoad(0, 0, 0, 0);
+
+	/**
+	 * Adds.
+	 * @param other another load
+	 * @return the sum
+	 */
+	public RunnerLoad plus(RunnerLoad other) {
+		return new RunnerLoad(this.running + other.running, this.tokenLayers + other.tokenLayers,
+				this.entered + other.entered, this.unreadLayers + other.unreadLayers);
+	}
+
+}
--- a/bilberryvalve-policy/src/main/java/io/bilberryvalve/policy/placement/TemplateSearch.java
+++ b/bilberryvalve-policy/src/main/java/io/bilberryvalve/policy/placement/TemplateSearch.java
@@ -15,6 +15,7 @@
 import io.bilberryvalve.policy.path.PathChooser;
 import io.bilberryvalve.policy.path.PathLoads;
 import io.bilberryvalve.policy.path.RequestSize;
+import io.bilberryvalve.policy.path.RunnerLoad;
 
 /**
  * Finds the layer template with the highest estimated throughput for the cards of a
@@ -46,9 +47,13 @@
 	private static final double MILLIS_PER_SECOND = 1000;
 
 	/**
-	 * Links are assumed to be in use, so that paths within a data centre are taken first.
+	 * Requests on each link that are assumed, so that paths within a data centre are
+	 * taken first.
 	 */
-	private static final PathLoads BUSY_LINKS = new BusyLinks();
+	private static final RunnerLoad ON_LINK = new RunnerLoad(15, 0, 0, 0);
+
+	private static final PathLoads BUSY_LINKS = (runner) -> runner.value().startsWith("link.") ? ON_LINK
+			: RunnerLoad.NONE;
 
 	private final EngineProfile profile;
 
@@ -176,31 +181,4 @@
 		return Math.min(MILLIS_PER_SECOND * running / residence, pipeLimit);
 	}
 
-	/** Runners without requests and links with some. */
-	private static final class BusyLinks implements PathLoads {
-
-		private static final int CROSSING = 15;
-
-		@Override
-		public int running(RunnerId runner) {
-			return runner.value().startsWith("link.") ? CROSSING : 0;
-		}
-
-		@Override
-		public long tokenLayers(RunnerId runner) {
-			return 0;
-		}
-
-		@Override
-		public int entered(RunnerId runner) {
-			return 0;
-		}
-
-		@Override
-		public long unreadLayers(RunnerId runner) {
-			return 0;
-		}
-
-	}
-
 }
--- a/bilberryvalve-policy/src/test/java/io/bilberryvalve/policy/path/PathChooserTests.java
+++ b/bilberryvalve-policy/src/test/java/io/bilberryvalve/policy/path/PathChooserTests.java
@@ -95,7 +95,7 @@
 		for (Holder holder : holders) {
 			long capacity = (long) this.profile.tokenCapacity(holder.card(), holder.layers().size())
 					* holder.layers().size();
-			assertThat(this.loads.tokenLayers(holder.runner())).isLessThanOrEqualTo(capacity);
+			assertThat(this.loads.of(holder.runner()).tokenLayers()).isLessThanOrEqualTo(capacity);
 		}
 	}
 
@@ -150,45 +150,29 @@
 	/** Loads that a test sets. */
 	private static final class SimpleLoads implements PathLoads {
 
-		private final Map<RunnerId, Integer> running = new HashMap<>();
-
-		private final Map<RunnerId, Long> tokens = new HashMap<>();
-
-		private final Map<RunnerId, Integer> entered = new HashMap<>();
+		private final Map<RunnerId, RunnerLoad> loads = new HashMap<>();
 
 		void add(LayerPath path, List<Holder> holders) {
-			this.entered.merge(path.first(), 1, Integer::sum);
 			for (LayerPath.Hop hop : path.hops()) {
-				this.running.merge(hop.runner(), 1, Integer::sum);
-				this.tokens.merge(hop.runner(), (long) USUAL.tokens() * hop.layers().size(), Long::sum);
+				int entered = hop.runner().equals(path.first()) ? 1 : 0;
+				add(hop.runner(), new RunnerLoad(1, (long) USUAL.tokens() * hop.layers().size(), entered, 0));
 			}
 			for (int i = 1; i < path.hops().size(); i++) {
 				DataCentreId from = dataCentre(path.hops().get(i - 1).runner(), holders);
 				DataCentreId to = dataCentre(path.hops().get(i).runner(), holders);
 				if (!from.equals(to)) {
-					this.running.merge(PathLoads.link(from, to), 1, Integer::sum);
+					add(PathLoads.link(from, to), new RunnerLoad(1, 0, 0, 0));
 				}
 			}
 		}
 
-		@Override
-		public int running(RunnerId runner) {
-			return this.running.getOrDefault(runner, 0);
-		}
-
-		@Override
-		public long tokenLayers(RunnerId runner) {
-			return this.tokens.getOrDefault(runner, 0L);
-		}
-
-		@Override
-		public int entered(RunnerId runner) {
-			return this.entered.getOrDefault(runner, 0);
+		private void add(RunnerId runner, RunnerLoad load) {
+			this.loads.merge(runner, load, RunnerLoad::plus);
 		}
 
 		@Override
-		public long unreadLayers(RunnerId runner) {
-			return 0;
+		public RunnerLoad of(RunnerId runner) {
+			return this.loads.getOrDefault(runner, RunnerLoad.NONE);
 		}
 
 	}
