--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/relay/RelayTimes.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/relay/RelayTimes.java
@@ -11,6 +11,9 @@
  */
 final class RelayTimes {
 
+	/** Silence below the interval of the checks needs no look. */
+	static final long LEAST_SILENCE_MILLIS = 100;
+
 	/** Shortest silence of a stream that counts as a stall; engines pause for less. */
 	private static final long LEAST_STALL_MILLIS = 600;
 
