Share the retry budget among the daemons that exist

Cause: one lost card stalls some 100 streams at once.

Ruled out: stalls seen too late (the attempts failed within the stall limit) and missing seats (the lines were empty at that time).

--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/Gateway.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/Gateway.java
@@ -41,7 +41,7 @@
 import io.bilberryvalve.policy.lease.LeaseHolder;
 import io.bilberryvalve.policy.lease.LeaseTimes;
 import io.bilberryvalve.policy.membership.LeavePlan;
-import io.bilberryvalve.policy.retry.RetryBudget;
+import io.bilberryvalve.policy.retry.RetryShare;
 import io.netty.channel.EventLoop;
 
 /**
@@ -111,6 +111,8 @@
 
 	private volatile boolean leaving;
 
+	private volatile int listed;
+
 	/**
 	 * Creates a gateway.
 	 * @param settings the settings
@@ -130,10 +132,10 @@
 		this.tables = tables;
 		this.board = new FleetBoard(clock);
 		this.loads = new LoadBook(clock);
-		RetryBudget budget = new RetryBudget(clock, settings.retryFraction(), settings.retryFloor(),
-				settings.retryWindow());
+		RetryShare share = new RetryShare(clock, settings.retryRatio(), settings.retrySlack(), settings.retryWindow(),
+				this::daemons);
 		this.context = new RelayContext(dialect, settings.dataCentre(), clock, this.board, this.loads, new Trust(clock),
-				budget, reports, this::pool);
+				share.budget(), reports, this::pool);
 		this.exchange = new StateExchange(transport,
 				new StateExchange.Self(settings.vm(), settings.dataCentre(), settings.callers(), settings.state(),
 						this::serving, () -> this.leaving, this.board::reachable, this::configuration),
@@ -151,6 +153,12 @@
 				&& this.exchange.ended(holder.substring(0, slash), Long.parseLong(holder.substring(slash + 1)));
 	}
 
+	// Counts daemons that are listed or were heard lately, also those that cannot be
+	// reached now.
+	private int daemons() {
+		return Math.max(this.listed, this.exchange.known());
+	}
+
 	private UpstreamPool pool(EventLoop loop) {
 		return this.pools.computeIfAbsent(loop, (key) -> new UpstreamPool(this.transport, key, this.clock));
 	}
@@ -222,6 +230,7 @@
 	private void list() {
 		this.tables.list(TABLE, "", MAX_GATEWAYS).thenAccept((fetched) -> {
 			if (fetched instanceof Fetched.Found<List<Row>> found) {
+				this.listed = found.value().size();
 				found.value().forEach((row) -> this.exchange.learn(Address.parse(row.value())));
 				this.exchange.sendNow();
 			}
--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/GatewaySettings.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/GatewaySettings.java
@@ -13,12 +13,13 @@
  * @param callers where callers connect
  * @param state where other daemons send their state
  * @param threads number of event loops
- * @param retryFraction repeated requests as a fraction of all
- * @param retryFloor repeated requests that each daemon may send in any case
- * @param retryWindow time in which repeated requests are counted
+ * @param retryRatio repeated requests that all daemons may send as a fraction of all
+ * requests
+ * @param retrySlack repeated requests that they may send in addition
+ * @param retryWindow time for which both hold
  * @param runnerHeartbeat interval at which runners renew their entries
  */
 public record GatewaySettings(String vm, DataCentreId dataCentre, Address callers, Address state, int threads,
-		double retryFraction, int retryFloor, Duration retryWindow, Duration runnerHeartbeat) {
+		double retryRatio, int retrySlack, Duration retryWindow, Duration runnerHeartbeat) {
 
 }
--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/peer/StateExchange.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/peer/StateExchange.java
@@ -157,6 +157,14 @@
 		return this.peers.values().stream().filter((peer) -> peer.heardMillis() >= oldest).toList();
 	}
 
+	/**
+	 * Returns the number of daemons that are known.
+	 * @return this daemon and those that were heard or learned of within a minute
+	 */
+	public int known() {
+		return this.targets.size() + 1;
+	}
+
 	/**
 	 * Tells whether this daemon has the least name of all that are present, serve and
 	 * reach the store.
--- a/bilberryvalve-policy/src/main/java/io/bilberryvalve/policy/retry/RetryBudget.java
+++ b/bilberryvalve-policy/src/main/java/io/bilberryvalve/policy/retry/RetryBudget.java
@@ -3,6 +3,7 @@
 import java.time.Clock;
 import java.time.Duration;
 import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.LongToDoubleFunction;
 
 /**
  * Limits retries to a fraction of the requests in a sliding window. Lock-free: the window
@@ -24,9 +25,7 @@
 
 	private final Clock clock;
 
-	private final double fraction;
-
-	private final int floor;
+	private final LongToDoubleFunction permitted;
 
 	private final long bucketMillis;
 
@@ -48,13 +47,24 @@
 	 * @param length length of the window, at least 10 ms
 	 */
 	public RetryBudget(Clock clock, double fraction, int floor, Duration length) {
-		if (fraction < 0 || fraction > 1 || floor < 0 || length.toMillis() < BUCKETS) {
-			throw new IllegalArgumentException("retry budget needs a fraction from 0 to 1, a floor of at least 0 and "
-					+ "a window of at least " + BUCKETS + " ms");
+		this(clock, (requests) -> Math.max(floor, fraction * requests), length);
+		if (fraction < 0 || fraction > 1 || floor < 0) {
+			throw new IllegalArgumentException("retry budget needs a fraction from 0 to 1 and a floor of at least 0");
+		}
+	}
+
+	/**
+	 * Creates a budget.
+	 * @param clock the clock
+	 * @param permitted retries permitted in a window with some number of requests
+	 * @param length length of the window, at least 10 ms
+	 */
+	public RetryBudget(Clock clock, LongToDoubleFunction permitted, Duration length) {
+		if (length.toMillis() < BUCKETS) {
+			throw new IllegalArgumentException("retry budget needs a window of at least " + BUCKETS + " ms");
 		}
 		this.clock = clock;
-		this.fraction = fraction;
-		this.floor = floor;
+		this.permitted = permitted;
 		this.bucketMillis = length.toMillis() / BUCKETS;
 		this.window = new AtomicReference<>(new Window(tick(), new long[BUCKETS], new long[BUCKETS], 0, 0));
 	}
@@ -74,7 +84,7 @@
 		while (true) {
 			Window seen = this.window.get();
 			Window now = seen.at(tick());
-			if (now.retries + 1 > Math.max(this.floor, this.fraction * now.requests)) {
+			if (now.retries + 1 > this.permitted.applyAsDouble(now.requests)) {
 				return false;
 			}
 			if (this.window.compareAndSet(seen, now.plus(0, 1))) {
