--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/http/CallerConnection.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/http/CallerConnection.java
@@ -5,12 +5,19 @@
 import java.util.Deque;
 import java.util.function.Consumer;
 
+import io.bilberryvalve.model.log.LogEvent;
+import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.handler.codec.TooLongFrameException;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
 import io.netty.util.ReferenceCountUtil;
 import org.jspecify.annotations.Nullable;
 
@@ -19,6 +26,8 @@
  */
 final class CallerConnection extends ChannelInboundHandlerAdapter {
 
+	private static final System.Logger LOGGER = System.getLogger(CallerConnection.class.getName());
+
 	/** Pipelined requests that may wait before the connection is read no further. */
 	private static final int MAX_PIPELINED = 8;
 
@@ -28,6 +37,8 @@
 
 	private final Clock clock;
 
+	private final HeadTimer head;
+
 	private final Deque<FullHttpRequest> waiting = new ArrayDeque<>();
 
 	private @Nullable ChannelHandlerContext context;
@@ -38,10 +49,11 @@
 
 	private boolean closed;
 
-	CallerConnection(CallerServer server, Consumer<CallerExchange> handler, Clock clock) {
+	CallerConnection(CallerServer server, Consumer<CallerExchange> handler, Clock clock, HeadTimer head) {
 		this.server = server;
 		this.handler = handler;
 		this.clock = clock;
+		this.head = head;
 		this.idleSince = clock.millis();
 	}
 
@@ -101,6 +113,27 @@
 		}
 	}
 
+	/**
+	 * Answers 408 and closes the connection if the head of a request stays incomplete.
+	 * @param millis time that a caller has for a head
+	 */
+	void rejectSlowHead(long millis) {
+		ChannelHandlerContext own = this.context;
+		if (own == null || this.closed || this.current != null || !this.head.incompleteFor(millis)) {
+			return;
+		}
+		this.closed = true;
+		LogEvent.of("slow-head")
+			.with("caller", own.channel().remoteAddress())
+			.with("limit-ms", millis)
+			.log(LOGGER, System.Logger.Level.INFO);
+		FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1,
+				HttpResponseStatus.REQUEST_TIMEOUT);
+		response.headers().set(HttpHeaderNames.CONTENT_LENGTH, 0);
+		HttpUtil.setKeepAlive(response, false);
+		own.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE);
+	}
+
 	/**
 	 * Closes the connection if it has been idle for some time.
 	 * @param millis least idle time
@@ -134,6 +167,10 @@
 
 	@Override
 	public void exceptionCaught(ChannelHandlerContext own, Throwable cause) {
+		LogEvent.of("caller-connection-failed")
+			.with("caller", own.channel().remoteAddress())
+			.with("cause", cause)
+			.log(LOGGER, System.Logger.Level.INFO);
 		own.close();
 	}
 
--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/http/CallerServer.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/http/CallerServer.java
@@ -26,8 +26,11 @@
 
 	private static final int MAX_CHUNK_BYTES = 65536;
 
-	/** Time beyond the declared idle time, so that a request on its way is not cut. */
-	private static final Duration IDLE_MARGIN = Duration.ofSeconds(2);
+	/**
+	 * Time beyond the declared limits, so that a request whose packets are sent again is
+	 * not cut.
+	 */
+	private static final Duration MARGIN = Duration.ofSeconds(2);
 
 	private static final long SWEEP_MILLIS = 1000;
 
@@ -79,24 +82,32 @@
 					"cannot listen on " + host + ":" + port + "; check that the address is free", bound.cause());
 		}
 		this.transport.next()
-			.scheduleWithFixedDelay(this::closeIdle, SWEEP_MILLIS, SWEEP_MILLIS, TimeUnit.MILLISECONDS);
+			.scheduleWithFixedDelay(this::closeLate, SWEEP_MILLIS, SWEEP_MILLIS, TimeUnit.MILLISECONDS);
 		return new Address(host, ((InetSocketAddress) bound.channel().localAddress()).getPort());
 	}
 
 	private void accept(Channel channel) {
 		CallerLimits now = this.limits.get();
-		CallerConnection connection = new CallerConnection(this, this.handler, this.clock);
+		HeadTimer head = new HeadTimer(this.clock);
+		CallerConnection connection = new CallerConnection(this, this.handler, this.clock, head);
 		this.connections.put(channel, connection);
 		channel.closeFuture().addListener((done) -> this.connections.remove(channel));
 		channel.pipeline()
-			.addLast(new HttpServerCodec(MAX_LINE_BYTES, now.headerBytes(), MAX_CHUNK_BYTES),
-					new HttpObjectAggregator(now.bodyBytes(), true), connection);
+			.addLast(head.beforeCodec(), new HttpServerCodec(MAX_LINE_BYTES, now.headerBytes(), MAX_CHUNK_BYTES),
+					head.afterCodec(), new HttpObjectAggregator(now.bodyBytes(), true), connection);
 	}
 
-	private void closeIdle() {
-		long millis = this.limits.get().idleTimeout().plus(IDLE_MARGIN).toMillis();
-		this.connections
-			.forEach((channel, connection) -> channel.eventLoop().execute(() -> connection.closeIdle(millis)));
+	/**
+	 * Closes connections that have passed a limit of time.
+	 */
+	void closeLate() {
+		CallerLimits now = this.limits.get();
+		long head = now.headerTimeout().plus(MARGIN).toMillis();
+		long idle = now.idleTimeout().plus(MARGIN).toMillis();
+		this.connections.forEach((channel, connection) -> channel.eventLoop().execute(() -> {
+			connection.rejectSlowHead(head);
+			connection.closeIdle(idle);
+		}));
 	}
 
 	/**
--- a/bilberryvalve-gateway/src/test/java/io/bilberryvalve/gateway/layers/LayerKeeperTests.java
+++ b/bilberryvalve-gateway/src/test/java/io/bilberryvalve/gateway/layers/LayerKeeperTests.java
@@ -58,7 +58,7 @@
 	}
 
 	private static RouteTable table() {
-		return new RouteTable(1, List.of(), List.of(new Service("model", 100, PROFILE)), List.of(),
+		return new RouteTable(1, List.of(), List.of(new Service("model", PROFILE)), List.of(),
 				new CallerLimits(1000, 1000, Duration.ofSeconds(1), Duration.ofSeconds(1)));
 	}
 
--- a/bilberryvalve-gateway/src/test/java/io/bilberryvalve/gateway/relay/RelayFixture.java
+++ b/bilberryvalve-gateway/src/test/java/io/bilberryvalve/gateway/relay/RelayFixture.java
@@ -115,7 +115,7 @@
 		routes.add(new Route("/model/", "host.example", "/model/", RequestKind.STREAMING, Duration.ofSeconds(5),
 				Duration.ofSeconds(2), Duration.ofMillis(200), 1, List.of(new Route.Target("model", 1)), 2, false,
 				true));
-		return new RouteTable(version, routes, List.of(new Service("app", 10, null), new Service("model", 10, ENGINE)),
+		return new RouteTable(version, routes, List.of(new Service("app", null), new Service("model", ENGINE)),
 				List.of(new Team("team-1", keys, OptionalInt.empty())), LIMITS);
 	}
 
