--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/Gateway.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/Gateway.java
@@ -58,7 +58,19 @@
 
 	private static final int MAX_GATEWAYS = 5000;
 
-	private static final long PROGRESS_MILLIS = 100;
+	/** A silent stream should be noticed within a small part of its target gap. */
+	private static final long PROGRESS_MILLIS = 25;
+
+	/**
+	 * Connections and runners that have passed a limit are looked for at this interval.
+	 */
+	private static final long SWEEP_MILLIS = 100;
+
+	/**
+	 * Checks of progress further apart than this mean that this daemon stood still; two
+	 * checks and some time for the work between them.
+	 */
+	private static final long STILL_MILLIS = 80;
 
 	private static final long PUMP_MILLIS = 50;
 
@@ -109,6 +121,8 @@
 
 	private final LayerKeeper keeper;
 
+	private long checkedAt;
+
 	private volatile boolean leaving;
 
 	private volatile int listed;
@@ -210,6 +224,7 @@
 		EventLoop loop = this.transport.next();
 		loop.scheduleWithFixedDelay(this::list, LIST_SECONDS, LIST_SECONDS, TimeUnit.SECONDS);
 		loop.scheduleWithFixedDelay(this::checkProgress, PROGRESS_MILLIS, PROGRESS_MILLIS, TimeUnit.MILLISECONDS);
+		loop.scheduleWithFixedDelay(this::sweep, SWEEP_MILLIS, SWEEP_MILLIS, TimeUnit.MILLISECONDS);
 		loop.scheduleWithFixedDelay(this.context::pump, PUMP_MILLIS, PUMP_MILLIS, TimeUnit.MILLISECONDS);
 		loop.scheduleWithFixedDelay(this::keep, KEEP_MILLIS, KEEP_MILLIS, TimeUnit.MILLISECONDS);
 	}
@@ -238,7 +253,12 @@
 	}
 
 	private void checkProgress() {
-		this.context.sweep();
+		long now = this.clock.millis();
+		this.context.sweep(this.checkedAt > 0 && now - this.checkedAt > STILL_MILLIS);
+		this.checkedAt = now;
+	}
+
+	private void sweep() {
 		this.board.sweep();
 		this.pools.forEach((loop, pool) -> loop.execute(pool::sweep));
 	}
--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/relay/PathSeats.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/relay/PathSeats.java
@@ -9,6 +9,7 @@
 import io.bilberryvalve.gateway.fleet.FleetBoard;
 import io.bilberryvalve.gateway.fleet.ListedRunner;
 import io.bilberryvalve.gateway.fleet.LoadBook;
+import io.bilberryvalve.gateway.fleet.ProgressBoard;
 import io.bilberryvalve.gateway.fleet.Trust;
 import io.bilberryvalve.model.LayerRange;
 import io.bilberryvalve.model.RunnerId;
@@ -39,15 +40,19 @@
 
 	private final Trust trust;
 
+	private final ProgressBoard progress;
+
 	private volatile Known known = new Known(Fleet.EMPTY, List.of());
 
-	PathSeats(String service, EngineProfile profile, FleetBoard board, LoadBook loads, Trust trust) {
+	PathSeats(String service, EngineProfile profile, FleetBoard board, LoadBook loads, Trust trust,
+			ProgressBoard progress) {
 		this.service = service;
 		this.profile = profile;
 		this.chooser = new PathChooser(profile);
 		this.board = board;
 		this.loads = loads;
 		this.trust = trust;
+		this.progress = progress;
 	}
 
 	@Override
@@ -55,9 +60,9 @@
 		Fleet fleet = this.board.fleet();
 		List<Holder> holders = holders(fleet);
 		Optional<LayerPath> path = this.chooser.choose(holders, this.loads, size,
-				(runner) -> !excluded.contains(runner) && this.trust.trusted(runner));
+				(runner) -> !excluded.contains(runner) && usable(runner));
 		if (path.isEmpty() && !excluded.isEmpty()) {
-			path = this.chooser.choose(holders, this.loads, size, this.trust::trusted);
+			path = this.chooser.choose(holders, this.loads, size, this::usable);
 		}
 		if (path.isEmpty() && !trustedPath(holders)) {
 			path = this.chooser.choose(holders, this.loads, size, (runner) -> !excluded.contains(runner));
@@ -65,9 +70,21 @@
 		return path.flatMap((found) -> seat(fleet, found, size));
 	}
 
-	// Whether trusted runners cover the model at all, so that waiting for them helps.
+	@Override
+	public Optional<Seat> takeElsewhere(RequestSize size, Set<RunnerId> avoided) {
+		Fleet fleet = this.board.fleet();
+		return this.chooser
+			.choose(holders(fleet), this.loads, size, (runner) -> !avoided.contains(runner) && usable(runner))
+			.flatMap((path) -> seat(fleet, path, size));
+	}
+
+	private boolean usable(RunnerId runner) {
+		return this.trust.trusted(runner) && !this.progress.suspected(runner);
+	}
+
+	// Whether usable runners cover the model at all, so that waiting for them helps.
 	private boolean trustedPath(List<Holder> holders) {
-		return this.chooser.choose(holders, PathLoads.IDLE, SMALLEST, this.trust::trusted).isPresent();
+		return this.chooser.choose(holders, PathLoads.IDLE, SMALLEST, this::usable).isPresent();
 	}
 
 	private Optional<Seat> seat(Fleet fleet, LayerPath path, RequestSize size) {
--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/relay/Relay.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/relay/Relay.java
@@ -225,6 +225,7 @@
 		Seat place = this.seat;
 		SeatDesk from = this.desk;
 		this.seat = null;
+		this.stalls.left();
 		if (place != null && from != null) {
 			from.release(place, this.read);
 		}
@@ -262,6 +263,7 @@
 	@Override
 	public void content(ByteBuf content) {
 		this.stalls.progress();
+		this.stalls.event();
 		if (!this.response.content(content)) {
 			breakOff("an event is too long");
 		}
@@ -273,6 +275,9 @@
 			return;
 		}
 		this.read = true;
+		if (place.path() != null) {
+			this.stalls.started(place);
+		}
 		this.context.loads().read(place.parts(), place.size());
 		if (!this.exchange.started()) {
 			this.context.metrics().firstEvent(this.context.clock().millis() - this.arrived);
@@ -409,7 +414,17 @@
 		boolean permitted = now != null && this.sends < now.route().maxAttempts()
 				&& (!this.mayHaveRun || now.route().repeatable());
 		boolean granted = permitted && this.context.budget().tryRetry();
-		this.context.metrics().attemptFailed(granted);
+		logFailedAttempt(reason, place, granted);
+		if (granted && now != null && from != null) {
+			askForSeat(now, from);
+		}
+		else {
+			giveUp(NOT_RUN_RETRY_MILLIS, reason);
+		}
+	}
+
+	private void logFailedAttempt(String reason, @Nullable Seat place, boolean repeated) {
+		this.context.metrics().attemptFailed(repeated);
 		LogEvent.of("attempt-failed")
 			.with("request", this.request.attempt())
 			.with("runners", (place != null) ? place.ids() : null)
@@ -417,15 +432,9 @@
 			.with("fleet-age", this.context.board().ageMillis())
 			.with("sends", this.sends)
 			.with("reason", reason)
-			.with("repeat", granted)
+			.with("repeat", repeated)
 			.with("last-event", this.response.lastEvent())
 			.log(LOGGER, System.Logger.Level.INFO);
-		if (granted && now != null && from != null) {
-			askForSeat(now, from);
-		}
-		else {
-			giveUp(NOT_RUN_RETRY_MILLIS, reason);
-		}
 	}
 
 	// Ends the request without an answer of a runner.
@@ -518,6 +527,33 @@
 		}
 	}
 
+	// Moves the stream at once if another path has room, so that it has its next event on
+	// time; without one it stays, since its runners may go on.
+	@Override
+	public void suspected(Seat place, Set<RunnerId> suspects, long silent) {
+		RequestCheck.Allowed now = this.allowed;
+		SeatDesk from = this.desk;
+		if (this.done || this.seat != place || now == null || from == null) {
+			return;
+		}
+		Set<RunnerId> avoided = new HashSet<>(this.excluded);
+		avoided.addAll(suspects);
+		Optional<Seat> next = from.takeElsewhere(now.size(), avoided);
+		if (next.isEmpty()) {
+			return;
+		}
+		if (!this.context.budget().tryRetry()) {
+			from.release(next.get(), false);
+			return;
+		}
+		cancelCall();
+		this.mayHaveRunBefore = true;
+		releaseSeat();
+		logFailedAttempt("silent with others for " + silent + " ms", place, true);
+		this.response.reset();
+		seated(next.get());
+	}
+
 	@Override
 	public void stalled(Seat place, Set<RunnerId> causes, long silent) {
 		this.excluded.addAll(causes);
@@ -563,6 +599,7 @@
 			.with("retry-after", this.retryAfter)
 			.with("fleet-age", this.context.board().ageMillis())
 			.with("millis", millis)
+			.with("longest-pause", this.read ? this.stalls.longestSilenceMillis() : null)
 			.with("last-event", this.response.lastEvent())
 			.log(LOGGER, System.Logger.Level.INFO);
 	}
--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/relay/RelayContext.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/relay/RelayContext.java
@@ -13,6 +13,7 @@
 
 import io.bilberryvalve.gateway.fleet.FleetBoard;
 import io.bilberryvalve.gateway.fleet.LoadBook;
+import io.bilberryvalve.gateway.fleet.ProgressBoard;
 import io.bilberryvalve.gateway.fleet.Trust;
 import io.bilberryvalve.gateway.http.Dialect;
 import io.bilberryvalve.gateway.http.UpstreamPool;
@@ -51,6 +52,8 @@
 
 	private final Trust trust;
 
+	private final ProgressBoard progress;
+
 	private final RetryBudget budget;
 
 	private final StallReports reports;
@@ -91,6 +94,7 @@
 		this.board = board;
 		this.loads = loads;
 		this.trust = trust;
+		this.progress = new ProgressBoard(clock);
 		this.budget = budget;
 		this.reports = new SharedReports(reports, clock);
 		this.pools = pools;
@@ -138,6 +142,10 @@
 		return this.trust;
 	}
 
+	ProgressBoard progress() {
+		return this.progress;
+	}
+
 	RetryBudget budget() {
 		return this.budget;
 	}
@@ -151,6 +159,7 @@
 	}
 
 	private void fleetChanged() {
+		this.progress.retain(this.board.fleet());
 		startWaiting();
 		pump();
 	}
@@ -216,7 +225,8 @@
 			if (old != null && Objects.equals(old.engine, engine)) {
 				return old;
 			}
-			SeatPool pool = (engine != null) ? new PathSeats(name, engine, this.board, this.loads, this.trust)
+			SeatPool pool = (engine != null)
+					? new PathSeats(name, engine, this.board, this.loads, this.trust, this.progress)
 					: new RunnerSeats(name, this.here, this.board, this.loads, this.trust);
 			return new Desk(engine, new SeatDesk(pool, this.loads, this.clock));
 		}).desk;
@@ -230,9 +240,14 @@
 	}
 
 	/**
-	 * Checks the progress of all requests. Call it several times a second.
+	 * Checks the progress of all requests. Call it many times a second.
+	 * @param late whether this call comes much later than it should, because this daemon
+	 * stood still
 	 */
-	public void sweep() {
+	public void sweep(boolean late) {
+		if (late) {
+			this.progress.awake();
+		}
 		this.active.forEach(Relay::checkProgress);
 	}
 
--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/relay/RunnerSeats.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/relay/RunnerSeats.java
@@ -52,6 +52,11 @@
 			});
 	}
 
+	@Override
+	public Optional<Seat> takeElsewhere(RequestSize size, Set<RunnerId> avoided) {
+		return Optional.empty();
+	}
+
 	@Override
 	public boolean served() {
 		return !ready().isEmpty();
--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/relay/SeatDesk.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/relay/SeatDesk.java
@@ -4,9 +4,12 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 
 import io.bilberryvalve.gateway.fleet.LoadBook;
+import io.bilberryvalve.model.RunnerId;
 import io.bilberryvalve.policy.line.WaitingLine;
+import io.bilberryvalve.policy.path.RequestSize;
 
 /**
  * Hands out the places of one service. Requests that find none wait in a line. Safe for
@@ -62,6 +65,19 @@
 		}
 	}
 
+	/**
+	 * Reserves a place elsewhere for a stream that is in progress. It goes before the
+	 * requests that wait.
+	 * @param size size of the request
+	 * @param avoided runners of which none may be used
+	 * @return the place, or empty if there is none now
+	 */
+	Optional<Seat> takeElsewhere(RequestSize size, Set<RunnerId> avoided) {
+		synchronized (this.line) {
+			return this.pool.takeElsewhere(size, avoided);
+		}
+	}
+
 	/**
 	 * Withdraws a request, because its caller has left.
 	 * @param request the request
--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/relay/SeatPool.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/relay/SeatPool.java
@@ -19,6 +19,15 @@
 	 */
 	Optional<Seat> take(RequestSize size, Set<RunnerId> excluded);
 
+	/**
+	 * Reserves a place elsewhere for a stream that is in progress.
+	 * @param size size of the request
+	 * @param avoided runners of which none may be used, unlike excluded ones, which are
+	 * better than no place
+	 * @return the place, or empty if the stream had better stay
+	 */
+	Optional<Seat> takeElsewhere(RequestSize size, Set<RunnerId> avoided);
+
 	/**
 	 * Tells whether any runner could serve a request once it is free.
 	 * @return whether waiting makes sense
--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/relay/StallCheck.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/relay/StallCheck.java
@@ -4,9 +4,13 @@
 import java.util.Set;
 
 import io.bilberryvalve.gateway.fleet.ListedRunner;
+import io.bilberryvalve.gateway.fleet.ProgressBoard;
 import io.bilberryvalve.gateway.route.Route;
 import io.bilberryvalve.model.RunnerId;
+import io.bilberryvalve.model.log.LogEvent;
+import io.bilberryvalve.policy.silence.SilenceRule;
 import io.netty.channel.EventLoop;
+import org.jspecify.annotations.Nullable;
 
 /**
  * Notices when the runners of a request fall silent and finds out which of them is the
@@ -16,6 +20,8 @@
  */
 final class StallCheck {
 
+	private static final System.Logger LOGGER = System.getLogger(StallCheck.class.getName());
+
 	/** Time until a silent path on which no runner is stalled is looked at again. */
 	private static final long AGAIN_MILLIS = 400;
 
@@ -27,6 +33,10 @@
 
 	private volatile long progressAt;
 
+	private ProgressBoard.@Nullable Stream stream;
+
+	private long longest;
+
 	private long askAfter;
 
 	private boolean asking;
@@ -39,7 +49,35 @@
 
 	/** Something was sent or has arrived. */
 	void progress() {
-		this.progressAt = this.context.clock().millis();
+		long now = this.context.clock().millis();
+		this.longest = (this.progressAt > 0) ? Math.max(this.longest, now - this.progressAt) : 0;
+		this.progressAt = now;
+	}
+
+	/**
+	 * A stream has had its first event.
+	 * @param seat where it is
+	 */
+	void started(Seat seat) {
+		this.stream = this.context.progress().join(seat.ids());
+		this.longest = 0;
+	}
+
+	/** A stream has had a further event. */
+	void event() {
+		ProgressBoard.Stream now = this.stream;
+		if (now != null) {
+			now.event();
+		}
+	}
+
+	/** The request has left its place. */
+	void left() {
+		ProgressBoard.Stream now = this.stream;
+		this.stream = null;
+		if (now != null) {
+			now.leave();
+		}
 	}
 
 	/**
@@ -47,7 +85,15 @@
 	 * @return milliseconds
 	 */
 	long silentMillis() {
-		return this.context.clock().millis() - this.progressAt;
+		return this.context.progress().silenceSince(this.progressAt);
+	}
+
+	/**
+	 * Returns the longest time without progress so far.
+	 * @return milliseconds
+	 */
+	long longestSilenceMillis() {
+		return this.longest;
 	}
 
 	/**
@@ -58,6 +104,14 @@
 	 */
 	void check(Route route, Seat seat, boolean read) {
 		long silent = silentMillis();
+		if (seat.path() != null) {
+			Set<RunnerId> suspects = SilenceRule.suspects(this.context.progress().silences(seat.ids()),
+					route.targetGap().toMillis());
+			if (!suspects.isEmpty()) {
+				suspect(seat, suspects, silent);
+				return;
+			}
+		}
 		if (this.asking || silent < RelayTimes.stallMillis(route, read)
 				|| this.context.clock().millis() < this.askAfter) {
 			return;
@@ -73,6 +127,17 @@
 			.thenAccept((stall) -> this.loop.execute(() -> reported(seat, stall, silent)));
 	}
 
+	private void suspect(Seat seat, Set<RunnerId> suspects, long silent) {
+		if (this.context.progress().suspect(suspects)) {
+			LogEvent.of("runners-suspected")
+				.with("runners", suspects)
+				.with("path", seat.ids())
+				.with("silent", silent)
+				.log(LOGGER, System.Logger.Level.INFO);
+		}
+		this.listener.suspected(seat, suspects, silent);
+	}
+
 	private void reported(Seat seat, StallReports.Stall stall, long silent) {
 		this.asking = false;
 		Set<RunnerId> blamed = new HashSet<>();
@@ -97,6 +162,14 @@
 	 */
 	interface Listener {
 
+		/**
+		 * The runners are silent for this request and for others.
+		 * @param seat the place that was looked at
+		 * @param suspects runners from which no stream has an event
+		 * @param silent how long, in milliseconds
+		 */
+		void suspected(Seat seat, Set<RunnerId> suspects, long silent);
+
 		/**
 		 * The runners have been silent.
 		 * @param seat the place that was looked at; the request may have left it
--- /dev/null
+++ b/bilberryvalve-gateway/src/test/java/io/bilberryvalve/gateway/fleet/ProgressBoardTests.java
@@ -0,0 +1,69 @@
+package io.bilberryvalve.gateway.fleet;
+
+import java.time.Duration;
+import java.util.List;
+
+import io.bilberryvalve.model.RunnerId;
+import io.bilberryvalve.model.clock.ManualClock;
+import io.bilberryvalve.policy.silence.RunnerSilence;
+import net.jqwik.api.Example;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class ProgressBoardTests {
+
+	private static final RunnerId ONE = new RunnerId("one");
+
+	private static final RunnerId TWO = new RunnerId("two");
+
+	private final ManualClock clock = new ManualClock();
+
+	private final ProgressBoard board = new ProgressBoard(this.clock);
+
+	private void advance(long millis) {
+		this.clock.advance(Duration.ofMillis(millis));
+	}
+
+	@Example
+	void eventClearsEachRunnerThatItsStreamPasses() {
+		ProgressBoard.Stream both = this.board.join(List.of(ONE, TWO));
+		ProgressBoard.Stream second = this.board.join(List.of(TWO));
+		advance(100);
+		second.event();
+		advance(20);
+		assertThat(this.board.silences(List.of(ONE, TWO))).containsExactly(new RunnerSilence(ONE, 120, 1),
+				new RunnerSilence(TWO, 20, 2));
+		both.leave();
+		both.leave();
+		assertThat(this.board.silences(List.of(TWO))).containsExactly(new RunnerSilence(TWO, 20, 1));
+	}
+
+	// Guards against streams that all leave their runners after a pause of this daemon.
+	@Example
+	void timeInWhichThisDaemonStoodStillIsNoSilence() {
+		this.board.join(List.of(ONE));
+		advance(3000);
+		this.board.awake();
+		advance(30);
+		assertThat(this.board.silences(List.of(ONE))).containsExactly(new RunnerSilence(ONE, 30, 1));
+		assertThat(this.board.silenceSince(0)).isEqualTo(30);
+	}
+
+	// Guards against new requests on a path from which all streams have just moved away.
+	@Example
+	void suspicionEndsWithAnEventOrAfterAWhile() {
+		ProgressBoard.Stream stream = this.board.join(List.of(ONE, TWO));
+		advance(100);
+		assertThat(this.board.suspect(List.of(ONE, TWO))).isTrue();
+		assertThat(this.board.suspect(List.of(ONE))).isFalse();
+		stream.leave();
+		advance(500);
+		assertThat(this.board.suspected(ONE)).isTrue();
+		this.board.join(List.of(ONE));
+		assertThat(this.board.suspected(ONE)).isFalse();
+		assertThat(this.board.suspected(TWO)).isTrue();
+		advance(500);
+		assertThat(this.board.suspected(TWO)).isFalse();
+	}
+
+}
--- a/bilberryvalve-gateway/src/test/java/io/bilberryvalve/gateway/relay/RelayFixture.java
+++ b/bilberryvalve-gateway/src/test/java/io/bilberryvalve/gateway/relay/RelayFixture.java
@@ -14,6 +14,7 @@
 import java.util.OptionalInt;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
 
 import io.bilberryvalve.gateway.fleet.FleetBoard;
 import io.bilberryvalve.gateway.fleet.ListedRunner;
@@ -99,6 +100,18 @@
 		return this.context;
 	}
 
+	// Adds an engine that holds the whole model.
+	void addEngine(String name, ScriptedRunner runner) {
+		RunnerId id = new RunnerId(name);
+		this.board.update(Map.of(id,
+				new ListedRunner(id, runner.address(), "model", HERE, 100, false, "card", new LayerRange(0, 4), 1)));
+	}
+
+	// Checks the progress of requests as often as a gateway does.
+	void checkProgress() {
+		this.transport.next().scheduleWithFixedDelay(() -> this.context.sweep(false), 0, 25, TimeUnit.MILLISECONDS);
+	}
+
 	long millis() {
 		return this.clock.millis();
 	}
@@ -172,6 +185,23 @@
 		return bytes.toString(StandardCharsets.ISO_8859_1);
 	}
 
+	static String chunk(String text) {
+		return Integer.toHexString(text.length()) + "\r\n" + text + "\r\n";
+	}
+
+	static List<String> events(String response) {
+		String body = response.substring(response.indexOf("\r\n\r\n") + 4);
+		StringBuilder text = new StringBuilder();
+		int at = 0;
+		while (at < body.length()) {
+			int line = body.indexOf("\r\n", at);
+			int size = Integer.parseInt(body.substring(at, line), 16);
+			text.append(body, line + 2, line + 2 + size);
+			at = line + 2 + size + 2;
+		}
+		return List.of(text.toString().split("\n\n"));
+	}
+
 	@Override
 	public void close() {
 		this.transport.close();
--- a/bilberryvalve-gateway/src/test/java/io/bilberryvalve/gateway/relay/RelayTests.java
+++ b/bilberryvalve-gateway/src/test/java/io/bilberryvalve/gateway/relay/RelayTests.java
@@ -177,10 +177,10 @@
 			String head = "HTTP/1.1 200 OK\r\nx-attempt: a1\r\nx-seal: s1\r\nContent-Type: text/event-stream\r\n"
 					+ "Transfer-Encoding: chunked\r\n\r\n";
 			if (request.toLowerCase(Locale.ROOT).contains("last-event-id: 2\r\n")) {
-				write(out, head + chunk("id: 3\ndata: c\n\n") + "0\r\n\r\n");
+				write(out, head + RelayFixture.chunk("id: 3\ndata: c\n\n") + "0\r\n\r\n");
 			}
 			else {
-				write(out, head + chunk("id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\nda"));
+				write(out, head + RelayFixture.chunk("id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\nda"));
 				reset(socket);
 			}
 		};
@@ -188,7 +188,8 @@
 				ScriptedRunner two = new ScriptedRunner(script);
 				RelayFixture router = new RelayFixture(one, two).configured()) {
 			String response = router.call(RelayFixture.request("POST", "/stream/1", "a1", CLOSE, "prompt"));
-			assertThat(events(response)).containsExactly("id: 1\ndata: a", "id: 2\ndata: b", "id: 3\ndata: c");
+			assertThat(RelayFixture.events(response)).containsExactly("id: 1\ndata: a", "id: 2\ndata: b",
+					"id: 3\ndata: c");
 			assertThat(response).endsWith("0\r\n\r\n");
 		}
 	}
@@ -198,7 +199,7 @@
 	void streamThatCannotContinueIsCutWithoutEnd() throws IOException {
 		ScriptedRunner.Script script = (request, count, socket, out) -> {
 			write(out, "HTTP/1.1 200 OK\r\nx-attempt: a1\r\nx-seal: s1\r\nContent-Type: text/event-stream\r\n"
-					+ "Transfer-Encoding: chunked\r\n\r\n" + chunk("id: 1\ndata: a\n\n"));
+					+ "Transfer-Encoding: chunked\r\n\r\n" + RelayFixture.chunk("id: 1\ndata: a\n\n"));
 			reset(socket);
 		};
 		try (ScriptedRunner one = new ScriptedRunner(script);
@@ -209,23 +210,6 @@
 		}
 	}
 
-	private static String chunk(String text) {
-		return Integer.toHexString(text.length()) + "\r\n" + text + "\r\n";
-	}
-
-	private static List<String> events(String response) {
-		String body = response.substring(response.indexOf("\r\n\r\n") + 4);
-		StringBuilder text = new StringBuilder();
-		int at = 0;
-		while (at < body.length()) {
-			int line = body.indexOf("\r\n", at);
-			int size = Integer.parseInt(body.substring(at, line), 16);
-			text.append(body, line + 2, line + 2 + size);
-			at = line + 2 + size + 2;
-		}
-		return List.of(text.toString().split("\n\n"));
-	}
-
 	// Guards against runners that work for callers who have left.
 	@Example
 	void workIsGivenUpWhenTheCallerLeaves() throws IOException {
@@ -303,7 +287,8 @@
 		try (ScriptedRunner runner = echoing(); RelayFixture router = new RelayFixture(runner).configured()) {
 			String hidden = "GET /read/hidden HTTP/1.1\r\n\r\n";
 			String more = CLOSE + "Transfer-Encoding: chunked\r\nContent-Length: 5\r\n";
-			router.call(RelayFixture.request("POST", "/read/1", "a1", more, "") + chunk(hidden) + "0\r\n\r\n");
+			router.call(
+					RelayFixture.request("POST", "/read/1", "a1", more, "") + RelayFixture.chunk(hidden) + "0\r\n\r\n");
 			String received = runner.next();
 			assertThat(received).endsWith(hidden).doesNotContainIgnoringCase("transfer-encoding");
 			assertThat(runner.hasRequest()).isFalse();
--- a/bilberryvalve-gateway/src/test/java/io/bilberryvalve/gateway/relay/StallCheckTests.java
+++ b/bilberryvalve-gateway/src/test/java/io/bilberryvalve/gateway/relay/StallCheckTests.java
@@ -41,6 +41,8 @@
 
 	private final List<Set<RunnerId>> stalls = new ArrayList<>();
 
+	private final List<Set<RunnerId>> suspected = new ArrayList<>();
+
 	private final EventLoop loop = new DefaultEventLoop();
 
 	private StallReports.Stall report = new StallReports.Stall(true, List.of());
@@ -76,7 +78,19 @@
 				}, (unused) -> {
 					throw new IllegalStateException("nothing is sent");
 				});
-		StallCheck result = new StallCheck(context, this.loop, (place, blamed, silent) -> this.stalls.add(blamed));
+		StallCheck result = new StallCheck(context, this.loop, new StallCheck.Listener() {
+
+			@Override
+			public void suspected(Seat place, Set<RunnerId> suspects, long silent) {
+				StallCheckTests.this.suspected.add(suspects);
+			}
+
+			@Override
+			public void stalled(Seat place, Set<RunnerId> blamed, long silent) {
+				StallCheckTests.this.stalls.add(blamed);
+			}
+
+		});
 		result.progress();
 		return result;
 	}
--- a/bilberryvalve-policy/src/main/java/io/bilberryvalve/policy/path/PathChooser.java
+++ b/bilberryvalve-policy/src/main/java/io/bilberryvalve/policy/path/PathChooser.java
@@ -18,8 +18,9 @@
  * Chooses the path with the least expected time of a whole answer, among paths whose
  * runners all have memory for the request. Ranges of runners may overlap; a path then
  * passes a runner in a part of its layers only. Answers the load pattern of one fast
- * chain that fills up while slower cards idle: requests overflow to the next best path,
- * part by part, and leave a data centre only where its own runners cannot serve them.
+ * chain that fills up while slower cards idle, and breaks all streams when it loses a
+ * card: requests go where memory is free, part by part, and leave a data centre only
+ * where its own runners cannot serve them.
  */
 public final class PathChooser {
 
@@ -48,7 +49,14 @@
 	 * Added to the time of a path for each link. More than the paths of two data centres
 	 * differ by, so that links stay free for data centres that have lost layers.
 	 */
-	private static final double CROSSING_PENALTY_MILLIS = 4000;
+	private static final double CROSSING_PENALTY_MILLIS = 8000;
+
+	/**
+	 * Added to the time of a path whose runners are all full, and in proportion below. A
+	 * few times what the copies of a model differ by, so that they are about equally full
+	 * and the loss of a card breaks as few streams as possible.
+	 */
+	private static final double LOAD_PENALTY_MILLIS = 4000;
 
 	private final EngineProfile profile;
 
@@ -218,6 +226,8 @@
 
 		private final double readMillis;
 
+		private final double penaltyMillis;
+
 		private final int room;
 
 		Candidate(Holder holder, PathLoads loads, RequestSize size, EngineProfile profile) {
@@ -232,6 +242,8 @@
 			this.readMillis = layerRead * size.prompt();
 			double capacity = profile.tokenCapacity(holder.card(), held) * MEMORY_PART * held;
 			double free = capacity - this.load.tokenLayers();
+			double use = (capacity > 0) ? this.load.tokenLayers() / capacity : 1;
+			this.penaltyMillis = LOAD_PENALTY_MILLIS * use / profile.layers();
 			this.room = (backlog > MAX_BACKLOG_MILLIS) ? 0 : (int) Math.min(held, free / Math.max(1, size.tokens()));
 		}
 
@@ -259,7 +271,7 @@
 			this.previous = previous;
 			this.crossing = crossing;
 			this.cost = ((previous != null) ? previous.cost : 0) + crossing.cost(size) + readMillis()
-					+ size.answer() * stepMillis();
+					+ size.answer() * stepMillis() + this.candidate.penaltyMillis * (end - first);
 		}
 
 		double stepMillis() {
--- /dev/null
+++ b/bilberryvalve-policy/src/main/java/io/bilberryvalve/policy/silence/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * Decides which runners are suspected when streams fall silent.
+ */
+@NullMarked
+package io.bilberryvalve.policy.silence;
+
+import org.jspecify.annotations.NullMarked;
--- a/bilberryvalve-policy/src/test/java/io/bilberryvalve/policy/path/PathChooserTests.java
+++ b/bilberryvalve-policy/src/test/java/io/bilberryvalve/policy/path/PathChooserTests.java
@@ -99,6 +99,23 @@
 		}
 	}
 
+	// Replays usual load before the loss of a card: guards against one copy that holds
+	// most
+	// streams, all of which would break at once.
+	@Example
+	void copiesHoldAboutTheSamePartOfTheStreams() {
+		List<Holder> holders = placed();
+		Map<DataCentreId, Integer> byDataCentre = new HashMap<>();
+		int streams = 120;
+		for (int i = 0; i < streams; i++) {
+			LayerPath path = this.chooser.choose(holders, this.loads, USUAL, (runner) -> true).orElseThrow();
+			this.loads.add(path, holders);
+			byDataCentre.merge(dataCentre(path.first(), holders), 1, Integer::sum);
+		}
+		assertThat(byDataCentre).hasSize(Cards.DATA_CENTRES.size());
+		assertThat(byDataCentre.values()).allMatch((count) -> count <= streams / 2);
+	}
+
 	// Guards against streams slowed to 150 ms an event by prompts on the links between
 	// data
 	// centres.
--- /dev/null
+++ b/bilberryvalve-policy/src/test/java/io/bilberryvalve/policy/silence/SilenceRuleTests.java
@@ -0,0 +1,54 @@
+package io.bilberryvalve.policy.silence;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+
+import io.bilberryvalve.model.RunnerId;
+import net.jqwik.api.Example;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class SilenceRuleTests {
+
+	private static final int GAP = 200;
+
+	private static RunnerSilence silence(String runner, long millis, int streams) {
+		return new RunnerSilence(new RunnerId(runner), millis, streams);
+	}
+
+	// Replays a lost card: two copies share the first runner, the lost one serves only
+	// one
+	// copy. Guards against avoiding a runner from which other streams still have events.
+	@Example
+	void runnerWithEventsOfOtherStreamsIsCleared() {
+		List<RunnerSilence> path = List.of(silence("shared", 12, 20), silence("lost", 110, 10),
+				silence("next", 108, 10));
+		assertThat(SilenceRule.suspects(path, GAP)).isEqualTo(Set.of(new RunnerId("lost"), new RunnerId("next")));
+	}
+
+	// Replays pauses of a quiet day, of which the longest is 93 ms at a target gap of
+	// 200.
+	@Example
+	void usualPausesRaiseNoSuspicion() {
+		List<RunnerSilence> path = new ArrayList<>();
+		for (int i = 0; i < 10; i++) {
+			path.add(silence("r" + i, 60 + 3L * i, 10));
+		}
+		assertThat(SilenceRule.suspects(path, GAP)).isEmpty();
+	}
+
+	// Guards against a second attempt for a stream whose connection alone is slow.
+	@Example
+	void silenceOfOneStreamRaisesNoSuspicion() {
+		assertThat(SilenceRule.suspects(List.of(silence("only", 190, 1)), GAP)).isEmpty();
+	}
+
+	@Example
+	void twoStreamsNeedMoreTimeThanMany() {
+		assertThat(SilenceRule.suspects(List.of(silence("pair", 140, 2)), GAP)).isEmpty();
+		assertThat(SilenceRule.suspects(List.of(silence("pair", 150, 2)), GAP)).hasSize(1);
+		assertThat(SilenceRule.suspects(List.of(silence("many", 100, 3)), GAP)).hasSize(1);
+	}
+
+}
