--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/relay/PathSeats.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/relay/PathSeats.java
@@ -78,6 +78,17 @@
 			.flatMap((path) -> seat(fleet, path, size));
 	}
 
+	@Override
+	public long backlogMillis(Seat seat) {
+		return Math.round(seat.runners().stream().mapToDouble(this::backlogMillis).max().orElse(0));
+	}
+
+	private double backlogMillis(ListedRunner runner) {
+		String kind = runner.card();
+		CardKind card = (kind != null) ? this.profile.cards().get(kind) : null;
+		return (card != null) ? this.profile.readMillis(card, 1, this.loads.of(runner.id()).unreadLayers()) : 0;
+	}
+
 	private boolean usable(RunnerId runner) {
 		return this.trust.trusted(runner) && !this.progress.suspected(runner);
 	}
--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/relay/Relay.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/relay/Relay.java
@@ -521,9 +521,10 @@
 	private void checkStall() {
 		Seat place = this.seat;
 		RequestCheck.Allowed now = this.allowed;
+		SeatDesk from = this.desk;
 		boolean leaves = !this.done && this.call != null && mayRepeat() && this.exchange.writable();
-		if (leaves && place != null && now != null) {
-			this.stalls.check(now.route(), place, this.read);
+		if (leaves && place != null && now != null && from != null) {
+			this.stalls.check(now.route(), place, this.read, from.backlogMillis(place));
 		}
 	}
 
--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/relay/RunnerSeats.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/relay/RunnerSeats.java
@@ -57,6 +57,11 @@
 		return Optional.empty();
 	}
 
+	@Override
+	public long backlogMillis(Seat seat) {
+		return 0;
+	}
+
 	@Override
 	public boolean served() {
 		return !ready().isEmpty();
--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/relay/SeatDesk.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/relay/SeatDesk.java
@@ -78,6 +78,16 @@
 		}
 	}
 
+	/**
+	 * Returns how long the runners of a place need to read the prompts that were sent to
+	 * them.
+	 * @param seat the place
+	 * @return milliseconds
+	 */
+	long backlogMillis(Seat seat) {
+		return this.pool.backlogMillis(seat);
+	}
+
 	/**
 	 * Withdraws a request, because its caller has left.
 	 * @param request the request
--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/relay/SeatPool.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/relay/SeatPool.java
@@ -28,6 +28,14 @@
 	 */
 	Optional<Seat> takeElsewhere(RequestSize size, Set<RunnerId> avoided);
 
+	/**
+	 * Returns how long the runners of a place need to read the prompts that were sent to
+	 * them.
+	 * @param seat the place
+	 * @return milliseconds at the runner that needs longest
+	 */
+	long backlogMillis(Seat seat);
+
 	/**
 	 * Tells whether any runner could serve a request once it is free.
 	 * @return whether waiting makes sense
--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/relay/StallCheck.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/relay/StallCheck.java
@@ -101,12 +101,13 @@
 	 * @param route route of the request
 	 * @param seat where it is
 	 * @param read whether the first event has come
+	 * @param backlogMillis time that the runners need to read the prompts sent to them
 	 */
-	void check(Route route, Seat seat, boolean read) {
+	void check(Route route, Seat seat, boolean read, long backlogMillis) {
 		long silent = silentMillis();
 		if (seat.path() != null) {
 			Set<RunnerId> suspects = SilenceRule.suspects(this.context.progress().silences(seat.ids()),
-					route.targetGap().toMillis());
+					route.targetGap().toMillis(), backlogMillis);
 			if (!suspects.isEmpty()) {
 				suspect(seat, suspects, silent);
 				return;
--- a/bilberryvalve-gateway/src/test/java/io/bilberryvalve/gateway/relay/StallCheckTests.java
+++ b/bilberryvalve-gateway/src/test/java/io/bilberryvalve/gateway/relay/StallCheckTests.java
@@ -97,7 +97,7 @@
 
 	private void checkAfter(long millis) throws Exception {
 		this.clock.advance(Duration.ofMillis(millis));
-		this.loop.submit(() -> this.check.check(ROUTE, this.seat, true)).get();
+		this.loop.submit(() -> this.check.check(ROUTE, this.seat, true, 0)).get();
 		this.loop.submit(() -> {
 		}).get();
 	}
--- a/bilberryvalve-policy/src/main/java/io/bilberryvalve/policy/silence/SilenceRule.java
+++ b/bilberryvalve-policy/src/main/java/io/bilberryvalve/policy/silence/SilenceRule.java
@@ -36,19 +36,21 @@
 	 * Finds the suspects on the path of a silent stream.
 	 * @param path the runners that the stream passes
 	 * @param targetGapMillis longest pause of a stream that is on time
+	 * @param backlogMillis time that the runners need to read the prompts sent to them,
+	 * during which events come late
 	 * @return runners from which no stream has had an event for too long; empty if the
 	 * silence may be a usual pause
 	 */
-	public static Set<RunnerId> suspects(Collection<RunnerSilence> path, long targetGapMillis) {
+	public static Set<RunnerId> suspects(Collection<RunnerSilence> path, long targetGapMillis, long backlogMillis) {
 		return path.stream()
-			.filter((silence) -> isSuspect(silence, targetGapMillis))
+			.filter((silence) -> isSuspect(silence, targetGapMillis, backlogMillis))
 			.map(RunnerSilence::runner)
 			.collect(Collectors.toSet());
 	}
 
-	private static boolean isSuspect(RunnerSilence silence, long targetGapMillis) {
+	private static boolean isSuspect(RunnerSilence silence, long targetGapMillis, long backlogMillis) {
 		double part = (silence.streams() >= TOGETHER) ? TOGETHER_PART : PAIR_PART;
-		return silence.streams() > 1 && silence.millis() >= part * targetGapMillis;
+		return silence.streams() > 1 && silence.millis() >= part * targetGapMillis + backlogMillis;
 	}
 
 }
