--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/Gateway.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/Gateway.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.ConcurrentHashMap;
@@ -31,6 +32,7 @@
 import io.bilberryvalve.gateway.route.CallerLimits;
 import io.bilberryvalve.gateway.route.RouteTable;
 import io.bilberryvalve.model.Address;
+import io.bilberryvalve.model.RunnerId;
 import io.bilberryvalve.model.log.LogEvent;
 import io.bilberryvalve.platform.Commit;
 import io.bilberryvalve.platform.Fetched;
@@ -113,6 +115,8 @@
 
 	private final LoadBook loads;
 
+	private final Trust trust;
+
 	private final RelayContext context;
 
 	private final StateExchange exchange;
@@ -148,18 +152,18 @@
 		this.loads = new LoadBook(clock);
 		RetryShare share = new RetryShare(clock, settings.retryRatio(), settings.retrySlack(), settings.retryWindow(),
 				this::daemons);
-		Trust trust = new Trust(clock);
-		this.context = new RelayContext(dialect, settings.dataCentre(), clock, this.board, this.loads, trust,
+		this.trust = new Trust(clock);
+		this.context = new RelayContext(dialect, settings.dataCentre(), clock, this.board, this.loads, this.trust,
 				share.budget(), reports, this::pool);
 		this.exchange = new StateExchange(transport,
 				new StateExchange.Self(settings.vm(), settings.dataCentre(), settings.callers(), settings.state(),
 						this::serving, () -> this.leaving, this.board::reachable, this::configuration),
-				this.loads, trust, clock, incarnation);
+				this.loads, this.trust, clock, incarnation);
 		this.server = new CallerServer(transport, this::limits, clock, new RelayHandler(this.context));
 		LeaseHolder holder = new LeaseHolder(settings.vm() + "/" + incarnation, LEASE, clock, new Random(incarnation),
 				this::holderEnded);
 		this.keeper = new LayerKeeper(this.board, orders, tables, new LeaseKeeper("layers", holder, tables), clock,
-				settings.runnerHeartbeat(), trust::isLost);
+				settings.runnerHeartbeat(), this.trust::isLost);
 	}
 
 	private boolean holderEnded(String holder) {
@@ -267,7 +271,10 @@
 	private void keep() {
 		RouteTable table = this.context.table();
 		if (table != null && this.board.known()) {
-			this.keeper.tick(table, this.exchange.leads(), this.leaving);
+			Set<RunnerId> changing = this.keeper.tick(table, this.exchange.leads(), this.leaving);
+			if (this.trust.change(changing)) {
+				this.exchange.sendNow();
+			}
 		}
 	}
 
--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/fleet/Trust.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/fleet/Trust.java
@@ -4,15 +4,16 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.Predicate;
 
 import io.bilberryvalve.model.RunnerId;
 import io.bilberryvalve.model.log.LogEvent;
 
 /**
- * Which runners are avoided after failures. Answers runners that are dead, cut off, slow
- * or failing while the list still calls them ready: each failure in a row doubles the
- * time for which a runner is avoided, and the first request after that time tries it
- * again. Safe for use by several threads.
+ * Which runners are avoided after failures and while they change their layers. Answers
+ * runners that are dead, cut off, slow or failing while the list still calls them ready:
+ * each failure in a row doubles the time for which a runner is avoided, and the first
+ * request after that time tries it again. Safe for use by several threads.
  */
 public final class Trust {
 
@@ -45,6 +46,8 @@
 
 	private final Map<String, Report> reports = new ConcurrentHashMap<>();
 
+	private volatile Set<RunnerId> changing = Set.of();
+
 	/**
 	 * Creates a record without failures.
 	 * @param clock monotonic clock
@@ -88,19 +91,40 @@
 	}
 
 	/**
-	 * Takes the runners that another daemon found lost.
+	 * Takes the runners that another daemon found lost or ordered to change.
 	 * @param daemon name of the daemon
-	 * @param lost the runners, none if it finds none lost any more
+	 * @param lost runners that it found lost
+	 * @param changing runners that it ordered to give up layers
 	 */
-	public void report(String daemon, Set<RunnerId> lost) {
-		if (lost.isEmpty()) {
+	public void report(String daemon, Set<RunnerId> lost, Set<RunnerId> changing) {
+		if (lost.isEmpty() && changing.isEmpty()) {
 			this.reports.remove(daemon);
 		}
 		else {
-			this.reports.put(daemon, new Report(this.clock.millis(), lost));
+			this.reports.put(daemon, new Report(this.clock.millis(), lost, changing));
 		}
 	}
 
+	/**
+	 * Sets the runners that this daemon ordered to give up layers. They refuse requests
+	 * for these layers, though the list still names them there.
+	 * @param runners the runners
+	 * @return whether some of them are new
+	 */
+	public boolean change(Set<RunnerId> runners) {
+		boolean news = !this.changing.containsAll(runners);
+		this.changing = Set.copyOf(runners);
+		return news;
+	}
+
+	/**
+	 * Returns the runners that this daemon ordered to give up layers.
+	 * @return the runners
+	 */
+	public Set<RunnerId> changing() {
+		return this.changing;
+	}
+
 	/**
 	 * Returns the runners that this daemon found lost.
 	 * @return runners for which that still counts
@@ -124,8 +148,13 @@
 	}
 
 	private boolean isReported(RunnerId runner) {
+		return anyReport((report) -> report.lost.contains(runner));
+	}
+
+	private boolean anyReport(Predicate<Report> condition) {
 		long oldest = this.clock.millis() - REPORT_MILLIS;
-		return this.reports.values().stream().anyMatch((report) -> report.at >= oldest && report.lost.contains(runner));
+		return !this.reports.isEmpty()
+				&& this.reports.values().stream().anyMatch((report) -> report.at >= oldest && condition.test(report));
 	}
 
 	/**
@@ -150,7 +179,8 @@
 		Loss loss = this.losses.get(runner);
 		long now = this.clock.millis();
 		boolean avoided = (record != null && now < record.until) || (loss != null && now - loss.at < LOST_MILLIS);
-		return !avoided && (this.reports.isEmpty() || !isReported(runner));
+		return !avoided && !this.changing.contains(runner)
+				&& !anyReport((report) -> report.lost.contains(runner) || report.changing.contains(runner));
 	}
 
 	/**
@@ -164,12 +194,13 @@
 	}
 
 	/**
-	 * Runners that another daemon found lost.
+	 * What another daemon reported.
 	 *
 	 * @param at when the report came
-	 * @param lost the runners
+	 * @param lost runners that it found lost
+	 * @param changing runners that it ordered to give up layers
 	 */
-	private record Report(long at, Set<RunnerId> lost) {
+	private record Report(long at, Set<RunnerId> lost, Set<RunnerId> changing) {
 
 	}
 
--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/layers/LayerKeeper.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/layers/LayerKeeper.java
@@ -88,8 +88,10 @@
 	 * @param table the configuration in force
 	 * @param leads whether this daemon should take the lease
 	 * @param leaving whether this daemon gives the lease up
+	 * @return runners that were ordered to give up layers with which they are still
+	 * listed
 	 */
-	public void tick(RouteTable table, boolean leads, boolean leaving) {
+	public Set<RunnerId> tick(RouteTable table, boolean leads, boolean leaving) {
 		Optional<LeaseHolder.Grant> grant = this.lease.grant();
 		if (grant.isPresent() != this.held) {
 			this.held = grant.isPresent();
@@ -99,7 +101,7 @@
 		}
 		this.lease.tick(!leaving && (leads || this.held));
 		if (grant.isEmpty()) {
-			return;
+			return Set.of();
 		}
 		Fleet fleet = this.board.fleet();
 		this.orders.retain(fleet.all());
@@ -109,6 +111,7 @@
 				keep(service.name(), engine, fleet.of(service.name()), grant.get());
 			}
 		}
+		return this.orders.changing(fleet.all());
 	}
 
 	private void keep(String service, EngineProfile engine, List<ListedRunner> runners, LeaseHolder.Grant grant) {
--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/layers/OrderBook.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/layers/OrderBook.java
@@ -77,6 +77,21 @@
 		return until == null || this.clock.millis() >= until;
 	}
 
+	/**
+	 * Finds the runners that were ordered to give up layers with which they are listed.
+	 * @param runners all runners that are listed
+	 * @return those whose orders have no visible effect yet
+	 */
+	synchronized Set<RunnerId> changing(Collection<ListedRunner> runners) {
+		return runners.stream().filter(this::givesUp).map(ListedRunner::id).collect(Collectors.toSet());
+	}
+
+	private boolean givesUp(ListedRunner runner) {
+		Pending open = this.pending.get(runner.id());
+		LayerRange held = runner.layers();
+		return open != null && open.started == runner.startedMillis() && held != null && !open.range.contains(held);
+	}
+
 	/**
 	 * Returns a runner with the layers that it holds or is going to hold.
 	 * @param runner the runner
--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/peer/StateExchange.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/peer/StateExchange.java
@@ -263,6 +263,7 @@
 			.setStoreReachable(this.self.storeReachable().getAsBoolean())
 			.setConfiguration(this.self.configuration().getAsLong());
 		this.trust.losses().forEach((runner) -> builder.addLostRunners(runner.value()));
+		this.trust.changing().forEach((runner) -> builder.addChangingRunners(runner.value()));
 		this.loads.own()
 			.forEach((runner,
 					usage) -> builder.addUsage(RunnerUsage.newBuilder()
@@ -280,10 +281,11 @@
 			PeerState peer = new PeerState(state.getVm(), state.getIncarnation(), state.getSequence(),
 					new DataCentreId(state.getDataCentre()), Address.parse(state.getCallerAddress()),
 					Address.parse(state.getStateAddress()), state.getServing(), state.getLeaving(),
-					state.getStoreReachable(), state.getConfiguration(), lost(state), this.clock.millis());
+					state.getStoreReachable(), state.getConfiguration(), runners(state.getLostRunnersList()),
+					runners(state.getChangingRunnersList()), this.clock.millis());
 			if (accept(peer)) {
 				this.loads.report(peer.vm(), usage(state));
-				this.trust.report(peer.vm(), peer.lost());
+				this.trust.report(peer.vm(), peer.lost(), peer.changing());
 			}
 		}
 		catch (InvalidProtocolBufferException | IllegalArgumentException ex) {
@@ -314,8 +316,8 @@
 		return true;
 	}
 
-	private static Set<RunnerId> lost(DaemonState state) {
-		return state.getLostRunnersList().stream().map(RunnerId::new).collect(Collectors.toSet());
+	private static Set<RunnerId> runners(List<String> names) {
+		return names.stream().map(RunnerId::new).collect(Collectors.toSet());
 	}
 
 	private static Map<RunnerId, RunnerLoad> usage(DaemonState state) {
--- a/bilberryvalve-gateway/src/test/java/io/bilberryvalve/gateway/fleet/TrustTests.java
+++ b/bilberryvalve-gateway/src/test/java/io/bilberryvalve/gateway/fleet/TrustTests.java
@@ -54,7 +54,7 @@
 	@Example
 	void lossThatAnotherDaemonReportsCounts() {
 		ListedRunner runner = runner(1);
-		this.trust.report("other", Set.of(ID));
+		this.trust.report("other", Set.of(ID), Set.of());
 		assertThat(this.trust.isLost(runner)).isTrue();
 		assertThat(this.trust.trusted(ID)).isFalse();
 		assertThat(this.trust.losses()).isEmpty();
@@ -84,6 +84,23 @@
 		assertThat(this.trust.losses()).isEmpty();
 	}
 
+	// Guards against requests to a runner that gives up its layers: it refuses all of
+	// them
+	// until the list shows the change.
+	@Example
+	void runnerThatChangesItsLayersGetsNoRequests() {
+		assertThat(this.trust.change(Set.of(ID))).isTrue();
+		assertThat(this.trust.change(Set.of(ID))).isFalse();
+		assertThat(this.trust.trusted(ID)).isFalse();
+		this.trust.change(Set.of());
+		assertThat(this.trust.trusted(ID)).isTrue();
+		this.trust.report("holder", Set.of(), Set.of(ID));
+		assertThat(this.trust.trusted(ID)).isFalse();
+		assertThat(this.trust.isLost(runner(1))).isFalse();
+		this.trust.report("holder", Set.of(), Set.of());
+		assertThat(this.trust.trusted(ID)).isTrue();
+	}
+
 	private static ListedRunner runner(long started) {
 		return new ListedRunner(ID, new Address("10.0.0.1", 1000), "model", new DataCentreId("a"), 4, false, "card",
 				null, started);
--- a/bilberryvalve-gateway/src/test/java/io/bilberryvalve/gateway/layers/LayerKeeperTests.java
+++ b/bilberryvalve-gateway/src/test/java/io/bilberryvalve/gateway/layers/LayerKeeperTests.java
@@ -166,6 +166,23 @@
 		assertThat(this.board.fleet().find(only.id())).isPresent();
 	}
 
+	// Guards against requests that are refused by a card that moves: it gives its layers
+	// up
+	// seconds before the list shows that.
+	@Example
+	void cardThatMovesIsNamedUntilTheListShowsIt() {
+		this.runners.list(cards(5));
+		run("one", Duration.ofSeconds(10));
+		assertThat(keeper("one").tick(table(), true, false)).isEmpty();
+		this.lost.add(onlyHolder().id());
+		this.runners.delayOrders(true);
+		run("one", Duration.ofMillis(500));
+		assertThat(keeper("one").tick(table(), true, false)).hasSize(1);
+		this.runners.delayOrders(false);
+		this.runners.carryOutLateOrders();
+		assertThat(keeper("one").tick(table(), true, false)).isEmpty();
+	}
+
 	private ListedRunner onlyHolder() {
 		return this.board.fleet()
 			.of("model")
--- a/bilberryvalve-wire/src/main/java/io/bilberryvalve/wire/proto/LoadMessages.java
+++ b/bilberryvalve-wire/src/main/java/io/bilberryvalve/wire/proto/LoadMessages.java
@@ -246,6 +246,47 @@
      */
     com.google.protobuf.ByteString
         getLostRunnersBytes(int index);
+
+    /**
+     * <pre>
+     * Runners that this daemon has ordered to give up layers that they are still listed with.
+     * </pre>
+     *
+     * <code>repeated string changing_runners = 13;</code>
+     * @return A list containing the changingRunners.
+     */
+    java.util.List<java.lang.String>
+        getChangingRunnersList();
+    /**
+     * <pre>
+     * Runners that this daemon has ordered to give up layers that they are still listed with.
+     * </pre>
+     *
+     * <code>repeated string changing_runners = 13;</code>
+     * @return The count of changingRunners.
+     */
+    int getChangingRunnersCount();
+    /**
+     * <pre>
+     * Runners that this daemon has ordered to give up layers that they are still listed with.
+     * </pre>
+     *
+     * <code>repeated string changing_runners = 13;</code>
+     * @param index The index of the element to return.
+     * @return The changingRunners at the given index.
+     */
+    java.lang.String getChangingRunners(int index);
+    /**
+     * <pre>
+     * Runners that this daemon has ordered to give up layers that they are still listed with.
+     * </pre>
+     *
+     * <code>repeated string changing_runners = 13;</code>
+     * @param index The index of the value to return.
+     * @return The bytes of the changingRunners at the given index.
+     */
+    com.google.protobuf.ByteString
+        getChangingRunnersBytes(int index);
   }
   /**
    * <pre>
@@ -280,6 +321,8 @@
       usage_ = java.util.Collections.emptyList();
       lostRunners_ =
           com.google.protobuf.LazyStringArrayList.emptyList();
+      changingRunners_ =
+          com.google.protobuf.LazyStringArrayList.emptyList();
     }
 
     public static final com.google.protobuf.Descriptors.Descriptor
@@ -679,6 +722,59 @@
       return lostRunners_.getByteString(index);
     }
 
+    public static final int CHANGING_RUNNERS_FIELD_NUMBER = 13;
+    @SuppressWarnings("serial")
+    private com.google.protobuf.LazyStringArrayList changingRunners_ =
+        com.google.protobuf.LazyStringArrayList.emptyList();
+    /**
+     * <pre>
+     * Runners that this daemon has ordered to give up layers that they are still listed with.
+     * </pre>
+     *
+     * <code>repeated string changing_runners = 13;</code>
+     * @return A list containing the changingRunners.
+     */
+    public com.google.protobuf.ProtocolStringList
+        getChangingRunnersList() {
+      return changingRunners_;
+    }
+    /**
+     * <pre>
+     * Runners that this daemon has ordered to give up layers that they are still listed with.
+     * </pre>
+     *
+     * <code>repeated string changing_runners = 13;</code>
+     * @return The count of changingRunners.
+     */
+    public int getChangingRunnersCount() {
+      return changingRunners_.size();
+    }
+    /**
+     * <pre>
+     * Runners that this daemon has ordered to give up layers that they are still listed with.
+     * </pre>
+     *
+     * <code>repeated string changing_runners = 13;</code>
+     * @param index The index of the element to return.
+     * @return The changingRunners at the given index.
+     */
+    public java.lang.String getChangingRunners(int index) {
+      return changingRunners_.get(index);
+    }
+    /**
+     * <pre>
+     * Runners that this daemon has ordered to give up layers that they are still listed with.
+     * </pre>
+     *
+     * <code>repeated string changing_runners = 13;</code>
+     * @param index The index of the value to return.
+     * @return The bytes of the changingRunners at the given index.
+     */
+    public com.google.protobuf.ByteString
+        getChangingRunnersBytes(int index) {
+      return changingRunners_.getByteString(index);
+    }
+
     private byte memoizedIsInitialized = -1;
     @java.lang.Override
     public final boolean isInitialized() {
@@ -729,6 +825,9 @@
       for (int i = 0; i < lostRunners_.size(); i++) {
         com.google.protobuf.GeneratedMessage.writeString(output, 12, lostRunners_.getRaw(i));
       }
+      for (int i = 0; i < changingRunners_.size(); i++) {
+        com.google.protobuf.GeneratedMessage.writeString(output, 13, changingRunners_.getRaw(i));
+      }
       getUnknownFields().writeTo(output);
     }
 
@@ -786,6 +885,14 @@
         size += dataSize;
         size += 1 * getLostRunnersList().size();
       }
+      {
+        int dataSize = 0;
+        for (int i = 0; i < changingRunners_.size(); i++) {
+          dataSize += computeStringSizeNoTag(changingRunners_.getRaw(i));
+        }
+        size += dataSize;
+        size += 1 * getChangingRunnersList().size();
+      }
       size += getUnknownFields().getSerializedSize();
       memoizedSize = size;
       return size;
@@ -825,6 +932,8 @@
           != other.getStoreReachable()) return false;
       if (!getLostRunnersList()
           .equals(other.getLostRunnersList())) return false;
+      if (!getChangingRunnersList()
+          .equals(other.getChangingRunnersList())) return false;
       if (!getUnknownFields().equals(other.getUnknownFields())) return false;
       return true;
     }
@@ -870,6 +979,10 @@
         hash = (37 * hash) + LOST_RUNNERS_FIELD_NUMBER;
         hash = (53 * hash) + getLostRunnersList().hashCode();
       }
+      if (getChangingRunnersCount() > 0) {
+        hash = (37 * hash) + CHANGING_RUNNERS_FIELD_NUMBER;
+        hash = (53 * hash) + getChangingRunnersList().hashCode();
+      }
       hash = (29 * hash) + getUnknownFields().hashCode();
       memoizedHashCode = hash;
       return hash;
@@ -1024,6 +1137,8 @@
         storeReachable_ = false;
         lostRunners_ =
             com.google.protobuf.LazyStringArrayList.emptyList();
+        changingRunners_ =
+            com.google.protobuf.LazyStringArrayList.emptyList();
         return this;
       }
 
@@ -1104,6 +1219,10 @@
           lostRunners_.makeImmutable();
           result.lostRunners_ = lostRunners_;
         }
+        if (((from_bitField0_ & 0x00001000) != 0)) {
+          changingRunners_.makeImmutable();
+          result.changingRunners_ = changingRunners_;
+        }
       }
 
       @java.lang.Override
@@ -1192,6 +1311,16 @@
           }
           onChanged();
         }
+        if (!other.changingRunners_.isEmpty()) {
+          if (changingRunners_.isEmpty()) {
+            changingRunners_ = other.changingRunners_;
+            bitField0_ |= 0x00001000;
+          } else {
+            ensureChangingRunnersIsMutable();
+            changingRunners_.addAll(other.changingRunners_);
+          }
+          onChanged();
+        }
         this.mergeUnknownFields(other.getUnknownFields());
         onChanged();
         return this;
@@ -1287,6 +1416,12 @@
                 lostRunners_.add(s);
                 break;
               } // case 98
+              case 106: {
+                java.lang.String s = input.readStringRequireUtf8();
+                ensureChangingRunnersIsMutable();
+                changingRunners_.add(s);
+                break;
+              } // case 106
               default: {
                 if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                   done = true; // was an endgroup tag
@@ -2375,6 +2510,153 @@
         return this;
       }
 
+      private com.google.protobuf.LazyStringArrayList changingRunners_ =
+          com.google.protobuf.LazyStringArrayList.emptyList();
+      private void ensureChangingRunnersIsMutable() {
+        if (!changingRunners_.isModifiable()) {
+          changingRunners_ = new com.google.protobuf.LazyStringArrayList(changingRunners_);
+        }
+        bitField0_ |= 0x00001000;
+      }
+      /**
+       * <pre>
+       * Runners that this daemon has ordered to give up layers that they are still listed with.
+       * </pre>
+       *
+       * <code>repeated string changing_runners = 13;</code>
+       * @return A list containing the changingRunners.
+       */
+      public com.google.protobuf.ProtocolStringList
+          getChangingRunnersList() {
+        changingRunners_.makeImmutable();
+        return changingRunners_;
+      }
+      /**
+       * <pre>
+       * Runners that this daemon has ordered to give up layers that they are still listed with.
+       * </pre>
+       *
+       * <code>repeated string changing_runners = 13;</code>
+       * @return The count of changingRunners.
+       */
+      public int getChangingRunnersCount() {
+        return changingRunners_.size();
+      }
+      /**
+       * <pre>
+       * Runners that this daemon has ordered to give up layers that they are still listed with.
+       * </pre>
+       *
+       * <code>repeated string changing_runners = 13;</code>
+       * @param index The index of the element to return.
+       * @return The changingRunners at the given index.
+       */
+      public java.lang.String getChangingRunners(int index) {
+        return changingRunners_.get(index);
+      }
+      /**
+       * <pre>
+       * Runners that this daemon has ordered to give up layers that they are still listed with.
+       * </pre>
+       *
+       * <code>repeated string changing_runners = 13;</code>
+       * @param index The index of the value to return.
+       * @return The bytes of the changingRunners at the given index.
+       */
+      public com.google.protobuf.ByteString
+          getChangingRunnersBytes(int index) {
+        return changingRunners_.getByteString(index);
+      }
+      /**
+       * <pre>
+       * Runners that this daemon has ordered to give up layers that they are still listed with.
+       * </pre>
+       *
+       * <code>repeated string changing_runners = 13;</code>
+       * @param index The index to set the value at.
+       * @param value The changingRunners to set.
+       * @return This builder for chaining.
+       */
+      public Builder setChangingRunners(
+          int index, java.lang.String value) {
+        if (value == null) { throw new NullPointerException(); }
+        ensureChangingRunnersIsMutable();
+        changingRunners_.set(index, value);
+        bitField0_ |= 0x00001000;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * Runners that this daemon has ordered to give up layers that they are still listed with.
+       * </pre>
+       *
+       * <code>repeated string changing_runners = 13;</code>
+       * @param value The changingRunners to add.
+       * @return This builder for chaining.
+       */
+      public Builder addChangingRunners(
+          java.lang.String value) {
+        if (value == null) { throw new NullPointerException(); }
+        ensureChangingRunnersIsMutable();
+        changingRunners_.add(value);
+        bitField0_ |= 0x00001000;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * Runners that this daemon has ordered to give up layers that they are still listed with.
+       * </pre>
+       *
+       * <code>repeated string changing_runners = 13;</code>
+       * @param values The changingRunners to add.
+       * @return This builder for chaining.
+       */
+      public Builder addAllChangingRunners(
+          java.lang.Iterable<java.lang.String> values) {
+        ensureChangingRunnersIsMutable();
+        com.google.protobuf.AbstractMessageLite.Builder.addAll(
+            values, changingRunners_);
+        bitField0_ |= 0x00001000;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * Runners that this daemon has ordered to give up layers that they are still listed with.
+       * </pre>
+       *
+       * <code>repeated string changing_runners = 13;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearChangingRunners() {
+        changingRunners_ =
+          com.google.protobuf.LazyStringArrayList.emptyList();
+        bitField0_ = (bitField0_ & ~0x00001000);;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * Runners that this daemon has ordered to give up layers that they are still listed with.
+       * </pre>
+       *
+       * <code>repeated string changing_runners = 13;</code>
+       * @param value The bytes of the changingRunners to add.
+       * @return This builder for chaining.
+       */
+      public Builder addChangingRunnersBytes(
+          com.google.protobuf.ByteString value) {
+        if (value == null) { throw new NullPointerException(); }
+        checkByteStringIsUtf8(value);
+        ensureChangingRunnersIsMutable();
+        changingRunners_.add(value);
+        bitField0_ |= 0x00001000;
+        onChanged();
+        return this;
+      }
+
       // @@protoc_insertion_point(builder_scope:bilberryvalve.load.DaemonState)
     }
 
@@ -3333,19 +3615,19 @@
       descriptor;
   static {
     java.lang.String[] descriptorData = {
-      "\n\nload.proto\022\022bilberryvalve.load\"\234\002\n\013Dae" +
+      "\n\nload.proto\022\022bilberryvalve.load\"\266\002\n\013Dae" +
       "monState\022\n\n\002vm\030\001 \001(\t\022\023\n\013incarnation\030\002 \001(" +
       "\003\022\020\n\010sequence\030\003 \001(\003\022\023\n\013data_centre\030\004 \001(\t" +
       "\022\026\n\016caller_address\030\005 \001(\t\022\025\n\rstate_addres" +
       "s\030\006 \001(\t\022\017\n\007serving\030\007 \001(\010\022\025\n\rconfiguratio" +
       "n\030\010 \001(\003\022.\n\005usage\030\t \003(\0132\037.bilberryvalve.l" +
       "oad.RunnerUsage\022\017\n\007leaving\030\n \001(\010\022\027\n\017stor" +
-      "e_reachable\030\013 \001(\010\022\024\n\014lost_runners\030\014 \003(\t\"" +
-      "l\n\013RunnerUsage\022\016\n\006runner\030\001 \001(\t\022\017\n\007runnin" +
-      "g\030\002 \001(\005\022\024\n\014token_layers\030\003 \001(\003\022\017\n\007entered" +
-      "\030\004 \001(\005\022\025\n\runread_layers\030\005 \001(\003B+\n\033io.bilb" +
-      "erryvalve.wire.protoB\014LoadMessagesb\006prot" +
-      "o3"
+      "e_reachable\030\013 \001(\010\022\024\n\014lost_runners\030\014 \003(\t\022" +
+      "\030\n\020changing_runners\030\r \003(\t\"l\n\013RunnerUsage" +
+      "\022\016\n\006runner\030\001 \001(\t\022\017\n\007running\030\002 \001(\005\022\024\n\014tok" +
+      "en_layers\030\003 \001(\003\022\017\n\007entered\030\004 \001(\005\022\025\n\runre" +
+      "ad_layers\030\005 \001(\003B+\n\033io.bilberryvalve.wire" +
+      ".protoB\014LoadMessagesb\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -3356,7 +3638,7 @@
     internal_static_bilberryvalve_load_DaemonState_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_bilberryvalve_load_DaemonState_descriptor,
-        new java.lang.String[] { "Vm", "Incarnation", "Sequence", "DataCentre", "CallerAddress", "StateAddress", "Serving", "Configuration", "Usage", "Leaving", "StoreReachable", "LostRunners", });
+        new java.lang.String[] { "Vm", "Incarnation", "Sequence", "DataCentre", "CallerAddress", "StateAddress", "Serving", "Configuration", "Usage", "Leaving", "StoreReachable", "LostRunners", "ChangingRunners", });
     internal_static_bilberryvalve_load_RunnerUsage_descriptor =
       getDescriptor().getMessageType(1);
     internal_static_bilberryvalve_load_RunnerUsage_fieldAccessorTable = new
