--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/relay/PathSeats.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/relay/PathSeats.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import java.util.stream.Collectors;
 
 import io.bilberryvalve.gateway.fleet.Fleet;
 import io.bilberryvalve.gateway.fleet.FleetBoard;
@@ -108,6 +109,16 @@
 		return Optional.of(seat);
 	}
 
+	// Each data centre is meant to hold the whole model.
+	@Override
+	public boolean repairing() {
+		return holders(this.board.fleet()).stream()
+			.collect(Collectors.groupingBy(Holder::dataCentre))
+			.values()
+			.stream()
+			.anyMatch((here) -> this.chooser.choose(here, PathLoads.IDLE, SMALLEST, this::usable).isEmpty());
+	}
+
 	@Override
 	public boolean served() {
 		return this.chooser.choose(holders(this.board.fleet()), PathLoads.IDLE, SMALLEST, (runner) -> true).isPresent();
--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/relay/Relay.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/relay/Relay.java
@@ -45,6 +45,9 @@
 	 */
 	private static final long STARTING_WAIT_MILLIS = 700;
 
+	/** Rank of streams that continue; routes and teams have ranks from 0. */
+	private static final int CONTINUED_PRIORITY = -1;
+
 	/** Time for a rejected request to come back while the router starts. */
 	private static final long STARTING_RETRY_MILLIS = 500;
 
@@ -184,7 +187,10 @@
 		WaitingLine.Patience patience = this.exchange.started()
 				? RelayTimes.resumption(this.context.clock().millis(), this.endAt)
 				: RelayTimes.patience(now.route(), this.arrived, this.endAt);
-		SeatRequest asked = new SeatRequest(now.size(), now.priority(), Set.copyOf(this.excluded), patience, this);
+		// A caller that has a part of its stream is served before those that have
+		// nothing.
+		int priority = (this.response.lastEvent() != null) ? CONTINUED_PRIORITY : now.priority();
+		SeatRequest asked = new SeatRequest(now.size(), priority, Set.copyOf(this.excluded), patience, this);
 		this.waiting = asked;
 		from.ask(asked);
 	}
--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/relay/RunnerSeats.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/relay/RunnerSeats.java
@@ -62,6 +62,11 @@
 		return 0;
 	}
 
+	@Override
+	public boolean repairing() {
+		return false;
+	}
+
 	@Override
 	public boolean served() {
 		return !ready().isEmpty();
--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/relay/SeatDesk.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/relay/SeatDesk.java
@@ -5,9 +5,11 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import java.util.SplittableRandom;
 
 import io.bilberryvalve.gateway.fleet.LoadBook;
 import io.bilberryvalve.model.RunnerId;
+import io.bilberryvalve.policy.line.ReturnTime;
 import io.bilberryvalve.policy.line.WaitingLine;
 import io.bilberryvalve.policy.path.RequestSize;
 
@@ -22,6 +24,9 @@
 	 */
 	private static final long UNSERVED_RETRY_MILLIS = 1000;
 
+	/** Capacity comes and goes within seconds, and many are rejected in each. */
+	private static final long REPAIR_CHECK_MILLIS = 200;
+
 	/** Waiting requests that are tried in turn; each costs a search for a path. */
 	private static final int LOOK_AHEAD = 6;
 
@@ -33,6 +38,12 @@
 
 	private final WaitingLine<SeatRequest> line = new WaitingLine<>();
 
+	private final ReturnTime returns = new ReturnTime(new SplittableRandom());
+
+	private boolean repairing;
+
+	private long checkedAt = -REPAIR_CHECK_MILLIS;
+
 	SeatDesk(SeatPool pool, LoadBook loads, Clock clock) {
 		this.pool = pool;
 		this.loads = loads;
@@ -52,6 +63,7 @@
 				long now = this.clock.millis();
 				retry = this.pool.served() ? this.line.offer(request, request.priority(), now, request.patience())
 						: UNSERVED_RETRY_MILLIS;
+				retry = (retry > 0) ? this.returns.millis(retry, repairing(now)) : 0;
 			}
 		}
 		if (seat.isPresent()) {
@@ -118,7 +130,7 @@
 		synchronized (this.line) {
 			long now = this.clock.millis();
 			for (SeatRequest request : this.line.expire(now)) {
-				long retry = this.line.retryMillis();
+				long retry = this.returns.millis(this.line.retryMillis(), repairing(now));
 				outcomes.add(() -> request.receiver().rejected(retry));
 			}
 			for (SeatRequest request : this.line.next(now, LOOK_AHEAD)) {
@@ -133,6 +145,14 @@
 		outcomes.forEach(Runnable::run);
 	}
 
+	private boolean repairing(long now) {
+		if (now - this.checkedAt >= REPAIR_CHECK_MILLIS) {
+			this.checkedAt = now;
+			this.repairing = this.pool.repairing();
+		}
+		return this.repairing;
+	}
+
 	int waiting() {
 		synchronized (this.line) {
 			return this.line.size();
--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/relay/SeatPool.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/relay/SeatPool.java
@@ -36,6 +36,13 @@
 	 */
 	long backlogMillis(Seat seat);
 
+	/**
+	 * Tells whether a part of the capacity is lost for some seconds, until its layers are
+	 * loaded elsewhere.
+	 * @return whether more places come back soon
+	 */
+	boolean repairing();
+
 	/**
 	 * Tells whether any runner could serve a request once it is free.
 	 * @return whether waiting makes sense
