--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/relay/Relay.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/relay/Relay.java
@@ -545,21 +545,21 @@
 	// Moves the stream at once if another path has room, so that it has its next event on
 	// time; without one it stays, since its runners may go on.
 	@Override
-	public void suspected(Seat place, Set<RunnerId> suspects, long silent) {
+	public boolean suspected(Seat place, Set<RunnerId> suspects, long silent) {
 		RequestCheck.Allowed now = this.allowed;
 		SeatDesk from = this.desk;
 		if (this.done || this.seat != place || now == null || from == null) {
-			return;
+			return true;
 		}
 		Set<RunnerId> avoided = new HashSet<>(this.excluded);
 		avoided.addAll(suspects);
 		Optional<Seat> next = from.takeElsewhere(now.size(), avoided);
 		if (next.isEmpty()) {
-			return;
+			return false;
 		}
 		if (!this.context.budget().tryRetry()) {
 			from.release(next.get(), false);
-			return;
+			return false;
 		}
 		cancelCall();
 		this.mayHaveRunBefore = true;
@@ -567,6 +567,7 @@
 		logFailedAttempt("silent with others for " + silent + " ms", place, true);
 		this.response.reset();
 		seated(next.get());
+		return true;
 	}
 
 	@Override
--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/relay/StallCheck.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/relay/StallCheck.java
@@ -108,8 +108,7 @@
 		if (seat.path() != null) {
 			Set<RunnerId> suspects = SilenceRule.suspects(this.context.progress().silences(seat.ids()),
 					route.targetGap().toMillis(), backlogMillis);
-			if (!suspects.isEmpty()) {
-				suspect(seat, suspects, silent);
+			if (!suspects.isEmpty() && suspect(seat, suspects, silent)) {
 				return;
 			}
 		}
@@ -128,7 +127,7 @@
 			.thenAccept((stall) -> this.loop.execute(() -> reported(seat, stall, silent)));
 	}
 
-	private void suspect(Seat seat, Set<RunnerId> suspects, long silent) {
+	private boolean suspect(Seat seat, Set<RunnerId> suspects, long silent) {
 		if (this.context.progress().suspect(suspects)) {
 			LogEvent.of("runners-suspected")
 				.with("runners", suspects)
@@ -136,7 +135,7 @@
 				.with("silent", silent)
 				.log(LOGGER, System.Logger.Level.INFO);
 		}
-		this.listener.suspected(seat, suspects, silent);
+		return this.listener.suspected(seat, suspects, silent);
 	}
 
 	private void reported(Seat seat, StallReports.Stall stall, long silent) {
@@ -170,8 +169,10 @@
 		 * @param seat the place that was looked at
 		 * @param suspects runners from which no stream has an event
 		 * @param silent how long, in milliseconds
+		 * @return whether the request has left the place; otherwise its runners are asked
+		 * for the cause when it has been silent for long enough
 		 */
-		void suspected(Seat seat, Set<RunnerId> suspects, long silent);
+		boolean suspected(Seat seat, Set<RunnerId> suspects, long silent);
 
 		/**
 		 * The runners have been silent.
--- a/bilberryvalve-gateway/src/test/java/io/bilberryvalve/gateway/relay/StallCheckTests.java
+++ b/bilberryvalve-gateway/src/test/java/io/bilberryvalve/gateway/relay/StallCheckTests.java
@@ -11,6 +11,7 @@
 import io.bilberryvalve.gateway.fleet.FleetBoard;
 import io.bilberryvalve.gateway.fleet.ListedRunner;
 import io.bilberryvalve.gateway.fleet.LoadBook;
+import io.bilberryvalve.gateway.fleet.ProgressBoard;
 import io.bilberryvalve.gateway.fleet.Trust;
 import io.bilberryvalve.gateway.route.RequestKind;
 import io.bilberryvalve.gateway.route.Route;
@@ -45,6 +46,10 @@
 
 	private final EventLoop loop = new DefaultEventLoop();
 
+	private ProgressBoard progress = new ProgressBoard(this.clock);
+
+	private boolean moves;
+
 	private StallReports.Stall report = new StallReports.Stall(true, List.of());
 
 	private int asked;
@@ -78,11 +83,13 @@
 				}, (unused) -> {
 					throw new IllegalStateException("nothing is sent");
 				});
+		this.progress = context.progress();
 		StallCheck result = new StallCheck(context, this.loop, new StallCheck.Listener() {
 
 			@Override
-			public void suspected(Seat place, Set<RunnerId> suspects, long silent) {
+			public boolean suspected(Seat place, Set<RunnerId> suspects, long silent) {
 				StallCheckTests.this.suspected.add(suspects);
+				return StallCheckTests.this.moves;
 			}
 
 			@Override
@@ -129,6 +136,33 @@
 		assertThat(this.stalls).containsExactly(Set.of(this.first.id()));
 	}
 
+	// Replays the loss of a card while no other path has room. Guards against a runner
+	// that
+	// nobody names because its streams cannot leave it.
+	@Example
+	void runnersThatStreamsCannotLeaveAreAskedForTheCause() throws Exception {
+		silenceThreeStreams();
+		this.report = new StallReports.Stall(true, List.of(this.second.address()));
+		checkAfter(600);
+		assertThat(this.suspected).containsExactly(Set.of(this.first.id(), this.second.id()));
+		assertThat(this.stalls).containsExactly(Set.of(this.second.id()));
+	}
+
+	@Example
+	void streamThatHasLeftAsksNoMore() throws Exception {
+		silenceThreeStreams();
+		this.moves = true;
+		checkAfter(600);
+		assertThat(this.suspected).hasSize(1);
+		assertThat(this.asked).isZero();
+	}
+
+	private void silenceThreeStreams() {
+		for (int i = 0; i < 3; i++) {
+			this.progress.join(this.seat.ids());
+		}
+	}
+
 	@Example
 	void usualPausesAreNotLookedAt() throws Exception {
 		checkAfter(599);
