Log late event loops and configurations that peers already have

When a version of the configuration came into force late, the log had one late line and nothing that told why: the daemon could have waited for the store, for an unanswered long poll, or for its own event loops. The new lines configuration-behind and event-loop-late, and a gauge of the largest delay, separate these cases. No decision changes.

--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/Gateway.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/Gateway.java
@@ -28,6 +28,7 @@
 import io.bilberryvalve.gateway.relay.RelayContext;
 import io.bilberryvalve.gateway.relay.RelayHandler;
 import io.bilberryvalve.gateway.relay.StallProbe;
+import io.bilberryvalve.gateway.report.LoopMonitor;
 import io.bilberryvalve.gateway.report.Metrics;
 import io.bilberryvalve.gateway.route.CallerLimits;
 import io.bilberryvalve.gateway.route.RouteTable;
@@ -241,6 +242,7 @@
 	public void start() {
 		this.server.listen(this.settings.callerAddress().host(), this.settings.callerAddress().port());
 		this.stateExchange.start();
+		new LoopMonitor(this.clock).start(this.transport.loops(), metrics());
 		register();
 		EventLoop loop = this.transport.next();
 		loop.scheduleWithFixedDelay(this::listGateways, LIST_INTERVAL_SECONDS, LIST_INTERVAL_SECONDS, TimeUnit.SECONDS);
--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/http/Transport.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/http/Transport.java
@@ -1,5 +1,7 @@
 package io.bilberryvalve.gateway.http;
 
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.TimeUnit;
 
 import io.netty.bootstrap.Bootstrap;
@@ -70,6 +72,16 @@
 		return (EventLoop) this.eventLoops.next();
 	}
 
+	/**
+	 * Returns all event loops.
+	 * @return the loops, always in the same order
+	 */
+	public List<EventLoop> loops() {
+		List<EventLoop> loops = new ArrayList<>();
+		this.eventLoops.forEach((executor) -> loops.add((EventLoop) executor));
+		return loops;
+	}
+
 	/**
 	 * Returns whether the native transport is in use.
 	 * @return {@code true} if the operating system detects connections whose peer no
--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/peer/StateExchange.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/peer/StateExchange.java
@@ -106,6 +106,8 @@
 
 	private long sequence;
 
+	private final VersionLag versionLag;
+
 	/**
 	 * Creates an exchange without peers.
 	 * @param transport event loops
@@ -127,6 +129,7 @@
 		this.clock = clock;
 		this.incarnation = incarnation;
 		this.startedAt = clock.millis();
+		this.versionLag = new VersionLag(clock);
 	}
 
 	/**
@@ -327,7 +330,9 @@
 				.with("serving", peer.serving())
 				.log(LOGGER, System.Logger.Level.INFO);
 		}
-		if (peer.configurationVersion() > this.local.configurationVersion().getAsLong()) {
+		long version = this.local.configurationVersion().getAsLong();
+		this.versionLag.compare(peer.vm(), peer.configurationVersion(), version);
+		if (peer.configurationVersion() > version) {
 			this.onNewerConfiguration.accept(peer.configurationVersion());
 		}
 		return true;
