--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/Gateway.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/Gateway.java
@@ -265,7 +265,7 @@
 					listGateways();
 				}
 				else {
-					this.transport.next().schedule(this::register, REGISTER_RETRY_MILLIS, TimeUnit.MILLISECONDS);
+					this.transport.control().schedule(this::register, REGISTER_RETRY_MILLIS, TimeUnit.MILLISECONDS);
 				}
 			});
 	}
@@ -378,13 +378,14 @@
 	}
 
 	/**
-	 * Creates an HTTP client for short calls.
-	 * @param transport event loops, one of which runs all calls of the client
+	 * Creates an HTTP client for short calls of control.
+	 * @param transport event loops, of which the one for control runs all calls of the
+	 * client
 	 * @param clock monotonic clock
 	 * @return a client with its own connection pool
 	 */
 	public static HttpClient createHttpClient(Transport transport, Clock clock) {
-		return new HttpClient(new UpstreamPool(transport, transport.next(), clock));
+		return new HttpClient(new UpstreamPool(transport, transport.control(), clock));
 	}
 
 }
--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/http/Transport.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/http/Transport.java
@@ -65,7 +65,7 @@
 	}
 
 	/**
-	 * Returns the event loops in rotation.
+	 * Returns the event loops of callers' connections in rotation.
 	 * @return the next event loop
 	 */
 	public EventLoop next() {
@@ -73,7 +73,7 @@
 	}
 
 	/**
-	 * Returns all event loops.
+	 * Returns the event loops of callers' connections.
 	 * @return the loops, always in the same order
 	 */
 	public List<EventLoop> loops() {
@@ -82,6 +82,15 @@
 		return loops;
 	}
 
+	/**
+	 * Returns the event loop for control: calls to the store, the tables that are
+	 * watched, leases, orders, and the exchange of states with other daemons.
+	 * @return an event loop
+	 */
+	public EventLoop control() {
+		return next();
+	}
+
 	/**
 	 * Returns whether the native transport is in use.
 	 * @return {@code true} if the operating system detects connections whose peer no
