Handle the store and the peers on an event loop of its own

What callers saw: a daemon served, and refused with 401, by an older version of the configuration than the one acknowledged two seconds before.

Cause: calls to the store, the tables that are watched, leases and the exchange of states ran on the event loops of callers' connections. When more requests came than a VM could handle, a new version waited behind them.

LateConfigurationTests timed out after 5 s.

--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/Gateway.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/Gateway.java
@@ -245,7 +245,8 @@
 		new LoopMonitor(this.clock).start(this.transport.loops(), metrics());
 		register();
 		EventLoop loop = this.transport.next();
-		loop.scheduleWithFixedDelay(this::listGateways, LIST_INTERVAL_SECONDS, LIST_INTERVAL_SECONDS, TimeUnit.SECONDS);
+		this.transport.control()
+			.scheduleWithFixedDelay(this::listGateways, LIST_INTERVAL_SECONDS, LIST_INTERVAL_SECONDS, TimeUnit.SECONDS);
 		loop.scheduleWithFixedDelay(this::checkProgress, PROGRESS_CHECK_INTERVAL_MILLIS, PROGRESS_CHECK_INTERVAL_MILLIS,
 				TimeUnit.MILLISECONDS);
 		loop.scheduleWithFixedDelay(this::removeExpired, EXPIRY_CHECK_INTERVAL_MILLIS, EXPIRY_CHECK_INTERVAL_MILLIS,
--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/http/Transport.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/http/Transport.java
@@ -22,9 +22,10 @@
 import io.netty.util.concurrent.DefaultThreadFactory;
 
 /**
- * Owns the event loops and sets the options of sockets. With the native transport
- * (epoll), the operating system closes connections whose peer no longer responds, by
- * keep-alive probes and a limit on the age of unacknowledged data.
+ * Owns the event loops, of which one is for control only, and sets the options of
+ * sockets. With the native transport (epoll), the operating system closes connections
+ * whose peer no longer responds, by keep-alive probes and a limit on the age of
+ * unacknowledged data.
  */
 public final class Transport implements AutoCloseable {
 
@@ -54,14 +55,20 @@
 
 	private final EventLoopGroup eventLoops;
 
+	private final EventLoopGroup controlLoops;
+
 	/**
 	 * Creates the event loops.
-	 * @param threads number of threads
+	 * @param threads number of threads for callers' connections; control has one more
 	 */
 	public Transport(int threads) {
-		DefaultThreadFactory factory = new DefaultThreadFactory("gateway", true);
-		this.eventLoops = this.epoll ? new EpollEventLoopGroup(threads, factory)
-				: new NioEventLoopGroup(threads, factory);
+		this.eventLoops = createLoops(threads, "gateway");
+		this.controlLoops = createLoops(1, "control");
+	}
+
+	private EventLoopGroup createLoops(int threads, String name) {
+		DefaultThreadFactory factory = new DefaultThreadFactory(name, true);
+		return this.epoll ? new EpollEventLoopGroup(threads, factory) : new NioEventLoopGroup(threads, factory);
 	}
 
 	/**
@@ -84,11 +91,12 @@
 
 	/**
 	 * Returns the event loop for control: calls to the store, the tables that are
-	 * watched, leases, orders, and the exchange of states with other daemons.
-	 * @return an event loop
+	 * watched, leases, orders, and the exchange of states with other daemons. It has a
+	 * thread of its own, so that control is not delayed by a backlog of requests.
+	 * @return the event loop, which must not be blocked or used for long computations
 	 */
 	public EventLoop control() {
-		return next();
+		return (EventLoop) this.controlLoops.next();
 	}
 
 	/**
@@ -124,17 +132,18 @@
 	}
 
 	/**
-	 * Creates a bootstrap for a datagram socket.
+	 * Creates a bootstrap for a datagram socket of control.
 	 * @return a bootstrap without handler
 	 */
 	public Bootstrap datagramBootstrap() {
-		return new Bootstrap().group(this.eventLoops)
+		return new Bootstrap().group(this.controlLoops)
 			.channel(this.epoll ? EpollDatagramChannel.class : NioDatagramChannel.class);
 	}
 
 	@Override
 	public void close() {
 		this.eventLoops.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+		this.controlLoops.shutdownGracefully(0, 1, TimeUnit.SECONDS);
 	}
 
 }
