Search layer templates off the event loops

Placement now has two threads of its own: one renews the lease and sends orders while the other one searches, and the search holds no lock. The new test keeps a search open for 30 s, during which the lease must not pass on.

--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/Gateway.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/Gateway.java
@@ -10,6 +10,8 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Predicate;
 
@@ -46,6 +48,7 @@
 import io.bilberryvalve.policy.membership.ShutdownSchedule;
 import io.bilberryvalve.policy.retry.RetryShare;
 import io.netty.channel.EventLoop;
+import io.netty.util.concurrent.DefaultThreadFactory;
 
 /**
  * Router for HTTP requests on one VM. It relays requests of callers to runners by the
@@ -121,6 +124,13 @@
 
 	private final TableService tables;
 
+	/**
+	 * Runs the placement of layers, whose computations would delay an event loop. One
+	 * thread renews the lease while the other one searches a template.
+	 */
+	private final ScheduledExecutorService placement = Executors.newScheduledThreadPool(2,
+			new DefaultThreadFactory("placement", true));
+
 	private final Map<EventLoop, UpstreamPool> pools = new ConcurrentHashMap<>();
 
 	private final FleetRegistry fleetRegistry;
@@ -179,7 +189,7 @@
 				new Random(incarnation), this::hasHolderEnded);
 		this.layerReconciler = new LayerReconciler(this.fleetRegistry, orderClient, tables,
 				new LeaseManager("layers", candidate, tables), clock, settings.runnerHeartbeat(),
-				this.runnerAvailability::isLost);
+				this.runnerAvailability::isLost, this.placement);
 	}
 
 	private boolean hasHolderEnded(String holder) {
@@ -253,8 +263,8 @@
 				TimeUnit.MILLISECONDS);
 		loop.scheduleWithFixedDelay(this.relayContext::dispatchWaiting, DISPATCH_INTERVAL_MILLIS,
 				DISPATCH_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
-		loop.scheduleWithFixedDelay(this::reconcileLayers, RECONCILE_INTERVAL_MILLIS, RECONCILE_INTERVAL_MILLIS,
-				TimeUnit.MILLISECONDS);
+		this.placement.scheduleWithFixedDelay(this::reconcileLayers, RECONCILE_INTERVAL_MILLIS,
+				RECONCILE_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
 	}
 
 	private void register() {
--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/layers/LayerReconciler.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/layers/LayerReconciler.java
@@ -9,6 +9,7 @@
 import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.Executor;
 import java.util.function.Predicate;
 import java.util.stream.Collectors;
 
@@ -61,6 +62,8 @@
 
 	private final Predicate<ListedRunner> isLost;
 
+	private final Executor searcher;
+
 	private final Map<String, TemplateStore> templates = new HashMap<>();
 
 	private final Map<IncompleteService, Long> incompleteSince = new HashMap<>();
@@ -77,9 +80,10 @@
 	 * @param heartbeat interval at which runners renew their entries in the list
 	 * @param isLost accepts the runners that are dead or cut off although they are still
 	 * listed
+	 * @param searcher runs the searches for layer templates, which may take seconds
 	 */
 	public LayerReconciler(FleetRegistry fleet, LayerOrders layerOrders, TableService tables, LeaseManager lease,
-			Clock clock, Duration heartbeat, Predicate<ListedRunner> isLost) {
+			Clock clock, Duration heartbeat, Predicate<ListedRunner> isLost, Executor searcher) {
 		this.fleet = fleet;
 		this.orderTracker = new OrderTracker(layerOrders, clock);
 		this.tables = tables;
@@ -87,11 +91,12 @@
 		this.clock = clock;
 		this.heartbeat = heartbeat;
 		this.isLost = isLost;
+		this.searcher = searcher;
 	}
 
 	/**
 	 * Renews the lease and sends the orders that are due. Call it a few times a second,
-	 * always from the same thread.
+	 * and never from two threads at once.
 	 * @param table configuration in force
 	 * @param leads whether this daemon should acquire the lease if it is free
 	 * @param leaving whether this daemon is shutting down and gives up the lease
@@ -128,7 +133,8 @@
 			.map((runner) -> this.orderTracker.card(runner, Objects.requireNonNull(engine.cards().get(runner.card()))))
 			.toList();
 		Optional<LayerTemplate> template = this.templates
-			.computeIfAbsent(service, (name) -> new TemplateStore(name, this.tables, this.clock, this.heartbeat))
+			.computeIfAbsent(service,
+					(name) -> new TemplateStore(name, this.tables, this.clock, this.heartbeat, this.searcher))
 			.template(engine, cards);
 		if (template.isEmpty()) {
 			return;
--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/layers/TemplateStore.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/layers/TemplateStore.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
+import java.util.concurrent.Executor;
 import java.util.stream.Collectors;
 
 import io.bilberryvalve.model.log.LogEvent;
@@ -58,6 +59,12 @@
 
 	private final Clock clock;
 
+	/**
+	 * Runs searches, which take seconds with a hundred cards and must not delay the
+	 * renewal of the lease.
+	 */
+	private final Executor searcher;
+
 	private final long settleMillis;
 
 	private @Nullable SizedTemplate current;
@@ -70,10 +77,11 @@
 
 	private boolean pending;
 
-	TemplateStore(String service, TableService tables, Clock clock, Duration heartbeat) {
+	TemplateStore(String service, TableService tables, Clock clock, Duration heartbeat, Executor searcher) {
 		this.service = service;
 		this.tables = tables;
 		this.clock = clock;
+		this.searcher = searcher;
 		this.settleMillis = Math.round(heartbeat.toMillis() * SETTLE_HEARTBEATS);
 	}
 
@@ -107,17 +115,18 @@
 			use(known);
 		}
 		else if (settled && !(fetched instanceof ReadResult.Failed<Row>)) {
-			commit(new TemplateSearch(engine, usable).best(), usable.size(),
-					(row != null) ? row.version() : RowOperation.ABSENT);
+			long version = (row != null) ? row.version() : RowOperation.ABSENT;
+			this.pending = true;
+			this.searcher.execute(() -> commit(new TemplateSearch(engine, usable).best(), usable.size(), version));
 		}
 	}
 
-	private void commit(LayerTemplate best, int size, long version) {
+	private synchronized void commit(LayerTemplate best, int size, long version) {
 		if (best.maxLayersByKind().isEmpty()) {
+			this.pending = false;
 			return;
 		}
 		SizedTemplate next = new SizedTemplate(best, size);
-		this.pending = true;
 		this.tables.commit(List.of(new RowOperation.Put(TABLE, this.service, version, next.format())))
 			.thenAccept((commit) -> onCommit(next, commit));
 	}
--- a/bilberryvalve-gateway/src/test/java/io/bilberryvalve/gateway/layers/LayerReconcilerTests.java
+++ b/bilberryvalve-gateway/src/test/java/io/bilberryvalve/gateway/layers/LayerReconcilerTests.java
@@ -9,6 +9,7 @@
 import java.util.Objects;
 import java.util.Random;
 import java.util.Set;
+import java.util.concurrent.Executor;
 import java.util.stream.IntStream;
 
 import io.bilberryvalve.gateway.fleet.FleetRegistry;
@@ -53,6 +54,8 @@
 
 	private final Set<RunnerId> lost = new HashSet<>();
 
+	private Executor searcher = Runnable::run;
+
 	private final Map<String, LayerReconciler> reconcilers = new HashMap<>();
 
 	private LayerReconciler reconciler(String name) {
@@ -60,7 +63,7 @@
 			LeaseCandidate holder = new LeaseCandidate(vm, TIMES, this.clock, new Random(1));
 			return new LayerReconciler(this.registry, this.runners, this.tables,
 					new LeaseManager("layers", holder, this.tables), this.clock, Duration.ofMillis(400),
-					(runner) -> this.lost.contains(runner.id()));
+					(runner) -> this.lost.contains(runner.id()), (search) -> this.searcher.execute(search));
 		});
 	}
 
@@ -126,6 +129,21 @@
 		assertThat(complete()).isTrue();
 	}
 
+	// Guards against a lease that expires while its holder searches a template for many
+	// cards.
+	@Example
+	void leaseIsRenewedDuringALongSearch() {
+		List<Runnable> searches = new ArrayList<>();
+		this.searcher = searches::add;
+		this.runners.list(cards(6));
+		run("one", Duration.ofSeconds(30));
+		assertThat(searches).hasSize(1);
+		run("two", Duration.ofMillis(250));
+		searches.forEach(Runnable::run);
+		run("one", Duration.ofSeconds(6));
+		assertThat(complete()).isTrue();
+	}
+
 	// Guards against a model that stays incomplete after the daemon that sent the orders
 	// has stopped.
 	@Example
