Tell a crashed runner from a closed connection, with the parts of its prompt

The log of a request whose runner ended said 'connection closed by the runner', as it does for a runner that is up, and not which parts of the prompt it held, so the hypotheses on the crashing prompts could not be told apart. A runner that closes before it has answered is now probed with one connection, within 100 ms; if it refuses, it counts as lost for all daemons at once, and runner-crashed names the request, the runner and the shared parts. Requests that were answered, or name no parts, are not probed.

--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/http/HeaderNames.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/http/HeaderNames.java
@@ -16,6 +16,8 @@
  * @param urgency priority of the request at the runner
  * @param tokenCounts number of prompt tokens and largest number of answer tokens,
  * separated by a comma
+ * @param promptParts identifiers of the parts of the prompt with their numbers of tokens,
+ * in the order of the prompt
  * @param expectedAnswerTokens expected number of answer tokens
  * @param lastEventId identifier of the last event that the caller received
  * @param responseSignature signature of the runner for its response
@@ -23,8 +25,8 @@
  * @param faultyRunner address of the runner that caused a failure
  */
 public record HeaderNames(String attemptId, String deadline, String apiKey, String team, String expectedRunner,
-		String path, String urgency, String tokenCounts, String expectedAnswerTokens, String lastEventId,
-		String responseSignature, String notRun, String faultyRunner) {
+		String path, String urgency, String tokenCounts, String promptParts, String expectedAnswerTokens,
+		String lastEventId, String responseSignature, String notRun, String faultyRunner) {
 
 	/**
 	 * Returns the headers of requests to runners that only the router may set. They are
--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/http/UpstreamPool.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/http/UpstreamPool.java
@@ -7,11 +7,14 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.Consumer;
 
 import io.bilberryvalve.model.Address;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
 import io.netty.channel.ConnectTimeoutException;
 import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http.HttpMessage;
@@ -113,6 +116,25 @@
 		});
 	}
 
+	/**
+	 * Finds out whether an address refuses connections, as that of a process that has
+	 * ended.
+	 * @param address address of the upstream
+	 * @param timeoutMillis longest time to wait for the answer, in milliseconds
+	 * @param refused receives, on the event loop of this pool, whether a connection was
+	 * refused; {@code false} if it was accepted or nothing answered in time
+	 */
+	public void probe(Address address, int timeoutMillis, Consumer<Boolean> refused) {
+		ChannelFuture opened = this.transport.clientBootstrap(this.loop)
+			.option(ChannelOption.CONNECT_TIMEOUT_MILLIS, timeoutMillis)
+			.handler(new ChannelInboundHandlerAdapter())
+			.connect(address.host(), address.port());
+		opened.addListener((done) -> {
+			opened.channel().close();
+			refused.accept(!done.isSuccess() && isRefusal(done.cause()));
+		});
+	}
+
 	// A connection timeout is no refusal, since packets may have been lost.
 	private static boolean isRefusal(Throwable cause) {
 		return cause instanceof ConnectException && !(cause instanceof ConnectTimeoutException);
--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/relay/RelayedRequest.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/relay/RelayedRequest.java
@@ -15,6 +15,7 @@
 import io.bilberryvalve.model.Address;
 import io.bilberryvalve.model.RunnerId;
 import io.bilberryvalve.model.log.LogEvent;
+import io.bilberryvalve.policy.quarantine.PromptParts;
 import io.bilberryvalve.policy.queue.WaitQueue;
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.EventLoop;
@@ -73,6 +74,18 @@
 	 */
 	private static final long LEAVING_RETRY_MILLIS = 100;
 
+	/**
+	 * Events after which a prompt counts as answered, and its runner's crash as caused by
+	 * something else.
+	 */
+	private static final int ANSWERED_EVENTS = 3;
+
+	/**
+	 * Longest time to find out whether a runner has ended. A VM that is up refuses a
+	 * connection within a few milliseconds.
+	 */
+	private static final int CRASH_CHECK_MILLIS = 100;
+
 	private static final double MILLIS_PER_SECOND = 1000;
 
 	private final RelayContext context;
@@ -85,6 +98,8 @@
 
 	private final RequestHead request;
 
+	private final PromptParts prompt;
+
 	private final ResponseRelay response;
 
 	private final StallDetector stallDetector;
@@ -117,6 +132,9 @@
 
 	private int refusedConnections;
 
+	/** Events received in all attempts. */
+	private int events;
+
 	private boolean started;
 
 	/**
@@ -142,6 +160,7 @@
 		this.loop = (EventLoop) exchange.context().executor();
 		this.arrivedAt = context.clock().millis();
 		this.request = new RequestHead(exchange.request().headers(), context.headerNames());
+		this.prompt = this.request.promptParts();
 		this.response = new ResponseRelay(exchange, context.headerNames(), this.request.lastEvent(),
 				this::eventArrived);
 		this.stallDetector = new StallDetector(context, this.loop, this);
@@ -295,6 +314,7 @@
 	}
 
 	private void eventArrived() {
+		this.events++;
 		Reservation reserved = this.reservation;
 		if (this.firstEventReceived || reserved == null) {
 			return;
@@ -326,7 +346,7 @@
 		else {
 			HttpResponse head = this.response.head();
 			excludeFirstRunner(this.reservation);
-			attemptInterrupted("no usable answer, status " + ((head != null) ? head.status().code() : 0));
+			attemptBroken("no usable answer, status " + ((head != null) ? head.status().code() : 0));
 		}
 	}
 
@@ -392,7 +412,7 @@
 			excludeFirstRunner(reserved);
 		}
 		if (sent) {
-			attemptInterrupted(reason);
+			attemptBroken(reason);
 		}
 		else {
 			notSent(reason);
@@ -425,6 +445,38 @@
 		attemptInterrupted(reason);
 	}
 
+	// Handles an attempt whose connection the runner closed. If the runner may have
+	// crashed because of the prompt, this is found out before the prompt is sent again.
+	private void attemptBroken(String reason) {
+		Reservation reserved = this.reservation;
+		boolean answered = this.events >= ANSWERED_EVENTS || this.request.lastEvent() != null;
+		if (reserved == null || answered || this.prompt.shared().isEmpty() || this.response.committed()) {
+			attemptInterrupted(reason);
+			return;
+		}
+		this.mayHaveRunBefore = true;
+		releaseReservation();
+		ListedRunner runner = reserved.firstRunner();
+		this.context.connectionPool(this.loop).probe(runner.address(), CRASH_CHECK_MILLIS, (refused) -> {
+			if (refused) {
+				recordCrash(runner);
+			}
+			if (!this.done) {
+				retryOrGiveUp(reason, reserved);
+			}
+		});
+	}
+
+	private void recordCrash(ListedRunner runner) {
+		this.context.metrics().recordRunnerCrash();
+		LogEvent.of("runner-crashed")
+			.with("request", this.request.attempt())
+			.with("runner", runner.id())
+			.with("parts", this.prompt.shared())
+			.log(LOGGER, System.Logger.Level.INFO);
+		this.context.runnerAvailability().markLost(runner, "its address refuses connections");
+	}
+
 	// Handles an attempt that may have run and whose response will not be completed.
 	private void attemptInterrupted(String reason) {
 		this.mayHaveRunBefore = true;
--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/relay/RequestHead.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/relay/RequestHead.java
@@ -5,6 +5,7 @@
 import io.bilberryvalve.policy.path.LayerPath;
 import io.bilberryvalve.policy.path.RequestSize;
 import io.bilberryvalve.policy.placement.EngineProfile;
+import io.bilberryvalve.policy.quarantine.PromptParts;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import org.jspecify.annotations.Nullable;
@@ -34,6 +35,10 @@
 		return this.headers.get(this.headerNames.lastEventId());
 	}
 
+	PromptParts promptParts() {
+		return PromptParts.parse(this.headers.get(this.headerNames.promptParts(), ""));
+	}
+
 	/**
 	 * Returns the time for which the caller waits for its answer.
 	 * @param defaultValue time in milliseconds if the caller states none
--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/report/Metrics.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/report/Metrics.java
@@ -39,6 +39,11 @@
 		.labelNames("repeated")
 		.register(this.registry);
 
+	private final Counter runnerCrashes = Counter.builder()
+		.name("bilberryvalve_runner_crashes_total")
+		.help("Attempts whose runner ended before it had answered the prompt")
+		.register(this.registry);
+
 	private final Histogram duration = histogram("bilberryvalve_request_seconds",
 			"Time from a request to the end of its response");
 
@@ -109,6 +114,13 @@
 		this.failedAttempts.labelValues(Boolean.toString(repeated)).inc();
 	}
 
+	/**
+	 * Records an attempt whose runner crashed before it had answered.
+	 */
+	public void recordRunnerCrash() {
+		this.runnerCrashes.inc();
+	}
+
 	/**
 	 * Returns all metrics as text.
 	 * @return the metrics in the Prometheus text format
--- a/bilberryvalve-gateway/src/test/java/io/bilberryvalve/gateway/relay/RelayFixture.java
+++ b/bilberryvalve-gateway/src/test/java/io/bilberryvalve/gateway/relay/RelayFixture.java
@@ -47,7 +47,7 @@
 final class RelayFixture implements AutoCloseable {
 
 	static final HeaderNames HEADER_NAMES = new HeaderNames("x-attempt", "x-deadline", "x-key", "x-team", "x-expect",
-			"x-path", "x-urgency", "x-tokens", "x-hint", "last-event-id", "x-seal", "x-not-run", "x-faulty");
+			"x-path", "x-urgency", "x-tokens", "x-parts", "x-hint", "last-event-id", "x-seal", "x-not-run", "x-faulty");
 
 	private static final EngineProfile ENGINE = new EngineProfile(100, 4, 1000, 100_000, 1, 0.01, 0.01, 200, 2, 500,
 			100, 0, 0, 10, Map.of("card", new CardKind("card", 8000, 2, 2)), Map.of());
