--- a/bilberryvalve-gateway/src/test/java/io/bilberryvalve/gateway/relay/RelayFixture.java
+++ b/bilberryvalve-gateway/src/test/java/io/bilberryvalve/gateway/relay/RelayFixture.java
@@ -34,6 +34,7 @@
 import io.bilberryvalve.model.DataCentreId;
 import io.bilberryvalve.model.LayerRange;
 import io.bilberryvalve.model.RunnerId;
+import io.bilberryvalve.model.clock.ManualClock;
 import io.bilberryvalve.model.clock.MonotonicClock;
 import io.bilberryvalve.policy.placement.CardKind;
 import io.bilberryvalve.policy.placement.EngineProfile;
@@ -59,6 +60,8 @@
 
 	private final MonotonicClock clock = new MonotonicClock();
 
+	private final ManualClock crashClock = new ManualClock();
+
 	private final Transport transport = new Transport(1);
 
 	private final Map<EventLoop, UpstreamPool> pools = new ConcurrentHashMap<>();
@@ -115,6 +118,11 @@
 			.scheduleWithFixedDelay(() -> this.context.checkProgress(false), 0, 25, TimeUnit.MILLISECONDS);
 	}
 
+	// Advances the clock by which crashes are told apart.
+	void advanceCrashClock(Duration time) {
+		this.crashClock.advance(time);
+	}
+
 	long millis() {
 		return this.clock.millis();
 	}
