--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/Gateway.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/Gateway.java
@@ -46,6 +46,7 @@
 import io.bilberryvalve.policy.lease.LeaseCandidate;
 import io.bilberryvalve.policy.lease.LeaseTimes;
 import io.bilberryvalve.policy.membership.ShutdownSchedule;
+import io.bilberryvalve.policy.quarantine.PartQuarantine;
 import io.bilberryvalve.policy.retry.RetryShare;
 import io.netty.channel.EventLoop;
 import io.netty.util.concurrent.DefaultThreadFactory;
@@ -177,13 +178,15 @@
 		RetryShare retryShare = new RetryShare(clock, settings.retryRatio(), settings.retrySlack(),
 				settings.retryWindow(), this::daemonCount);
 		this.runnerAvailability = new RunnerAvailability(clock);
+		PartQuarantine partQuarantine = new PartQuarantine(clock);
 		this.relayContext = new RelayContext(headerNames, settings.dataCentre(), clock, this.fleetRegistry,
-				this.loadTracker, this.runnerAvailability, retryShare.budget(), stallProbe, this::connectionPool);
+				this.loadTracker, this.runnerAvailability, partQuarantine, retryShare.budget(), stallProbe,
+				this::connectionPool);
 		this.stateExchange = new StateExchange(transport,
 				new StateExchange.LocalState(settings.vm(), settings.dataCentre(), settings.callerAddress(),
 						settings.stateAddress(), this::isServing, () -> this.leaving, this.fleetRegistry::isReachable,
 						this::configurationVersion),
-				this.loadTracker, this.runnerAvailability, clock, incarnation);
+				this.loadTracker, this.runnerAvailability, partQuarantine, clock, incarnation);
 		this.server = new CallerServer(transport, this::callerLimits, clock, new RelayHandler(this.relayContext));
 		LeaseCandidate candidate = new LeaseCandidate(settings.vm() + "/" + incarnation, LEASE_TIMES, clock,
 				new Random(incarnation), this::hasHolderEnded);
--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/peer/StateExchange.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/peer/StateExchange.java
@@ -22,6 +22,7 @@
 import io.bilberryvalve.model.RunnerId;
 import io.bilberryvalve.model.log.LogEvent;
 import io.bilberryvalve.policy.path.RunnerLoad;
+import io.bilberryvalve.policy.quarantine.PartQuarantine;
 import io.bilberryvalve.wire.proto.LoadMessages.DaemonState;
 import io.bilberryvalve.wire.proto.LoadMessages.RunnerUsage;
 import io.netty.buffer.ByteBufUtil;
@@ -89,6 +90,8 @@
 
 	private final RunnerAvailability runnerAvailability;
 
+	private final PartQuarantine partQuarantine;
+
 	private final Clock clock;
 
 	private final long incarnation;
@@ -116,16 +119,19 @@
 	 * that other daemons report
 	 * @param runnerAvailability availability of runners; supplies the lost and changing
 	 * runners to send and takes those that other daemons report
+	 * @param partQuarantine suspected prompt parts; supplies what this daemon has seen
+	 * and takes what other daemons report
 	 * @param clock monotonic clock
 	 * @param incarnation number of this start of the daemon; each later start has a
 	 * higher number
 	 */
 	public StateExchange(Transport transport, LocalState local, LoadTracker loadTracker,
-			RunnerAvailability runnerAvailability, Clock clock, long incarnation) {
+			RunnerAvailability runnerAvailability, PartQuarantine partQuarantine, Clock clock, long incarnation) {
 		this.transport = transport;
 		this.local = local;
 		this.loadTracker = loadTracker;
 		this.runnerAvailability = runnerAvailability;
+		this.partQuarantine = partQuarantine;
 		this.clock = clock;
 		this.incarnation = incarnation;
 		this.startedAt = clock.millis();
@@ -292,6 +298,7 @@
 						.setTokenLayers(usage.tokenLayers())
 						.setEntered(usage.firstHops())
 						.setUnreadLayers(usage.prefillTokenLayers())));
+		this.partQuarantine.report().forEach((report) -> builder.addPromptParts(PartReportCodec.encode(report)));
 		return builder.build();
 	}
 
@@ -306,6 +313,8 @@
 			if (accept(peer)) {
 				this.loadTracker.applyReport(peer.vm(), usage(state));
 				this.runnerAvailability.applyReport(peer.vm(), peer.lostRunners(), peer.changingRunners());
+				this.partQuarantine
+					.applyReports(state.getPromptPartsList().stream().map(PartReportCodec::decode).toList());
 			}
 		}
 		catch (InvalidProtocolBufferException | IllegalArgumentException ex) {
--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/relay/RelayContext.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/relay/RelayContext.java
@@ -24,6 +24,7 @@
 import io.bilberryvalve.model.log.LogEvent;
 import io.bilberryvalve.policy.membership.ShutdownSchedule;
 import io.bilberryvalve.policy.placement.EngineProfile;
+import io.bilberryvalve.policy.quarantine.PartQuarantine;
 import io.bilberryvalve.policy.retry.RetryBudget;
 import io.netty.channel.EventLoop;
 import org.jspecify.annotations.Nullable;
@@ -56,6 +57,8 @@
 
 	private final ProgressTracker progressTracker;
 
+	private final PartQuarantine partQuarantine;
+
 	private final RetryBudget retryBudget;
 
 	private final StallProbe stallProbe;
@@ -84,13 +87,14 @@
 	 * @param fleetRegistry runners that are known
 	 * @param loadTracker requests in progress at the runners
 	 * @param runnerAvailability runners that are avoided after failures
+	 * @param partQuarantine prompt parts with which requests are rejected
 	 * @param retryBudget limits repeated requests
 	 * @param stallProbe asks runners for the cause of a stalled path
 	 * @param connectionPools connections to runners, by event loop
 	 */
 	public RelayContext(HeaderNames headerNames, DataCentreId localDataCentre, Clock clock, FleetRegistry fleetRegistry,
-			LoadTracker loadTracker, RunnerAvailability runnerAvailability, RetryBudget retryBudget,
-			StallProbe stallProbe, Function<EventLoop, UpstreamPool> connectionPools) {
+			LoadTracker loadTracker, RunnerAvailability runnerAvailability, PartQuarantine partQuarantine,
+			RetryBudget retryBudget, StallProbe stallProbe, Function<EventLoop, UpstreamPool> connectionPools) {
 		this.headerNames = headerNames;
 		this.localDataCentre = localDataCentre;
 		this.clock = clock;
@@ -98,6 +102,7 @@
 		this.loadTracker = loadTracker;
 		this.runnerAvailability = runnerAvailability;
 		this.progressTracker = new ProgressTracker(clock);
+		this.partQuarantine = partQuarantine;
 		this.retryBudget = retryBudget;
 		this.stallProbe = new CoalescingStallProbe(stallProbe, clock);
 		this.connectionPools = connectionPools;
@@ -149,6 +154,10 @@
 		return this.progressTracker;
 	}
 
+	PartQuarantine partQuarantine() {
+		return this.partQuarantine;
+	}
+
 	RetryBudget retryBudget() {
 		return this.retryBudget;
 	}
--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/relay/RelayedRequest.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/relay/RelayedRequest.java
@@ -86,6 +86,8 @@
 	 */
 	private static final int CRASH_CHECK_MILLIS = 100;
 
+	private static final String HELD_REASON = "a part of the prompt crashes runners";
+
 	private static final double MILLIS_PER_SECOND = 1000;
 
 	private final RelayContext context;
@@ -208,6 +210,9 @@
 			reject(LEAVING_RETRY_MILLIS, "this daemon is leaving");
 			return;
 		}
+		if (endIfHeld()) {
+			return;
+		}
 		this.queue = this.context.reservationQueue(decision.service());
 		this.deadlineAt = this.arrivedAt + decision.timeoutMillis();
 		this.exchange.onDisconnect(this::callerDisconnected);
@@ -246,11 +251,22 @@
 		if (this.done || decision == null) {
 			releaseReservation();
 		}
-		else {
+		else if (!endIfHeld()) {
 			send(decision, reserved);
 		}
 	}
 
+	// Ends the request if its prompt is not to be sent to a runner. A stream that was
+	// answered before cannot be the cause of crashes.
+	private boolean endIfHeld() {
+		long millis = (this.events < ANSWERED_EVENTS) ? this.context.partQuarantine().heldMillis(this.prompt) : 0;
+		if (millis > 0) {
+			this.context.metrics().recordHeld();
+			giveUp(millis, HELD_REASON);
+		}
+		return millis > 0;
+	}
+
 	@Override
 	public void rejected(long retryMillis) {
 		if (!this.loop.inEventLoop()) {
@@ -314,7 +330,9 @@
 	}
 
 	private void eventArrived() {
-		this.events++;
+		if (++this.events == ANSWERED_EVENTS) {
+			this.context.partQuarantine().recordAnswer(this.prompt);
+		}
 		Reservation reserved = this.reservation;
 		if (this.firstEventReceived || reserved == null) {
 			return;
@@ -354,6 +372,9 @@
 		Reservation reserved = this.reservation;
 		HttpResponse head = this.response.head();
 		int status = (head != null) ? head.status().code() : 0;
+		if (this.events > 0) {
+			this.context.partQuarantine().recordAnswer(this.prompt);
+		}
 		if (reserved != null && status < HttpResponseStatus.INTERNAL_SERVER_ERROR.code()) {
 			reserved.runnerIds().forEach(this.context.runnerAvailability()::recordSuccess);
 		}
@@ -475,6 +496,7 @@
 			.with("parts", this.prompt.shared())
 			.log(LOGGER, System.Logger.Level.INFO);
 		this.context.runnerAvailability().markLost(runner, "its address refuses connections");
+		this.context.partQuarantine().recordCrash(this.prompt, runner.id(), runner.startedMillis());
 	}
 
 	// Handles an attempt that may have run and whose response will not be completed.
@@ -499,7 +521,8 @@
 	private void retryOrGiveUp(String reason, @Nullable Reservation reserved) {
 		RoutingDecision.Allowed decision = this.allowed;
 		ReservationQueue targetQueue = this.queue;
-		boolean permitted = decision != null && this.attempts < decision.route().maxAttempts()
+		boolean held = this.events < ANSWERED_EVENTS && this.context.partQuarantine().heldMillis(this.prompt) > 0;
+		boolean permitted = decision != null && !held && this.attempts < decision.route().maxAttempts()
 				&& (!this.mayHaveRun || decision.route().isRepeatable());
 		boolean granted = permitted && this.context.retryBudget().tryRetry();
 		logFailedAttempt(reason, reserved, granted);
--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/report/Metrics.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/report/Metrics.java
@@ -44,6 +44,11 @@
 		.help("Attempts whose runner ended before it had answered the prompt")
 		.register(this.registry);
 
+	private final Counter heldRequests = Counter.builder()
+		.name("bilberryvalve_held_requests_total")
+		.help("Requests that were not sent, or not again, because a part of the prompt crashes runners")
+		.register(this.registry);
+
 	private final Histogram duration = histogram("bilberryvalve_request_seconds",
 			"Time from a request to the end of its response");
 
@@ -121,6 +126,13 @@
 		this.runnerCrashes.inc();
 	}
 
+	/**
+	 * Records a request that is not sent because a part of its prompt crashes runners.
+	 */
+	public void recordHeld() {
+		this.heldRequests.inc();
+	}
+
 	/**
 	 * Returns all metrics as text.
 	 * @return the metrics in the Prometheus text format
--- a/bilberryvalve-gateway/src/test/java/io/bilberryvalve/gateway/relay/RelayFixture.java
+++ b/bilberryvalve-gateway/src/test/java/io/bilberryvalve/gateway/relay/RelayFixture.java
@@ -38,6 +38,7 @@
 import io.bilberryvalve.model.clock.MonotonicClock;
 import io.bilberryvalve.policy.placement.CardKind;
 import io.bilberryvalve.policy.placement.EngineProfile;
+import io.bilberryvalve.policy.quarantine.PartQuarantine;
 import io.bilberryvalve.policy.retry.RetryBudget;
 import io.netty.channel.EventLoop;
 
@@ -77,7 +78,7 @@
 	RelayFixture(ScriptedRunner... runners) {
 		RetryBudget budget = new RetryBudget(this.clock, 0.2, 10, Duration.ofSeconds(10));
 		this.context = new RelayContext(HEADER_NAMES, HERE, this.clock, this.fleetRegistry, this.loadTracker,
-				new RunnerAvailability(this.clock), budget,
+				new RunnerAvailability(this.clock), new PartQuarantine(this.crashClock), budget,
 				(first) -> CompletableFuture.completedFuture(new StallProbe.ProbeResult(true, List.of())),
 				(loop) -> this.pools.computeIfAbsent(loop, (key) -> new UpstreamPool(this.transport, key, this.clock)));
 		Map<RunnerId, ListedRunner> listed = new HashMap<>();
--- a/bilberryvalve-gateway/src/test/java/io/bilberryvalve/gateway/relay/StallDetectorTests.java
+++ b/bilberryvalve-gateway/src/test/java/io/bilberryvalve/gateway/relay/StallDetectorTests.java
@@ -22,6 +22,7 @@
 import io.bilberryvalve.model.clock.ManualClock;
 import io.bilberryvalve.policy.path.LayerPath;
 import io.bilberryvalve.policy.path.RequestSize;
+import io.bilberryvalve.policy.quarantine.PartQuarantine;
 import io.bilberryvalve.policy.retry.RetryBudget;
 import io.netty.channel.DefaultEventLoop;
 import io.netty.channel.EventLoop;
@@ -78,7 +79,8 @@
 		listed.put(this.second.id(), this.second);
 		fleetRegistry.replace(listed);
 		RelayContext context = new RelayContext(RelayFixture.HEADER_NAMES, HERE, this.clock, fleetRegistry,
-				new LoadTracker(this.clock), this.runnerAvailability, new RetryBudget(this.clock), (runner) -> {
+				new LoadTracker(this.clock), this.runnerAvailability, new PartQuarantine(this.clock),
+				new RetryBudget(this.clock), (runner) -> {
 					this.probes++;
 					return CompletableFuture.completedFuture(this.result);
 				}, (unused) -> {
--- a/bilberryvalve-wire/src/main/java/io/bilberryvalve/wire/proto/LoadMessages.java
+++ b/bilberryvalve-wire/src/main/java/io/bilberryvalve/wire/proto/LoadMessages.java
@@ -287,6 +287,50 @@
      */
     com.google.protobuf.ByteString
         getChangingRunnersBytes(int index);
+
+    /**
+     * <pre>
+     * Prompt parts that this daemon has seen crash runners, or answered after such a crash.
+     * </pre>
+     *
+     * <code>repeated .bilberryvalve.load.PromptPart prompt_parts = 14;</code>
+     */
+    java.util.List<io.bilberryvalve.wire.proto.LoadMessages.PromptPart> 
+        getPromptPartsList();
+    /**
+     * <pre>
+     * Prompt parts that this daemon has seen crash runners, or answered after such a crash.
+     * </pre>
+     *
+     * <code>repeated .bilberryvalve.load.PromptPart prompt_parts = 14;</code>
+     */
+    io.bilberryvalve.wire.proto.LoadMessages.PromptPart getPromptParts(int index);
+    /**
+     * <pre>
+     * Prompt parts that this daemon has seen crash runners, or answered after such a crash.
+     * </pre>
+     *
+     * <code>repeated .bilberryvalve.load.PromptPart prompt_parts = 14;</code>
+     */
+    int getPromptPartsCount();
+    /**
+     * <pre>
+     * Prompt parts that this daemon has seen crash runners, or answered after such a crash.
+     * </pre>
+     *
+     * <code>repeated .bilberryvalve.load.PromptPart prompt_parts = 14;</code>
+     */
+    java.util.List<? extends io.bilberryvalve.wire.proto.LoadMessages.PromptPartOrBuilder> 
+        getPromptPartsOrBuilderList();
+    /**
+     * <pre>
+     * Prompt parts that this daemon has seen crash runners, or answered after such a crash.
+     * </pre>
+     *
+     * <code>repeated .bilberryvalve.load.PromptPart prompt_parts = 14;</code>
+     */
+    io.bilberryvalve.wire.proto.LoadMessages.PromptPartOrBuilder getPromptPartsOrBuilder(
+        int index);
   }
   /**
    * <pre>
@@ -323,6 +367,7 @@
           com.google.protobuf.LazyStringArrayList.emptyList();
       changingRunners_ =
           com.google.protobuf.LazyStringArrayList.emptyList();
+      promptParts_ = java.util.Collections.emptyList();
     }
 
     public static final com.google.protobuf.Descriptors.Descriptor
@@ -775,6 +820,67 @@
       return changingRunners_.getByteString(index);
     }
 
+    public static final int PROMPT_PARTS_FIELD_NUMBER = 14;
+    @SuppressWarnings("serial")
+    private java.util.List<io.bilberryvalve.wire.proto.LoadMessages.PromptPart> promptParts_;
+    /**
+     * <pre>
+     * Prompt parts that this daemon has seen crash runners, or answered after such a crash.
+     * </pre>
+     *
+     * <code>repeated .bilberryvalve.load.PromptPart prompt_parts = 14;</code>
+     */
+    @java.lang.Override
+    public java.util.List<io.bilberryvalve.wire.proto.LoadMessages.PromptPart> getPromptPartsList() {
+      return promptParts_;
+    }
+    /**
+     * <pre>
+     * Prompt parts that this daemon has seen crash runners, or answered after such a crash.
+     * </pre>
+     *
+     * <code>repeated .bilberryvalve.load.PromptPart prompt_parts = 14;</code>
+     */
+    @java.lang.Override
+    public java.util.List<? extends io.bilberryvalve.wire.proto.LoadMessages.PromptPartOrBuilder> 
+        getPromptPartsOrBuilderList() {
+      return promptParts_;
+    }
+    /**
+     * <pre>
+     * Prompt parts that this daemon has seen crash runners, or answered after such a crash.
+     * </pre>
+     *
+     * <code>repeated .bilberryvalve.load.PromptPart prompt_parts = 14;</code>
+     */
+    @java.lang.Override
+    public int getPromptPartsCount() {
+      return promptParts_.size();
+    }
+    /**
+     * <pre>
+     * Prompt parts that this daemon has seen crash runners, or answered after such a crash.
+     * </pre>
+     *
+     * <code>repeated .bilberryvalve.load.PromptPart prompt_parts = 14;</code>
+     */
+    @java.lang.Override
+    public io.bilberryvalve.wire.proto.LoadMessages.PromptPart getPromptParts(int index) {
+      return promptParts_.get(index);
+    }
+    /**
+     * <pre>
+     * Prompt parts that this daemon has seen crash runners, or answered after such a crash.
+     * </pre>
+     *
+     * <code>repeated .bilberryvalve.load.PromptPart prompt_parts = 14;</code>
+     */
+    @java.lang.Override
+    public io.bilberryvalve.wire.proto.LoadMessages.PromptPartOrBuilder getPromptPartsOrBuilder(
+        int index) {
+      return promptParts_.get(index);
+    }
+
     private byte memoizedIsInitialized = -1;
     @java.lang.Override
     public final boolean isInitialized() {
@@ -828,6 +934,9 @@
       for (int i = 0; i < changingRunners_.size(); i++) {
         com.google.protobuf.GeneratedMessage.writeString(output, 13, changingRunners_.getRaw(i));
       }
+      for (int i = 0; i < promptParts_.size(); i++) {
+        output.writeMessage(14, promptParts_.get(i));
+      }
       getUnknownFields().writeTo(output);
     }
 
@@ -893,6 +1002,10 @@
         size += dataSize;
         size += 1 * getChangingRunnersList().size();
       }
+      for (int i = 0; i < promptParts_.size(); i++) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeMessageSize(14, promptParts_.get(i));
+      }
       size += getUnknownFields().getSerializedSize();
       memoizedSize = size;
       return size;
@@ -934,6 +1047,8 @@
           .equals(other.getLostRunnersList())) return false;
       if (!getChangingRunnersList()
           .equals(other.getChangingRunnersList())) return false;
+      if (!getPromptPartsList()
+          .equals(other.getPromptPartsList())) return false;
       if (!getUnknownFields().equals(other.getUnknownFields())) return false;
       return true;
     }
@@ -983,6 +1098,10 @@
         hash = (37 * hash) + CHANGING_RUNNERS_FIELD_NUMBER;
         hash = (53 * hash) + getChangingRunnersList().hashCode();
       }
+      if (getPromptPartsCount() > 0) {
+        hash = (37 * hash) + PROMPT_PARTS_FIELD_NUMBER;
+        hash = (53 * hash) + getPromptPartsList().hashCode();
+      }
       hash = (29 * hash) + getUnknownFields().hashCode();
       memoizedHashCode = hash;
       return hash;
@@ -1139,6 +1258,13 @@
             com.google.protobuf.LazyStringArrayList.emptyList();
         changingRunners_ =
             com.google.protobuf.LazyStringArrayList.emptyList();
+        if (promptPartsBuilder_ == null) {
+          promptParts_ = java.util.Collections.emptyList();
+        } else {
+          promptParts_ = null;
+          promptPartsBuilder_.clear();
+        }
+        bitField0_ = (bitField0_ & ~0x00002000);
         return this;
       }
 
@@ -1181,6 +1307,15 @@
         } else {
           result.usage_ = usageBuilder_.build();
         }
+        if (promptPartsBuilder_ == null) {
+          if (((bitField0_ & 0x00002000) != 0)) {
+            promptParts_ = java.util.Collections.unmodifiableList(promptParts_);
+            bitField0_ = (bitField0_ & ~0x00002000);
+          }
+          result.promptParts_ = promptParts_;
+        } else {
+          result.promptParts_ = promptPartsBuilder_.build();
+        }
       }
 
       private void buildPartial0(io.bilberryvalve.wire.proto.LoadMessages.DaemonState result) {
@@ -1321,6 +1456,32 @@
           }
           onChanged();
         }
+        if (promptPartsBuilder_ == null) {
+          if (!other.promptParts_.isEmpty()) {
+            if (promptParts_.isEmpty()) {
+              promptParts_ = other.promptParts_;
+              bitField0_ = (bitField0_ & ~0x00002000);
+            } else {
+              ensurePromptPartsIsMutable();
+              promptParts_.addAll(other.promptParts_);
+            }
+            onChanged();
+          }
+        } else {
+          if (!other.promptParts_.isEmpty()) {
+            if (promptPartsBuilder_.isEmpty()) {
+              promptPartsBuilder_.dispose();
+              promptPartsBuilder_ = null;
+              promptParts_ = other.promptParts_;
+              bitField0_ = (bitField0_ & ~0x00002000);
+              promptPartsBuilder_ = 
+                com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                   internalGetPromptPartsFieldBuilder() : null;
+            } else {
+              promptPartsBuilder_.addAllMessages(other.promptParts_);
+            }
+          }
+        }
         this.mergeUnknownFields(other.getUnknownFields());
         onChanged();
         return this;
@@ -1422,6 +1583,19 @@
                 changingRunners_.add(s);
                 break;
               } // case 106
+              case 114: {
+                io.bilberryvalve.wire.proto.LoadMessages.PromptPart m =
+                    input.readMessage(
+                        io.bilberryvalve.wire.proto.LoadMessages.PromptPart.parser(),
+                        extensionRegistry);
+                if (promptPartsBuilder_ == null) {
+                  ensurePromptPartsIsMutable();
+                  promptParts_.add(m);
+                } else {
+                  promptPartsBuilder_.addMessage(m);
+                }
+                break;
+              } // case 114
               default: {
                 if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                   done = true; // was an endgroup tag
@@ -2657,167 +2831,2139 @@
         return this;
       }
 
-      // @@protoc_insertion_point(builder_scope:bilberryvalve.load.DaemonState)
-    }
-
-    // @@protoc_insertion_point(class_scope:bilberryvalve.load.DaemonState)
-    private static final io.bilberryvalve.wire.proto.LoadMessages.DaemonState DEFAULT_INSTANCE;
-    static {
-      DEFAULT_INSTANCE = new io.bilberryvalve.wire.proto.LoadMessages.DaemonState();
-    }
+      private java.util.List<io.bilberryvalve.wire.proto.LoadMessages.PromptPart> promptParts_ =
+        java.util.Collections.emptyList();
+      private void ensurePromptPartsIsMutable() {
+        if (!((bitField0_ & 0x00002000) != 0)) {
+          promptParts_ = new java.util.ArrayList<io.bilberryvalve.wire.proto.LoadMessages.PromptPart>(promptParts_);
+          bitField0_ |= 0x00002000;
+         }
+      }
 
-    public static io.bilberryvalve.wire.proto.LoadMessages.DaemonState getDefaultInstance() {
-      return DEFAULT_INSTANCE;
-    }
+      private com.google.protobuf.RepeatedFieldBuilder<
+          io.bilberryvalve.wire.proto.LoadMessages.PromptPart, io.bilberryvalve.wire.proto.LoadMessages.PromptPart.Builder, io.bilberryvalve.wire.proto.LoadMessages.PromptPartOrBuilder> promptPartsBuilder_;
 
-    private static final com.google.protobuf.Parser<DaemonState>
-        PARSER = new com.google.protobuf.AbstractParser<DaemonState>() {
-      @java.lang.Override
-      public DaemonState parsePartialFrom(
-          com.google.protobuf.CodedInputStream input,
-          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-          throws com.google.protobuf.InvalidProtocolBufferException {
-        Builder builder = newBuilder();
-        try {
-          builder.mergeFrom(input, extensionRegistry);
-        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
-          throw e.setUnfinishedMessage(builder.buildPartial());
-        } catch (com.google.protobuf.UninitializedMessageException e) {
-          throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
-        } catch (java.io.IOException e) {
-          throw new com.google.protobuf.InvalidProtocolBufferException(e)
-              .setUnfinishedMessage(builder.buildPartial());
+      /**
+       * <pre>
+       * Prompt parts that this daemon has seen crash runners, or answered after such a crash.
+       * </pre>
+       *
+       * <code>repeated .bilberryvalve.load.PromptPart prompt_parts = 14;</code>
+       */
+      public java.util.List<io.bilberryvalve.wire.proto.LoadMessages.PromptPart> getPromptPartsList() {
+        if (promptPartsBuilder_ == null) {
+          return java.util.Collections.unmodifiableList(promptParts_);
+        } else {
+          return promptPartsBuilder_.getMessageList();
         }
-        return builder.buildPartial();
       }
-    };
-
-    public static com.google.protobuf.Parser<DaemonState> parser() {
-      return PARSER;
-    }
-
-    @java.lang.Override
-    public com.google.protobuf.Parser<DaemonState> getParserForType() {
-      return PARSER;
-    }
-
-    @java.lang.Override
-    public io.bilberryvalve.wire.proto.LoadMessages.DaemonState getDefaultInstanceForType() {
-      return DEFAULT_INSTANCE;
-    }
-
-  }
-
-  public interface RunnerUsageOrBuilder extends
-      // @@protoc_insertion_point(interface_extends:bilberryvalve.load.RunnerUsage)
-      com.google.protobuf.MessageOrBuilder {
-
-    /**
-     * <code>string runner = 1;</code>
-     * @return The runner.
-     */
-    java.lang.String getRunner();
-    /**
-     * <code>string runner = 1;</code>
-     * @return The bytes for runner.
-     */
-    com.google.protobuf.ByteString
-        getRunnerBytes();
-
-    /**
-     * <pre>
-     * Requests that pass the runner.
-     * </pre>
-     *
-     * <code>int32 running = 2;</code>
-     * @return The running.
-     */
-    int getRunning();
-
-    /**
-     * <pre>
-     * Their tokens with the expected answers, times layers that they pass there.
-     * </pre>
-     *
-     * <code>int64 token_layers = 3;</code>
-     * @return The tokenLayers.
-     */
-    long getTokenLayers();
-
-    /**
-     * <pre>
-     * Requests that entered their path at the runner.
-     * </pre>
-     *
-     * <code>int32 entered = 4;</code>
-     * @return The entered.
-     */
-    int getEntered();
-
-    /**
-     * <pre>
-     * Prompt tokens not read yet, times layers that they pass there.
-     * </pre>
-     *
-     * <code>int64 unread_layers = 5;</code>
-     * @return The unreadLayers.
-     */
-    long getUnreadLayers();
-  }
-  /**
-   * <pre>
-   * Requests of one daemon at one runner.
-   * </pre>
-   *
-   * Protobuf type {@code bilberryvalve.load.RunnerUsage}
-   */
-  public static final class RunnerUsage extends
-      com.google.protobuf.GeneratedMessage implements
-      // @@protoc_insertion_point(message_implements:bilberryvalve.load.RunnerUsage)
-      RunnerUsageOrBuilder {
-  private static final long serialVersionUID = 0L;
-    static {
-      com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
-        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
-        /* major= */ 4,
-        /* minor= */ 33,
-        /* patch= */ 4,
-        /* suffix= */ "",
-        "RunnerUsage");
-    }
-    // Use RunnerUsage.newBuilder() to construct.
-    private RunnerUsage(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
-      super(builder);
-    }
-    private RunnerUsage() {
-      runner_ = "";
-    }
-
-    public static final com.google.protobuf.Descriptors.Descriptor
-        getDescriptor() {
-      return io.bilberryvalve.wire.proto.LoadMessages.internal_static_bilberryvalve_load_RunnerUsage_descriptor;
-    }
-
-    @java.lang.Override
-    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
-        internalGetFieldAccessorTable() {
-      return io.bilberryvalve.wire.proto.LoadMessages.internal_static_bilberryvalve_load_RunnerUsage_fieldAccessorTable
-          .ensureFieldAccessorsInitialized(
-              io.bilberryvalve.wire.proto.LoadMessages.RunnerUsage.class, io.bilberryvalve.wire.proto.LoadMessages.RunnerUsage.Builder.class);
-    }
-
-    public static final int RUNNER_FIELD_NUMBER = 1;
-    @SuppressWarnings("serial")
-    private volatile java.lang.Object runner_ = "";
-    /**
-     * <code>string runner = 1;</code>
-     * @return The runner.
-     */
-    @java.lang.Override
-    public java.lang.String getRunner() {
-      java.lang.Object ref = runner_;
-      if (ref instanceof java.lang.String) {
-        return (java.lang.String) ref;
+      /**
+       * <pre>
+       * Prompt parts that this daemon has seen crash runners, or answered after such a crash.
+       * </pre>
+       *
+       * <code>repeated .bilberryvalve.load.PromptPart prompt_parts = 14;</code>
+       */
+      public int getPromptPartsCount() {
+        if (promptPartsBuilder_ == null) {
+          return promptParts_.size();
+        } else {
+          return promptPartsBuilder_.getCount();
+        }
+      }
+      /**
+       * <pre>
+       * Prompt parts that this daemon has seen crash runners, or answered after such a crash.
+       * </pre>
+       *
+       * <code>repeated .bilberryvalve.load.PromptPart prompt_parts = 14;</code>
+       */
+      public io.bilberryvalve.wire.proto.LoadMessages.PromptPart getPromptParts(int index) {
+        if (promptPartsBuilder_ == null) {
+          return promptParts_.get(index);
+        } else {
+          return promptPartsBuilder_.getMessage(index);
+        }
+      }
+      /**
+       * <pre>
+       * Prompt parts that this daemon has seen crash runners, or answered after such a crash.
+       * </pre>
+       *
+       * <code>repeated .bilberryvalve.load.PromptPart prompt_parts = 14;</code>
+       */
+      public Builder setPromptParts(
+          int index, io.bilberryvalve.wire.proto.LoadMessages.PromptPart value) {
+        if (promptPartsBuilder_ == null) {
+          if (value == null) {
+            throw new NullPointerException();
+          }
+          ensurePromptPartsIsMutable();
+          promptParts_.set(index, value);
+          onChanged();
+        } else {
+          promptPartsBuilder_.setMessage(index, value);
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * Prompt parts that this daemon has seen crash runners, or answered after such a crash.
+       * </pre>
+       *
+       * <code>repeated .bilberryvalve.load.PromptPart prompt_parts = 14;</code>
+       */
+      public Builder setPromptParts(
+          int index, io.bilberryvalve.wire.proto.LoadMessages.PromptPart.Builder builderForValue) {
+        if (promptPartsBuilder_ == null) {
+          ensurePromptPartsIsMutable();
+          promptParts_.set(index, builderForValue.build());
+          onChanged();
+        } else {
+          promptPartsBuilder_.setMessage(index, builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * Prompt parts that this daemon has seen crash runners, or answered after such a crash.
+       * </pre>
+       *
+       * <code>repeated .bilberryvalve.load.PromptPart prompt_parts = 14;</code>
+       */
+      public Builder addPromptParts(io.bilberryvalve.wire.proto.LoadMessages.PromptPart value) {
+        if (promptPartsBuilder_ == null) {
+          if (value == null) {
+            throw new NullPointerException();
+          }
+          ensurePromptPartsIsMutable();
+          promptParts_.add(value);
+          onChanged();
+        } else {
+          promptPartsBuilder_.addMessage(value);
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * Prompt parts that this daemon has seen crash runners, or answered after such a crash.
+       * </pre>
+       *
+       * <code>repeated .bilberryvalve.load.PromptPart prompt_parts = 14;</code>
+       */
+      public Builder addPromptParts(
+          int index, io.bilberryvalve.wire.proto.LoadMessages.PromptPart value) {
+        if (promptPartsBuilder_ == null) {
+          if (value == null) {
+            throw new NullPointerException();
+          }
+          ensurePromptPartsIsMutable();
+          promptParts_.add(index, value);
+          onChanged();
+        } else {
+          promptPartsBuilder_.addMessage(index, value);
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * Prompt parts that this daemon has seen crash runners, or answered after such a crash.
+       * </pre>
+       *
+       * <code>repeated .bilberryvalve.load.PromptPart prompt_parts = 14;</code>
+       */
+      public Builder addPromptParts(
+          io.bilberryvalve.wire.proto.LoadMessages.PromptPart.Builder builderForValue) {
+        if (promptPartsBuilder_ == null) {
+          ensurePromptPartsIsMutable();
+          promptParts_.add(builderForValue.build());
+          onChanged();
+        } else {
+          promptPartsBuilder_.addMessage(builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * Prompt parts that this daemon has seen crash runners, or answered after such a crash.
+       * </pre>
+       *
+       * <code>repeated .bilberryvalve.load.PromptPart prompt_parts = 14;</code>
+       */
+      public Builder addPromptParts(
+          int index, io.bilberryvalve.wire.proto.LoadMessages.PromptPart.Builder builderForValue) {
+        if (promptPartsBuilder_ == null) {
+          ensurePromptPartsIsMutable();
+          promptParts_.add(index, builderForValue.build());
+          onChanged();
+        } else {
+          promptPartsBuilder_.addMessage(index, builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * Prompt parts that this daemon has seen crash runners, or answered after such a crash.
+       * </pre>
+       *
+       * <code>repeated .bilberryvalve.load.PromptPart prompt_parts = 14;</code>
+       */
+      public Builder addAllPromptParts(
+          java.lang.Iterable<? extends io.bilberryvalve.wire.proto.LoadMessages.PromptPart> values) {
+        if (promptPartsBuilder_ == null) {
+          ensurePromptPartsIsMutable();
+          com.google.protobuf.AbstractMessageLite.Builder.addAll(
+              values, promptParts_);
+          onChanged();
+        } else {
+          promptPartsBuilder_.addAllMessages(values);
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * Prompt parts that this daemon has seen crash runners, or answered after such a crash.
+       * </pre>
+       *
+       * <code>repeated .bilberryvalve.load.PromptPart prompt_parts = 14;</code>
+       */
+      public Builder clearPromptParts() {
+        if (promptPartsBuilder_ == null) {
+          promptParts_ = java.util.Collections.emptyList();
+          bitField0_ = (bitField0_ & ~0x00002000);
+          onChanged();
+        } else {
+          promptPartsBuilder_.clear();
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * Prompt parts that this daemon has seen crash runners, or answered after such a crash.
+       * </pre>
+       *
+       * <code>repeated .bilberryvalve.load.PromptPart prompt_parts = 14;</code>
+       */
+      public Builder removePromptParts(int index) {
+        if (promptPartsBuilder_ == null) {
+          ensurePromptPartsIsMutable();
+          promptParts_.remove(index);
+          onChanged();
+        } else {
+          promptPartsBuilder_.remove(index);
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * Prompt parts that this daemon has seen crash runners, or answered after such a crash.
+       * </pre>
+       *
+       * <code>repeated .bilberryvalve.load.PromptPart prompt_parts = 14;</code>
+       */
+      public io.bilberryvalve.wire.proto.LoadMessages.PromptPart.Builder getPromptPartsBuilder(
+          int index) {
+        return internalGetPromptPartsFieldBuilder().getBuilder(index);
+      }
+      /**
+       * <pre>
+       * Prompt parts that this daemon has seen crash runners, or answered after such a crash.
+       * </pre>
+       *
+       * <code>repeated .bilberryvalve.load.PromptPart prompt_parts = 14;</code>
+       */
+      public io.bilberryvalve.wire.proto.LoadMessages.PromptPartOrBuilder getPromptPartsOrBuilder(
+          int index) {
+        if (promptPartsBuilder_ == null) {
+          return promptParts_.get(index);  } else {
+          return promptPartsBuilder_.getMessageOrBuilder(index);
+        }
+      }
+      /**
+       * <pre>
+       * Prompt parts that this daemon has seen crash runners, or answered after such a crash.
+       * </pre>
+       *
+       * <code>repeated .bilberryvalve.load.PromptPart prompt_parts = 14;</code>
+       */
+      public java.util.List<? extends io.bilberryvalve.wire.proto.LoadMessages.PromptPartOrBuilder> 
+           getPromptPartsOrBuilderList() {
+        if (promptPartsBuilder_ != null) {
+          return promptPartsBuilder_.getMessageOrBuilderList();
+        } else {
+          return java.util.Collections.unmodifiableList(promptParts_);
+        }
+      }
+      /**
+       * <pre>
+       * Prompt parts that this daemon has seen crash runners, or answered after such a crash.
+       * </pre>
+       *
+       * <code>repeated .bilberryvalve.load.PromptPart prompt_parts = 14;</code>
+       */
+      public io.bilberryvalve.wire.proto.LoadMessages.PromptPart.Builder addPromptPartsBuilder() {
+        return internalGetPromptPartsFieldBuilder().addBuilder(
+            io.bilberryvalve.wire.proto.LoadMessages.PromptPart.getDefaultInstance());
+      }
+      /**
+       * <pre>
+       * Prompt parts that this daemon has seen crash runners, or answered after such a crash.
+       * </pre>
+       *
+       * <code>repeated .bilberryvalve.load.PromptPart prompt_parts = 14;</code>
+       */
+      public io.bilberryvalve.wire.proto.LoadMessages.PromptPart.Builder addPromptPartsBuilder(
+          int index) {
+        return internalGetPromptPartsFieldBuilder().addBuilder(
+            index, io.bilberryvalve.wire.proto.LoadMessages.PromptPart.getDefaultInstance());
+      }
+      /**
+       * <pre>
+       * Prompt parts that this daemon has seen crash runners, or answered after such a crash.
+       * </pre>
+       *
+       * <code>repeated .bilberryvalve.load.PromptPart prompt_parts = 14;</code>
+       */
+      public java.util.List<io.bilberryvalve.wire.proto.LoadMessages.PromptPart.Builder> 
+           getPromptPartsBuilderList() {
+        return internalGetPromptPartsFieldBuilder().getBuilderList();
+      }
+      private com.google.protobuf.RepeatedFieldBuilder<
+          io.bilberryvalve.wire.proto.LoadMessages.PromptPart, io.bilberryvalve.wire.proto.LoadMessages.PromptPart.Builder, io.bilberryvalve.wire.proto.LoadMessages.PromptPartOrBuilder> 
+          internalGetPromptPartsFieldBuilder() {
+        if (promptPartsBuilder_ == null) {
+          promptPartsBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+              io.bilberryvalve.wire.proto.LoadMessages.PromptPart, io.bilberryvalve.wire.proto.LoadMessages.PromptPart.Builder, io.bilberryvalve.wire.proto.LoadMessages.PromptPartOrBuilder>(
+                  promptParts_,
+                  ((bitField0_ & 0x00002000) != 0),
+                  getParentForChildren(),
+                  isClean());
+          promptParts_ = null;
+        }
+        return promptPartsBuilder_;
+      }
+
+      // @@protoc_insertion_point(builder_scope:bilberryvalve.load.DaemonState)
+    }
+
+    // @@protoc_insertion_point(class_scope:bilberryvalve.load.DaemonState)
+    private static final io.bilberryvalve.wire.proto.LoadMessages.DaemonState DEFAULT_INSTANCE;
+    static {
+      DEFAULT_INSTANCE = new io.bilberryvalve.wire.proto.LoadMessages.DaemonState();
+    }
+
+    public static io.bilberryvalve.wire.proto.LoadMessages.DaemonState getDefaultInstance() {
+      return DEFAULT_INSTANCE;
+    }
+
+    private static final com.google.protobuf.Parser<DaemonState>
+        PARSER = new com.google.protobuf.AbstractParser<DaemonState>() {
+      @java.lang.Override
+      public DaemonState parsePartialFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws com.google.protobuf.InvalidProtocolBufferException {
+        Builder builder = newBuilder();
+        try {
+          builder.mergeFrom(input, extensionRegistry);
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.setUnfinishedMessage(builder.buildPartial());
+        } catch (com.google.protobuf.UninitializedMessageException e) {
+          throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+        } catch (java.io.IOException e) {
+          throw new com.google.protobuf.InvalidProtocolBufferException(e)
+              .setUnfinishedMessage(builder.buildPartial());
+        }
+        return builder.buildPartial();
+      }
+    };
+
+    public static com.google.protobuf.Parser<DaemonState> parser() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Parser<DaemonState> getParserForType() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public io.bilberryvalve.wire.proto.LoadMessages.DaemonState getDefaultInstanceForType() {
+      return DEFAULT_INSTANCE;
+    }
+
+  }
+
+  public interface PromptPartOrBuilder extends
+      // @@protoc_insertion_point(interface_extends:bilberryvalve.load.PromptPart)
+      com.google.protobuf.MessageOrBuilder {
+
+    /**
+     * <code>string part = 1;</code>
+     * @return The part.
+     */
+    java.lang.String getPart();
+    /**
+     * <code>string part = 1;</code>
+     * @return The bytes for part.
+     */
+    com.google.protobuf.ByteString
+        getPartBytes();
+
+    /**
+     * <code>repeated .bilberryvalve.load.PromptCrash crashes = 2;</code>
+     */
+    java.util.List<io.bilberryvalve.wire.proto.LoadMessages.PromptCrash> 
+        getCrashesList();
+    /**
+     * <code>repeated .bilberryvalve.load.PromptCrash crashes = 2;</code>
+     */
+    io.bilberryvalve.wire.proto.LoadMessages.PromptCrash getCrashes(int index);
+    /**
+     * <code>repeated .bilberryvalve.load.PromptCrash crashes = 2;</code>
+     */
+    int getCrashesCount();
+    /**
+     * <code>repeated .bilberryvalve.load.PromptCrash crashes = 2;</code>
+     */
+    java.util.List<? extends io.bilberryvalve.wire.proto.LoadMessages.PromptCrashOrBuilder> 
+        getCrashesOrBuilderList();
+    /**
+     * <code>repeated .bilberryvalve.load.PromptCrash crashes = 2;</code>
+     */
+    io.bilberryvalve.wire.proto.LoadMessages.PromptCrashOrBuilder getCrashesOrBuilder(
+        int index);
+
+    /**
+     * <pre>
+     * Age of the last answer to a prompt with the part; absent if there was none.
+     * </pre>
+     *
+     * <code>optional int64 answered_age = 3;</code>
+     * @return Whether the answeredAge field is set.
+     */
+    boolean hasAnsweredAge();
+    /**
+     * <pre>
+     * Age of the last answer to a prompt with the part; absent if there was none.
+     * </pre>
+     *
+     * <code>optional int64 answered_age = 3;</code>
+     * @return The answeredAge.
+     */
+    long getAnsweredAge();
+  }
+  /**
+   * <pre>
+   * What one daemon has seen of a prompt part. Ages are in milliseconds before the message.
+   * </pre>
+   *
+   * Protobuf type {@code bilberryvalve.load.PromptPart}
+   */
+  public static final class PromptPart extends
+      com.google.protobuf.GeneratedMessage implements
+      // @@protoc_insertion_point(message_implements:bilberryvalve.load.PromptPart)
+      PromptPartOrBuilder {
+  private static final long serialVersionUID = 0L;
+    static {
+      com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+        /* major= */ 4,
+        /* minor= */ 33,
+        /* patch= */ 4,
+        /* suffix= */ "",
+        "PromptPart");
+    }
+    // Use PromptPart.newBuilder() to construct.
+    private PromptPart(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+      super(builder);
+    }
+    private PromptPart() {
+      part_ = "";
+      crashes_ = java.util.Collections.emptyList();
+    }
+
+    public static final com.google.protobuf.Descriptors.Descriptor
+        getDescriptor() {
+      return io.bilberryvalve.wire.proto.LoadMessages.internal_static_bilberryvalve_load_PromptPart_descriptor;
+    }
+
+    @java.lang.Override
+    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+        internalGetFieldAccessorTable() {
+      return io.bilberryvalve.wire.proto.LoadMessages.internal_static_bilberryvalve_load_PromptPart_fieldAccessorTable
+          .ensureFieldAccessorsInitialized(
+              io.bilberryvalve.wire.proto.LoadMessages.PromptPart.class, io.bilberryvalve.wire.proto.LoadMessages.PromptPart.Builder.class);
+    }
+
+    private int bitField0_;
+    public static final int PART_FIELD_NUMBER = 1;
+    @SuppressWarnings("serial")
+    private volatile java.lang.Object part_ = "";
+    /**
+     * <code>string part = 1;</code>
+     * @return The part.
+     */
+    @java.lang.Override
+    public java.lang.String getPart() {
+      java.lang.Object ref = part_;
+      if (ref instanceof java.lang.String) {
+        return (java.lang.String) ref;
+      } else {
+        com.google.protobuf.ByteString bs = 
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        part_ = s;
+        return s;
+      }
+    }
+    /**
+     * <code>string part = 1;</code>
+     * @return The bytes for part.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString
+        getPartBytes() {
+      java.lang.Object ref = part_;
+      if (ref instanceof java.lang.String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        part_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+
+    public static final int CRASHES_FIELD_NUMBER = 2;
+    @SuppressWarnings("serial")
+    private java.util.List<io.bilberryvalve.wire.proto.LoadMessages.PromptCrash> crashes_;
+    /**
+     * <code>repeated .bilberryvalve.load.PromptCrash crashes = 2;</code>
+     */
+    @java.lang.Override
+    public java.util.List<io.bilberryvalve.wire.proto.LoadMessages.PromptCrash> getCrashesList() {
+      return crashes_;
+    }
+    /**
+     * <code>repeated .bilberryvalve.load.PromptCrash crashes = 2;</code>
+     */
+    @java.lang.Override
+    public java.util.List<? extends io.bilberryvalve.wire.proto.LoadMessages.PromptCrashOrBuilder> 
+        getCrashesOrBuilderList() {
+      return crashes_;
+    }
+    /**
+     * <code>repeated .bilberryvalve.load.PromptCrash crashes = 2;</code>
+     */
+    @java.lang.Override
+    public int getCrashesCount() {
+      return crashes_.size();
+    }
+    /**
+     * <code>repeated .bilberryvalve.load.PromptCrash crashes = 2;</code>
+     */
+    @java.lang.Override
+    public io.bilberryvalve.wire.proto.LoadMessages.PromptCrash getCrashes(int index) {
+      return crashes_.get(index);
+    }
+    /**
+     * <code>repeated .bilberryvalve.load.PromptCrash crashes = 2;</code>
+     */
+    @java.lang.Override
+    public io.bilberryvalve.wire.proto.LoadMessages.PromptCrashOrBuilder getCrashesOrBuilder(
+        int index) {
+      return crashes_.get(index);
+    }
+
+    public static final int ANSWERED_AGE_FIELD_NUMBER = 3;
+    private long answeredAge_ = 0L;
+    /**
+     * <pre>
+     * Age of the last answer to a prompt with the part; absent if there was none.
+     * </pre>
+     *
+     * <code>optional int64 answered_age = 3;</code>
+     * @return Whether the answeredAge field is set.
+     */
+    @java.lang.Override
+    public boolean hasAnsweredAge() {
+      return ((bitField0_ & 0x00000001) != 0);
+    }
+    /**
+     * <pre>
+     * Age of the last answer to a prompt with the part; absent if there was none.
+     * </pre>
+     *
+     * <code>optional int64 answered_age = 3;</code>
+     * @return The answeredAge.
+     */
+    @java.lang.Override
+    public long getAnsweredAge() {
+      return answeredAge_;
+    }
+
+    private byte memoizedIsInitialized = -1;
+    @java.lang.Override
+    public final boolean isInitialized() {
+      byte isInitialized = memoizedIsInitialized;
+      if (isInitialized == 1) return true;
+      if (isInitialized == 0) return false;
+
+      memoizedIsInitialized = 1;
+      return true;
+    }
+
+    @java.lang.Override
+    public void writeTo(com.google.protobuf.CodedOutputStream output)
+                        throws java.io.IOException {
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(part_)) {
+        com.google.protobuf.GeneratedMessage.writeString(output, 1, part_);
+      }
+      for (int i = 0; i < crashes_.size(); i++) {
+        output.writeMessage(2, crashes_.get(i));
+      }
+      if (((bitField0_ & 0x00000001) != 0)) {
+        output.writeInt64(3, answeredAge_);
+      }
+      getUnknownFields().writeTo(output);
+    }
+
+    @java.lang.Override
+    public int getSerializedSize() {
+      int size = memoizedSize;
+      if (size != -1) return size;
+
+      size = 0;
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(part_)) {
+        size += com.google.protobuf.GeneratedMessage.computeStringSize(1, part_);
+      }
+      for (int i = 0; i < crashes_.size(); i++) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeMessageSize(2, crashes_.get(i));
+      }
+      if (((bitField0_ & 0x00000001) != 0)) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeInt64Size(3, answeredAge_);
+      }
+      size += getUnknownFields().getSerializedSize();
+      memoizedSize = size;
+      return size;
+    }
+
+    @java.lang.Override
+    public boolean equals(final java.lang.Object obj) {
+      if (obj == this) {
+       return true;
+      }
+      if (!(obj instanceof io.bilberryvalve.wire.proto.LoadMessages.PromptPart)) {
+        return super.equals(obj);
+      }
+      io.bilberryvalve.wire.proto.LoadMessages.PromptPart other = (io.bilberryvalve.wire.proto.LoadMessages.PromptPart) obj;
+
+      if (!getPart()
+          .equals(other.getPart())) return false;
+      if (!getCrashesList()
+          .equals(other.getCrashesList())) return false;
+      if (hasAnsweredAge() != other.hasAnsweredAge()) return false;
+      if (hasAnsweredAge()) {
+        if (getAnsweredAge()
+            != other.getAnsweredAge()) return false;
+      }
+      if (!getUnknownFields().equals(other.getUnknownFields())) return false;
+      return true;
+    }
+
+    @java.lang.Override
+    public int hashCode() {
+      if (memoizedHashCode != 0) {
+        return memoizedHashCode;
+      }
+      int hash = 41;
+      hash = (19 * hash) + getDescriptor().hashCode();
+      hash = (37 * hash) + PART_FIELD_NUMBER;
+      hash = (53 * hash) + getPart().hashCode();
+      if (getCrashesCount() > 0) {
+        hash = (37 * hash) + CRASHES_FIELD_NUMBER;
+        hash = (53 * hash) + getCrashesList().hashCode();
+      }
+      if (hasAnsweredAge()) {
+        hash = (37 * hash) + ANSWERED_AGE_FIELD_NUMBER;
+        hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+            getAnsweredAge());
+      }
+      hash = (29 * hash) + getUnknownFields().hashCode();
+      memoizedHashCode = hash;
+      return hash;
+    }
+
+    public static io.bilberryvalve.wire.proto.LoadMessages.PromptPart parseFrom(
+        java.nio.ByteBuffer data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static io.bilberryvalve.wire.proto.LoadMessages.PromptPart parseFrom(
+        java.nio.ByteBuffer data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static io.bilberryvalve.wire.proto.LoadMessages.PromptPart parseFrom(
+        com.google.protobuf.ByteString data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static io.bilberryvalve.wire.proto.LoadMessages.PromptPart parseFrom(
+        com.google.protobuf.ByteString data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static io.bilberryvalve.wire.proto.LoadMessages.PromptPart parseFrom(byte[] data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static io.bilberryvalve.wire.proto.LoadMessages.PromptPart parseFrom(
+        byte[] data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static io.bilberryvalve.wire.proto.LoadMessages.PromptPart parseFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static io.bilberryvalve.wire.proto.LoadMessages.PromptPart parseFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    public static io.bilberryvalve.wire.proto.LoadMessages.PromptPart parseDelimitedFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input);
+    }
+
+    public static io.bilberryvalve.wire.proto.LoadMessages.PromptPart parseDelimitedFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
+    }
+    public static io.bilberryvalve.wire.proto.LoadMessages.PromptPart parseFrom(
+        com.google.protobuf.CodedInputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static io.bilberryvalve.wire.proto.LoadMessages.PromptPart parseFrom(
+        com.google.protobuf.CodedInputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    @java.lang.Override
+    public Builder newBuilderForType() { return newBuilder(); }
+    public static Builder newBuilder() {
+      return DEFAULT_INSTANCE.toBuilder();
+    }
+    public static Builder newBuilder(io.bilberryvalve.wire.proto.LoadMessages.PromptPart prototype) {
+      return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
+    }
+    @java.lang.Override
+    public Builder toBuilder() {
+      return this == DEFAULT_INSTANCE
+          ? new Builder() : new Builder().mergeFrom(this);
+    }
+
+    @java.lang.Override
+    protected Builder newBuilderForType(
+        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+      Builder builder = new Builder(parent);
+      return builder;
+    }
+    /**
+     * <pre>
+     * What one daemon has seen of a prompt part. Ages are in milliseconds before the message.
+     * </pre>
+     *
+     * Protobuf type {@code bilberryvalve.load.PromptPart}
+     */
+    public static final class Builder extends
+        com.google.protobuf.GeneratedMessage.Builder<Builder> implements
+        // @@protoc_insertion_point(builder_implements:bilberryvalve.load.PromptPart)
+        io.bilberryvalve.wire.proto.LoadMessages.PromptPartOrBuilder {
+      public static final com.google.protobuf.Descriptors.Descriptor
+          getDescriptor() {
+        return io.bilberryvalve.wire.proto.LoadMessages.internal_static_bilberryvalve_load_PromptPart_descriptor;
+      }
+
+      @java.lang.Override
+      protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+          internalGetFieldAccessorTable() {
+        return io.bilberryvalve.wire.proto.LoadMessages.internal_static_bilberryvalve_load_PromptPart_fieldAccessorTable
+            .ensureFieldAccessorsInitialized(
+                io.bilberryvalve.wire.proto.LoadMessages.PromptPart.class, io.bilberryvalve.wire.proto.LoadMessages.PromptPart.Builder.class);
+      }
+
+      // Construct using io.bilberryvalve.wire.proto.LoadMessages.PromptPart.newBuilder()
+      private Builder() {
+
+      }
+
+      private Builder(
+          com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+        super(parent);
+
+      }
+      @java.lang.Override
+      public Builder clear() {
+        super.clear();
+        bitField0_ = 0;
+        part_ = "";
+        if (crashesBuilder_ == null) {
+          crashes_ = java.util.Collections.emptyList();
+        } else {
+          crashes_ = null;
+          crashesBuilder_.clear();
+        }
+        bitField0_ = (bitField0_ & ~0x00000002);
+        answeredAge_ = 0L;
+        return this;
+      }
+
+      @java.lang.Override
+      public com.google.protobuf.Descriptors.Descriptor
+          getDescriptorForType() {
+        return io.bilberryvalve.wire.proto.LoadMessages.internal_static_bilberryvalve_load_PromptPart_descriptor;
+      }
+
+      @java.lang.Override
+      public io.bilberryvalve.wire.proto.LoadMessages.PromptPart getDefaultInstanceForType() {
+        return io.bilberryvalve.wire.proto.LoadMessages.PromptPart.getDefaultInstance();
+      }
+
+      @java.lang.Override
+      public io.bilberryvalve.wire.proto.LoadMessages.PromptPart build() {
+        io.bilberryvalve.wire.proto.LoadMessages.PromptPart result = buildPartial();
+        if (!result.isInitialized()) {
+          throw newUninitializedMessageException(result);
+        }
+        return result;
+      }
+
+      @java.lang.Override
+      public io.bilberryvalve.wire.proto.LoadMessages.PromptPart buildPartial() {
+        io.bilberryvalve.wire.proto.LoadMessages.PromptPart result = new io.bilberryvalve.wire.proto.LoadMessages.PromptPart(this);
+        buildPartialRepeatedFields(result);
+        if (bitField0_ != 0) { buildPartial0(result); }
+        onBuilt();
+        return result;
+      }
+
+      private void buildPartialRepeatedFields(io.bilberryvalve.wire.proto.LoadMessages.PromptPart result) {
+        if (crashesBuilder_ == null) {
+          if (((bitField0_ & 0x00000002) != 0)) {
+            crashes_ = java.util.Collections.unmodifiableList(crashes_);
+            bitField0_ = (bitField0_ & ~0x00000002);
+          }
+          result.crashes_ = crashes_;
+        } else {
+          result.crashes_ = crashesBuilder_.build();
+        }
+      }
+
+      private void buildPartial0(io.bilberryvalve.wire.proto.LoadMessages.PromptPart result) {
+        int from_bitField0_ = bitField0_;
+        if (((from_bitField0_ & 0x00000001) != 0)) {
+          result.part_ = part_;
+        }
+        int to_bitField0_ = 0;
+        if (((from_bitField0_ & 0x00000004) != 0)) {
+          result.answeredAge_ = answeredAge_;
+          to_bitField0_ |= 0x00000001;
+        }
+        result.bitField0_ |= to_bitField0_;
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(com.google.protobuf.Message other) {
+        if (other instanceof io.bilberryvalve.wire.proto.LoadMessages.PromptPart) {
+          return mergeFrom((io.bilberryvalve.wire.proto.LoadMessages.PromptPart)other);
+        } else {
+          super.mergeFrom(other);
+          return this;
+        }
+      }
+
+      public Builder mergeFrom(io.bilberryvalve.wire.proto.LoadMessages.PromptPart other) {
+        if (other == io.bilberryvalve.wire.proto.LoadMessages.PromptPart.getDefaultInstance()) return this;
+        if (!other.getPart().isEmpty()) {
+          part_ = other.part_;
+          bitField0_ |= 0x00000001;
+          onChanged();
+        }
+        if (crashesBuilder_ == null) {
+          if (!other.crashes_.isEmpty()) {
+            if (crashes_.isEmpty()) {
+              crashes_ = other.crashes_;
+              bitField0_ = (bitField0_ & ~0x00000002);
+            } else {
+              ensureCrashesIsMutable();
+              crashes_.addAll(other.crashes_);
+            }
+            onChanged();
+          }
+        } else {
+          if (!other.crashes_.isEmpty()) {
+            if (crashesBuilder_.isEmpty()) {
+              crashesBuilder_.dispose();
+              crashesBuilder_ = null;
+              crashes_ = other.crashes_;
+              bitField0_ = (bitField0_ & ~0x00000002);
+              crashesBuilder_ = 
+                com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                   internalGetCrashesFieldBuilder() : null;
+            } else {
+              crashesBuilder_.addAllMessages(other.crashes_);
+            }
+          }
+        }
+        if (other.hasAnsweredAge()) {
+          setAnsweredAge(other.getAnsweredAge());
+        }
+        this.mergeUnknownFields(other.getUnknownFields());
+        onChanged();
+        return this;
+      }
+
+      @java.lang.Override
+      public final boolean isInitialized() {
+        return true;
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws java.io.IOException {
+        if (extensionRegistry == null) {
+          throw new java.lang.NullPointerException();
+        }
+        try {
+          boolean done = false;
+          while (!done) {
+            int tag = input.readTag();
+            switch (tag) {
+              case 0:
+                done = true;
+                break;
+              case 10: {
+                part_ = input.readStringRequireUtf8();
+                bitField0_ |= 0x00000001;
+                break;
+              } // case 10
+              case 18: {
+                io.bilberryvalve.wire.proto.LoadMessages.PromptCrash m =
+                    input.readMessage(
+                        io.bilberryvalve.wire.proto.LoadMessages.PromptCrash.parser(),
+                        extensionRegistry);
+                if (crashesBuilder_ == null) {
+                  ensureCrashesIsMutable();
+                  crashes_.add(m);
+                } else {
+                  crashesBuilder_.addMessage(m);
+                }
+                break;
+              } // case 18
+              case 24: {
+                answeredAge_ = input.readInt64();
+                bitField0_ |= 0x00000004;
+                break;
+              } // case 24
+              default: {
+                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                  done = true; // was an endgroup tag
+                }
+                break;
+              } // default:
+            } // switch (tag)
+          } // while (!done)
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.unwrapIOException();
+        } finally {
+          onChanged();
+        } // finally
+        return this;
+      }
+      private int bitField0_;
+
+      private java.lang.Object part_ = "";
+      /**
+       * <code>string part = 1;</code>
+       * @return The part.
+       */
+      public java.lang.String getPart() {
+        java.lang.Object ref = part_;
+        if (!(ref instanceof java.lang.String)) {
+          com.google.protobuf.ByteString bs =
+              (com.google.protobuf.ByteString) ref;
+          java.lang.String s = bs.toStringUtf8();
+          part_ = s;
+          return s;
+        } else {
+          return (java.lang.String) ref;
+        }
+      }
+      /**
+       * <code>string part = 1;</code>
+       * @return The bytes for part.
+       */
+      public com.google.protobuf.ByteString
+          getPartBytes() {
+        java.lang.Object ref = part_;
+        if (ref instanceof String) {
+          com.google.protobuf.ByteString b = 
+              com.google.protobuf.ByteString.copyFromUtf8(
+                  (java.lang.String) ref);
+          part_ = b;
+          return b;
+        } else {
+          return (com.google.protobuf.ByteString) ref;
+        }
+      }
+      /**
+       * <code>string part = 1;</code>
+       * @param value The part to set.
+       * @return This builder for chaining.
+       */
+      public Builder setPart(
+          java.lang.String value) {
+        if (value == null) { throw new NullPointerException(); }
+        part_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string part = 1;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearPart() {
+        part_ = getDefaultInstance().getPart();
+        bitField0_ = (bitField0_ & ~0x00000001);
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string part = 1;</code>
+       * @param value The bytes for part to set.
+       * @return This builder for chaining.
+       */
+      public Builder setPartBytes(
+          com.google.protobuf.ByteString value) {
+        if (value == null) { throw new NullPointerException(); }
+        checkByteStringIsUtf8(value);
+        part_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+
+      private java.util.List<io.bilberryvalve.wire.proto.LoadMessages.PromptCrash> crashes_ =
+        java.util.Collections.emptyList();
+      private void ensureCrashesIsMutable() {
+        if (!((bitField0_ & 0x00000002) != 0)) {
+          crashes_ = new java.util.ArrayList<io.bilberryvalve.wire.proto.LoadMessages.PromptCrash>(crashes_);
+          bitField0_ |= 0x00000002;
+         }
+      }
+
+      private com.google.protobuf.RepeatedFieldBuilder<
+          io.bilberryvalve.wire.proto.LoadMessages.PromptCrash, io.bilberryvalve.wire.proto.LoadMessages.PromptCrash.Builder, io.bilberryvalve.wire.proto.LoadMessages.PromptCrashOrBuilder> crashesBuilder_;
+
+      /**
+       * <code>repeated .bilberryvalve.load.PromptCrash crashes = 2;</code>
+       */
+      public java.util.List<io.bilberryvalve.wire.proto.LoadMessages.PromptCrash> getCrashesList() {
+        if (crashesBuilder_ == null) {
+          return java.util.Collections.unmodifiableList(crashes_);
+        } else {
+          return crashesBuilder_.getMessageList();
+        }
+      }
+      /**
+       * <code>repeated .bilberryvalve.load.PromptCrash crashes = 2;</code>
+       */
+      public int getCrashesCount() {
+        if (crashesBuilder_ == null) {
+          return crashes_.size();
+        } else {
+          return crashesBuilder_.getCount();
+        }
+      }
+      /**
+       * <code>repeated .bilberryvalve.load.PromptCrash crashes = 2;</code>
+       */
+      public io.bilberryvalve.wire.proto.LoadMessages.PromptCrash getCrashes(int index) {
+        if (crashesBuilder_ == null) {
+          return crashes_.get(index);
+        } else {
+          return crashesBuilder_.getMessage(index);
+        }
+      }
+      /**
+       * <code>repeated .bilberryvalve.load.PromptCrash crashes = 2;</code>
+       */
+      public Builder setCrashes(
+          int index, io.bilberryvalve.wire.proto.LoadMessages.PromptCrash value) {
+        if (crashesBuilder_ == null) {
+          if (value == null) {
+            throw new NullPointerException();
+          }
+          ensureCrashesIsMutable();
+          crashes_.set(index, value);
+          onChanged();
+        } else {
+          crashesBuilder_.setMessage(index, value);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .bilberryvalve.load.PromptCrash crashes = 2;</code>
+       */
+      public Builder setCrashes(
+          int index, io.bilberryvalve.wire.proto.LoadMessages.PromptCrash.Builder builderForValue) {
+        if (crashesBuilder_ == null) {
+          ensureCrashesIsMutable();
+          crashes_.set(index, builderForValue.build());
+          onChanged();
+        } else {
+          crashesBuilder_.setMessage(index, builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .bilberryvalve.load.PromptCrash crashes = 2;</code>
+       */
+      public Builder addCrashes(io.bilberryvalve.wire.proto.LoadMessages.PromptCrash value) {
+        if (crashesBuilder_ == null) {
+          if (value == null) {
+            throw new NullPointerException();
+          }
+          ensureCrashesIsMutable();
+          crashes_.add(value);
+          onChanged();
+        } else {
+          crashesBuilder_.addMessage(value);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .bilberryvalve.load.PromptCrash crashes = 2;</code>
+       */
+      public Builder addCrashes(
+          int index, io.bilberryvalve.wire.proto.LoadMessages.PromptCrash value) {
+        if (crashesBuilder_ == null) {
+          if (value == null) {
+            throw new NullPointerException();
+          }
+          ensureCrashesIsMutable();
+          crashes_.add(index, value);
+          onChanged();
+        } else {
+          crashesBuilder_.addMessage(index, value);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .bilberryvalve.load.PromptCrash crashes = 2;</code>
+       */
+      public Builder addCrashes(
+          io.bilberryvalve.wire.proto.LoadMessages.PromptCrash.Builder builderForValue) {
+        if (crashesBuilder_ == null) {
+          ensureCrashesIsMutable();
+          crashes_.add(builderForValue.build());
+          onChanged();
+        } else {
+          crashesBuilder_.addMessage(builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .bilberryvalve.load.PromptCrash crashes = 2;</code>
+       */
+      public Builder addCrashes(
+          int index, io.bilberryvalve.wire.proto.LoadMessages.PromptCrash.Builder builderForValue) {
+        if (crashesBuilder_ == null) {
+          ensureCrashesIsMutable();
+          crashes_.add(index, builderForValue.build());
+          onChanged();
+        } else {
+          crashesBuilder_.addMessage(index, builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .bilberryvalve.load.PromptCrash crashes = 2;</code>
+       */
+      public Builder addAllCrashes(
+          java.lang.Iterable<? extends io.bilberryvalve.wire.proto.LoadMessages.PromptCrash> values) {
+        if (crashesBuilder_ == null) {
+          ensureCrashesIsMutable();
+          com.google.protobuf.AbstractMessageLite.Builder.addAll(
+              values, crashes_);
+          onChanged();
+        } else {
+          crashesBuilder_.addAllMessages(values);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .bilberryvalve.load.PromptCrash crashes = 2;</code>
+       */
+      public Builder clearCrashes() {
+        if (crashesBuilder_ == null) {
+          crashes_ = java.util.Collections.emptyList();
+          bitField0_ = (bitField0_ & ~0x00000002);
+          onChanged();
+        } else {
+          crashesBuilder_.clear();
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .bilberryvalve.load.PromptCrash crashes = 2;</code>
+       */
+      public Builder removeCrashes(int index) {
+        if (crashesBuilder_ == null) {
+          ensureCrashesIsMutable();
+          crashes_.remove(index);
+          onChanged();
+        } else {
+          crashesBuilder_.remove(index);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .bilberryvalve.load.PromptCrash crashes = 2;</code>
+       */
+      public io.bilberryvalve.wire.proto.LoadMessages.PromptCrash.Builder getCrashesBuilder(
+          int index) {
+        return internalGetCrashesFieldBuilder().getBuilder(index);
+      }
+      /**
+       * <code>repeated .bilberryvalve.load.PromptCrash crashes = 2;</code>
+       */
+      public io.bilberryvalve.wire.proto.LoadMessages.PromptCrashOrBuilder getCrashesOrBuilder(
+          int index) {
+        if (crashesBuilder_ == null) {
+          return crashes_.get(index);  } else {
+          return crashesBuilder_.getMessageOrBuilder(index);
+        }
+      }
+      /**
+       * <code>repeated .bilberryvalve.load.PromptCrash crashes = 2;</code>
+       */
+      public java.util.List<? extends io.bilberryvalve.wire.proto.LoadMessages.PromptCrashOrBuilder> 
+           getCrashesOrBuilderList() {
+        if (crashesBuilder_ != null) {
+          return crashesBuilder_.getMessageOrBuilderList();
+        } else {
+          return java.util.Collections.unmodifiableList(crashes_);
+        }
+      }
+      /**
+       * <code>repeated .bilberryvalve.load.PromptCrash crashes = 2;</code>
+       */
+      public io.bilberryvalve.wire.proto.LoadMessages.PromptCrash.Builder addCrashesBuilder() {
+        return internalGetCrashesFieldBuilder().addBuilder(
+            io.bilberryvalve.wire.proto.LoadMessages.PromptCrash.getDefaultInstance());
+      }
+      /**
+       * <code>repeated .bilberryvalve.load.PromptCrash crashes = 2;</code>
+       */
+      public io.bilberryvalve.wire.proto.LoadMessages.PromptCrash.Builder addCrashesBuilder(
+          int index) {
+        return internalGetCrashesFieldBuilder().addBuilder(
+            index, io.bilberryvalve.wire.proto.LoadMessages.PromptCrash.getDefaultInstance());
+      }
+      /**
+       * <code>repeated .bilberryvalve.load.PromptCrash crashes = 2;</code>
+       */
+      public java.util.List<io.bilberryvalve.wire.proto.LoadMessages.PromptCrash.Builder> 
+           getCrashesBuilderList() {
+        return internalGetCrashesFieldBuilder().getBuilderList();
+      }
+      private com.google.protobuf.RepeatedFieldBuilder<
+          io.bilberryvalve.wire.proto.LoadMessages.PromptCrash, io.bilberryvalve.wire.proto.LoadMessages.PromptCrash.Builder, io.bilberryvalve.wire.proto.LoadMessages.PromptCrashOrBuilder> 
+          internalGetCrashesFieldBuilder() {
+        if (crashesBuilder_ == null) {
+          crashesBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+              io.bilberryvalve.wire.proto.LoadMessages.PromptCrash, io.bilberryvalve.wire.proto.LoadMessages.PromptCrash.Builder, io.bilberryvalve.wire.proto.LoadMessages.PromptCrashOrBuilder>(
+                  crashes_,
+                  ((bitField0_ & 0x00000002) != 0),
+                  getParentForChildren(),
+                  isClean());
+          crashes_ = null;
+        }
+        return crashesBuilder_;
+      }
+
+      private long answeredAge_ ;
+      /**
+       * <pre>
+       * Age of the last answer to a prompt with the part; absent if there was none.
+       * </pre>
+       *
+       * <code>optional int64 answered_age = 3;</code>
+       * @return Whether the answeredAge field is set.
+       */
+      @java.lang.Override
+      public boolean hasAnsweredAge() {
+        return ((bitField0_ & 0x00000004) != 0);
+      }
+      /**
+       * <pre>
+       * Age of the last answer to a prompt with the part; absent if there was none.
+       * </pre>
+       *
+       * <code>optional int64 answered_age = 3;</code>
+       * @return The answeredAge.
+       */
+      @java.lang.Override
+      public long getAnsweredAge() {
+        return answeredAge_;
+      }
+      /**
+       * <pre>
+       * Age of the last answer to a prompt with the part; absent if there was none.
+       * </pre>
+       *
+       * <code>optional int64 answered_age = 3;</code>
+       * @param value The answeredAge to set.
+       * @return This builder for chaining.
+       */
+      public Builder setAnsweredAge(long value) {
+
+        answeredAge_ = value;
+        bitField0_ |= 0x00000004;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * Age of the last answer to a prompt with the part; absent if there was none.
+       * </pre>
+       *
+       * <code>optional int64 answered_age = 3;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearAnsweredAge() {
+        bitField0_ = (bitField0_ & ~0x00000004);
+        answeredAge_ = 0L;
+        onChanged();
+        return this;
+      }
+
+      // @@protoc_insertion_point(builder_scope:bilberryvalve.load.PromptPart)
+    }
+
+    // @@protoc_insertion_point(class_scope:bilberryvalve.load.PromptPart)
+    private static final io.bilberryvalve.wire.proto.LoadMessages.PromptPart DEFAULT_INSTANCE;
+    static {
+      DEFAULT_INSTANCE = new io.bilberryvalve.wire.proto.LoadMessages.PromptPart();
+    }
+
+    public static io.bilberryvalve.wire.proto.LoadMessages.PromptPart getDefaultInstance() {
+      return DEFAULT_INSTANCE;
+    }
+
+    private static final com.google.protobuf.Parser<PromptPart>
+        PARSER = new com.google.protobuf.AbstractParser<PromptPart>() {
+      @java.lang.Override
+      public PromptPart parsePartialFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws com.google.protobuf.InvalidProtocolBufferException {
+        Builder builder = newBuilder();
+        try {
+          builder.mergeFrom(input, extensionRegistry);
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.setUnfinishedMessage(builder.buildPartial());
+        } catch (com.google.protobuf.UninitializedMessageException e) {
+          throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+        } catch (java.io.IOException e) {
+          throw new com.google.protobuf.InvalidProtocolBufferException(e)
+              .setUnfinishedMessage(builder.buildPartial());
+        }
+        return builder.buildPartial();
+      }
+    };
+
+    public static com.google.protobuf.Parser<PromptPart> parser() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Parser<PromptPart> getParserForType() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public io.bilberryvalve.wire.proto.LoadMessages.PromptPart getDefaultInstanceForType() {
+      return DEFAULT_INSTANCE;
+    }
+
+  }
+
+  public interface PromptCrashOrBuilder extends
+      // @@protoc_insertion_point(interface_extends:bilberryvalve.load.PromptCrash)
+      com.google.protobuf.MessageOrBuilder {
+
+    /**
+     * <pre>
+     * Hash of the identifier of its last part.
+     * </pre>
+     *
+     * <code>fixed64 prompt = 1;</code>
+     * @return The prompt.
+     */
+    long getPrompt();
+
+    /**
+     * <code>int64 age = 2;</code>
+     * @return The age.
+     */
+    long getAge();
+
+    /**
+     * <pre>
+     * Hash of the runner and the time of its start.
+     * </pre>
+     *
+     * <code>fixed64 runner = 3;</code>
+     * @return The runner.
+     */
+    long getRunner();
+  }
+  /**
+   * <pre>
+   * A prompt whose runner crashed before it had answered.
+   * </pre>
+   *
+   * Protobuf type {@code bilberryvalve.load.PromptCrash}
+   */
+  public static final class PromptCrash extends
+      com.google.protobuf.GeneratedMessage implements
+      // @@protoc_insertion_point(message_implements:bilberryvalve.load.PromptCrash)
+      PromptCrashOrBuilder {
+  private static final long serialVersionUID = 0L;
+    static {
+      com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+        /* major= */ 4,
+        /* minor= */ 33,
+        /* patch= */ 4,
+        /* suffix= */ "",
+        "PromptCrash");
+    }
+    // Use PromptCrash.newBuilder() to construct.
+    private PromptCrash(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+      super(builder);
+    }
+    private PromptCrash() {
+    }
+
+    public static final com.google.protobuf.Descriptors.Descriptor
+        getDescriptor() {
+      return io.bilberryvalve.wire.proto.LoadMessages.internal_static_bilberryvalve_load_PromptCrash_descriptor;
+    }
+
+    @java.lang.Override
+    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+        internalGetFieldAccessorTable() {
+      return io.bilberryvalve.wire.proto.LoadMessages.internal_static_bilberryvalve_load_PromptCrash_fieldAccessorTable
+          .ensureFieldAccessorsInitialized(
+              io.bilberryvalve.wire.proto.LoadMessages.PromptCrash.class, io.bilberryvalve.wire.proto.LoadMessages.PromptCrash.Builder.class);
+    }
+
+    public static final int PROMPT_FIELD_NUMBER = 1;
+    private long prompt_ = 0L;
+    /**
+     * <pre>
+     * Hash of the identifier of its last part.
+     * </pre>
+     *
+     * <code>fixed64 prompt = 1;</code>
+     * @return The prompt.
+     */
+    @java.lang.Override
+    public long getPrompt() {
+      return prompt_;
+    }
+
+    public static final int AGE_FIELD_NUMBER = 2;
+    private long age_ = 0L;
+    /**
+     * <code>int64 age = 2;</code>
+     * @return The age.
+     */
+    @java.lang.Override
+    public long getAge() {
+      return age_;
+    }
+
+    public static final int RUNNER_FIELD_NUMBER = 3;
+    private long runner_ = 0L;
+    /**
+     * <pre>
+     * Hash of the runner and the time of its start.
+     * </pre>
+     *
+     * <code>fixed64 runner = 3;</code>
+     * @return The runner.
+     */
+    @java.lang.Override
+    public long getRunner() {
+      return runner_;
+    }
+
+    private byte memoizedIsInitialized = -1;
+    @java.lang.Override
+    public final boolean isInitialized() {
+      byte isInitialized = memoizedIsInitialized;
+      if (isInitialized == 1) return true;
+      if (isInitialized == 0) return false;
+
+      memoizedIsInitialized = 1;
+      return true;
+    }
+
+    @java.lang.Override
+    public void writeTo(com.google.protobuf.CodedOutputStream output)
+                        throws java.io.IOException {
+      if (prompt_ != 0L) {
+        output.writeFixed64(1, prompt_);
+      }
+      if (age_ != 0L) {
+        output.writeInt64(2, age_);
+      }
+      if (runner_ != 0L) {
+        output.writeFixed64(3, runner_);
+      }
+      getUnknownFields().writeTo(output);
+    }
+
+    @java.lang.Override
+    public int getSerializedSize() {
+      int size = memoizedSize;
+      if (size != -1) return size;
+
+      size = 0;
+      if (prompt_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeFixed64Size(1, prompt_);
+      }
+      if (age_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeInt64Size(2, age_);
+      }
+      if (runner_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeFixed64Size(3, runner_);
+      }
+      size += getUnknownFields().getSerializedSize();
+      memoizedSize = size;
+      return size;
+    }
+
+    @java.lang.Override
+    public boolean equals(final java.lang.Object obj) {
+      if (obj == this) {
+       return true;
+      }
+      if (!(obj instanceof io.bilberryvalve.wire.proto.LoadMessages.PromptCrash)) {
+        return super.equals(obj);
+      }
+      io.bilberryvalve.wire.proto.LoadMessages.PromptCrash other = (io.bilberryvalve.wire.proto.LoadMessages.PromptCrash) obj;
+
+      if (getPrompt()
+          != other.getPrompt()) return false;
+      if (getAge()
+          != other.getAge()) return false;
+      if (getRunner()
+          != other.getRunner()) return false;
+      if (!getUnknownFields().equals(other.getUnknownFields())) return false;
+      return true;
+    }
+
+    @java.lang.Override
+    public int hashCode() {
+      if (memoizedHashCode != 0) {
+        return memoizedHashCode;
+      }
+      int hash = 41;
+      hash = (19 * hash) + getDescriptor().hashCode();
+      hash = (37 * hash) + PROMPT_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getPrompt());
+      hash = (37 * hash) + AGE_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getAge());
+      hash = (37 * hash) + RUNNER_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getRunner());
+      hash = (29 * hash) + getUnknownFields().hashCode();
+      memoizedHashCode = hash;
+      return hash;
+    }
+
+    public static io.bilberryvalve.wire.proto.LoadMessages.PromptCrash parseFrom(
+        java.nio.ByteBuffer data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static io.bilberryvalve.wire.proto.LoadMessages.PromptCrash parseFrom(
+        java.nio.ByteBuffer data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static io.bilberryvalve.wire.proto.LoadMessages.PromptCrash parseFrom(
+        com.google.protobuf.ByteString data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static io.bilberryvalve.wire.proto.LoadMessages.PromptCrash parseFrom(
+        com.google.protobuf.ByteString data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static io.bilberryvalve.wire.proto.LoadMessages.PromptCrash parseFrom(byte[] data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static io.bilberryvalve.wire.proto.LoadMessages.PromptCrash parseFrom(
+        byte[] data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static io.bilberryvalve.wire.proto.LoadMessages.PromptCrash parseFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static io.bilberryvalve.wire.proto.LoadMessages.PromptCrash parseFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    public static io.bilberryvalve.wire.proto.LoadMessages.PromptCrash parseDelimitedFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input);
+    }
+
+    public static io.bilberryvalve.wire.proto.LoadMessages.PromptCrash parseDelimitedFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
+    }
+    public static io.bilberryvalve.wire.proto.LoadMessages.PromptCrash parseFrom(
+        com.google.protobuf.CodedInputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static io.bilberryvalve.wire.proto.LoadMessages.PromptCrash parseFrom(
+        com.google.protobuf.CodedInputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    @java.lang.Override
+    public Builder newBuilderForType() { return newBuilder(); }
+    public static Builder newBuilder() {
+      return DEFAULT_INSTANCE.toBuilder();
+    }
+    public static Builder newBuilder(io.bilberryvalve.wire.proto.LoadMessages.PromptCrash prototype) {
+      return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
+    }
+    @java.lang.Override
+    public Builder toBuilder() {
+      return this == DEFAULT_INSTANCE
+          ? new Builder() : new Builder().mergeFrom(this);
+    }
+
+    @java.lang.Override
+    protected Builder newBuilderForType(
+        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+      Builder builder = new Builder(parent);
+      return builder;
+    }
+    /**
+     * <pre>
+     * A prompt whose runner crashed before it had answered.
+     * </pre>
+     *
+     * Protobuf type {@code bilberryvalve.load.PromptCrash}
+     */
+    public static final class Builder extends
+        com.google.protobuf.GeneratedMessage.Builder<Builder> implements
+        // @@protoc_insertion_point(builder_implements:bilberryvalve.load.PromptCrash)
+        io.bilberryvalve.wire.proto.LoadMessages.PromptCrashOrBuilder {
+      public static final com.google.protobuf.Descriptors.Descriptor
+          getDescriptor() {
+        return io.bilberryvalve.wire.proto.LoadMessages.internal_static_bilberryvalve_load_PromptCrash_descriptor;
+      }
+
+      @java.lang.Override
+      protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+          internalGetFieldAccessorTable() {
+        return io.bilberryvalve.wire.proto.LoadMessages.internal_static_bilberryvalve_load_PromptCrash_fieldAccessorTable
+            .ensureFieldAccessorsInitialized(
+                io.bilberryvalve.wire.proto.LoadMessages.PromptCrash.class, io.bilberryvalve.wire.proto.LoadMessages.PromptCrash.Builder.class);
+      }
+
+      // Construct using io.bilberryvalve.wire.proto.LoadMessages.PromptCrash.newBuilder()
+      private Builder() {
+
+      }
+
+      private Builder(
+          com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+        super(parent);
+
+      }
+      @java.lang.Override
+      public Builder clear() {
+        super.clear();
+        bitField0_ = 0;
+        prompt_ = 0L;
+        age_ = 0L;
+        runner_ = 0L;
+        return this;
+      }
+
+      @java.lang.Override
+      public com.google.protobuf.Descriptors.Descriptor
+          getDescriptorForType() {
+        return io.bilberryvalve.wire.proto.LoadMessages.internal_static_bilberryvalve_load_PromptCrash_descriptor;
+      }
+
+      @java.lang.Override
+      public io.bilberryvalve.wire.proto.LoadMessages.PromptCrash getDefaultInstanceForType() {
+        return io.bilberryvalve.wire.proto.LoadMessages.PromptCrash.getDefaultInstance();
+      }
+
+      @java.lang.Override
+      public io.bilberryvalve.wire.proto.LoadMessages.PromptCrash build() {
+        io.bilberryvalve.wire.proto.LoadMessages.PromptCrash result = buildPartial();
+        if (!result.isInitialized()) {
+          throw newUninitializedMessageException(result);
+        }
+        return result;
+      }
+
+      @java.lang.Override
+      public io.bilberryvalve.wire.proto.LoadMessages.PromptCrash buildPartial() {
+        io.bilberryvalve.wire.proto.LoadMessages.PromptCrash result = new io.bilberryvalve.wire.proto.LoadMessages.PromptCrash(this);
+        if (bitField0_ != 0) { buildPartial0(result); }
+        onBuilt();
+        return result;
+      }
+
+      private void buildPartial0(io.bilberryvalve.wire.proto.LoadMessages.PromptCrash result) {
+        int from_bitField0_ = bitField0_;
+        if (((from_bitField0_ & 0x00000001) != 0)) {
+          result.prompt_ = prompt_;
+        }
+        if (((from_bitField0_ & 0x00000002) != 0)) {
+          result.age_ = age_;
+        }
+        if (((from_bitField0_ & 0x00000004) != 0)) {
+          result.runner_ = runner_;
+        }
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(com.google.protobuf.Message other) {
+        if (other instanceof io.bilberryvalve.wire.proto.LoadMessages.PromptCrash) {
+          return mergeFrom((io.bilberryvalve.wire.proto.LoadMessages.PromptCrash)other);
+        } else {
+          super.mergeFrom(other);
+          return this;
+        }
+      }
+
+      public Builder mergeFrom(io.bilberryvalve.wire.proto.LoadMessages.PromptCrash other) {
+        if (other == io.bilberryvalve.wire.proto.LoadMessages.PromptCrash.getDefaultInstance()) return this;
+        if (other.getPrompt() != 0L) {
+          setPrompt(other.getPrompt());
+        }
+        if (other.getAge() != 0L) {
+          setAge(other.getAge());
+        }
+        if (other.getRunner() != 0L) {
+          setRunner(other.getRunner());
+        }
+        this.mergeUnknownFields(other.getUnknownFields());
+        onChanged();
+        return this;
+      }
+
+      @java.lang.Override
+      public final boolean isInitialized() {
+        return true;
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws java.io.IOException {
+        if (extensionRegistry == null) {
+          throw new java.lang.NullPointerException();
+        }
+        try {
+          boolean done = false;
+          while (!done) {
+            int tag = input.readTag();
+            switch (tag) {
+              case 0:
+                done = true;
+                break;
+              case 9: {
+                prompt_ = input.readFixed64();
+                bitField0_ |= 0x00000001;
+                break;
+              } // case 9
+              case 16: {
+                age_ = input.readInt64();
+                bitField0_ |= 0x00000002;
+                break;
+              } // case 16
+              case 25: {
+                runner_ = input.readFixed64();
+                bitField0_ |= 0x00000004;
+                break;
+              } // case 25
+              default: {
+                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                  done = true; // was an endgroup tag
+                }
+                break;
+              } // default:
+            } // switch (tag)
+          } // while (!done)
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.unwrapIOException();
+        } finally {
+          onChanged();
+        } // finally
+        return this;
+      }
+      private int bitField0_;
+
+      private long prompt_ ;
+      /**
+       * <pre>
+       * Hash of the identifier of its last part.
+       * </pre>
+       *
+       * <code>fixed64 prompt = 1;</code>
+       * @return The prompt.
+       */
+      @java.lang.Override
+      public long getPrompt() {
+        return prompt_;
+      }
+      /**
+       * <pre>
+       * Hash of the identifier of its last part.
+       * </pre>
+       *
+       * <code>fixed64 prompt = 1;</code>
+       * @param value The prompt to set.
+       * @return This builder for chaining.
+       */
+      public Builder setPrompt(long value) {
+
+        prompt_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * Hash of the identifier of its last part.
+       * </pre>
+       *
+       * <code>fixed64 prompt = 1;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearPrompt() {
+        bitField0_ = (bitField0_ & ~0x00000001);
+        prompt_ = 0L;
+        onChanged();
+        return this;
+      }
+
+      private long age_ ;
+      /**
+       * <code>int64 age = 2;</code>
+       * @return The age.
+       */
+      @java.lang.Override
+      public long getAge() {
+        return age_;
+      }
+      /**
+       * <code>int64 age = 2;</code>
+       * @param value The age to set.
+       * @return This builder for chaining.
+       */
+      public Builder setAge(long value) {
+
+        age_ = value;
+        bitField0_ |= 0x00000002;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>int64 age = 2;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearAge() {
+        bitField0_ = (bitField0_ & ~0x00000002);
+        age_ = 0L;
+        onChanged();
+        return this;
+      }
+
+      private long runner_ ;
+      /**
+       * <pre>
+       * Hash of the runner and the time of its start.
+       * </pre>
+       *
+       * <code>fixed64 runner = 3;</code>
+       * @return The runner.
+       */
+      @java.lang.Override
+      public long getRunner() {
+        return runner_;
+      }
+      /**
+       * <pre>
+       * Hash of the runner and the time of its start.
+       * </pre>
+       *
+       * <code>fixed64 runner = 3;</code>
+       * @param value The runner to set.
+       * @return This builder for chaining.
+       */
+      public Builder setRunner(long value) {
+
+        runner_ = value;
+        bitField0_ |= 0x00000004;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * Hash of the runner and the time of its start.
+       * </pre>
+       *
+       * <code>fixed64 runner = 3;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearRunner() {
+        bitField0_ = (bitField0_ & ~0x00000004);
+        runner_ = 0L;
+        onChanged();
+        return this;
+      }
+
+      // @@protoc_insertion_point(builder_scope:bilberryvalve.load.PromptCrash)
+    }
+
+    // @@protoc_insertion_point(class_scope:bilberryvalve.load.PromptCrash)
+    private static final io.bilberryvalve.wire.proto.LoadMessages.PromptCrash DEFAULT_INSTANCE;
+    static {
+      DEFAULT_INSTANCE = new io.bilberryvalve.wire.proto.LoadMessages.PromptCrash();
+    }
+
+    public static io.bilberryvalve.wire.proto.LoadMessages.PromptCrash getDefaultInstance() {
+      return DEFAULT_INSTANCE;
+    }
+
+    private static final com.google.protobuf.Parser<PromptCrash>
+        PARSER = new com.google.protobuf.AbstractParser<PromptCrash>() {
+      @java.lang.Override
+      public PromptCrash parsePartialFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws com.google.protobuf.InvalidProtocolBufferException {
+        Builder builder = newBuilder();
+        try {
+          builder.mergeFrom(input, extensionRegistry);
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.setUnfinishedMessage(builder.buildPartial());
+        } catch (com.google.protobuf.UninitializedMessageException e) {
+          throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+        } catch (java.io.IOException e) {
+          throw new com.google.protobuf.InvalidProtocolBufferException(e)
+              .setUnfinishedMessage(builder.buildPartial());
+        }
+        return builder.buildPartial();
+      }
+    };
+
+    public static com.google.protobuf.Parser<PromptCrash> parser() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Parser<PromptCrash> getParserForType() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public io.bilberryvalve.wire.proto.LoadMessages.PromptCrash getDefaultInstanceForType() {
+      return DEFAULT_INSTANCE;
+    }
+
+  }
+
+  public interface RunnerUsageOrBuilder extends
+      // @@protoc_insertion_point(interface_extends:bilberryvalve.load.RunnerUsage)
+      com.google.protobuf.MessageOrBuilder {
+
+    /**
+     * <code>string runner = 1;</code>
+     * @return The runner.
+     */
+    java.lang.String getRunner();
+    /**
+     * <code>string runner = 1;</code>
+     * @return The bytes for runner.
+     */
+    com.google.protobuf.ByteString
+        getRunnerBytes();
+
+    /**
+     * <pre>
+     * Requests that pass the runner.
+     * </pre>
+     *
+     * <code>int32 running = 2;</code>
+     * @return The running.
+     */
+    int getRunning();
+
+    /**
+     * <pre>
+     * Their tokens with the expected answers, times layers that they pass there.
+     * </pre>
+     *
+     * <code>int64 token_layers = 3;</code>
+     * @return The tokenLayers.
+     */
+    long getTokenLayers();
+
+    /**
+     * <pre>
+     * Requests that entered their path at the runner.
+     * </pre>
+     *
+     * <code>int32 entered = 4;</code>
+     * @return The entered.
+     */
+    int getEntered();
+
+    /**
+     * <pre>
+     * Prompt tokens not read yet, times layers that they pass there.
+     * </pre>
+     *
+     * <code>int64 unread_layers = 5;</code>
+     * @return The unreadLayers.
+     */
+    long getUnreadLayers();
+  }
+  /**
+   * <pre>
+   * Requests of one daemon at one runner.
+   * </pre>
+   *
+   * Protobuf type {@code bilberryvalve.load.RunnerUsage}
+   */
+  public static final class RunnerUsage extends
+      com.google.protobuf.GeneratedMessage implements
+      // @@protoc_insertion_point(message_implements:bilberryvalve.load.RunnerUsage)
+      RunnerUsageOrBuilder {
+  private static final long serialVersionUID = 0L;
+    static {
+      com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+        /* major= */ 4,
+        /* minor= */ 33,
+        /* patch= */ 4,
+        /* suffix= */ "",
+        "RunnerUsage");
+    }
+    // Use RunnerUsage.newBuilder() to construct.
+    private RunnerUsage(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+      super(builder);
+    }
+    private RunnerUsage() {
+      runner_ = "";
+    }
+
+    public static final com.google.protobuf.Descriptors.Descriptor
+        getDescriptor() {
+      return io.bilberryvalve.wire.proto.LoadMessages.internal_static_bilberryvalve_load_RunnerUsage_descriptor;
+    }
+
+    @java.lang.Override
+    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+        internalGetFieldAccessorTable() {
+      return io.bilberryvalve.wire.proto.LoadMessages.internal_static_bilberryvalve_load_RunnerUsage_fieldAccessorTable
+          .ensureFieldAccessorsInitialized(
+              io.bilberryvalve.wire.proto.LoadMessages.RunnerUsage.class, io.bilberryvalve.wire.proto.LoadMessages.RunnerUsage.Builder.class);
+    }
+
+    public static final int RUNNER_FIELD_NUMBER = 1;
+    @SuppressWarnings("serial")
+    private volatile java.lang.Object runner_ = "";
+    /**
+     * <code>string runner = 1;</code>
+     * @return The runner.
+     */
+    @java.lang.Override
+    public java.lang.String getRunner() {
+      java.lang.Object ref = runner_;
+      if (ref instanceof java.lang.String) {
+        return (java.lang.String) ref;
       } else {
         com.google.protobuf.ByteString bs = 
             (com.google.protobuf.ByteString) ref;
@@ -3601,6 +5747,16 @@
   private static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_bilberryvalve_load_DaemonState_fieldAccessorTable;
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_bilberryvalve_load_PromptPart_descriptor;
+  private static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_bilberryvalve_load_PromptPart_fieldAccessorTable;
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_bilberryvalve_load_PromptCrash_descriptor;
+  private static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_bilberryvalve_load_PromptCrash_fieldAccessorTable;
   private static final com.google.protobuf.Descriptors.Descriptor
     internal_static_bilberryvalve_load_RunnerUsage_descriptor;
   private static final 
@@ -3615,7 +5771,7 @@
       descriptor;
   static {
     java.lang.String[] descriptorData = {
-      "\n\nload.proto\022\022bilberryvalve.load\"\266\002\n\013Dae" +
+      "\n\nload.proto\022\022bilberryvalve.load\"\354\002\n\013Dae" +
       "monState\022\n\n\002vm\030\001 \001(\t\022\023\n\013incarnation\030\002 \001(" +
       "\003\022\020\n\010sequence\030\003 \001(\003\022\023\n\013data_centre\030\004 \001(\t" +
       "\022\026\n\016caller_address\030\005 \001(\t\022\025\n\rstate_addres" +
@@ -3623,11 +5779,17 @@
       "n\030\010 \001(\003\022.\n\005usage\030\t \003(\0132\037.bilberryvalve.l" +
       "oad.RunnerUsage\022\017\n\007leaving\030\n \001(\010\022\027\n\017stor" +
       "e_reachable\030\013 \001(\010\022\024\n\014lost_runners\030\014 \003(\t\022" +
-      "\030\n\020changing_runners\030\r \003(\t\"l\n\013RunnerUsage" +
-      "\022\016\n\006runner\030\001 \001(\t\022\017\n\007running\030\002 \001(\005\022\024\n\014tok" +
-      "en_layers\030\003 \001(\003\022\017\n\007entered\030\004 \001(\005\022\025\n\runre" +
-      "ad_layers\030\005 \001(\003B+\n\033io.bilberryvalve.wire" +
-      ".protoB\014LoadMessagesb\006proto3"
+      "\030\n\020changing_runners\030\r \003(\t\0224\n\014prompt_part" +
+      "s\030\016 \003(\0132\036.bilberryvalve.load.PromptPart\"" +
+      "x\n\nPromptPart\022\014\n\004part\030\001 \001(\t\0220\n\007crashes\030\002" +
+      " \003(\0132\037.bilberryvalve.load.PromptCrash\022\031\n" +
+      "\014answered_age\030\003 \001(\003H\000\210\001\001B\017\n\r_answered_ag" +
+      "e\":\n\013PromptCrash\022\016\n\006prompt\030\001 \001(\006\022\013\n\003age\030" +
+      "\002 \001(\003\022\016\n\006runner\030\003 \001(\006\"l\n\013RunnerUsage\022\016\n\006" +
+      "runner\030\001 \001(\t\022\017\n\007running\030\002 \001(\005\022\024\n\014token_l" +
+      "ayers\030\003 \001(\003\022\017\n\007entered\030\004 \001(\005\022\025\n\runread_l" +
+      "ayers\030\005 \001(\003B+\n\033io.bilberryvalve.wire.pro" +
+      "toB\014LoadMessagesb\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -3638,9 +5800,21 @@
     internal_static_bilberryvalve_load_DaemonState_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_bilberryvalve_load_DaemonState_descriptor,
-        new java.lang.String[] { "Vm", "Incarnation", "Sequence", "DataCentre", "CallerAddress", "StateAddress", "Serving", "Configuration", "Usage", "Leaving", "StoreReachable", "LostRunners", "ChangingRunners", });
-    internal_static_bilberryvalve_load_RunnerUsage_descriptor =
+        new java.lang.String[] { "Vm", "Incarnation", "Sequence", "DataCentre", "CallerAddress", "StateAddress", "Serving", "Configuration", "Usage", "Leaving", "StoreReachable", "LostRunners", "ChangingRunners", "PromptParts", });
+    internal_static_bilberryvalve_load_PromptPart_descriptor =
       getDescriptor().getMessageType(1);
+    internal_static_bilberryvalve_load_PromptPart_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_bilberryvalve_load_PromptPart_descriptor,
+        new java.lang.String[] { "Part", "Crashes", "AnsweredAge", });
+    internal_static_bilberryvalve_load_PromptCrash_descriptor =
+      getDescriptor().getMessageType(2);
+    internal_static_bilberryvalve_load_PromptCrash_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_bilberryvalve_load_PromptCrash_descriptor,
+        new java.lang.String[] { "Prompt", "Age", "Runner", });
+    internal_static_bilberryvalve_load_RunnerUsage_descriptor =
+      getDescriptor().getMessageType(3);
     internal_static_bilberryvalve_load_RunnerUsage_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_bilberryvalve_load_RunnerUsage_descriptor,
