End polls soon, so that one which the store lost delays little

What callers saw: requests were handled by an older version of the configuration than the one acknowledged two seconds before, at all daemons.

Cause: a poll for changes waited 25 s at the store and 1.5 s more for its answer. A poll that was sent while the store was silent never got one, on a connection that stayed healthy. After a change all daemons poll at the same moment, so all lost their polls alike and none knew of a newer version.

The list of runners was read in the same way, so drained runners would have been missed too.

--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/Gateway.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/Gateway.java
@@ -201,9 +201,12 @@
 				&& this.stateExchange.hasEnded(holder.substring(0, slash), Long.parseLong(holder.substring(slash + 1)));
 	}
 
-	// Returns the larger of the number of listed daemons and the number of daemons heard
-	// recently; includes daemons that are unreachable now.
-	private int daemonCount() {
+	/**
+	 * Returns the number of daemons.
+	 * @return the larger of the number of listed daemons and the number of daemons heard
+	 * recently, at least 1; includes daemons that are unreachable now
+	 */
+	public int daemonCount() {
 		return Math.max(this.listedGateways, this.stateExchange.knownCount());
 	}
 
--- a/bilberryvalve-platform/src/main/java/io/bilberryvalve/platform/watch/TableWatcher.java
+++ b/bilberryvalve-platform/src/main/java/io/bilberryvalve/platform/watch/TableWatcher.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
 
 import io.bilberryvalve.model.log.LogEvent;
 import io.bilberryvalve.platform.ReadResult;
@@ -22,12 +23,6 @@
 
 	private static final System.Logger LOGGER = System.getLogger(TableWatcher.class.getName());
 
-	/**
-	 * Longest wait of the store for a change. The store responds as soon as there is a
-	 * change, so a long wait saves calls and delays no change.
-	 */
-	private static final Duration LONG_POLL_TIMEOUT = Duration.ofSeconds(25);
-
 	/**
 	 * Delay before the next read after a change. Changes often come in groups; reading
 	 * several at once saves calls and delays them little.
@@ -49,6 +44,8 @@
 
 	private final ScheduledExecutorService timer;
 
+	private final Supplier<Duration> pollWait;
+
 	private final Listener listener;
 
 	private long version;
@@ -67,12 +64,16 @@
 	 * @param feed store of the table
 	 * @param timer runs the steps of the watcher and its listener, one at a time; owned
 	 * by the caller
+	 * @param pollWait supplies the longest wait of the store for a change; a poll that
+	 * the store loses delays the next change by about this time
 	 * @param listener receives the rows, one call at a time
 	 */
-	public TableWatcher(String table, TableFeed feed, ScheduledExecutorService timer, Listener listener) {
+	public TableWatcher(String table, TableFeed feed, ScheduledExecutorService timer, Supplier<Duration> pollWait,
+			Listener listener) {
 		this.table = table;
 		this.feed = feed;
 		this.timer = timer;
+		this.pollWait = pollWait;
 		this.listener = listener;
 	}
 
@@ -127,7 +128,7 @@
 	}
 
 	private void readChanges() {
-		this.feed.changes(this.table, this.version, LONG_POLL_TIMEOUT)
+		this.feed.changes(this.table, this.version, this.pollWait.get())
 			.thenAccept((result) -> this.timer.execute(() -> handleChanges(result)));
 	}
 
--- a/bilberryvalve-platform/src/test/java/io/bilberryvalve/platform/watch/TableWatcherTests.java
+++ b/bilberryvalve-platform/src/test/java/io/bilberryvalve/platform/watch/TableWatcherTests.java
@@ -23,7 +23,8 @@
 
 	private final List<String> events = new ArrayList<>();
 
-	private final TableWatcher watch = new TableWatcher("t", this.feed, this.timer, new Recorder());
+	private final TableWatcher watch = new TableWatcher("t", this.feed, this.timer, () -> Duration.ofSeconds(1),
+			new Recorder());
 
 	private static Row row(String value) {
 		return new Row("t", "k", 1, value);
