Decide between parts that fit the same crashes, and send few trials

The logs show three causes.

All crashed prompts had the same first part, so that it fitted as well as the bad one; both were held, no answer could clear it, and the holds ended early. Now only prompts with all parts that fit equally are held, and the others decide. When a hold ended, callers returned all at once and up to 24 prompts were sent before the next crash was known. Now one a second is sent by each daemon, and callers return at different times. After restarts in turn nobody knew the earlier crashes. Now daemons pass on what they know, and old reports are ignored, so that it is still forgotten.

--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/relay/RelayedRequest.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/relay/RelayedRequest.java
@@ -3,6 +3,7 @@
 import java.util.HashSet;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 
 import io.bilberryvalve.gateway.fleet.ListedRunner;
@@ -210,7 +211,7 @@
 			reject(LEAVING_RETRY_MILLIS, "this daemon is leaving");
 			return;
 		}
-		if (endIfHeld()) {
+		if (endIfHeld(this.context.partQuarantine().heldMillis(this.prompt))) {
 			return;
 		}
 		this.queue = this.context.reservationQueue(decision.service());
@@ -251,22 +252,27 @@
 		if (this.done || decision == null) {
 			releaseReservation();
 		}
-		else if (!endIfHeld()) {
+		else if (isAnswered() || !endIfHeld(this.context.partQuarantine().admit(this.prompt))) {
 			send(decision, reserved);
 		}
 	}
 
-	// Ends the request if its prompt is not to be sent to a runner. A stream that was
-	// answered before cannot be the cause of crashes.
-	private boolean endIfHeld() {
-		long millis = (this.events < ANSWERED_EVENTS) ? this.context.partQuarantine().heldMillis(this.prompt) : 0;
+	// Ends the request if its prompt is not to be sent to a runner now. Callers return at
+	// different times, so that few requests decide whether the part is sound.
+	private boolean endIfHeld(long millis) {
 		if (millis > 0) {
 			this.context.metrics().recordHeld();
-			giveUp(millis, HELD_REASON);
+			releaseReservation();
+			giveUp(millis + ThreadLocalRandom.current().nextLong(millis), HELD_REASON);
 		}
 		return millis > 0;
 	}
 
+	// A prompt that was answered before cannot be the cause of crashes.
+	private boolean isAnswered() {
+		return this.events >= ANSWERED_EVENTS;
+	}
+
 	@Override
 	public void rejected(long retryMillis) {
 		if (!this.loop.inEventLoop()) {
@@ -470,7 +476,7 @@
 	// crashed because of the prompt, this is found out before the prompt is sent again.
 	private void attemptBroken(String reason) {
 		Reservation reserved = this.reservation;
-		boolean answered = this.events >= ANSWERED_EVENTS || this.request.lastEvent() != null;
+		boolean answered = isAnswered() || this.request.lastEvent() != null;
 		if (reserved == null || answered || this.prompt.shared().isEmpty() || this.response.committed()) {
 			attemptInterrupted(reason);
 			return;
@@ -521,7 +527,7 @@
 	private void retryOrGiveUp(String reason, @Nullable Reservation reserved) {
 		RoutingDecision.Allowed decision = this.allowed;
 		ReservationQueue targetQueue = this.queue;
-		boolean held = this.events < ANSWERED_EVENTS && this.context.partQuarantine().heldMillis(this.prompt) > 0;
+		boolean held = !isAnswered() && this.context.partQuarantine().heldMillis(this.prompt) > 0;
 		boolean permitted = decision != null && !held && this.attempts < decision.route().maxAttempts()
 				&& (!this.mayHaveRun || decision.route().isRepeatable());
 		boolean granted = permitted && this.context.retryBudget().tryRetry();
--- a/bilberryvalve-policy/src/main/java/io/bilberryvalve/policy/quarantine/PartEvidence.java
+++ b/bilberryvalve-policy/src/main/java/io/bilberryvalve/policy/quarantine/PartEvidence.java
@@ -21,6 +21,13 @@
 
 	private static final int MAX_PROMPTS = 4;
 
+	/**
+	 * Difference in milliseconds above which a reported answer is another one than the
+	 * last one known. Smaller ones come from delays on the network, which would add up if
+	 * daemons adopted them from each other.
+	 */
+	private static final long SAME_ANSWER_MILLIS = 1000;
+
 	/**
 	 * Time in milliseconds within which crashes of several runners count as one, since
 	 * they have a cause in common, such as a loss of power.
@@ -60,6 +67,16 @@
 		return later;
 	}
 
+	/**
+	 * Records an answer that another daemon reports.
+	 * @param at time of the answer in milliseconds
+	 * @return whether it was not known
+	 */
+	boolean recordReportedAnswer(long at) {
+		boolean known = isAnswered() && at - this.answeredAt <= SAME_ANSWER_MILLIS;
+		return !known && recordAnswer(at);
+	}
+
 	Map<Long, Crash> crashes() {
 		return this.crashes;
 	}
@@ -72,6 +89,15 @@
 		return this.answeredAt;
 	}
 
+	/**
+	 * Returns whether other daemons should know of this evidence.
+	 * @param oldest time in milliseconds before which an answer is known to all
+	 * @return whether a crash is unexplained or an answer is recent
+	 */
+	boolean isOpen(long oldest) {
+		return this.answeredAt >= oldest || !unexplained().isEmpty();
+	}
+
 	/**
 	 * Returns the crashes after the last answer.
 	 * @return hashes of the runners
--- a/bilberryvalve-policy/src/main/java/io/bilberryvalve/policy/quarantine/PartQuarantine.java
+++ b/bilberryvalve-policy/src/main/java/io/bilberryvalve/policy/quarantine/PartQuarantine.java
@@ -8,6 +8,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.stream.Collectors;
@@ -42,15 +43,22 @@
 	 */
 	private static final long SUSPECTED_MILLIS = 2000;
 
-	/**
-	 * Factor by which the time rises with each prompt while several parts fit equally.
-	 */
-	private static final int UNDECIDED_FACTOR = 3;
-
 	private static final long CONFIRMED_MILLIS = 60_000;
 
 	/** Time after which crashes and answers are forgotten. */
-	private static final long MEMORY_MILLIS = 60_000;
+	private static final long MEMORY_MILLIS = 120_000;
+
+	/**
+	 * Age above which reported crashes are ignored, so that daemons do not remind each
+	 * other of what they are about to forget.
+	 */
+	private static final long MAX_REPORTED_AGE_MILLIS = 110_000;
+
+	/**
+	 * Time between two requests that are sent after a hold has ended and before an answer
+	 * or a crash decides; longer than a runner takes to begin its answer.
+	 */
+	private static final long TRIAL_INTERVAL_MILLIS = 1000;
 
 	/**
 	 * Largest number of parts that are remembered; a crash concerns those of a few
@@ -59,17 +67,28 @@
 	private static final int MAX_PARTS = 256;
 
 	/** Largest number of parts in a report, which keeps it within one datagram. */
-	private static final int MAX_REPORTED = 48;
+	private static final int MAX_REPORTED = 32;
 
-	private final Clock clock;
+	/**
+	 * Time for which an answer is reported that leaves no crash of a part unexplained.
+	 * Several reports are sent in it.
+	 */
+	private static final long REPORT_ANSWER_MILLIS = 2000;
 
-	private final Map<String, PartEvidence> own = new HashMap<>();
+	/** Parts with most unexplained crashes first, and the latest of those. */
+	private static final Comparator<Map.Entry<String, PartEvidence>> MOST_SUSPECT = Comparator
+		.comparingInt((Map.Entry<String, PartEvidence> entry) -> -entry.getValue().unexplained().size())
+		.thenComparingLong((entry) -> -entry.getValue().lastChange());
 
-	private final Map<String, PartEvidence> all = new HashMap<>();
+	private final Clock clock;
+
+	private final Map<String, PartEvidence> evidence = new HashMap<>();
 
 	private volatile Set<String> remembered = Set.of();
 
-	private volatile Map<String, Long> heldUntil = Map.of();
+	private volatile List<Suspicion> suspicions = List.of();
+
+	private final Map<Set<String>, Long> nextTrial = new HashMap<>();
 
 	/**
 	 * Creates a quarantine without suspects.
@@ -85,12 +104,39 @@
 	 * @return milliseconds; 0 if the request may be sent
 	 */
 	public long heldMillis(PromptParts prompt) {
-		Map<String, Long> held = this.heldUntil;
-		if (held.isEmpty() || Collections.disjoint(prompt.shared(), held.keySet())) {
-			return 0;
+		long held = 0;
+		for (Suspicion suspicion : this.suspicions) {
+			if (prompt.shared().containsAll(suspicion.parts)) {
+				held = Math.max(held, suspicion.until - this.clock.millis());
+			}
+		}
+		return held;
+	}
+
+	/**
+	 * Decides whether to send a request. After a hold has ended, few requests are sent
+	 * until an answer or another crash decides.
+	 * @param prompt parts of the prompt
+	 * @return 0 to send the request, or the time in milliseconds for which to reject it
+	 */
+	public long admit(PromptParts prompt) {
+		List<Suspicion> matching = this.suspicions.stream()
+			.filter((suspicion) -> prompt.shared().containsAll(suspicion.parts))
+			.toList();
+		long held = matching.isEmpty() ? 0 : heldMillis(prompt);
+		return (matching.isEmpty() || held > 0) ? held : admitTrial(matching);
+	}
+
+	private synchronized long admitTrial(List<Suspicion> matching) {
+		long now = this.clock.millis();
+		long wait = matching.stream()
+			.mapToLong((suspicion) -> this.nextTrial.getOrDefault(suspicion.parts, now) - now)
+			.max()
+			.orElse(0);
+		if (wait <= 0) {
+			matching.forEach((suspicion) -> this.nextTrial.put(suspicion.parts, now + TRIAL_INTERVAL_MILLIS));
 		}
-		long until = prompt.shared().stream().mapToLong((part) -> held.getOrDefault(part, 0L)).max().orElse(0);
-		return Math.max(0, until - this.clock.millis());
+		return Math.max(0, wait);
 	}
 
 	/**
@@ -104,8 +150,7 @@
 		long promptHash = Hashing.komihash5_0().hashCharsToLong(prompt.own());
 		long runnerHash = Hashing.komihash5_0().hashCharsToLong(runner.value() + '/' + startedMillis);
 		for (String part : prompt.shared()) {
-			evidence(this.own, part).addCrash(runnerHash, promptHash, now);
-			evidence(this.all, part).addCrash(runnerHash, promptHash, now);
+			evidence(part).addCrash(runnerHash, promptHash, now);
 		}
 		update(now);
 	}
@@ -122,27 +167,28 @@
 
 	private synchronized void recordAnswer(PromptParts prompt, long now) {
 		for (String part : prompt.shared()) {
-			if (this.all.containsKey(part)) {
-				evidence(this.own, part).recordAnswer(now);
-				evidence(this.all, part).recordAnswer(now);
+			if (this.evidence.containsKey(part)) {
+				evidence(part).recordAnswer(now);
 			}
 		}
 		update(now);
 	}
 
 	/**
-	 * Returns what this daemon itself has seen lately, for the other daemons.
-	 * @return the latest reports first
+	 * Returns what this daemon knows, for the other daemons. It includes what others have
+	 * reported, so that the knowledge outlives restarts in turn.
+	 * @return reports of the most suspect parts first
 	 */
 	public synchronized List<PartReport> report() {
-		if (this.own.isEmpty()) {
+		if (this.evidence.isEmpty()) {
 			return List.of();
 		}
 		long now = this.clock.millis();
 		update(now);
-		return this.own.entrySet()
+		return this.evidence.entrySet()
 			.stream()
-			.sorted(Comparator.comparingLong((entry) -> -entry.getValue().lastChange()))
+			.filter((entry) -> entry.getValue().isOpen(now - REPORT_ANSWER_MILLIS))
+			.sorted(MOST_SUSPECT)
 			.limit(MAX_REPORTED)
 			.map((entry) -> report(entry.getKey(), entry.getValue(), now))
 			.toList();
@@ -158,111 +204,108 @@
 	}
 
 	/**
-	 * Applies what another daemon has seen.
+	 * Applies what another daemon knows.
 	 * @param reports reports of that daemon; those beyond the largest number are ignored
 	 */
 	public synchronized void applyReports(List<PartReport> reports) {
 		long now = this.clock.millis();
 		boolean changed = false;
 		for (PartReport report : reports.subList(0, Math.min(MAX_REPORTED, reports.size()))) {
-			PartEvidence evidence = evidence(this.all, report.part());
+			PartEvidence known = evidence(report.part());
 			for (PartReport.Crash crash : report.crashes()) {
-				changed |= evidence.addCrash(crash.runner(), crash.prompt(), now - crash.ageMillis());
+				changed |= crash.ageMillis() < MAX_REPORTED_AGE_MILLIS
+						&& known.addCrash(crash.runner(), crash.prompt(), now - crash.ageMillis());
 			}
 			OptionalLong answered = report.answeredAgeMillis();
-			changed |= answered.isPresent() && evidence.recordAnswer(now - answered.getAsLong());
+			changed |= answered.isPresent() && known.recordReportedAnswer(now - answered.getAsLong());
 		}
 		if (changed) {
 			update(now);
 		}
 	}
 
-	private static PartEvidence evidence(Map<String, PartEvidence> parts, String part) {
-		PartEvidence known = parts.get(part);
+	private PartEvidence evidence(String part) {
+		PartEvidence known = this.evidence.get(part);
 		if (known != null) {
 			return known;
 		}
-		if (parts.size() >= MAX_PARTS) {
-			parts.entrySet()
-				.stream()
-				.min(Comparator.comparingLong((entry) -> entry.getValue().lastChange()))
-				.map(Map.Entry::getKey)
-				.ifPresent(parts::remove);
+		if (this.evidence.size() >= MAX_PARTS) {
+			this.evidence.entrySet().stream().max(MOST_SUSPECT).map(Map.Entry::getKey).ifPresent(this.evidence::remove);
 		}
 		PartEvidence created = new PartEvidence();
-		parts.put(part, created);
+		this.evidence.put(part, created);
 		return created;
 	}
 
 	private void update(long now) {
-		this.own.values().removeIf((evidence) -> evidence.forgetBefore(now - MEMORY_MILLIS));
-		this.all.values().removeIf((evidence) -> evidence.forgetBefore(now - MEMORY_MILLIS));
-		this.remembered = Set.copyOf(this.all.keySet());
-		Map<String, Long> before = this.heldUntil;
-		this.heldUntil = decide(now);
-		logChanges(before, this.heldUntil, now);
+		this.evidence.values().removeIf((known) -> known.forgetBefore(now - MEMORY_MILLIS));
+		this.remembered = Set.copyOf(this.evidence.keySet());
+		List<Suspicion> before = this.suspicions;
+		this.suspicions = decide();
+		logChanges(before, this.suspicions, now);
 	}
 
 	// Parts that fit more crashes come first. Crashes that a confirmed part explains do
 	// not count against the parts that accompanied it.
-	private Map<String, Long> decide(long now) {
-		Map<String, Set<Long>> suspects = new HashMap<>();
-		this.all.forEach((part, evidence) -> {
-			Set<Long> crashes = evidence.unexplained();
-			if (evidence.independentCrashes(crashes) >= SUSPECTED) {
-				suspects.put(part, crashes);
+	private List<Suspicion> decide() {
+		Map<Set<Long>, Set<String>> partsByCrashes = new HashMap<>();
+		this.evidence.forEach((part, known) -> {
+			Set<Long> crashes = known.unexplained();
+			if (known.independentCrashes(crashes) >= SUSPECTED) {
+				partsByCrashes.computeIfAbsent(crashes, (key) -> new HashSet<>()).add(part);
 			}
 		});
-		List<String> order = suspects.keySet()
+		List<Set<Long>> order = partsByCrashes.keySet()
 			.stream()
-			.sorted(Comparator.comparingInt((part) -> -suspects.get(part).size()))
+			.sorted(Comparator.comparingInt((crashes) -> -crashes.size()))
 			.toList();
-		Map<String, Long> result = new HashMap<>();
+		List<Suspicion> result = new ArrayList<>();
 		Set<Long> explained = new HashSet<>();
-		for (String part : order) {
-			PartEvidence evidence = this.all.get(part);
-			Set<Long> crashes = suspects.get(part);
+		for (Set<Long> crashes : order) {
+			Set<String> parts = partsByCrashes.get(crashes);
 			Set<Long> open = crashes.stream().filter((crash) -> !explained.contains(crash)).collect(Collectors.toSet());
-			int count = evidence.independentCrashes(open);
-			boolean confirmed = count >= CONFIRMED
-					&& suspects.values().stream().filter((other) -> other.containsAll(crashes)).count() == 1;
-			long until = evidence.lastCrash(open) + holdMillis(count, confirmed);
-			if (count >= SUSPECTED && until > now) {
-				result.put(part, until);
+			PartEvidence known = Objects.requireNonNull(this.evidence.get(parts.iterator().next()));
+			int count = known.independentCrashes(open);
+			if (count >= SUSPECTED) {
+				long millis = (count >= CONFIRMED) ? CONFIRMED_MILLIS : SUSPECTED_MILLIS;
+				result.add(new Suspicion(parts, known.lastCrash(open) + millis));
 			}
-			if (confirmed) {
+			if (count >= CONFIRMED) {
 				explained.addAll(crashes);
 			}
 		}
-		return Map.copyOf(result);
+		this.nextTrial.keySet().retainAll(result.stream().map(Suspicion::parts).collect(Collectors.toSet()));
+		return List.copyOf(result);
 	}
 
-	private static long holdMillis(int crashes, boolean confirmed) {
-		if (confirmed) {
-			return CONFIRMED_MILLIS;
-		}
-		long millis = SUSPECTED_MILLIS;
-		for (int i = SUSPECTED; i < crashes; i++) {
-			millis *= UNDECIDED_FACTOR;
-		}
-		return Math.min(CONFIRMED_MILLIS, millis);
+	private static void logChanges(List<Suspicion> before, List<Suspicion> after, long now) {
+		after.stream()
+			.filter((suspicion) -> !before.contains(suspicion))
+			.forEach((suspicion) -> LogEvent.of("prompt-parts-held")
+				.with("parts", suspicion.parts)
+				.with("millis", suspicion.until - now)
+				.log(LOGGER, System.Logger.Level.WARNING));
+		before.stream()
+			.filter((suspicion) -> after.stream().noneMatch((other) -> other.parts.equals(suspicion.parts)))
+			.forEach((suspicion) -> LogEvent.of("prompt-parts-cleared")
+				.with("parts", suspicion.parts)
+				.log(LOGGER, System.Logger.Level.INFO));
 	}
 
-	private static void logChanges(Map<String, Long> before, Map<String, Long> after, long now) {
-		after.forEach((part, until) -> {
-			if (until > before.getOrDefault(part, 0L)) {
-				LogEvent.of("prompt-part-held")
-					.with("part", part)
-					.with("millis", until - now)
-					.log(LOGGER, System.Logger.Level.WARNING);
-			}
-		});
-		before.keySet()
-			.stream()
-			.filter((part) -> !after.containsKey(part))
-			.forEach((part) -> LogEvent.of("prompt-part-released")
-				.with("part", part)
-				.log(LOGGER, System.Logger.Level.INFO));
+	/**
+	 * Parts that fit the same crashes equally. Only requests with all of them are held,
+	 * since one with a single of these parts shows by its answer or crash which of them
+	 * is the cause.
+	 *
+	 * @param parts identifiers of the parts
+	 * @param until time in milliseconds at which the hold ends
+	 */
+	private record Suspicion(Set<String> parts, long until) {
+
+		private Suspicion {
+			parts = Set.copyOf(parts);
+		}
+
 	}
 
 }
