Bound the bytes that are read in vain from an upstream

A runner in trouble may send bytes without end, in a head or a body. Four of seven cases in EndlessResponseTests read more than 32 MiB and went on: preliminary responses, a response to another attempt, the body of a response that is dropped, and a body that is too long for a short call, whose connection was read on after the call had failed. Heads and events had bounds already.

Bytes before the head of a response count from the moment the request was sent, ahead of the decoder, up to 1 MiB; so does a body that is dropped. A failed short call closes its connection. A rejection stays one, although its body does not end. The time is bounded by the time limit of the request.

--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/http/HttpClient.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/http/HttpClient.java
@@ -61,7 +61,10 @@
 				call.cancel();
 				collector.onFailure(true, "no answer within " + timeout.toMillis() + " ms");
 			}, timeout.toMillis(), TimeUnit.MILLISECONDS);
-			collector.result.whenComplete((reply, failure) -> timer.cancel(false));
+			collector.result.whenComplete((reply, failure) -> {
+				timer.cancel(false);
+				call.cancel();
+			});
 			this.pool.send(address, call);
 		});
 		return collector.result;
--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/http/UpstreamConnection.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/http/UpstreamConnection.java
@@ -34,6 +34,13 @@
 
 	private static final long MAX_IDLE_MILLIS = 10_000;
 
+	/**
+	 * Largest number of bytes that are skipped before the head of the response: those of
+	 * preliminary responses, of responses to other attempts, and bytes that are no
+	 * response.
+	 */
+	private static final long MAX_SKIPPED_BYTES = 1 << 20;
+
 	private static final String KEEP_ALIVE = "keep-alive";
 
 	private static final String KEEP_ALIVE_TIMEOUT = "timeout=";
@@ -50,6 +57,11 @@
 
 	private boolean skippingResponse;
 
+	/** Bytes received since the request was sent, before the head of its response. */
+	private long skippedBytes;
+
+	private boolean headReceived;
+
 	private boolean reusable = true;
 
 	private long expectedBytes;
@@ -92,6 +104,8 @@
 		}
 		this.call = next;
 		this.written = false;
+		this.headReceived = false;
+		this.skippedBytes = 0;
 		next.attach(ctx.channel());
 		ctx.writeAndFlush(next.request()).addListener((done) -> {
 			this.written = true;
@@ -106,6 +120,34 @@
 		this.context = added;
 	}
 
+	/**
+	 * Returns a handler that counts the received bytes; it precedes the decoder, which
+	 * drops some of them.
+	 * @return a new handler for the pipeline of this connection
+	 */
+	ChannelInboundHandlerAdapter byteCounter() {
+		return new ChannelInboundHandlerAdapter() {
+
+			@Override
+			public void channelRead(ChannelHandlerContext ctx, Object message) {
+				if (message instanceof ByteBuf bytes && countSkipped(bytes.readableBytes())) {
+					bytes.release();
+					fail("no response within " + MAX_SKIPPED_BYTES + " bytes");
+					return;
+				}
+				ctx.fireChannelRead(message);
+			}
+
+		};
+	}
+
+	private boolean countSkipped(int bytes) {
+		if (!this.headReceived) {
+			this.skippedBytes += bytes;
+		}
+		return this.call != null && this.skippedBytes > MAX_SKIPPED_BYTES;
+	}
+
 	@Override
 	public void channelRead(ChannelHandlerContext ctx, Object message) {
 		try {
@@ -156,6 +198,8 @@
 			this.idleMillis = parseIdleMillis(headers);
 		}
 		if (!this.skippingResponse) {
+			this.headReceived = true;
+			this.skippedBytes = 0;
 			current.listener().onHead(head);
 		}
 	}
--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/http/UpstreamPool.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/http/UpstreamPool.java
@@ -94,7 +94,8 @@
 
 			@Override
 			protected void initChannel(Channel channel) {
-				channel.pipeline().addLast(new HttpRequestEncoder(), decoder(headOnly), connection);
+				channel.pipeline()
+					.addLast(connection.byteCounter(), new HttpRequestEncoder(), decoder(headOnly), connection);
 			}
 
 		}).connect(address.host(), address.port());
--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/relay/RelayedRequest.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/relay/RelayedRequest.java
@@ -330,8 +330,15 @@
 	public void onContent(ByteBuf content) {
 		this.stallDetector.recordProgress();
 		this.stallDetector.eventReceived();
-		if (!this.response.content(content)) {
-			abortAttempt("an event is too long");
+		if (this.response.content(content)) {
+			return;
+		}
+		if (this.notRun) {
+			cancelCall();
+			notRunByRunner();
+		}
+		else {
+			abortAttempt("an event or a dropped body is too long");
 		}
 	}
 
--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/relay/ResponseRelay.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/relay/ResponseRelay.java
@@ -27,6 +27,9 @@
 	 */
 	private static final int MAX_BUFFERED_BYTES = 1 << 20;
 
+	/** Largest number of bytes of a body that is dropped. */
+	private static final long MAX_DROPPED_BYTES = 1 << 20;
+
 	private final CallerExchange exchange;
 
 	private final HeaderNames headerNames;
@@ -43,6 +46,8 @@
 
 	private Mode mode = Mode.NONE;
 
+	private long droppedBytes;
+
 	/**
 	 * Creates a relay that has not received a response.
 	 * @param exchange the caller's request, to which the response is written
@@ -64,6 +69,7 @@
 	void reset() {
 		this.head = null;
 		this.mode = Mode.NONE;
+		this.droppedBytes = 0;
 		releaseBody();
 	}
 
@@ -114,8 +120,8 @@
 	/**
 	 * Receives a part of the body.
 	 * @param content the bytes, valid during the call
-	 * @return whether the response is still usable; {@code false} if an event exceeds the
-	 * size limit
+	 * @return whether to go on reading; {@code false} if an event or a body that is
+	 * dropped exceeds the size limit
 	 */
 	boolean content(ByteBuf content) {
 		CompositeByteBuf buffered = this.body;
@@ -123,6 +129,10 @@
 		if (this.mode == Mode.STREAM && splitter != null) {
 			return relayEvents(splitter, content);
 		}
+		if (this.mode == Mode.DROP) {
+			this.droppedBytes += content.readableBytes();
+			return this.droppedBytes <= MAX_DROPPED_BYTES;
+		}
 		if (this.mode == Mode.PASS) {
 			this.exchange.write(content.retainedSlice());
 		}
