Remember the latest crashes of a prompt part, not the first

Found when the change was read again: after eight crashes of a part, later ones were dropped, so that its hold ended 60 s after the eighth although runners went on crashing, and a trial a second was sent by each daemon. The oldest crash now makes room. The test failed before.

--- a/bilberryvalve-policy/src/main/java/io/bilberryvalve/policy/quarantine/PartEvidence.java
+++ b/bilberryvalve-policy/src/main/java/io/bilberryvalve/policy/quarantine/PartEvidence.java
@@ -1,5 +1,6 @@
 package io.bilberryvalve.policy.quarantine;
 
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -41,7 +42,7 @@
 	private long answeredAt = NEVER;
 
 	/**
-	 * Adds a prompt to a crash.
+	 * Adds a prompt to a crash. The oldest crash makes room for a new one.
 	 * @param runner hash of the runner and the time of its start
 	 * @param prompt hash of the prompt
 	 * @param at time of the crash in milliseconds
@@ -49,11 +50,23 @@
 	 */
 	boolean addCrash(long runner, long prompt, long at) {
 		Crash crash = this.crashes.get(runner);
-		if (crash == null && this.crashes.size() < MAX_CRASHES) {
-			this.crashes.put(runner, new Crash(at, new HashSet<>(Set.of(prompt))));
-			return true;
+		if (crash != null) {
+			return crash.prompts.size() < MAX_PROMPTS && crash.prompts.add(prompt);
 		}
-		return crash != null && crash.prompts.size() < MAX_PROMPTS && crash.prompts.add(prompt);
+		if (this.crashes.size() >= MAX_CRASHES && !removeOldestBefore(at)) {
+			return false;
+		}
+		this.crashes.put(runner, new Crash(at, new HashSet<>(Set.of(prompt))));
+		return true;
+	}
+
+	private boolean removeOldestBefore(long at) {
+		return this.crashes.entrySet()
+			.stream()
+			.min(Comparator.comparingLong((entry) -> entry.getValue().at))
+			.filter((oldest) -> oldest.getValue().at < at)
+			.map((oldest) -> this.crashes.remove(oldest.getKey()))
+			.isPresent();
 	}
 
 	/**
--- a/bilberryvalve-policy/src/test/java/io/bilberryvalve/policy/quarantine/PartQuarantineTests.java
+++ b/bilberryvalve-policy/src/test/java/io/bilberryvalve/policy/quarantine/PartQuarantineTests.java
@@ -121,6 +121,17 @@
 		assertThat(held("bad", "own9")).isLessThanOrEqualTo(2000);
 	}
 
+	// Guards against a part that is no longer held because the memory for its crashes is
+	// full.
+	@Example
+	void latestOfManyCrashesCounts() {
+		for (int i = 0; i < 12; i++) {
+			crash(prompt("bad", "own" + i));
+			this.clock.advance(Duration.ofSeconds(4));
+		}
+		assertThat(held("bad", "own99")).isGreaterThan(50_000);
+	}
+
 	// Guards against requests that return all at once when a hold ends, and crash a
 	// runner each.
 	@Example
