Treat a stream without framing and without events as broken off

Runners may send a stream with neither a length nor chunks, which ends with its connection. A runner that ended before its first event then looked like one that had answered with an empty stream, and the caller got that. Such a response now counts as broken off, unless the caller continues a stream that may have no events left. The test for it got an empty stream before; a second one keeps that such a stream may end after any whole event.

--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/relay/ResponseRelay.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/relay/ResponseRelay.java
@@ -10,6 +10,7 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
+import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import org.jspecify.annotations.Nullable;
 
@@ -210,7 +211,7 @@
 		HttpResponse response = this.head;
 		CompositeByteBuf buffered = this.body;
 		EventSplitter splitter = this.events;
-		if (this.mode == Mode.STREAM && splitter != null && splitter.hasPartialEvent()) {
+		if (this.mode == Mode.STREAM && splitter != null && (splitter.hasPartialEvent() || isEmptyAndUnframed())) {
 			return false;
 		}
 		if (this.mode == Mode.STREAM || this.mode == Mode.PASS) {
@@ -226,6 +227,14 @@
 		return true;
 	}
 
+	// A runner that ends before its first event closes the connection, as it does at the
+	// end of a response without framing.
+	private boolean isEmptyAndUnframed() {
+		HttpResponse response = this.head;
+		return this.lastEvent == null && !this.exchange.isStarted() && response != null
+				&& !HttpUtil.isContentLengthSet(response) && !HttpUtil.isTransferEncodingChunked(response);
+	}
+
 	/**
 	 * Tells whether a part of a plain response was sent to the caller, so that no other
 	 * attempt can replace it.
--- a/bilberryvalve-gateway/src/test/java/io/bilberryvalve/gateway/relay/RelayTests.java
+++ b/bilberryvalve-gateway/src/test/java/io/bilberryvalve/gateway/relay/RelayTests.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 
 import io.bilberryvalve.policy.membership.ShutdownSchedule;
 import net.jqwik.api.Example;
@@ -70,6 +71,41 @@
 		}
 	}
 
+	// Guards against an empty stream that a caller takes for complete, because its runner
+	// ended before the first event and the response has no framing.
+	@Example
+	void unframedStreamWithoutEventsIsSentToAnotherRunner() throws IOException {
+		AtomicInteger attempts = new AtomicInteger();
+		ScriptedRunner.Script emptyAtFirst = (request, count, socket, out) -> {
+			write(out, "HTTP/1.1 200 OK\r\nx-attempt: a1\r\nx-seal: s\r\nContent-Type: text/event-stream\r\n\r\n"
+					+ ((attempts.getAndIncrement() > 0) ? "id: 1\ndata: x\n\n" : ""));
+			socket.close();
+		};
+		try (ScriptedRunner one = new ScriptedRunner(emptyAtFirst);
+				ScriptedRunner other = new ScriptedRunner(emptyAtFirst);
+				RelayFixture router = new RelayFixture(one, other).withConfiguration()) {
+			assertThat(router.exchange(RelayFixture.request("POST", "/stream/1", "a1", CLOSE, "question")))
+				.startsWith("HTTP/1.1 200 ")
+				.contains("id: 1");
+		}
+	}
+
+	// Guards against an unframed stream that is cut although it ended after an event.
+	@Example
+	void unframedStreamEndsWithItsConnection() throws IOException {
+		ScriptedRunner.Script whole = (request, count, socket, out) -> {
+			write(out, "HTTP/1.1 200 OK\r\nx-attempt: a1\r\nx-seal: s\r\nContent-Type: text/event-stream\r\n\r\n"
+					+ "id: 1\ndata: x\n\n");
+			socket.close();
+		};
+		try (ScriptedRunner runner = new ScriptedRunner(whole);
+				RelayFixture router = new RelayFixture(runner).withConfiguration()) {
+			assertThat(router.exchange(RelayFixture.request("POST", "/stream/1", "a1", CLOSE, "question")))
+				.startsWith("HTTP/1.1 200 ")
+				.endsWith("0\r\n\r\n");
+		}
+	}
+
 	// Guards against a booking that runs twice: a response that breaks off does not
 	// prove that the request did not run.
 	@Example
