Show which requests were lost to the silence of a runner

request-ended had the reason of the last attempt only, so that a stream that was cut after its first runner had been given up for silence looked like one whose second runner refused it. The line now has silent-attempts, a counter tells by cause what ended requests that may have run, and engine-profile-changed tells how many requests waited for the service.

--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/relay/RelayContext.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/relay/RelayContext.java
@@ -239,6 +239,12 @@
 			if (old != null && Objects.equals(old.engine, engine)) {
 				return old;
 			}
+			if (old != null) {
+				LogEvent.of("engine-profile-changed")
+					.with("service", name)
+					.with("waiting", old.queue.waitingCount())
+					.log(LOGGER, System.Logger.Level.INFO);
+			}
 			CapacityAllocator allocator = (engine != null)
 					? new PathAllocator(name, engine, this.fleetRegistry, this.loadTracker, this.runnerAvailability,
 							this.progressTracker)
--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/relay/RelayedRequest.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/relay/RelayedRequest.java
@@ -10,6 +10,7 @@
 import io.bilberryvalve.gateway.http.CallerExchange;
 import io.bilberryvalve.gateway.http.UpstreamCall;
 import io.bilberryvalve.gateway.http.UpstreamListener;
+import io.bilberryvalve.gateway.report.UnansweredCause;
 import io.bilberryvalve.gateway.route.Route;
 import io.bilberryvalve.gateway.route.RouteTable;
 import io.bilberryvalve.gateway.route.Team;
@@ -135,6 +136,9 @@
 
 	private int refusedConnections;
 
+	/** Attempts that were given up because their runners were silent. */
+	private int silentAttempts;
+
 	/** Events received in all attempts. */
 	private int events;
 
@@ -563,12 +567,20 @@
 
 	// Ends the request without an answer from a runner.
 	private void giveUp(long retryMillis, String reason) {
+		recordUnanswered((this.silentAttempts > 0) ? UnansweredCause.SILENCE : UnansweredCause.RUNNER);
 		endWithoutAnswer(HttpResponseStatus.BAD_GATEWAY, retryMillis, reason);
 	}
 
+	private void recordUnanswered(UnansweredCause cause) {
+		if (this.exchange.isStarted() || this.mayHaveRun) {
+			this.context.metrics().recordUnanswered(cause);
+		}
+	}
+
 	private void timedOut() {
 		if (!this.done) {
 			cancelPending();
+			recordUnanswered(UnansweredCause.TIME_LIMIT);
 			endWithoutAnswer(HttpResponseStatus.GATEWAY_TIMEOUT, STARTUP_RETRY_MILLIS, "time limit");
 		}
 	}
@@ -676,6 +688,7 @@
 			return false;
 		}
 		cancelCall();
+		this.silentAttempts++;
 		this.mayHaveRunBefore = true;
 		releaseReservation();
 		logFailedAttempt("silent with others for " + silenceMillis + " ms", reserved, true);
@@ -689,6 +702,7 @@
 		this.excluded.addAll(causes);
 		this.blamed.addAll(causes);
 		if (!this.done && this.reservation == reserved) {
+			this.silentAttempts++;
 			abortAttempt("silent for " + silenceMillis + " ms");
 		}
 	}
@@ -725,6 +739,7 @@
 			.with("sends", this.attempts)
 			.with("runners", (reserved != null) ? reserved.runnerIds() : null)
 			.with("wait", (this.sentAt > 0) ? this.sentAt - this.arrivedAt : null)
+			.with("silent-attempts", (this.silentAttempts > 0) ? this.silentAttempts : null)
 			.with("line", this.queueLength)
 			.with("retry-after", this.retryAfterMillis)
 			.with("fleet-age", this.context.fleetRegistry().ageMillis())
--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/report/Metrics.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/report/Metrics.java
@@ -39,6 +39,12 @@
 		.labelNames("repeated")
 		.register(this.registry);
 
+	private final Counter unanswered = Counter.builder()
+		.name("bilberryvalve_unanswered_requests_total")
+		.help("Requests that ended without an answer of a runner although they may have run, by what ended them")
+		.labelNames("cause")
+		.register(this.registry);
+
 	private final Counter runnerCrashes = Counter.builder()
 		.name("bilberryvalve_runner_crashes_total")
 		.help("Attempts whose runner ended before it had answered the prompt")
@@ -119,6 +125,15 @@
 		this.failedAttempts.labelValues(Boolean.toString(repeated)).inc();
 	}
 
+	/**
+	 * Records a request that ended without an answer of a runner although it may have
+	 * run.
+	 * @param cause what ended it
+	 */
+	public void recordUnanswered(UnansweredCause cause) {
+		this.unanswered.labelValues(cause.label()).inc();
+	}
+
 	/**
 	 * Records an attempt whose runner crashed before it had answered.
 	 */
--- /dev/null
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/report/UnansweredCause.java
@@ -0,0 +1,27 @@
+package io.bilberryvalve.gateway.report;
+
+import java.util.Locale;
+
+/**
+ * What ended a request that may have run and has no answer of a runner.
+ */
+public enum UnansweredCause {
+
+	/** This daemon gave up an attempt because its runner was silent. */
+	SILENCE,
+
+	/** The runner broke off, or its response was unusable. */
+	RUNNER,
+
+	/** The time limit of the request was reached. */
+	TIME_LIMIT;
+
+	/**
+	 * Returns the value of the metric label.
+	 * @return the name in lower case
+	 */
+	public String label() {
+		return name().toLowerCase(Locale.ROOT);
+	}
+
+}
