--- a/bilberryvalve-gateway/src/test/java/io/bilberryvalve/gateway/relay/RelayFixture.java
+++ b/bilberryvalve-gateway/src/test/java/io/bilberryvalve/gateway/relay/RelayFixture.java
@@ -6,7 +6,10 @@
 import java.io.OutputStream;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.time.Clock;
 import java.time.Duration;
+import java.time.Instant;
+import java.time.ZoneId;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -15,6 +18,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
 
 import io.bilberryvalve.gateway.fleet.FleetRegistry;
 import io.bilberryvalve.gateway.fleet.ListedRunner;
@@ -59,7 +63,7 @@
 
 	private static final DataCentreId HERE = new DataCentreId("a");
 
-	private final MonotonicClock clock = new MonotonicClock();
+	private final AdvancingClock clock = new AdvancingClock();
 
 	private final ManualClock crashClock = new ManualClock();
 
@@ -75,11 +79,14 @@
 
 	private final Address address;
 
+	private volatile StallProbe stallProbe = (first) -> CompletableFuture
+		.completedFuture(new StallProbe.ProbeResult(true, List.of()));
+
 	RelayFixture(ScriptedRunner... runners) {
 		RetryBudget budget = new RetryBudget(this.clock, 0.2, 10, Duration.ofSeconds(10));
 		this.context = new RelayContext(HEADER_NAMES, HERE, this.clock, this.fleetRegistry, this.loadTracker,
 				new RunnerAvailability(this.clock), new PartQuarantine(this.crashClock), budget,
-				(first) -> CompletableFuture.completedFuture(new StallProbe.ProbeResult(true, List.of())),
+				(first) -> this.stallProbe.probe(first),
 				(loop) -> this.pools.computeIfAbsent(loop, (key) -> new UpstreamPool(this.transport, key, this.clock)));
 		Map<RunnerId, ListedRunner> listed = new HashMap<>();
 		for (int i = 0; i < runners.length; i++) {
@@ -102,6 +109,11 @@
 		return this;
 	}
 
+	RelayFixture withStallProbe(StallProbe probe) {
+		this.stallProbe = probe;
+		return this;
+	}
+
 	RelayContext context() {
 		return this.context;
 	}
@@ -119,6 +131,15 @@
 			.scheduleWithFixedDelay(() -> this.context.checkProgress(false), 0, 25, TimeUnit.MILLISECONDS);
 	}
 
+	// Advances the clock of the router as if nothing had happened meanwhile, and checks
+	// all requests for stalls.
+	void checkProgressAfter(Duration time) {
+		this.clock.advance(time);
+		this.context.checkProgress(false);
+		this.transport.next().submit(() -> {
+		}).syncUninterruptibly();
+	}
+
 	// Advances the clock by which crashes are told apart.
 	void advanceCrashClock(Duration time) {
 		this.crashClock.advance(time);
@@ -137,6 +158,8 @@
 		routes.add(route("/read/", RequestKind.IDEMPOTENT, 2, false));
 		routes.add(route("/book/", RequestKind.NON_IDEMPOTENT, 1, false));
 		routes.add(route("/stream/", RequestKind.STREAMING, 2, true));
+		routes.add(route("/quick/", RequestKind.IDEMPOTENT, 2, false, Duration.ofMillis(100)));
+		routes.add(route("/quick-book/", RequestKind.NON_IDEMPOTENT, 2, false, Duration.ofMillis(100)));
 		routes.add(new Route("/model/", "host.example", "/model/", RequestKind.STREAMING, Duration.ofSeconds(5),
 				Duration.ofSeconds(2), Duration.ofMillis(200), 1, List.of(new Route.WeightedService("model", 1)), 2,
 				false, true));
@@ -145,7 +168,12 @@
 	}
 
 	private static Route route(String prefix, RequestKind kind, int attempts, boolean resumable) {
-		return new Route(prefix, "host.example", prefix, kind, Duration.ofSeconds(5), Duration.ofSeconds(2),
+		return route(prefix, kind, attempts, resumable, Duration.ofSeconds(2));
+	}
+
+	private static Route route(String prefix, RequestKind kind, int attempts, boolean resumable,
+			Duration targetLatency) {
+		return new Route(prefix, "host.example", prefix, kind, Duration.ofSeconds(5), targetLatency,
 				Duration.ofMillis(200), 1, List.of(new Route.WeightedService("app", 1)), attempts, false, resumable);
 	}
 
@@ -219,4 +247,37 @@
 		this.transport.close();
 	}
 
+	/** Monotonic clock that can also be advanced. */
+	private static final class AdvancingClock extends Clock {
+
+		private final MonotonicClock running = new MonotonicClock();
+
+		private final AtomicLong advancedMillis = new AtomicLong();
+
+		void advance(Duration time) {
+			this.advancedMillis.addAndGet(time.toMillis());
+		}
+
+		@Override
+		public ZoneId getZone() {
+			return this.running.getZone();
+		}
+
+		@Override
+		public Clock withZone(ZoneId zone) {
+			return Clock.fixed(instant(), zone);
+		}
+
+		@Override
+		public Instant instant() {
+			return this.running.instant().plusMillis(this.advancedMillis.get());
+		}
+
+		@Override
+		public long millis() {
+			return this.running.millis() + this.advancedMillis.get();
+		}
+
+	}
+
 }
