Keep a silent attempt in progress beside its backup

Callers saw streams that were cut, and requests that ended with 502, after their runner had been silent for a second, although it would have gone on.

Cause: the class of fault is giving up the old before the new is certain. A stalled attempt was cancelled first; only then were the retry budget, the limit of attempts, and the queue asked for another one, and the second attempt could still be refused or break off. In each of these cases the answer was lost to nothing but the runner's silence.

Silence now never ends an attempt. A backup attempt is made beside it where slots, budget and limit of attempts allow one; the first attempt to continue the answer is kept, and the others are cancelled then. What fails beside another attempt in progress ends nothing. A repetition uses a new connection, since a late response to an earlier attempt of the same request would carry the same identifier.

--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/relay/RelayedRequest.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/relay/RelayedRequest.java
@@ -1,6 +1,8 @@
 package io.bilberryvalve.gateway.relay;
 
+import java.util.ArrayList;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ThreadLocalRandom;
@@ -11,21 +13,15 @@
 import io.bilberryvalve.gateway.http.UpstreamCall;
 import io.bilberryvalve.gateway.http.UpstreamListener;
 import io.bilberryvalve.gateway.report.UnansweredCause;
-import io.bilberryvalve.gateway.route.Route;
 import io.bilberryvalve.gateway.route.RouteTable;
-import io.bilberryvalve.gateway.route.Team;
-import io.bilberryvalve.model.Address;
 import io.bilberryvalve.model.RunnerId;
-import io.bilberryvalve.model.log.LogEvent;
 import io.bilberryvalve.policy.quarantine.PromptParts;
 import io.bilberryvalve.policy.queue.WaitQueue;
-import io.netty.buffer.ByteBuf;
 import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
-import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.util.concurrent.ScheduledFuture;
 import org.jspecify.annotations.Nullable;
@@ -33,11 +29,12 @@
 /**
  * Relays one request from its caller to the runners and back: waits for slots in the
  * {@link ReservationQueue} of the service, sends the request, and sends it again where
- * that is allowed. All state is confined to the event loop of the caller's connection.
+ * that is allowed. An attempt whose runners are silent stays in progress while a backup
+ * attempt is made beside it, since its runners may go on; the first attempt that
+ * continues the answer is kept, and the others are cancelled. All state is confined to
+ * the event loop of the caller's connection.
  */
-final class RelayedRequest implements UpstreamListener, ReservationRequest.Receiver, StallDetector.Listener {
-
-	private static final System.Logger LOGGER = System.getLogger(RelayedRequest.class.getName());
+final class RelayedRequest implements RunnerAttempt.Listener {
 
 	/**
 	 * Attempts that could not be sent, as when a connection is refused, before the
@@ -104,59 +101,37 @@
 
 	private final PromptParts prompt;
 
-	private final ResponseRelay response;
+	private final CallerResponse response;
 
-	private final StallDetector stallDetector;
+	private final RequestLog log;
 
-	private final Set<RunnerId> excluded = new HashSet<>();
+	/** Attempts that were sent and have not ended, the latest one last. */
+	private final List<RunnerAttempt> inProgress = new ArrayList<>();
 
-	private final Set<RunnerId> blamed = new HashSet<>();
+	private final Set<RunnerId> excluded = new HashSet<>();
 
 	private RoutingDecision.@Nullable Allowed allowed;
 
 	private @Nullable ReservationQueue queue;
 
-	private @Nullable ReservationRequest queued;
-
-	private @Nullable Reservation reservation;
+	private @Nullable PendingReservation pending;
 
-	private @Nullable UpstreamCall call;
+	private volatile @Nullable RunnerAttempt latest;
 
 	private @Nullable ScheduledFuture<?> timer;
 
-	private @Nullable Integer queueLength;
-
-	private @Nullable Long retryAfterMillis;
-
 	private long deadlineAt;
 
-	private long sentAt;
-
-	private int attempts;
+	private int sends;
 
 	private int refusedConnections;
 
-	/** Attempts that were given up because their runners were silent. */
-	private int silentAttempts;
-
 	/** Events received in all attempts. */
 	private int events;
 
 	private boolean started;
 
-	/**
-	 * Whether the first event of this attempt has arrived, so that the runners have
-	 * processed the prompt.
-	 */
-	private boolean firstEventReceived;
-
-	/** Whether the current response states that the runner did not run the request. */
-	private boolean notRun;
-
-	/** Whether the current attempt or an earlier one may have run. */
-	private boolean mayHaveRun;
-
-	/** Whether an earlier attempt may have run. */
+	/** Whether an attempt that is no longer in progress may have run. */
 	private boolean mayHaveRunBefore;
 
 	private boolean done;
@@ -168,9 +143,8 @@
 		this.arrivedAt = context.clock().millis();
 		this.request = new RequestHead(exchange.request().headers(), context.headerNames());
 		this.prompt = this.request.promptParts();
-		this.response = new ResponseRelay(exchange, context.headerNames(), this.request.lastEvent(),
-				this::eventArrived);
-		this.stallDetector = new StallDetector(context, this.loop, this);
+		this.response = new CallerResponse(exchange, this.request.lastEvent());
+		this.log = new RequestLog(context, this.request.attempt(), this.arrivedAt);
 	}
 
 	// Holds the request back while this daemon starts, since the configuration arrives
@@ -211,6 +185,7 @@
 
 	private void accept(RoutingDecision.Allowed decision) {
 		this.allowed = decision;
+		this.log.routed(decision);
 		if (this.context.rejectsWhileLeaving(decision.timeoutMillis())) {
 			reject(LEAVING_RETRY_MILLIS, "this daemon is leaving");
 			return;
@@ -230,43 +205,42 @@
 	}
 
 	private void requestReservation(RoutingDecision.Allowed decision, ReservationQueue targetQueue) {
-		this.response.reset();
-		WaitQueue.WaitLimits waitLimits = this.exchange.isStarted()
+		WaitQueue.WaitLimits waitLimits = this.response.isStarted()
 				? RelayTimeouts.resumedWaitLimits(this.context.clock().millis(), this.deadlineAt)
 				: RelayTimeouts.waitLimits(decision.route(), this.arrivedAt, this.deadlineAt);
-		// A caller that has received a part of its stream takes precedence over those
-		// that have received nothing.
-		int priority = (this.response.lastEvent() != null) ? RESUMED_PRIORITY : decision.priority();
-		ReservationRequest pending = new ReservationRequest(decision.size(), priority, Set.copyOf(this.excluded),
-				waitLimits, this);
-		this.queued = pending;
-		targetQueue.submit(pending);
+		new PendingReservation(decision, targetQueue).submit(waitLimits, false);
 	}
 
-	@Override
-	public void granted(Reservation reserved) {
-		if (!this.loop.inEventLoop()) {
-			this.loop.execute(() -> granted(reserved));
+	private void granted(RoutingDecision.Allowed decision, ReservationQueue targetQueue, Reservation reserved) {
+		if (!mayUse(decision)) {
+			targetQueue.release(reserved, false);
 			return;
 		}
-		this.queued = null;
-		this.reservation = reserved;
-		this.firstEventReceived = false;
-		RoutingDecision.Allowed decision = this.allowed;
-		if (this.done || decision == null) {
-			releaseReservation();
+		long heldMillis = isAnswered() ? 0 : this.context.partQuarantine().admit(this.prompt);
+		if (heldMillis == 0) {
+			send(decision, targetQueue, reserved);
+			return;
 		}
-		else if (isAnswered() || !endIfHeld(this.context.partQuarantine().admit(this.prompt))) {
-			send(decision, reserved);
+		targetQueue.release(reserved, false);
+		if (this.inProgress.isEmpty()) {
+			endIfHeld(heldMillis);
 		}
 	}
 
+	// A reservation for a backup attempt is used only if the other attempt is still
+	// silent and the retry budget allows it.
+	private boolean mayUse(RoutingDecision.Allowed decision) {
+		RunnerAttempt current = this.latest;
+		return this.inProgress.isEmpty() || (current != null && mayRepeat(decision)
+				&& current.silenceMillis() >= RelayTimeouts.MIN_SILENCE_MILLIS
+				&& this.context.retryBudget().tryRetry());
+	}
+
 	// Ends the request if its prompt is not to be sent to a runner now. Callers return at
 	// different times, so that few requests decide whether the part is sound.
 	private boolean endIfHeld(long millis) {
 		if (millis > 0) {
 			this.context.metrics().recordHeld();
-			releaseReservation();
 			giveUp(millis + ThreadLocalRandom.current().nextLong(millis), HELD_REASON);
 		}
 		return millis > 0;
@@ -277,192 +251,107 @@
 		return this.events >= ANSWERED_EVENTS;
 	}
 
-	@Override
-	public void rejected(long retryMillis) {
-		if (!this.loop.inEventLoop()) {
-			this.loop.execute(() -> rejected(retryMillis));
-			return;
-		}
-		this.queued = null;
-		ReservationQueue targetQueue = this.queue;
-		if (!this.done && targetQueue != null) {
-			this.queueLength = targetQueue.waitingCount();
+	private void rejected(ReservationQueue targetQueue, long retryMillis) {
+		if (this.inProgress.isEmpty()) {
+			this.log.queueLength(targetQueue.waitingCount());
 			giveUp(retryMillis, "no place at the runners");
 		}
 	}
 
-	private void releaseReservation() {
-		Reservation reserved = this.reservation;
-		ReservationQueue targetQueue = this.queue;
-		this.reservation = null;
-		this.stallDetector.reservationReleased();
-		if (reserved != null && targetQueue != null) {
-			targetQueue.release(reserved, this.firstEventReceived);
-		}
+	private void send(RoutingDecision.Allowed decision, ReservationQueue targetQueue, Reservation reserved) {
+		this.sends++;
+		this.log.sent();
+		this.context.metrics()
+			.recordReservation(decision.route().kind(), this.context.clock().millis() - this.arrivedAt);
+		RunnerAttempt attempt = new RunnerAttempt(this.context, this.loop, targetQueue, reserved, this.response, this);
+		this.inProgress.add(attempt);
+		this.latest = attempt;
+		attempt.send((reservation, listener) -> createCall(decision, reservation, listener));
 	}
 
-	private void send(RoutingDecision.Allowed decision, Reservation reserved) {
-		this.attempts++;
-		this.mayHaveRun = true;
-		this.notRun = false;
-		this.sentAt = this.context.clock().millis();
-		this.stallDetector.recordProgress();
-		this.context.metrics().recordReservation(decision.route().kind(), this.sentAt - this.arrivedAt);
+	// A repetition uses a new connection, since a late response to an earlier attempt of
+	// this request on a kept one would have the same identifier.
+	private UpstreamCall createCall(RoutingDecision.Allowed decision, Reservation reserved, UpstreamListener listener) {
 		FullHttpRequest received = this.exchange.request();
-		HttpHeaders headers = this.request.upstreamHeaders(reserved, this.deadlineAt - this.sentAt, decision.team(),
-				this.response.lastEvent(), received.content().readableBytes());
-		UpstreamCall next = new UpstreamCall(received.method(), received.uri(), headers,
-				received.content().retainedDuplicate(), !decision.route().isRepeatable(),
-				this.request.headerNames().attemptId(), this);
-		this.call = next;
-		this.context.connectionPool(this.loop).send(reserved.firstRunner().address(), next);
+		HttpHeaders headers = this.request.upstreamHeaders(reserved, this.deadlineAt - this.context.clock().millis(),
+				decision.team(), this.response.lastEvent(), received.content().readableBytes());
+		return new UpstreamCall(received.method(), received.uri(), headers, received.content().retainedDuplicate(),
+				!decision.route().isRepeatable() || this.sends > 1, this.context.headerNames().attemptId(), listener);
 	}
 
 	@Override
-	public void onHead(HttpResponse head) {
-		this.stallDetector.recordProgress();
-		switch (this.response.head(head, mayRepeat())) {
-			case NOT_RUN -> this.notRun = true;
-			case UNUSABLE ->
-				abortAttempt("response with status " + head.status().code() + " is not an answer of the runner");
-			default -> {
-			}
-		}
+	public boolean isReplaceable(RunnerAttempt attempt) {
+		RoutingDecision.Allowed decision = this.allowed;
+		return this.inProgress.size() > 1 || (decision != null && mayRepeat(decision));
 	}
 
 	@Override
-	public void onContent(ByteBuf content) {
-		this.stallDetector.recordProgress();
-		this.stallDetector.eventReceived();
-		if (this.response.content(content)) {
-			return;
-		}
-		if (this.notRun) {
-			cancelCall();
-			notRunByRunner();
-		}
-		else {
-			abortAttempt("an event or a dropped body is too long");
-		}
-	}
-
-	private void eventArrived() {
+	public void eventReceived(RunnerAttempt attempt, boolean first) {
 		if (++this.events == ANSWERED_EVENTS) {
 			this.context.partQuarantine().recordAnswer(this.prompt);
 		}
-		Reservation reserved = this.reservation;
-		if (this.firstEventReceived || reserved == null) {
-			return;
-		}
-		this.firstEventReceived = true;
-		if (reserved.path() != null) {
-			this.stallDetector.streamStarted(reserved);
-		}
-		this.context.loadTracker().recordPrefill(reserved.resources(), reserved.size());
-		if (!this.exchange.isStarted()) {
+		if (first && !this.response.isStarted()) {
 			this.context.metrics().recordFirstEvent(this.context.clock().millis() - this.arrivedAt);
 		}
 	}
 
 	@Override
-	public void onReadComplete() {
-		this.response.flush();
+	public void selected(RunnerAttempt attempt) {
+		this.latest = attempt;
+		cancelReservation();
+		if (this.inProgress.size() > 1) {
+			List<RunnerAttempt> others = new ArrayList<>(this.inProgress);
+			others.remove(attempt);
+			others.forEach(this::cancelAttempt);
+		}
 	}
 
-	@Override
-	public void onEnd() {
-		this.call = null;
-		if (this.notRun) {
-			notRunByRunner();
-		}
-		else if (this.response.end()) {
-			succeeded();
-		}
-		else {
-			HttpResponse head = this.response.head();
-			excludeFirstRunner(this.reservation);
-			attemptBroken("no usable answer, status " + ((head != null) ? head.status().code() : 0));
-		}
+	private void cancelAttempt(RunnerAttempt attempt) {
+		this.inProgress.remove(attempt);
+		this.mayHaveRunBefore = true;
+		attempt.cancel();
 	}
 
-	private void succeeded() {
-		Reservation reserved = this.reservation;
-		HttpResponse head = this.response.head();
-		int status = (head != null) ? head.status().code() : 0;
+	@Override
+	public void answered(RunnerAttempt attempt) {
+		int status = attempt.status();
 		if (this.events > 0) {
 			this.context.partQuarantine().recordAnswer(this.prompt);
 		}
-		if (reserved != null && status < HttpResponseStatus.INTERNAL_SERVER_ERROR.code()) {
-			reserved.runnerIds().forEach(this.context.runnerAvailability()::recordSuccess);
+		if (status < HttpResponseStatus.INTERNAL_SERVER_ERROR.code()) {
+			attempt.reservation().runnerIds().forEach(this.context.runnerAvailability()::recordSuccess);
 		}
 		finish(status, "answered");
 	}
 
-	// The runner stated that it did not run the request. It may have named the address
-	// of another runner as the cause.
-	private void notRunByRunner() {
-		this.mayHaveRun = this.mayHaveRunBefore;
-		HttpResponse head = this.response.head();
-		Reservation reserved = this.reservation;
-		if (head != null && reserved != null) {
-			String faultyAddress = head.headers().get(this.request.headerNames().faultyRunner());
-			RunnerId runner = runnerAt(faultyAddress).orElse(reserved.firstRunner().id());
-			this.excluded.add(runner);
-			if (faultyAddress != null || head.status().code() == HttpResponseStatus.MISDIRECTED_REQUEST.code()) {
-				this.context.runnerAvailability()
-					.recordFailure(runner, "refused a request with " + head.status().code());
-			}
-		}
-		releaseReservation();
-		retryOrGiveUp("not run by the runner", reserved);
-	}
-
-	private Optional<RunnerId> runnerAt(@Nullable String address) {
-		try {
-			return (address != null) ? this.context.fleetRegistry()
-				.snapshot()
-				.findByAddress(Address.parse(address))
-				.map(ListedRunner::id) : Optional.empty();
+	// A reservation that is pending now was meant for a backup attempt, and has not been
+	// charged to the retry budget.
+	private void removeEnded(RunnerAttempt attempt, RunnerId faulty) {
+		this.inProgress.remove(attempt);
+		this.excluded.add(faulty);
+		if (this.inProgress.isEmpty()) {
+			cancelReservation();
 		}
-		catch (IllegalArgumentException ex) {
-			return Optional.empty();
+		else {
+			this.latest = this.inProgress.get(this.inProgress.size() - 1);
 		}
 	}
 
 	@Override
-	public void onConnectionRefused() {
-		Reservation reserved = this.reservation;
-		if (reserved != null) {
-			this.context.runnerAvailability().markLost(reserved.firstRunner(), "its address refuses connections");
-		}
+	public void notRun(RunnerAttempt attempt, RunnerId faulty) {
+		removeEnded(attempt, faulty);
+		continueOrRetry(attempt, "not run by the runner");
 	}
 
 	@Override
-	public void onFailure(boolean sent, String reason) {
-		this.call = null;
-		Reservation reserved = this.reservation;
-		if (this.notRun) {
-			notRunByRunner();
-			return;
-		}
-		if (reserved != null) {
-			this.context.runnerAvailability().recordFailure(reserved.firstRunner().id(), reason);
-			excludeFirstRunner(reserved);
-		}
-		if (sent) {
-			attemptBroken(reason);
-		}
-		else {
-			notSent(reason);
-		}
-	}
-
-	private void notSent(String reason) {
-		this.attempts--;
-		this.mayHaveRun = this.mayHaveRunBefore;
-		releaseReservation();
+	public void notSent(RunnerAttempt attempt, String reason) {
+		removeEnded(attempt, attempt.firstRunner().id());
+		this.sends--;
 		RoutingDecision.Allowed decision = this.allowed;
 		ReservationQueue targetQueue = this.queue;
+		if (this.done || !this.inProgress.isEmpty()) {
+			return;
+		}
 		if (decision != null && targetQueue != null && ++this.refusedConnections <= MAX_REFUSED_CONNECTIONS) {
 			requestReservation(decision, targetQueue);
 		}
@@ -471,78 +360,75 @@
 		}
 	}
 
-	private void excludeFirstRunner(@Nullable Reservation reserved) {
-		if (reserved != null) {
-			this.excluded.add(reserved.firstRunner().id());
-		}
-	}
-
-	private void abortAttempt(String reason) {
-		cancelCall();
-		excludeFirstRunner(this.reservation);
-		attemptInterrupted(reason);
+	@Override
+	public void unusable(RunnerAttempt attempt, String reason) {
+		removeEnded(attempt, attempt.firstRunner().id());
+		interrupted(attempt, reason);
 	}
 
-	// Handles an attempt whose connection the runner closed. If the runner may have
-	// crashed because of the prompt, this is found out before the prompt is sent again.
-	private void attemptBroken(String reason) {
-		Reservation reserved = this.reservation;
+	// If the runner may have crashed because of the prompt, this is found out before the
+	// prompt is sent again.
+	@Override
+	public void brokenOff(RunnerAttempt attempt, String reason) {
+		removeEnded(attempt, attempt.firstRunner().id());
 		boolean answered = isAnswered() || this.request.lastEvent() != null;
-		if (reserved == null || answered || this.prompt.shared().isEmpty() || this.response.committed()) {
-			attemptInterrupted(reason);
+		if (answered || this.prompt.shared().isEmpty() || attempt.committed()) {
+			interrupted(attempt, reason);
 			return;
 		}
 		this.mayHaveRunBefore = true;
-		releaseReservation();
-		ListedRunner runner = reserved.firstRunner();
+		ListedRunner runner = attempt.firstRunner();
 		this.context.connectionPool(this.loop).probe(runner.address(), CRASH_CHECK_MILLIS, (refused) -> {
 			if (refused) {
-				recordCrash(runner);
-			}
-			if (!this.done) {
-				retryOrGiveUp(reason, reserved);
+				this.log.runnerCrashed(runner, this.prompt);
+				this.context.runnerAvailability().markLost(runner, "its address refuses connections");
+				this.context.partQuarantine().recordCrash(this.prompt, runner.id(), runner.startedMillis());
 			}
+			continueOrRetry(attempt, reason);
 		});
 	}
 
-	private void recordCrash(ListedRunner runner) {
-		this.context.metrics().recordRunnerCrash();
-		LogEvent.of("runner-crashed")
-			.with("request", this.request.attempt())
-			.with("runner", runner.id())
-			.with("parts", this.prompt.shared())
-			.log(LOGGER, System.Logger.Level.INFO);
-		this.context.runnerAvailability().markLost(runner, "its address refuses connections");
-		this.context.partQuarantine().recordCrash(this.prompt, runner.id(), runner.startedMillis());
-	}
-
 	// Handles an attempt that may have run and whose response will not be completed.
-	private void attemptInterrupted(String reason) {
+	private void interrupted(RunnerAttempt attempt, String reason) {
 		this.mayHaveRunBefore = true;
-		Reservation reserved = this.reservation;
-		releaseReservation();
-		if (this.response.committed()) {
+		if (attempt.committed()) {
+			this.context.metrics().recordUnanswered(UnansweredCause.RUNNER);
 			this.exchange.abort();
 			finish(0, reason);
 		}
 		else {
-			retryOrGiveUp(reason, reserved);
+			continueOrRetry(attempt, reason);
 		}
 	}
 
-	private boolean mayRepeat() {
-		RoutingDecision.Allowed decision = this.allowed;
-		return decision != null && decision.route().isRepeatable() && this.attempts < decision.route().maxAttempts();
+	private boolean mayHaveRun() {
+		return this.mayHaveRunBefore || !this.inProgress.isEmpty();
+	}
+
+	// Returns whether a request that may have run can be sent once more. A stream whose
+	// events have no identifiers cannot be resumed after the first one.
+	private boolean mayRepeat(RoutingDecision.Allowed decision) {
+		return decision.route().isRepeatable() && this.sends < decision.route().maxAttempts()
+				&& !(this.response.isStarted() && this.response.lastEvent() == null);
 	}
 
-	private void retryOrGiveUp(String reason, @Nullable Reservation reserved) {
+	// Leaves the request to another attempt if one is in progress; otherwise sends it
+	// again if that is allowed.
+	private void continueOrRetry(RunnerAttempt failed, String reason) {
+		if (this.done) {
+			return;
+		}
+		if (!this.inProgress.isEmpty() || this.pending != null) {
+			this.log.attemptFailed(failed, reason, false, this.sends, this.response.lastEvent());
+			return;
+		}
 		RoutingDecision.Allowed decision = this.allowed;
 		ReservationQueue targetQueue = this.queue;
 		boolean held = !isAnswered() && this.context.partQuarantine().heldMillis(this.prompt) > 0;
-		boolean permitted = decision != null && !held && this.attempts < decision.route().maxAttempts()
-				&& (!this.mayHaveRun || decision.route().isRepeatable());
+		boolean permitted = decision != null && !held && this.sends < decision.route().maxAttempts()
+				&& (!mayHaveRun() || mayRepeat(decision));
 		boolean granted = permitted && this.context.retryBudget().tryRetry();
-		logFailedAttempt(reason, reserved, granted);
+		this.log.attemptFailed(failed, reason, granted, this.sends, this.response.lastEvent());
 		if (granted && decision != null && targetQueue != null) {
 			requestReservation(decision, targetQueue);
 		}
@@ -551,49 +437,30 @@
 		}
 	}
 
-	private void logFailedAttempt(String reason, @Nullable Reservation reserved, boolean repeated) {
-		this.context.metrics().recordFailedAttempt(repeated);
-		LogEvent.of("attempt-failed")
-			.with("request", this.request.attempt())
-			.with("runners", (reserved != null) ? reserved.runnerIds() : null)
-			.with("blamed", this.blamed.isEmpty() ? null : this.blamed)
-			.with("fleet-age", this.context.fleetRegistry().ageMillis())
-			.with("sends", this.attempts)
-			.with("reason", reason)
-			.with("repeat", repeated)
-			.with("last-event", this.response.lastEvent())
-			.log(LOGGER, System.Logger.Level.INFO);
-	}
-
 	// Ends the request without an answer from a runner.
 	private void giveUp(long retryMillis, String reason) {
-		recordUnanswered((this.silentAttempts > 0) ? UnansweredCause.SILENCE : UnansweredCause.RUNNER);
-		endWithoutAnswer(HttpResponseStatus.BAD_GATEWAY, retryMillis, reason);
-	}
-
-	private void recordUnanswered(UnansweredCause cause) {
-		if (this.exchange.isStarted() || this.mayHaveRun) {
-			this.context.metrics().recordUnanswered(cause);
-		}
+		endWithoutAnswer(HttpResponseStatus.BAD_GATEWAY, UnansweredCause.RUNNER, retryMillis, reason);
 	}
 
 	private void timedOut() {
 		if (!this.done) {
 			cancelPending();
-			recordUnanswered(UnansweredCause.TIME_LIMIT);
-			endWithoutAnswer(HttpResponseStatus.GATEWAY_TIMEOUT, STARTUP_RETRY_MILLIS, "time limit");
+			endWithoutAnswer(HttpResponseStatus.GATEWAY_TIMEOUT, UnansweredCause.TIME_LIMIT, STARTUP_RETRY_MILLIS,
+					"time limit");
 		}
 	}
 
 	// Rejects the request with a retry delay only if it has certainly not run, since a
 	// caller repeats a rejected request. Otherwise the caller gets the given status,
 	// or its response is cut if it has started.
-	private void endWithoutAnswer(HttpResponseStatus unknown, long retryMillis, String reason) {
-		if (this.exchange.isStarted()) {
+	private void endWithoutAnswer(HttpResponseStatus unknown, UnansweredCause cause, long retryMillis, String reason) {
+		if (this.response.isStarted()) {
+			this.context.metrics().recordUnanswered(cause);
 			this.exchange.abort();
 			finish(0, reason);
 		}
-		else if (this.mayHaveRun) {
+		else if (mayHaveRun()) {
+			this.context.metrics().recordUnanswered(cause);
 			this.exchange.respond(unknown, new DefaultHttpHeaders(), reason);
 			finish(unknown.code(), reason);
 		}
@@ -605,30 +472,25 @@
 	private void reject(long retryMillis, String reason) {
 		HttpHeaders headers = new DefaultHttpHeaders();
 		headers.set(HttpHeaderNames.RETRY_AFTER, retryMillis / MILLIS_PER_SECOND);
-		this.retryAfterMillis = retryMillis;
+		this.log.retryAfter(retryMillis);
 		this.exchange.respond(HttpResponseStatus.SERVICE_UNAVAILABLE, headers, reason);
 		finish(HttpResponseStatus.SERVICE_UNAVAILABLE.code(), reason);
 	}
 
 	private void callerDisconnected() {
 		if (!this.done) {
-			cancelPending();
 			finish(0, "caller left");
 		}
 	}
 
 	private void cancelPending() {
-		cancelCall();
-		ReservationRequest pending = this.queued;
-		ReservationQueue targetQueue = this.queue;
-		if (pending != null && targetQueue != null) {
-			targetQueue.cancel(pending);
-		}
+		cancelReservation();
+		List.copyOf(this.inProgress).forEach(this::cancelAttempt);
 	}
 
-	private void cancelCall() {
-		UpstreamCall current = this.call;
-		this.call = null;
+	private void cancelReservation() {
+		PendingReservation current = this.pending;
+		this.pending = null;
 		if (current != null) {
 			current.cancel();
 		}
@@ -643,38 +505,34 @@
 	}
 
 	private void writabilityChanged() {
-		UpstreamCall current = this.call;
-		if (current != null) {
-			current.setPaused(!this.exchange.isWritable());
-		}
+		boolean pause = !this.exchange.isWritable();
+		this.inProgress.forEach((attempt) -> attempt.setPaused(pause));
 	}
 
 	// Checks for a stall. May be called on any thread; a request that makes progress
 	// causes no work on its event loop.
 	void checkProgress() {
-		if (this.stallDetector.silenceMillis() >= RelayTimeouts.MIN_SILENCE_MILLIS) {
+		RunnerAttempt current = this.latest;
+		if (current != null && current.silenceMillis() >= RelayTimeouts.MIN_SILENCE_MILLIS) {
 			this.loop.execute(this::checkStall);
 		}
 	}
 
 	private void checkStall() {
-		Reservation reserved = this.reservation;
+		RunnerAttempt current = this.latest;
 		RoutingDecision.Allowed decision = this.allowed;
-		ReservationQueue targetQueue = this.queue;
-		boolean leaves = !this.done && this.call != null && mayRepeat() && this.exchange.isWritable();
-		if (leaves && reserved != null && decision != null && targetQueue != null) {
-			this.stallDetector.check(decision.route(), reserved, this.firstEventReceived,
-					targetQueue.prefillBacklogMillis(reserved));
+		if (!this.done && current != null && decision != null && mayRepeat(decision) && this.exchange.isWritable()) {
+			current.checkStall(decision.route());
 		}
 	}
 
-	// Moves the stream at once if another path has free slots, so that its next event
-	// can still be on time. Otherwise it stays, since its runners may continue.
+	// Sends the request to another path at once if one has free slots, so that its next
+	// event can still be on time.
 	@Override
-	public boolean runnersSuspected(Reservation reserved, Set<RunnerId> suspects, long silenceMillis) {
+	public boolean runnersSuspected(RunnerAttempt attempt, Set<RunnerId> suspects, long silenceMillis) {
 		RoutingDecision.Allowed decision = this.allowed;
 		ReservationQueue targetQueue = this.queue;
-		if (this.done || this.reservation != reserved || decision == null || targetQueue == null) {
+		if (this.done || decision == null || targetQueue == null) {
 			return true;
 		}
 		Set<RunnerId> avoided = new HashSet<>(this.excluded);
@@ -687,23 +545,25 @@
 			targetQueue.release(next.get(), false);
 			return false;
 		}
-		cancelCall();
-		this.silentAttempts++;
-		this.mayHaveRunBefore = true;
-		releaseReservation();
-		logFailedAttempt("silent with others for " + silenceMillis + " ms", reserved, true);
-		this.response.reset();
-		granted(next.get());
+		cancelReservation();
+		attempt.stopTracking();
+		this.log.silent(attempt, next.get(), silenceMillis, this.response.lastEvent());
+		send(decision, targetQueue, next.get());
 		return true;
 	}
 
+	// Requests slots for a backup attempt. The silent one stays in progress, since its
+	// runners may go on while the backup attempt is refused or breaks off.
 	@Override
-	public void pathStalled(Reservation reserved, Set<RunnerId> causes, long silenceMillis) {
+	public void stalled(RunnerAttempt attempt, Set<RunnerId> causes, long silenceMillis) {
 		this.excluded.addAll(causes);
-		this.blamed.addAll(causes);
-		if (!this.done && this.reservation == reserved) {
-			this.silentAttempts++;
-			abortAttempt("silent for " + silenceMillis + " ms");
+		this.log.blamed(causes);
+		RoutingDecision.Allowed decision = this.allowed;
+		ReservationQueue targetQueue = this.queue;
+		if (!this.done && this.pending == null && decision != null && targetQueue != null && mayRepeat(decision)) {
+			this.log.silent(attempt, null, silenceMillis, this.response.lastEvent());
+			new PendingReservation(decision, targetQueue)
+				.submit(RelayTimeouts.resumedWaitLimits(this.context.clock().millis(), this.deadlineAt), true);
 		}
 	}
 
@@ -713,40 +573,74 @@
 		}
 		this.done = true;
 		cancelTimer();
-		logEnd(status, reason);
-		releaseReservation();
-		this.response.release();
+		this.log.ended(status, reason, this.sends, this.latest, this.response.lastEvent());
+		cancelPending();
 		this.context.unregister(this);
 	}
 
-	private void logEnd(int status, String reason) {
-		RoutingDecision.Allowed decision = this.allowed;
-		Route route = (decision != null) ? decision.route() : null;
-		Team team = (decision != null) ? decision.team() : null;
-		RouteTable table = this.context.table();
-		Reservation reserved = this.reservation;
-		long millis = this.context.clock().millis() - this.arrivedAt;
-		if (route != null) {
-			this.context.metrics().recordEnd(route.kind(), status, millis);
-		}
-		LogEvent.of("request-ended")
-			.with("request", this.request.attempt())
-			.with("route", (route != null) ? route.name() : null)
-			.with("team", (team != null) ? team.name() : null)
-			.with("configuration", (table != null) ? table.version() : null)
-			.with("status", status)
-			.with("reason", reason)
-			.with("sends", this.attempts)
-			.with("runners", (reserved != null) ? reserved.runnerIds() : null)
-			.with("wait", (this.sentAt > 0) ? this.sentAt - this.arrivedAt : null)
-			.with("silent-attempts", (this.silentAttempts > 0) ? this.silentAttempts : null)
-			.with("line", this.queueLength)
-			.with("retry-after", this.retryAfterMillis)
-			.with("fleet-age", this.context.fleetRegistry().ageMillis())
-			.with("millis", millis)
-			.with("longest-pause", this.firstEventReceived ? this.stallDetector.longestSilenceMillis() : null)
-			.with("last-event", this.response.lastEvent())
-			.log(LOGGER, System.Logger.Level.INFO);
+	/** A reservation that this request waits for, unless it was cancelled. */
+	private final class PendingReservation implements ReservationRequest.Receiver {
+
+		private final RoutingDecision.Allowed decision;
+
+		private final ReservationQueue targetQueue;
+
+		private @Nullable ReservationRequest submitted;
+
+		PendingReservation(RoutingDecision.Allowed decision, ReservationQueue targetQueue) {
+			this.decision = decision;
+			this.targetQueue = targetQueue;
+		}
+
+		void submit(WaitQueue.WaitLimits waitLimits, boolean elsewhereOnly) {
+			RelayedRequest.this.pending = this;
+			// A caller that has received a part of its stream takes precedence over those
+			// that have received nothing.
+			int priority = (RelayedRequest.this.response.lastEvent() != null) ? RESUMED_PRIORITY
+					: this.decision.priority();
+			this.submitted = new ReservationRequest(this.decision.size(), priority,
+					Set.copyOf(RelayedRequest.this.excluded), elsewhereOnly, waitLimits, this);
+			this.targetQueue.submit(this.submitted);
+		}
+
+		void cancel() {
+			ReservationRequest request = this.submitted;
+			if (request != null) {
+				this.targetQueue.cancel(request);
+			}
+		}
+
+		private boolean take() {
+			boolean current = RelayedRequest.this.pending == this && !RelayedRequest.this.done;
+			if (current) {
+				RelayedRequest.this.pending = null;
+			}
+			return current;
+		}
+
+		@Override
+		public void granted(Reservation reserved) {
+			if (!RelayedRequest.this.loop.inEventLoop()) {
+				RelayedRequest.this.loop.execute(() -> granted(reserved));
+			}
+			else if (take()) {
+				RelayedRequest.this.granted(this.decision, this.targetQueue, reserved);
+			}
+			else {
+				this.targetQueue.release(reserved, false);
+			}
+		}
+
+		@Override
+		public void rejected(long retryMillis) {
+			if (!RelayedRequest.this.loop.inEventLoop()) {
+				RelayedRequest.this.loop.execute(() -> rejected(retryMillis));
+			}
+			else if (take()) {
+				RelayedRequest.this.rejected(this.targetQueue, retryMillis);
+			}
+		}
+
 	}
 
 }
--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/relay/ReservationQueue.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/relay/ReservationQueue.java
@@ -66,8 +66,7 @@
 		Optional<Reservation> reservation;
 		long retryMillis = 0;
 		synchronized (this.waitQueue) {
-			reservation = (this.waitQueue.size() == 0) ? this.allocator.reserve(request.size(), request.excluded())
-					: Optional.empty();
+			reservation = (this.waitQueue.size() == 0) ? reserve(request) : Optional.empty();
 			if (reservation.isEmpty()) {
 				long now = this.clock.millis();
 				retryMillis = this.allocator.canServe()
@@ -87,6 +86,11 @@
 		}
 	}
 
+	private Optional<Reservation> reserve(ReservationRequest request) {
+		return request.elsewhereOnly() ? this.allocator.reserveElsewhere(request.size(), request.excluded())
+				: this.allocator.reserve(request.size(), request.excluded());
+	}
+
 	/**
 	 * Reserves slots on another path, to which a stream in progress can move. The stream
 	 * takes precedence over the waiting requests.
@@ -147,7 +151,7 @@
 				outcomes.add(() -> request.receiver().rejected(retryMillis));
 			}
 			for (ReservationRequest request : this.waitQueue.peek(now, MAX_DISPATCH_CANDIDATES)) {
-				Optional<Reservation> reservation = this.allocator.reserve(request.size(), request.excluded());
+				Optional<Reservation> reservation = reserve(request);
 				if (reservation.isPresent()) {
 					this.waitQueue.remove(request);
 					this.waitQueue.recordAdmission(now);
--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/relay/ReservationRequest.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/relay/ReservationRequest.java
@@ -12,11 +12,13 @@
  * @param size expected number of tokens
  * @param priority rank in the queue; a lower number is served first
  * @param excluded runners to avoid, because earlier attempts failed there
+ * @param elsewhereOnly whether the excluded runners must not be used even if no others
+ * are free
  * @param waitLimits times until which it may wait
  * @param receiver receives the reservation or the rejection
  */
-record ReservationRequest(RequestSize size, int priority, Set<RunnerId> excluded, WaitQueue.WaitLimits waitLimits,
-		Receiver receiver) {
+record ReservationRequest(RequestSize size, int priority, Set<RunnerId> excluded, boolean elsewhereOnly,
+		WaitQueue.WaitLimits waitLimits, Receiver receiver) {
 
 	/**
 	 * Receives the outcome, possibly on a different thread than the one that submitted
--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/relay/RunnerAllocator.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/relay/RunnerAllocator.java
@@ -60,7 +60,7 @@
 
 	@Override
 	public Optional<Reservation> reserveElsewhere(RequestSize size, Set<RunnerId> avoided) {
-		return Optional.empty();
+		return reserve(size, avoided);
 	}
 
 	@Override
--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/relay/StallDetector.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/relay/StallDetector.java
@@ -1,6 +1,7 @@
 package io.bilberryvalve.gateway.relay;
 
 import java.util.HashSet;
+import java.util.List;
 import java.util.Set;
 
 import io.bilberryvalve.gateway.fleet.ProgressTracker;
@@ -15,22 +16,23 @@
 /**
  * Detects when the runners of one request fall silent, and finds the runner that causes
  * it. Runners from which several streams have had no event for too long are suspected
- * first, and the listener may move the request away from them. Otherwise the first runner
- * of the path is probed, and the path is given up only if that runner names one that does
- * not respond to it, or does not answer itself: a path that is only slow completes the
- * request sooner than a second attempt from the start. A silent application runner is
- * given up without a probe. Used on the event loop of the request, except where noted.
+ * first, and the listener may make a backup attempt elsewhere. Otherwise the first runner
+ * of the path is probed, and the path counts as stalled only if that runner names one
+ * that does not respond to it, or does not answer itself: a path that is only slow
+ * completes the request sooner than a second attempt from the start. A silent application
+ * runner counts as stalled without a probe. Used on the event loop of the request, except
+ * where noted.
  */
 final class StallDetector {
 
 	private static final System.Logger LOGGER = System.getLogger(StallDetector.class.getName());
 
-	/**
-	 * Time until the first runner of a silent path is probed again after it named no
-	 * cause.
-	 */
+	/** Time until the runners of a silent request are checked again. */
 	private static final long REPROBE_MILLIS = 400;
 
+	/** Used for a report that cannot be read, which shows no cause. */
+	private static final StallProbe.ProbeResult NO_CAUSE = new StallProbe.ProbeResult(true, List.of());
+
 	private final RelayContext context;
 
 	private final EventLoop loop;
@@ -61,12 +63,19 @@
 	}
 
 	/**
-	 * Starts tracking a stream, whose first event has arrived.
+	 * Counts the request as one of the streams of its runners, unless it is counted
+	 * already.
 	 * @param reservation runners that the stream passes
+	 * @param firstEvent whether the first event of the stream has arrived, at which the
+	 * longest silence restarts
 	 */
-	void streamStarted(Reservation reservation) {
-		this.stream = this.context.progressTracker().track(reservation.runnerIds());
-		this.longestSilence = 0;
+	void trackStream(Reservation reservation, boolean firstEvent) {
+		if (this.stream == null) {
+			this.stream = this.context.progressTracker().track(reservation.runnerIds());
+		}
+		if (firstEvent) {
+			this.longestSilence = 0;
+		}
 	}
 
 	/** Records an event of the tracked stream, if there is one. */
@@ -77,8 +86,8 @@
 		}
 	}
 
-	/** Stops tracking the stream, because the request has released its slots. */
-	void reservationReleased() {
+	/** Stops counting the request as a stream of its runners. */
+	void stopTracking() {
 		ProgressTracker.StreamProgress current = this.stream;
 		this.stream = null;
 		if (current != null) {
@@ -127,6 +136,7 @@
 			return;
 		}
 		if (reservation.path() == null) {
+			this.nextProbeAt = this.context.clock().millis() + REPROBE_MILLIS;
 			this.context.runnerAvailability()
 				.recordFailure(reservation.firstRunner().id(), "silent for " + silenceMillis + " ms");
 			this.listener.pathStalled(reservation, Set.of(reservation.firstRunner().id()), silenceMillis);
@@ -135,6 +145,7 @@
 		this.probing = true;
 		this.context.stallProbe()
 			.probe(reservation.firstRunner())
+			.exceptionally((failure) -> NO_CAUSE)
 			.thenAccept((result) -> this.loop.execute(() -> probeCompleted(reservation, result, silenceMillis)));
 	}
 
@@ -151,6 +162,7 @@
 
 	private void probeCompleted(Reservation reservation, StallProbe.ProbeResult result, long silenceMillis) {
 		this.probing = false;
+		this.nextProbeAt = this.context.clock().millis() + REPROBE_MILLIS;
 		Set<RunnerId> blamed = new HashSet<>();
 		for (Address address : result.unresponsive()) {
 			this.context.fleetRegistry().snapshot().findByAddress(address).ifPresent((runner) -> {
@@ -163,10 +175,8 @@
 				.recordFailure(reservation.firstRunner().id(), "no report from a silent path");
 			blamed.add(reservation.firstRunner().id());
 		}
-		if (result.answered() && result.unresponsive().isEmpty()) {
-			this.nextProbeAt = this.context.clock().millis() + REPROBE_MILLIS;
-		}
-		else if (silenceMillis() >= silenceMillis) {
+		boolean causeFound = !result.answered() || !result.unresponsive().isEmpty();
+		if (causeFound && silenceMillis() >= silenceMillis) {
 			this.listener.pathStalled(reservation, blamed, silenceMillis);
 		}
 	}
@@ -182,15 +192,14 @@
 		 * @param reservation reservation that was checked
 		 * @param suspects runners from which no stream has had an event for too long
 		 * @param silenceMillis time without progress of this request, in milliseconds
-		 * @return whether the request has released the reservation; otherwise the first
-		 * runner is probed for the cause once the request has been silent for long enough
+		 * @return whether a backup attempt was made; otherwise the first runner is probed
+		 * for the cause once the request has been silent for long enough
 		 */
 		boolean runnersSuspected(Reservation reservation, Set<RunnerId> suspects, long silenceMillis);
 
 		/**
 		 * The path is stalled.
-		 * @param reservation reservation that was checked; the request may have released
-		 * it meanwhile
+		 * @param reservation reservation that was checked
 		 * @param blamed runners that cause the stall
 		 * @param silenceMillis time without progress of this request, in milliseconds
 		 */
--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/report/UnansweredCause.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/report/UnansweredCause.java
@@ -7,9 +7,6 @@
  */
 public enum UnansweredCause {
 
-	/** This daemon gave up an attempt because its runner was silent. */
-	SILENCE,
-
 	/** The runner broke off, or its response was unusable. */
 	RUNNER,
 
