Keep serving requests that wait while their engine profile changes

Callers whose request waited for a slot got no answer and no rejection until their time limit, when a configuration changed the engine profile of the service meanwhile.

Cause: such a configuration replaced the queue of the service, and only the current queues are dispatched and checked for requests that have waited too long. The queue now stays, and only its allocator is replaced.

--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/relay/RelayContext.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/relay/RelayContext.java
@@ -239,21 +239,27 @@
 			if (old != null && Objects.equals(old.engine, engine)) {
 				return old;
 			}
-			if (old != null) {
-				LogEvent.of("engine-profile-changed")
-					.with("service", name)
-					.with("waiting", old.queue.waitingCount())
-					.log(LOGGER, System.Logger.Level.INFO);
+			CapacityAllocator allocator = createAllocator(name, engine);
+			if (old == null) {
+				return new ServiceQueue(engine, new ReservationQueue(allocator, this.loadTracker, this.clock));
 			}
-			CapacityAllocator allocator = (engine != null)
-					? new PathAllocator(name, engine, this.fleetRegistry, this.loadTracker, this.runnerAvailability,
-							this.progressTracker)
-					: new RunnerAllocator(name, this.localDataCentre, this.fleetRegistry, this.loadTracker,
-							this.runnerAvailability);
-			return new ServiceQueue(engine, new ReservationQueue(allocator, this.loadTracker, this.clock));
+			LogEvent.of("engine-profile-changed")
+				.with("service", name)
+				.with("waiting", old.queue.waitingCount())
+				.log(LOGGER, System.Logger.Level.INFO);
+			old.queue.setAllocator(allocator);
+			return new ServiceQueue(engine, old.queue);
 		}).queue;
 	}
 
+	private CapacityAllocator createAllocator(String service, @Nullable EngineProfile engine) {
+		return (engine != null)
+				? new PathAllocator(service, engine, this.fleetRegistry, this.loadTracker, this.runnerAvailability,
+						this.progressTracker)
+				: new RunnerAllocator(service, this.localDataCentre, this.fleetRegistry, this.loadTracker,
+						this.runnerAvailability);
+	}
+
 	/**
 	 * Grants free slots to waiting requests of all services and rejects those that have
 	 * waited too long.
--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/relay/ReservationQueue.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/relay/ReservationQueue.java
@@ -37,7 +37,7 @@
 	 */
 	private static final int MAX_DISPATCH_CANDIDATES = 6;
 
-	private final CapacityAllocator allocator;
+	private volatile CapacityAllocator allocator;
 
 	private final LoadTracker loadTracker;
 
@@ -57,6 +57,14 @@
 		this.clock = clock;
 	}
 
+	/**
+	 * Replaces the allocator. Requests that wait now get their slots from the new one.
+	 * @param next allocator for the same service
+	 */
+	void setAllocator(CapacityAllocator next) {
+		this.allocator = next;
+	}
+
 	/**
 	 * Submits a request. Its receiver is called exactly once, during this call or later,
 	 * unless the request is cancelled.
--- a/bilberryvalve-gateway/src/test/java/io/bilberryvalve/gateway/relay/RelayFixture.java
+++ b/bilberryvalve-gateway/src/test/java/io/bilberryvalve/gateway/relay/RelayFixture.java
@@ -131,13 +131,33 @@
 			.scheduleWithFixedDelay(() -> this.context.checkProgress(false), 0, 25, TimeUnit.MILLISECONDS);
 	}
 
+	// Waits until a number of requests are in progress or wait for slots.
+	void awaitActive(int count) {
+		long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(10);
+		while (this.context.activeCount() != count && System.nanoTime() < end) {
+			Thread.onSpinWait();
+		}
+		completeTasks();
+	}
+
+	private void completeTasks() {
+		this.transport.next().submit(() -> {
+		}).syncUninterruptibly();
+	}
+
 	// Advances the clock of the router as if nothing had happened meanwhile, and checks
 	// all requests for stalls.
 	void checkProgressAfter(Duration time) {
 		this.clock.advance(time);
 		this.context.checkProgress(false);
-		this.transport.next().submit(() -> {
-		}).syncUninterruptibly();
+		completeTasks();
+	}
+
+	// Advances the clock of the router, and then rejects requests that have waited too
+	// long.
+	void dispatchAfter(Duration time) {
+		this.clock.advance(time);
+		this.context.dispatchWaiting();
 	}
 
 	// Advances the clock by which crashes are told apart.
@@ -153,7 +173,18 @@
 		return this.loadTracker;
 	}
 
+	// Returns a configuration whose engine has other usual sizes than that of table().
+	static RouteTable tableWithOtherEngine(long version) {
+		EngineProfile other = new EngineProfile(100, 4, 1000, 100_000, 1, 0.01, 0.01, 200, 2, 600, 120, 0, 0, 10,
+				Map.of("card", new CardKind("card", 8000, 2, 2)), Map.of());
+		return table(version, List.of("secret"), other);
+	}
+
 	static RouteTable table(long version, List<String> keys) {
+		return table(version, keys, ENGINE);
+	}
+
+	private static RouteTable table(long version, List<String> keys, EngineProfile engine) {
 		List<Route> routes = new ArrayList<>();
 		routes.add(route("/read/", RequestKind.IDEMPOTENT, 2, false));
 		routes.add(route("/book/", RequestKind.NON_IDEMPOTENT, 1, false));
@@ -163,7 +194,7 @@
 		routes.add(new Route("/model/", "host.example", "/model/", RequestKind.STREAMING, Duration.ofSeconds(5),
 				Duration.ofSeconds(2), Duration.ofMillis(200), 1, List.of(new Route.WeightedService("model", 1)), 2,
 				false, true));
-		return new RouteTable(version, routes, List.of(new Service("app", null), new Service("model", ENGINE)),
+		return new RouteTable(version, routes, List.of(new Service("app", null), new Service("model", engine)),
 				List.of(new Team("team-1", keys, OptionalInt.empty())), LIMITS);
 	}
 
