Answer a request also after an error of the daemon

A caller whose request met an exception in the daemon saw its connection close without an answer: the exception left the handler of the connection, which closed it, or ended a task of the event loop, and then the request was held until its limit.

RelayTests.requestIsAnsweredAfterAnInternalError failed before: the connection closed without a byte.

--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/relay/RelayedRequest.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/relay/RelayedRequest.java
@@ -150,13 +150,30 @@
 	// Holds the request back while this daemon starts, since the configuration arrives
 	// within a few reads of the store.
 	void begin() {
-		boolean waits = !this.context.ready() && this.context.whenReady(() -> this.loop.execute(this::start));
+		boolean waits = !this.context.ready()
+				&& this.context.whenReady(() -> this.loop.execute(() -> runSafely(this::start)));
 		if (!waits) {
-			start();
+			runSafely(this::start);
 			return;
 		}
 		this.exchange.onDisconnect(this::callerDisconnected);
-		this.timer = this.loop.schedule(this::start, STARTUP_WAIT_MILLIS, TimeUnit.MILLISECONDS);
+		this.timer = this.loop.schedule(() -> runSafely(this::start), STARTUP_WAIT_MILLIS, TimeUnit.MILLISECONDS);
+	}
+
+	// Ends the request if a step of it throws, so that its caller gets an answer in any
+	// case.
+	private void runSafely(Runnable step) {
+		try {
+			step.run();
+		}
+		catch (RuntimeException ex) {
+			this.log.stepFailed(ex);
+			if (!this.done) {
+				cancelPending();
+				endWithoutAnswer(HttpResponseStatus.BAD_GATEWAY, UnansweredCause.INTERNAL, STARTUP_RETRY_MILLIS,
+						"internal error");
+			}
+		}
 	}
 
 	private void start() {
@@ -624,7 +641,7 @@
 				RelayedRequest.this.loop.execute(() -> granted(reserved));
 			}
 			else if (take()) {
-				RelayedRequest.this.granted(this.decision, this.targetQueue, reserved);
+				runSafely(() -> RelayedRequest.this.granted(this.decision, this.targetQueue, reserved));
 			}
 			else {
 				this.targetQueue.release(reserved, false);
--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/relay/RequestLog.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/relay/RequestLog.java
@@ -102,6 +102,14 @@
 			.log(LOGGER, System.Logger.Level.INFO);
 	}
 
+	void stepFailed(RuntimeException cause) {
+		LogEvent.of("request-error")
+			.with("request", this.attemptId)
+			.with("cause", cause)
+			.with("at", (cause.getStackTrace().length > 0) ? cause.getStackTrace()[0] : null)
+			.log(LOGGER, System.Logger.Level.ERROR);
+	}
+
 	void runnerCrashed(ListedRunner runner, PromptParts prompt) {
 		this.context.metrics().recordRunnerCrash();
 		LogEvent.of("runner-crashed")
--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/report/UnansweredCause.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/report/UnansweredCause.java
@@ -11,7 +11,10 @@
 	RUNNER,
 
 	/** The time limit of the request was reached. */
-	TIME_LIMIT;
+	TIME_LIMIT,
+
+	/** An error in this daemon. */
+	INTERNAL;
 
 	/**
 	 * Returns the value of the metric label.
--- a/bilberryvalve-gateway/src/test/java/io/bilberryvalve/gateway/relay/RelayFixture.java
+++ b/bilberryvalve-gateway/src/test/java/io/bilberryvalve/gateway/relay/RelayFixture.java
@@ -79,6 +79,8 @@
 
 	private final Address address;
 
+	private volatile boolean poolsFail;
+
 	private volatile StallProbe stallProbe = (first) -> CompletableFuture
 		.completedFuture(new StallProbe.ProbeResult(true, List.of()));
 
@@ -86,8 +88,7 @@
 		RetryBudget budget = new RetryBudget(this.clock, 0.2, 10, Duration.ofSeconds(10));
 		this.context = new RelayContext(HEADER_NAMES, HERE, this.clock, this.fleetRegistry, this.loadTracker,
 				new RunnerAvailability(this.clock), new PartQuarantine(this.crashClock), budget,
-				(first) -> this.stallProbe.probe(first),
-				(loop) -> this.pools.computeIfAbsent(loop, (key) -> new UpstreamPool(this.transport, key, this.clock)));
+				(first) -> this.stallProbe.probe(first), this::pool);
 		Map<RunnerId, ListedRunner> listed = new HashMap<>();
 		for (int i = 0; i < runners.length; i++) {
 			RunnerId id = new RunnerId("runner-" + i);
@@ -104,6 +105,19 @@
 		this.address = server.listen("127.0.0.1", 0);
 	}
 
+	private UpstreamPool pool(EventLoop loop) {
+		if (this.poolsFail) {
+			throw new IllegalStateException("no pool");
+		}
+		return this.pools.computeIfAbsent(loop, (key) -> new UpstreamPool(this.transport, key, this.clock));
+	}
+
+	// Lets each attempt throw when it is sent.
+	RelayFixture withFailingPools() {
+		this.poolsFail = true;
+		return this;
+	}
+
 	RelayFixture withConfiguration() {
 		this.context.configure(table(1, List.of("secret")));
 		return this;
--- a/bilberryvalve-gateway/src/test/java/io/bilberryvalve/gateway/relay/RelayTests.java
+++ b/bilberryvalve-gateway/src/test/java/io/bilberryvalve/gateway/relay/RelayTests.java
@@ -378,4 +378,16 @@
 		}
 	}
 
+	// Guards against a connection that is closed without an answer because of an error in
+	// this daemon.
+	@Example
+	void requestIsAnsweredAfterAnInternalError() throws IOException {
+		try (ScriptedRunner runner = echoing();
+				RelayFixture router = new RelayFixture(runner).withConfiguration().withFailingPools()) {
+			assertThat(router.exchange(RelayFixture.request("POST", "/book/1", "a1", CLOSE, "order")))
+				.startsWith("HTTP/1.1 502 ");
+			assertThat(router.loadTracker().ownLoads()).isEmpty();
+		}
+	}
+
 }
