Bound the size of a request that declares huge token counts

The sum of two large counts was negative, so that such a request fitted everywhere and made the load of its runners negative, which let in too many others. The sum is now limited.

RelayTests.hugeTokenCountsAreNotTakenForASmallRequest failed before: the request was sent to the engine.

--- a/bilberryvalve-gateway/src/test/java/io/bilberryvalve/gateway/relay/RelayTests.java
+++ b/bilberryvalve-gateway/src/test/java/io/bilberryvalve/gateway/relay/RelayTests.java
@@ -390,4 +390,15 @@
 		}
 	}
 
+	// Guards against a request whose declared size makes the load of runners negative.
+	@Example
+	void hugeTokenCountsAreNotTakenForASmallRequest() throws IOException {
+		try (ScriptedRunner runner = echoing(); RelayFixture router = new RelayFixture(runner).withConfiguration()) {
+			String more = CLOSE + "x-tokens: 2147483647,2147483647\r\nx-hint: 2147483647\r\n";
+			assertThat(router.exchange(RelayFixture.request("POST", "/model/1", "a1", more, "prompt")))
+				.startsWith("HTTP/1.1 503 ");
+			assertThat(runner.hasRequest()).isFalse();
+		}
+	}
+
 }
--- a/bilberryvalve-policy/src/main/java/io/bilberryvalve/policy/path/RequestSize.java
+++ b/bilberryvalve-policy/src/main/java/io/bilberryvalve/policy/path/RequestSize.java
@@ -21,10 +21,10 @@
 	/**
 	 * Returns the number of tokens that the request has in memory when its answer is
 	 * complete.
-	 * @return number of tokens
+	 * @return number of tokens, at most {@link Integer#MAX_VALUE}
 	 */
 	public int totalTokens() {
-		return this.promptTokens + this.answerTokens;
+		return (int) Math.min(Integer.MAX_VALUE, (long) this.promptTokens + this.answerTokens);
 	}
 
 }
