Let the test of idle connections wait for the event loop

The event loop sends an answer before it records the end of the exchange; the test advanced its clock once it had read the answer, so that the connection at times counted as idle only from the later time. exchangeOnce now waits until the loop has answered on other connections. No bound and no assertion changes.

--- a/bilberryvalve-gateway/src/test/java/io/bilberryvalve/gateway/http/CallerServerTests.java
+++ b/bilberryvalve-gateway/src/test/java/io/bilberryvalve/gateway/http/CallerServerTests.java
@@ -130,9 +130,12 @@
 		return socket;
 	}
 
+	// Waits for the event loop, which records the end of the exchange after it has sent
+	// the answer.
 	private void exchangeOnce(Socket socket) throws IOException {
 		send(socket, "GET /first HTTP/1.1\r\nHost: h\r\n\r\n");
 		assertThat(readAnswer(socket)).endsWith("/first ");
+		awaitBytes();
 	}
 
 	/**
