Keep pipelined requests in order between two answers

Callers that send several requests on one connection could get the answer to another request, a 408 in place of an answer, or no answer to a request that was read.

When an exchange ended, the next request was taken from the queue and its start posted as a task. Until the task ran, the connection looked as if it had no request: a request that was read in between started first, and then both were in progress; the check of slow heads could send 408 and the check of idle connections could close it, and the request started all the same, after its caller had left. The request now stays queued until its exchange starts, and does not start on a closed connection.

--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/http/CallerConnection.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/http/CallerConnection.java
@@ -73,7 +73,7 @@
 			ReferenceCountUtil.release(message);
 			return;
 		}
-		if (this.current != null) {
+		if (hasRequest()) {
 			this.pipelinedRequests.addLast(request);
 			if (this.pipelinedRequests.size() >= MAX_PIPELINED) {
 				ctx.channel().config().setAutoRead(false);
@@ -83,6 +83,10 @@
 		startExchange(ctx, request);
 	}
 
+	private boolean hasRequest() {
+		return this.current != null || !this.pipelinedRequests.isEmpty();
+	}
+
 	private void startExchange(ChannelHandlerContext ctx, FullHttpRequest request) {
 		CallerExchange exchange = new CallerExchange(this, ctx, request);
 		this.current = exchange;
@@ -106,14 +110,22 @@
 			this.closed = true;
 		}
 		else if (ctx != null) {
-			FullHttpRequest next = this.pipelinedRequests.pollFirst();
 			ctx.channel().config().setAutoRead(true);
-			if (next != null) {
-				ctx.executor().execute(() -> startExchange(ctx, next));
+			if (!this.pipelinedRequests.isEmpty()) {
+				ctx.executor().execute(() -> startNext(ctx));
 			}
 		}
 	}
 
+	// A request that waits stays queued until its exchange starts, so that those that
+	// arrive in between are queued behind it.
+	private void startNext(ChannelHandlerContext ctx) {
+		FullHttpRequest next = ctx.channel().isActive() ? this.pipelinedRequests.pollFirst() : null;
+		if (next != null) {
+			startExchange(ctx, next);
+		}
+	}
+
 	/**
 	 * Responds with status 408 and closes the connection if the head of a request has
 	 * been incomplete for too long.
@@ -121,7 +133,7 @@
 	 */
 	void rejectSlowHead(long millis) {
 		ChannelHandlerContext ctx = this.context;
-		if (ctx == null || this.closed || this.current != null || !this.headerTimer.isIncompleteFor(millis)) {
+		if (ctx == null || this.closed || hasRequest() || !this.headerTimer.isIncompleteFor(millis)) {
 			return;
 		}
 		this.closed = true;
@@ -143,7 +155,7 @@
 	 */
 	void closeIdle(long millis) {
 		ChannelHandlerContext ctx = this.context;
-		if (this.current == null && ctx != null && this.clock.millis() - this.idleSince >= millis) {
+		if (!hasRequest() && ctx != null && this.clock.millis() - this.idleSince >= millis) {
 			ctx.close();
 		}
 	}
--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/http/CallerServer.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/http/CallerServer.java
@@ -88,7 +88,7 @@
 		return new Address(host, ((InetSocketAddress) bound.channel().localAddress()).getPort());
 	}
 
-	private void accept(Channel channel) {
+	void accept(Channel channel) {
 		CallerLimits now = this.limits.get();
 		HeaderTimer head = new HeaderTimer(this.clock);
 		CallerConnection connection = new CallerConnection(this, this.handler, this.clock, head);
--- /dev/null
+++ b/bilberryvalve-gateway/src/test/java/io/bilberryvalve/gateway/http/CallerConnectionTests.java
@@ -0,0 +1,190 @@
+package io.bilberryvalve.gateway.http;
+
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+
+import io.bilberryvalve.gateway.route.CallerLimits;
+import io.bilberryvalve.model.clock.ManualClock;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOutboundHandlerAdapter;
+import io.netty.channel.ChannelPromise;
+import io.netty.channel.embedded.EmbeddedChannel;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import net.jqwik.api.Example;
+import net.jqwik.api.lifecycle.AfterTry;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Tests of {@link CallerConnection} on an embedded channel, on which the order of reads
+ * and tasks is fixed.
+ */
+class CallerConnectionTests {
+
+	private static final CallerLimits LONG_IDLE = new CallerLimits(1024, 64, Duration.ofSeconds(3),
+			Duration.ofSeconds(15));
+
+	private final ManualClock clock = new ManualClock();
+
+	private final Transport transport = new Transport(1);
+
+	private final List<CallerExchange> exchanges = new ArrayList<>();
+
+	private final List<String> handled = new ArrayList<>();
+
+	private final FlushGate gate = new FlushGate();
+
+	private final EmbeddedChannel channel = new EmbeddedChannel();
+
+	private CallerLimits limits = LONG_IDLE;
+
+	private final CallerServer server = new CallerServer(this.transport, () -> this.limits, this.clock, this::handle);
+
+	CallerConnectionTests() {
+		this.channel.pipeline().addLast(this.gate);
+		this.server.accept(this.channel);
+	}
+
+	@AfterTry
+	void close() {
+		this.channel.finishAndReleaseAll();
+		this.transport.close();
+	}
+
+	@Example
+	void requestBehindAnAnswerIsAnsweredWhenIdleConnectionsAreClosedInBetween() {
+		receive(get("/a") + get("/b"));
+		this.gate.holdWrites();
+		this.server.closeIdle();
+		answer(0);
+		this.channel.runPendingTasks();
+		this.gate.open();
+		assertThat(this.handled).containsExactly("/a", "/b");
+		answer(1);
+		assertThat(sent()).endsWith("/b");
+	}
+
+	@Example
+	void requestBehindAnAnswerIsNotHandledAfterTheCallerHasLeft() {
+		receive(get("/a") + get("/b"));
+		answer(0);
+		this.channel.pipeline().close();
+		this.channel.runPendingTasks();
+		assertThat(this.handled).containsExactly("/a");
+	}
+
+	@Example
+	void requestThatArrivesBetweenTwoPipelinedOnesKeepsItsPlace() {
+		receive(get("/a") + get("/b"));
+		answer(0);
+		this.channel.pipeline().fireChannelRead(bytes(get("/c")));
+		this.channel.runPendingTasks();
+		assertThat(this.handled).containsExactly("/a", "/b");
+		answer(1);
+		this.channel.runPendingTasks();
+		answer(2);
+		assertThat(this.handled).containsExactly("/a", "/b", "/c");
+		assertThat(sent()).endsWith("/c");
+	}
+
+	@Example
+	void slowHeadIsNotRejectedBeforeAWaitingRequestIsAnswered() {
+		receive(get("/a") + get("/b"));
+		receive("GET /slow HTTP/1.1\r\n");
+		this.clock.advance(Duration.ofSeconds(6));
+		this.gate.holdWrites();
+		this.server.closeTimedOut();
+		answer(0);
+		this.channel.runPendingTasks();
+		this.gate.open();
+		answer(1);
+		assertThat(sent()).doesNotContain("408").endsWith("/b");
+	}
+
+	private void handle(CallerExchange exchange) {
+		this.handled.add(exchange.request().uri());
+		this.exchanges.add(exchange);
+	}
+
+	private void answer(int index) {
+		CallerExchange exchange = this.exchanges.get(index);
+		exchange.respond(HttpResponseStatus.OK, new DefaultHttpHeaders(), exchange.request().uri());
+	}
+
+	private void receive(String text) {
+		this.channel.writeInbound(bytes(text));
+	}
+
+	private static ByteBuf bytes(String text) {
+		return Unpooled.copiedBuffer(text, StandardCharsets.US_ASCII);
+	}
+
+	private static String get(String path) {
+		return "GET " + path + " HTTP/1.1\r\nHost: h\r\n\r\n";
+	}
+
+	private String sent() {
+		StringBuilder text = new StringBuilder();
+		for (ByteBuf part = this.channel.readOutbound(); part != null; part = this.channel.readOutbound()) {
+			text.append(part.toString(StandardCharsets.US_ASCII));
+			part.release();
+		}
+		return text.toString();
+	}
+
+	/**
+	 * Holds back flushes or writes, as a connection whose caller does not read. The
+	 * embedded channel runs pending tasks in each write that reaches it.
+	 */
+	private static final class FlushGate extends ChannelOutboundHandlerAdapter {
+
+		private final List<Runnable> held = new ArrayList<>();
+
+		private ChannelHandlerContext context;
+
+		private boolean closed;
+
+		private boolean holding;
+
+		@Override
+		public void handlerAdded(ChannelHandlerContext ctx) {
+			this.context = ctx;
+		}
+
+		@Override
+		public void write(ChannelHandlerContext ctx, Object message, ChannelPromise promise) {
+			if (this.holding) {
+				this.held.add(() -> ctx.write(message, promise));
+			}
+			else {
+				ctx.write(message, promise);
+			}
+		}
+
+		@Override
+		public void flush(ChannelHandlerContext ctx) {
+			if (!this.closed && !this.holding) {
+				ctx.flush();
+			}
+		}
+
+		void holdWrites() {
+			this.holding = true;
+		}
+
+		void open() {
+			this.closed = false;
+			this.holding = false;
+			this.held.forEach(Runnable::run);
+			this.held.clear();
+			this.context.flush();
+		}
+
+	}
+
+}
