Keep connections open until their answers are sent

A caller that read slowly could lose the end of an answer: its connection counted as idle from the moment at which the answer was complete in the router, although parts of it still waited for the caller's socket. The idle timeout, which a configuration may shorten to any value, closed it then, and so did, every 50 ms, a daemon that was leaving. A request that is not valid HTTP cut the unsent answers before it in the same way.

A connection with unsent bytes is no longer idle. It is closed if its caller reads nothing for 30 s, which is independent of the idle timeout. The answer to an invalid request closes the connection after it was sent.

--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/http/CallerConnection.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/http/CallerConnection.java
@@ -9,6 +9,7 @@
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.handler.codec.TooLongFrameException;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
@@ -32,6 +33,13 @@
 	/** Number of queued pipelined requests at which reading from the connection stops. */
 	private static final int MAX_PIPELINED = 8;
 
+	/**
+	 * Time in milliseconds after which a connection is closed if its caller reads nothing
+	 * of an answer. It does not depend on the idle timeout, which may be shorter than a
+	 * disturbance of the network.
+	 */
+	private static final long UNREAD_ANSWER_MILLIS = 30_000;
+
 	private final CallerServer server;
 
 	private final Consumer<CallerExchange> handler;
@@ -48,6 +56,11 @@
 
 	private long idleSince;
 
+	/** State of the outbound buffer when it last changed, to detect a stalled caller. */
+	private long unsentState;
+
+	private long unsentSince;
+
 	private boolean closed;
 
 	CallerConnection(CallerServer server, Consumer<CallerExchange> handler, Clock clock, HeaderTimer head) {
@@ -94,9 +107,7 @@
 			boolean tooLong = request.decoderResult().cause() instanceof TooLongFrameException;
 			HttpResponseStatus status = tooLong ? HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE
 					: HttpResponseStatus.BAD_REQUEST;
-			this.closed = true;
 			exchange.respond(status, new DefaultHttpHeaders(), "the request is not valid HTTP");
-			ctx.close();
 			return;
 		}
 		this.handler.accept(exchange);
@@ -149,17 +160,38 @@
 	}
 
 	/**
-	 * Closes the connection if it has no request in progress and has been idle for at
-	 * least the given time.
+	 * Closes the connection if it has no request in progress, has sent all answers, and
+	 * has been idle for at least the given time; or if its caller has read nothing of an
+	 * answer for too long.
 	 * @param millis time in milliseconds; 0 closes any connection without a request
 	 */
 	void closeIdle(long millis) {
 		ChannelHandlerContext ctx = this.context;
-		if (!hasRequest() && ctx != null && this.clock.millis() - this.idleSince >= millis) {
+		if (ctx == null || hasRequest()) {
+			return;
+		}
+		long now = this.clock.millis();
+		if (isSending(ctx, now) ? now - this.unsentSince >= UNREAD_ANSWER_MILLIS
+				: !this.closed && now - this.idleSince >= millis) {
 			ctx.close();
 		}
 	}
 
+	private boolean isSending(ChannelHandlerContext ctx, long now) {
+		ChannelOutboundBuffer buffer = ctx.channel().unsafe().outboundBuffer();
+		if (buffer == null || buffer.totalPendingWriteBytes() == 0) {
+			this.unsentState = 0;
+			return false;
+		}
+		long state = buffer.totalPendingWriteBytes() - buffer.currentProgress();
+		if (state != this.unsentState) {
+			this.unsentState = state;
+			this.unsentSince = now;
+			this.idleSince = now;
+		}
+		return true;
+	}
+
 	@Override
 	public void channelWritabilityChanged(ChannelHandlerContext ctx) {
 		CallerExchange exchange = this.current;
--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/http/CallerExchange.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/http/CallerExchange.java
@@ -49,7 +49,7 @@
 		this.connection = connection;
 		this.context = context;
 		this.request = request;
-		this.keepAlive = HttpUtil.isKeepAlive(request);
+		this.keepAlive = request.decoderResult().isSuccess() && HttpUtil.isKeepAlive(request);
 	}
 
 	/**
--- a/bilberryvalve-gateway/src/test/java/io/bilberryvalve/gateway/http/CallerConnectionTests.java
+++ b/bilberryvalve-gateway/src/test/java/io/bilberryvalve/gateway/http/CallerConnectionTests.java
@@ -29,6 +29,9 @@
 	private static final CallerLimits LONG_IDLE = new CallerLimits(1024, 64, Duration.ofSeconds(3),
 			Duration.ofSeconds(15));
 
+	private static final CallerLimits SHORT_IDLE = new CallerLimits(1024, 64, Duration.ofSeconds(3),
+			Duration.ofSeconds(1));
+
 	private final ManualClock clock = new ManualClock();
 
 	private final Transport transport = new Transport(1);
@@ -56,6 +59,56 @@
 		this.transport.close();
 	}
 
+	@Example
+	void answerThatTheCallerReadsSlowlyIsNotCutByTheIdleTimeout() {
+		this.limits = SHORT_IDLE;
+		this.gate.closed = true;
+		receive(get("/a"));
+		answer(0);
+		this.clock.advance(Duration.ofSeconds(20));
+		closeTimedOut();
+		this.gate.open();
+		assertThat(sent()).contains("HTTP/1.1 200").endsWith("/a");
+		assertThat(this.channel.isOpen()).isTrue();
+	}
+
+	@Example
+	void answerThatTheCallerReadsSlowlyIsNotCutWhileDraining() {
+		this.server.startDraining();
+		this.gate.closed = true;
+		receive(get("/a"));
+		answer(0);
+		closeIdle();
+		this.gate.open();
+		assertThat(sent()).contains("connection: close").endsWith("/a");
+		assertThat(this.channel.isOpen()).isFalse();
+	}
+
+	@Example
+	void answerBeforeAMalformedRequestIsNotCut() {
+		this.gate.closed = true;
+		receive(get("/a"));
+		answer(0);
+		receive("GET /b HTTP/1.1\r\nX-Long: " + "x".repeat(2000) + "\r\n\r\n");
+		this.gate.open();
+		assertThat(sent()).startsWith("HTTP/1.1 200").contains("/aHTTP/1.1 431");
+		assertThat(this.channel.isOpen()).isFalse();
+	}
+
+	@Example
+	void answerOfWhichTheCallerReadsNothingForLongIsCut() {
+		this.gate.closed = true;
+		receive(get("/a"));
+		answer(0);
+		closeTimedOut();
+		this.clock.advance(Duration.ofSeconds(29));
+		closeTimedOut();
+		assertThat(this.channel.isOpen()).isTrue();
+		this.clock.advance(Duration.ofSeconds(2));
+		closeTimedOut();
+		assertThat(this.channel.isOpen()).isFalse();
+	}
+
 	@Example
 	void requestBehindAnAnswerIsAnsweredWhenIdleConnectionsAreClosedInBetween() {
 		receive(get("/a") + get("/b"));
@@ -116,6 +169,16 @@
 		exchange.respond(HttpResponseStatus.OK, new DefaultHttpHeaders(), exchange.request().uri());
 	}
 
+	private void closeTimedOut() {
+		this.server.closeTimedOut();
+		this.channel.runPendingTasks();
+	}
+
+	private void closeIdle() {
+		this.server.closeIdle();
+		this.channel.runPendingTasks();
+	}
+
 	private void receive(String text) {
 		this.channel.writeInbound(bytes(text));
 	}
