Read a request to its end when its connection was idle before

A caller whose connection had been idle for some time lost the request that it was sending: until the last byte of the body was read, the connection still counted as idle since the exchange before. When a configuration shortened the idle timeout, or the daemon was leaving, the connection was closed in the middle of a request, with no answer.

A connection on which a part of a request was received is no longer idle. The caller has the idle timeout, and 15 s at least, to complete the request; its head is still limited by the header timeout.

CallerConnectionTests: the three tests with split requests failed before (connection closed between the parts) and pass now; bodyThatStaysIncompleteIsGivenUpAfterTheIdleTimeout passed before and after. CallerServerTests pass.

--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/http/CallerConnection.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/http/CallerConnection.java
@@ -40,6 +40,12 @@
 	 */
 	private static final long UNREAD_ANSWER_MILLIS = 30_000;
 
+	/**
+	 * Shortest time in milliseconds that a caller has to send a whole request, if the
+	 * idle timeout is shorter.
+	 */
+	private static final long MIN_RECEIVE_MILLIS = 15_000;
+
 	private final CallerServer server;
 
 	private final Consumer<CallerExchange> handler;
@@ -162,8 +168,9 @@
 	/**
 	 * Closes the connection if it has no request in progress, has sent all answers, and
 	 * has been idle for at least the given time; or if its caller has read nothing of an
-	 * answer for too long.
-	 * @param millis time in milliseconds; 0 closes any connection without a request
+	 * answer, or has not completed a request, for too long.
+	 * @param millis time in milliseconds; 0 closes any connection on which no part of a
+	 * request was received
 	 */
 	void closeIdle(long millis) {
 		ChannelHandlerContext ctx = this.context;
@@ -171,8 +178,19 @@
 			return;
 		}
 		long now = this.clock.millis();
-		if (isSending(ctx, now) ? now - this.unsentSince >= UNREAD_ANSWER_MILLIS
-				: !this.closed && now - this.idleSince >= millis) {
+		if (isSending(ctx, now)) {
+			closeIf(ctx, now - this.unsentSince >= UNREAD_ANSWER_MILLIS);
+		}
+		else if (!this.closed && this.headerTimer.isReceiving()) {
+			closeIf(ctx, this.headerTimer.isReceivingFor(Math.max(millis, MIN_RECEIVE_MILLIS)));
+		}
+		else {
+			closeIf(ctx, !this.closed && now - this.idleSince >= millis);
+		}
+	}
+
+	private static void closeIf(ChannelHandlerContext ctx, boolean condition) {
+		if (condition) {
 			ctx.close();
 		}
 	}
--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/http/HeaderTimer.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/http/HeaderTimer.java
@@ -5,10 +5,11 @@
 import io.netty.channel.ChannelHandler;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.handler.codec.http.LastHttpContent;
 
 /**
- * Measures for how long the head of a request has been incomplete on one connection. Must
- * be used on the event loop of the connection only.
+ * Measures for how long a request, and its head in particular, has been incomplete on one
+ * connection. Must be used on the event loop of the connection only.
  */
 final class HeaderTimer {
 
@@ -18,6 +19,8 @@
 
 	private long incompleteSince = NONE;
 
+	private long receivingSince = NONE;
+
 	HeaderTimer(Clock clock) {
 		this.clock = clock;
 	}
@@ -34,15 +37,23 @@
 				if (HeaderTimer.this.incompleteSince == NONE) {
 					HeaderTimer.this.incompleteSince = HeaderTimer.this.clock.millis();
 				}
+				startReceiving();
 				ctx.fireChannelRead(bytes);
 			}
 
 		};
 	}
 
+	private void startReceiving() {
+		if (this.receivingSince == NONE) {
+			this.receivingSince = this.clock.millis();
+		}
+	}
+
 	/**
-	 * Returns the handler that stops the measurement when the codec has decoded a head or
-	 * a part of a body. If the bytes of the same read also contain the start of another
+	 * Returns the handler that stops the measurement of the head when the codec has
+	 * decoded a head or a part of a body, and that of the request when it has decoded the
+	 * end of a body. If the bytes of the same read also contain the start of another
 	 * head, that head is measured from the next read on.
 	 * @return a handler to insert after the codec
 	 */
@@ -52,6 +63,12 @@
 			@Override
 			public void channelRead(ChannelHandlerContext ctx, Object part) {
 				HeaderTimer.this.incompleteSince = NONE;
+				if (part instanceof LastHttpContent) {
+					HeaderTimer.this.receivingSince = NONE;
+				}
+				else {
+					startReceiving();
+				}
 				ctx.fireChannelRead(part);
 			}
 
@@ -68,4 +85,21 @@
 		return this.incompleteSince != NONE && this.clock.millis() - this.incompleteSince >= millis;
 	}
 
+	/**
+	 * Returns whether a request has been received in part.
+	 * @return {@code true} from the first bytes of a request to its last
+	 */
+	boolean isReceiving() {
+		return this.receivingSince != NONE;
+	}
+
+	/**
+	 * Returns whether a request has been incomplete for at least the given time.
+	 * @param millis time in milliseconds
+	 * @return {@code true} if its first bytes arrived at least that long ago
+	 */
+	boolean isReceivingFor(long millis) {
+		return isReceiving() && this.clock.millis() - this.receivingSince >= millis;
+	}
+
 }
--- a/bilberryvalve-gateway/src/test/java/io/bilberryvalve/gateway/http/CallerConnectionTests.java
+++ b/bilberryvalve-gateway/src/test/java/io/bilberryvalve/gateway/http/CallerConnectionTests.java
@@ -32,6 +32,8 @@
 	private static final CallerLimits SHORT_IDLE = new CallerLimits(1024, 64, Duration.ofSeconds(3),
 			Duration.ofSeconds(1));
 
+	private static final String BODY_HEAD = "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\n";
+
 	private final ManualClock clock = new ManualClock();
 
 	private final Transport transport = new Transport(1);
@@ -109,6 +111,47 @@
 		assertThat(this.channel.isOpen()).isFalse();
 	}
 
+	@Example
+	void requestWithASplitBodyIsAnsweredWhenTheIdleTimeoutShortens() {
+		this.clock.advance(Duration.ofSeconds(10));
+		receive(BODY_HEAD + "ab");
+		this.limits = SHORT_IDLE;
+		closeTimedOut();
+		receive("cd");
+		answer(0);
+		assertThat(sent()).contains("HTTP/1.1 200").endsWith("/a");
+	}
+
+	@Example
+	void requestWithASplitBodyIsAnsweredWhileDraining() {
+		receive(BODY_HEAD + "ab");
+		this.server.startDraining();
+		closeIdle();
+		receive("cd");
+		answer(0);
+		assertThat(sent()).contains("HTTP/1.1 200").endsWith("/a");
+	}
+
+	@Example
+	void requestWithASplitHeadIsAnsweredWhenTheIdleTimeoutShortens() {
+		this.clock.advance(Duration.ofSeconds(10));
+		receive("GET /a HTTP/1.1\r\nHo");
+		this.limits = SHORT_IDLE;
+		closeTimedOut();
+		receive("st: h\r\n\r\n");
+		answer(0);
+		assertThat(sent()).contains("HTTP/1.1 200").endsWith("/a");
+	}
+
+	@Example
+	void bodyThatStaysIncompleteIsGivenUpAfterTheIdleTimeout() {
+		receive(BODY_HEAD + "ab");
+		this.clock.advance(Duration.ofSeconds(17));
+		closeTimedOut();
+		assertThat(this.channel.isOpen()).isFalse();
+		assertThat(this.handled).isEmpty();
+	}
+
 	@Example
 	void requestBehindAnAnswerIsAnsweredWhenIdleConnectionsAreClosedInBetween() {
 		receive(get("/a") + get("/b"));
