Answer queued requests of a connection while the daemon leaves

A request that was read behind another one on the same connection got neither an answer nor a refusal when the daemon was leaving: the connection was closed after the response in progress, and the queue was dropped. It was closed even if the head of that response, sent before, had not announced it, as for a stream.

The connection now closes after the first response with no request queued behind it, and after a response in parts as its head announced. A connection that stays open answers its next request with Connection: close, or is closed as idle.

--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/http/CallerConnection.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/http/CallerConnection.java
@@ -77,8 +77,13 @@
 		this.idleSince = clock.millis();
 	}
 
-	boolean isServerDraining() {
-		return this.server.isDraining();
+	/**
+	 * Returns whether the connection closes after the response that is sent next. While
+	 * the server is draining, requests that were read already are still answered.
+	 * @return {@code true} if the server is draining and no other request is queued
+	 */
+	boolean closesAfterResponse() {
+		return this.server.isDraining() && this.pipelinedRequests.isEmpty();
 	}
 
 	@Override
--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/http/CallerExchange.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/http/CallerExchange.java
@@ -43,6 +43,9 @@
 
 	private boolean started;
 
+	/** Whether the head of the response announced that the connection stays open. */
+	private boolean announcedKeepAlive;
+
 	private boolean ended;
 
 	CallerExchange(CallerConnection connection, ChannelHandlerContext context, FullHttpRequest request) {
@@ -115,9 +118,9 @@
 		FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, body);
 		response.headers().set(headers);
 		response.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes());
-		boolean keep = setConnectionHeader(response);
+		setConnectionHeader(response);
 		this.started = true;
-		finish(this.context.writeAndFlush(response), keep);
+		finish(this.context.writeAndFlush(response), this.announcedKeepAlive);
 	}
 
 	/**
@@ -166,7 +169,7 @@
 	 */
 	public void end() {
 		if (!this.ended) {
-			finish(this.context.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT), keepsConnection());
+			finish(this.context.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT), this.announcedKeepAlive);
 		}
 	}
 
@@ -179,14 +182,9 @@
 		}
 	}
 
-	private boolean keepsConnection() {
-		return this.keepAlive && !this.connection.isServerDraining();
-	}
-
-	private boolean setConnectionHeader(HttpResponse response) {
-		boolean keep = keepsConnection();
-		HttpUtil.setKeepAlive(response, keep);
-		return keep;
+	private void setConnectionHeader(HttpResponse response) {
+		this.announcedKeepAlive = this.keepAlive && !this.connection.closesAfterResponse();
+		HttpUtil.setKeepAlive(response, this.announcedKeepAlive);
 	}
 
 	private void finish(ChannelFuture written, boolean keep) {
--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/http/CallerServer.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/http/CallerServer.java
@@ -123,7 +123,8 @@
 
 	/**
 	 * Closes each connection after its next response, which announces this with
-	 * {@code Connection: close}.
+	 * {@code Connection: close}. Requests that are queued behind the response are
+	 * answered first.
 	 */
 	public void startDraining() {
 		this.draining = true;
--- a/bilberryvalve-gateway/src/test/java/io/bilberryvalve/gateway/http/CallerConnectionTests.java
+++ b/bilberryvalve-gateway/src/test/java/io/bilberryvalve/gateway/http/CallerConnectionTests.java
@@ -14,7 +14,9 @@
 import io.netty.channel.ChannelPromise;
 import io.netty.channel.embedded.EmbeddedChannel;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.DefaultHttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpVersion;
 import net.jqwik.api.Example;
 import net.jqwik.api.lifecycle.AfterTry;
 
@@ -152,6 +154,32 @@
 		assertThat(this.handled).isEmpty();
 	}
 
+	@Example
+	void requestBehindAStreamIsAnsweredWhileDraining() {
+		receive(get("/stream"));
+		this.exchanges.get(0).start(new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK));
+		receive(get("/next"));
+		this.server.startDraining();
+		this.exchanges.get(0).end();
+		this.channel.runPendingTasks();
+		answer(1);
+		assertThat(sent()).contains("connection: close").endsWith("/next");
+		assertThat(this.channel.isOpen()).isFalse();
+	}
+
+	@Example
+	void requestBehindAnAnswerIsAnsweredWhileDraining() {
+		receive(get("/a") + get("/b"));
+		this.server.startDraining();
+		answer(0);
+		this.channel.runPendingTasks();
+		answer(1);
+		String sent = sent();
+		assertThat(sent).containsOnlyOnce("connection: close").endsWith("/b");
+		assertThat(sent.indexOf("connection: close")).isGreaterThan(sent.lastIndexOf("HTTP/1.1"));
+		assertThat(this.channel.isOpen()).isFalse();
+	}
+
 	@Example
 	void requestBehindAnAnswerIsAnsweredWhenIdleConnectionsAreClosedInBetween() {
 		receive(get("/a") + get("/b"));
