Stop a leaving daemon only after its answers are sent

A leaving daemon stopped when it had no request in progress. A request ended when its answer was complete in the router, so that the process could exit while a part of the answer still waited for the caller's socket, or while a request that was read behind another one had not started. The shutdown now waits, up to its limit, for the connections with such an answer or request. A caller that reads nothing holds the shutdown until the limit.

The tests are of the count (CallerConnectionTests.connectionIsUnfinishedUntilItsAnswersAreSent and connectionIsFinishedWhenItsCallerHasLeft, both pass); the exit of a process was not reproduced. The cause was found by reading RelayedRequest.finish and Gateway.checkShutdown.

--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/Gateway.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/Gateway.java
@@ -364,8 +364,8 @@
 	 * Shuts down gracefully: callers are directed to other gateways, requests in progress
 	 * may end, and late callers are still served for a while.
 	 * @param limit longest time until the shutdown ends
-	 * @return completes when callers had time to leave, no request is in progress and
-	 * another gateway serves, or when the time limit is reached
+	 * @return completes when callers had time to leave, all answers are sent and another
+	 * gateway serves, or when the time limit is reached
 	 */
 	public CompletionStage<Void> shutDown(Duration limit) {
 		this.leaving = true;
@@ -388,8 +388,9 @@
 		if (now >= schedule.refuseAtMillis()) {
 			this.server.closeIdle();
 		}
-		if (!left.isDone() && schedule.mayStop(now, this.relayContext.activeCount(), hasServingPeer())) {
-			LogEvent.of("left").with("requests", this.relayContext.activeCount()).log(LOGGER, System.Logger.Level.INFO);
+		int unfinished = this.server.unfinishedCount();
+		if (!left.isDone() && schedule.mayStop(now, unfinished, hasServingPeer())) {
+			LogEvent.of("left").with("requests", unfinished).log(LOGGER, System.Logger.Level.INFO);
 			left.complete(null);
 		}
 	}
--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/http/CallerConnection.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/http/CallerConnection.java
@@ -56,10 +56,12 @@
 
 	private final Deque<FullHttpRequest> pipelinedRequests = new ArrayDeque<>();
 
-	private @Nullable ChannelHandlerContext context;
+	private volatile @Nullable ChannelHandlerContext context;
 
 	private @Nullable CallerExchange current;
 
+	private volatile boolean inProgress;
+
 	private long idleSince;
 
 	/** State of the outbound buffer when it last changed, to detect a stalled caller. */
@@ -111,9 +113,21 @@
 		return this.current != null || !this.pipelinedRequests.isEmpty();
 	}
 
+	/**
+	 * Returns whether a request was read that has no answer yet, or an answer is not sent
+	 * completely. Safe for use by any thread.
+	 * @return whether closing the connection would lose an answer
+	 */
+	boolean isUnfinished() {
+		ChannelHandlerContext ctx = this.context;
+		ChannelOutboundBuffer buffer = (ctx != null) ? ctx.channel().unsafe().outboundBuffer() : null;
+		return this.inProgress || (buffer != null && buffer.totalPendingWriteBytes() > 0);
+	}
+
 	private void startExchange(ChannelHandlerContext ctx, FullHttpRequest request) {
 		CallerExchange exchange = new CallerExchange(this, ctx, request);
 		this.current = exchange;
+		this.inProgress = true;
 		if (request.decoderResult().isFailure()) {
 			boolean tooLong = request.decoderResult().cause() instanceof TooLongFrameException;
 			HttpResponseStatus status = tooLong ? HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE
@@ -126,6 +140,7 @@
 
 	void onExchangeEnded(boolean keep) {
 		this.current = null;
+		this.inProgress = keep && !this.pipelinedRequests.isEmpty();
 		this.idleSince = this.clock.millis();
 		ChannelHandlerContext ctx = this.context;
 		if (!keep) {
@@ -227,6 +242,7 @@
 	@Override
 	public void channelInactive(ChannelHandlerContext ctx) {
 		this.closed = true;
+		this.inProgress = false;
 		this.pipelinedRequests.forEach(ReferenceCountUtil::release);
 		this.pipelinedRequests.clear();
 		CallerExchange exchange = this.current;
--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/http/CallerServer.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/http/CallerServer.java
@@ -130,6 +130,15 @@
 		this.draining = true;
 	}
 
+	/**
+	 * Returns the number of connections with a request that has no answer yet, or with an
+	 * answer that is not sent completely.
+	 * @return number of connections; 0 if no answer is lost when the process ends
+	 */
+	public int unfinishedCount() {
+		return (int) this.connections.values().stream().filter(CallerConnection::isUnfinished).count();
+	}
+
 	boolean isDraining() {
 		return this.draining;
 	}
--- a/bilberryvalve-gateway/src/test/java/io/bilberryvalve/gateway/http/CallerConnectionTests.java
+++ b/bilberryvalve-gateway/src/test/java/io/bilberryvalve/gateway/http/CallerConnectionTests.java
@@ -230,6 +230,28 @@
 		assertThat(sent()).doesNotContain("408").endsWith("/b");
 	}
 
+	@Example
+	void connectionIsUnfinishedUntilItsAnswersAreSent() {
+		assertThat(this.server.unfinishedCount()).isZero();
+		receive(get("/a") + get("/b"));
+		this.gate.closed = true;
+		assertThat(this.server.unfinishedCount()).isEqualTo(1);
+		answer(0);
+		assertThat(this.server.unfinishedCount()).isEqualTo(1);
+		this.channel.runPendingTasks();
+		answer(1);
+		assertThat(this.server.unfinishedCount()).isEqualTo(1);
+		this.gate.open();
+		assertThat(this.server.unfinishedCount()).isZero();
+	}
+
+	@Example
+	void connectionIsFinishedWhenItsCallerHasLeft() {
+		receive(get("/a") + get("/b"));
+		this.channel.close();
+		assertThat(this.server.unfinishedCount()).isZero();
+	}
+
 	private void handle(CallerExchange exchange) {
 		this.handled.add(exchange.request().uri());
 		this.exchanges.add(exchange);
