Keep pipelined requests in order and drop them with their connection

A pipelined request left the queue before it was started. A request that was read in between was handled beside it, so that a caller could get answers in the wrong order, and one whose caller had left meanwhile was still sent to a runner. The request now stays in the queue until it is started.

Both tests of CallerConnectionTests failed before: /3 was handled before /2, and /2 was handled after the connection had closed.

--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/http/CallerConnection.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/http/CallerConnection.java
@@ -73,7 +73,7 @@
 			ReferenceCountUtil.release(message);
 			return;
 		}
-		if (this.current != null) {
+		if (this.current != null || !this.pipelinedRequests.isEmpty()) {
 			this.pipelinedRequests.addLast(request);
 			if (this.pipelinedRequests.size() >= MAX_PIPELINED) {
 				ctx.channel().config().setAutoRead(false);
@@ -106,14 +106,22 @@
 			this.closed = true;
 		}
 		else if (ctx != null) {
-			FullHttpRequest next = this.pipelinedRequests.pollFirst();
 			ctx.channel().config().setAutoRead(true);
-			if (next != null) {
-				ctx.executor().execute(() -> startExchange(ctx, next));
+			if (!this.pipelinedRequests.isEmpty()) {
+				ctx.executor().execute(() -> startNext(ctx));
 			}
 		}
 	}
 
+	// A request stays in the queue until it is started, so that no later one overtakes
+	// it, and it is dropped if the connection closes before.
+	private void startNext(ChannelHandlerContext ctx) {
+		FullHttpRequest next = (this.closed || this.current != null) ? null : this.pipelinedRequests.pollFirst();
+		if (next != null) {
+			startExchange(ctx, next);
+		}
+	}
+
 	/**
 	 * Responds with status 408 and closes the connection if the head of a request has
 	 * been incomplete for too long.
@@ -143,7 +151,8 @@
 	 */
 	void closeIdle(long millis) {
 		ChannelHandlerContext ctx = this.context;
-		if (this.current == null && ctx != null && this.clock.millis() - this.idleSince >= millis) {
+		if (this.current == null && this.pipelinedRequests.isEmpty() && ctx != null
+				&& this.clock.millis() - this.idleSince >= millis) {
 			ctx.close();
 		}
 	}
