Don't take a pause of the caller for silence of the runner

While a caller does not read, the response of its runner is not read either. When the caller went on, the whole pause counted as silence, so that the runner was avoided and a backup attempt was made, and a paused stream counted among the silent ones of its runners. A pause now stops the tracking of the stream, and its end counts as progress.

RunnerAttemptTests.pauseOfTheCallerIsNoSilenceOfTheRunner failed before.

--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/relay/RunnerAttempt.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/relay/RunnerAttempt.java
@@ -138,10 +138,17 @@
 	}
 
 	/**
-	 * Pauses or resumes reading the response.
+	 * Pauses or resumes reading the response. A pause does not count as silence of the
+	 * runners.
 	 * @param pause {@code true} to pause, {@code false} to resume
 	 */
 	void setPaused(boolean pause) {
+		if (pause) {
+			this.stallDetector.stopTracking();
+		}
+		else {
+			this.stallDetector.recordProgress();
+		}
 		UpstreamCall current = this.call;
 		if (current != null) {
 			current.setPaused(pause);
