Queue requests for backup attempts apart from the others

Callers whose engine had free slots got no slot, and were rejected, while streams of other callers were silent: requests for backup attempts avoid the silent runners, so that they may fit nowhere, and they precede all others in the queue, of which a dispatch tries six. They also counted in the expected wait. They now have a queue of their own.

BackupAttemptTests.newRequestIsServedWhileSilentStreamsWaitForBackups failed before: with 8 silent streams, a new request was not sent within 2 s.

--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/relay/ReservationQueue.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/relay/ReservationQueue.java
@@ -45,6 +45,12 @@
 
 	private final WaitQueue<ReservationRequest> waitQueue = new WaitQueue<>();
 
+	/**
+	 * Requests for backup attempts, which may fit nowhere while the silent runners still
+	 * have free slots for others. Guarded by the lock of {@link #waitQueue}.
+	 */
+	private final WaitQueue<ReservationRequest> backupQueue = new WaitQueue<>();
+
 	private final RetryAfter retryAfter = new RetryAfter(new SplittableRandom());
 
 	private boolean recovering;
@@ -74,12 +80,12 @@
 		Optional<Reservation> reservation;
 		long retryMillis = 0;
 		synchronized (this.waitQueue) {
-			reservation = (this.waitQueue.size() == 0) ? reserve(request) : Optional.empty();
+			WaitQueue<ReservationRequest> target = queueOf(request);
+			reservation = (target.size() == 0) ? reserve(request) : Optional.empty();
 			if (reservation.isEmpty()) {
 				long now = this.clock.millis();
 				retryMillis = this.allocator.canServe()
-						? this.waitQueue.offer(request, request.priority(), now, request.waitLimits())
-						: NO_RUNNER_RETRY_MILLIS;
+						? target.offer(request, request.priority(), now, request.waitLimits()) : NO_RUNNER_RETRY_MILLIS;
 				retryMillis = (retryMillis > 0) ? this.retryAfter.draw(retryMillis, recovering(now)) : 0;
 			}
 		}
@@ -94,6 +100,10 @@
 		}
 	}
 
+	private WaitQueue<ReservationRequest> queueOf(ReservationRequest request) {
+		return request.elsewhereOnly() ? this.backupQueue : this.waitQueue;
+	}
+
 	private Optional<Reservation> reserve(ReservationRequest request) {
 		return request.elsewhereOnly() ? this.allocator.reserveElsewhere(request.size(), request.excluded())
 				: this.allocator.reserve(request.size(), request.excluded());
@@ -130,7 +140,7 @@
 	 */
 	boolean cancel(ReservationRequest request) {
 		synchronized (this.waitQueue) {
-			return this.waitQueue.remove(request);
+			return queueOf(request).remove(request);
 		}
 	}
 
@@ -154,22 +164,27 @@
 		List<Runnable> outcomes = new ArrayList<>();
 		synchronized (this.waitQueue) {
 			long now = this.clock.millis();
-			for (ReservationRequest request : this.waitQueue.expire(now)) {
-				long retryMillis = this.retryAfter.draw(this.waitQueue.retryAfterMillis(), recovering(now));
-				outcomes.add(() -> request.receiver().rejected(retryMillis));
-			}
-			for (ReservationRequest request : this.waitQueue.peek(now, MAX_DISPATCH_CANDIDATES)) {
-				Optional<Reservation> reservation = reserve(request);
-				if (reservation.isPresent()) {
-					this.waitQueue.remove(request);
-					this.waitQueue.recordAdmission(now);
-					outcomes.add(() -> request.receiver().granted(reservation.get()));
-				}
-			}
+			dispatch(this.backupQueue, now, outcomes);
+			dispatch(this.waitQueue, now, outcomes);
 		}
 		outcomes.forEach(Runnable::run);
 	}
 
+	private void dispatch(WaitQueue<ReservationRequest> queue, long now, List<Runnable> outcomes) {
+		for (ReservationRequest request : queue.expire(now)) {
+			long retryMillis = this.retryAfter.draw(queue.retryAfterMillis(), recovering(now));
+			outcomes.add(() -> request.receiver().rejected(retryMillis));
+		}
+		for (ReservationRequest request : queue.peek(now, MAX_DISPATCH_CANDIDATES)) {
+			Optional<Reservation> reservation = reserve(request);
+			if (reservation.isPresent()) {
+				queue.remove(request);
+				queue.recordAdmission(now);
+				outcomes.add(() -> request.receiver().granted(reservation.get()));
+			}
+		}
+	}
+
 	private boolean recovering(long now) {
 		if (now - this.recoveryCheckedAt >= RECOVERY_CHECK_INTERVAL_MILLIS) {
 			this.recoveryCheckedAt = now;
@@ -180,7 +195,7 @@
 
 	int waitingCount() {
 		synchronized (this.waitQueue) {
-			return this.waitQueue.size();
+			return this.waitQueue.size() + this.backupQueue.size();
 		}
 	}
 
--- /dev/null
+++ b/bilberryvalve-gateway/src/test/java/io/bilberryvalve/gateway/relay/BackupAttemptTests.java
@@ -0,0 +1,88 @@
+package io.bilberryvalve.gateway.relay;
+
+import java.io.IOException;
+import java.io.OutputStream;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+
+import io.bilberryvalve.gateway.fleet.ListedRunner;
+import net.jqwik.api.Example;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Tests of what backup attempts must not do to other requests and to the attempt that is
+ * in progress.
+ */
+class BackupAttemptTests {
+
+	private static final String HEAD = "HTTP/1.1 200 OK\r\nx-seal: s1\r\nContent-Type: text/event-stream\r\n"
+			+ "Transfer-Encoding: chunked\r\n\r\n";
+
+	private static final String FIRST_EVENTS = RelayFixture.chunk("id: 1\ndata: a\n\n")
+			+ RelayFixture.chunk("id: 2\ndata: b\n\n");
+
+	private static final String LAST_EVENT = RelayFixture.chunk("id: 3\ndata: c\n\n") + "0\r\n\r\n";
+
+	private static final String END = "0\r\n\r\n";
+
+	private static final Duration STALL = Duration.ofMillis(700);
+
+	private static final int SILENT_STREAMS = 8;
+
+	private static final int TIMEOUT_MILLIS = 2000;
+
+	private static void write(OutputStream out, String text) throws IOException {
+		out.write(text.getBytes(StandardCharsets.ISO_8859_1));
+		out.flush();
+	}
+
+	private static CompletableFuture<StallProbe.ProbeResult> noReport(ListedRunner first) {
+		return CompletableFuture.completedFuture(new StallProbe.ProbeResult(false, List.of()));
+	}
+
+	private static Socket ask(RelayFixture router, String path, String attempt, String more) throws IOException {
+		Socket caller = router.open();
+		caller.setSoTimeout(TIMEOUT_MILLIS);
+		RelayFixture.send(caller, RelayFixture.request("POST", path, attempt, more, "prompt"));
+		return caller;
+	}
+
+	// Lets silent attempts be found, their runners be asked, and the reports be handled.
+	private static void checkForStalls(RelayFixture router) {
+		router.checkProgressAfter(STALL);
+		router.checkProgressAfter(Duration.ZERO);
+	}
+
+	// Guards against requests that are held although slots are free, because many
+	// requests wait for a backup attempt that fits nowhere.
+	@Example
+	void newRequestIsServedWhileSilentStreamsWaitForBackups() throws IOException {
+		List<Socket> callers = new ArrayList<>();
+		ScriptedRunner.Script script = (request, count, socket, out) -> write(out,
+				HEAD + FIRST_EVENTS + (request.contains("x-attempt: new") ? LAST_EVENT : ""));
+		try (ScriptedRunner engine = new ScriptedRunner(script);
+				RelayFixture router = new RelayFixture(engine).withConfiguration()
+					.withStallProbe(BackupAttemptTests::noReport)) {
+			for (int i = 0; i < SILENT_STREAMS; i++) {
+				Socket caller = ask(router, "/model/1", "a" + i, "");
+				callers.add(caller);
+				RelayFixture.readUntil(caller.getInputStream(), "id: 2\ndata: b\n\n\r\n");
+			}
+			checkForStalls(router);
+			try (Socket caller = ask(router, "/model/1", "new", "")) {
+				assertThat(RelayFixture.readUntil(caller.getInputStream(), END)).startsWith("HTTP/1.1 200 ");
+			}
+		}
+		finally {
+			for (Socket caller : callers) {
+				caller.close();
+			}
+		}
+	}
+
+}
