Don't send a held prompt to a second engine

A request whose prompt has a part that crashes runners was sent to another engine when the streams of its own were silent together: this path asks for slots directly and passed over the quarantine, which it had asked before backup attempts.

BackupAttemptTests.heldPromptIsNotSentToAnotherEngine failed before: the second engine received the prompt.

--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/relay/RelayedRequest.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/relay/RelayedRequest.java
@@ -558,7 +558,8 @@
 		if (next.isEmpty()) {
 			return false;
 		}
-		if (!this.context.retryBudget().tryRetry()) {
+		boolean held = !isAnswered() && this.context.partQuarantine().admit(this.prompt) > 0;
+		if (held || !this.context.retryBudget().tryRetry()) {
 			targetQueue.release(next.get(), false);
 			return false;
 		}
--- a/bilberryvalve-gateway/src/test/java/io/bilberryvalve/gateway/relay/BackupAttemptTests.java
+++ b/bilberryvalve-gateway/src/test/java/io/bilberryvalve/gateway/relay/BackupAttemptTests.java
@@ -10,6 +10,9 @@
 import java.util.concurrent.CompletableFuture;
 
 import io.bilberryvalve.gateway.fleet.ListedRunner;
+import io.bilberryvalve.model.RunnerId;
+import io.bilberryvalve.policy.quarantine.PartQuarantine;
+import io.bilberryvalve.policy.quarantine.PromptParts;
 import net.jqwik.api.Example;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -20,6 +23,8 @@
  */
 class BackupAttemptTests {
 
+	private static final RunnerId ENGINE = new RunnerId("engine");
+
 	private static final String HEAD = "HTTP/1.1 200 OK\r\nx-seal: s1\r\nContent-Type: text/event-stream\r\n"
 			+ "Transfer-Encoding: chunked\r\n\r\n";
 
@@ -85,4 +90,34 @@
 		}
 	}
 
+	// Guards against a prompt that crashes runners and is sent to another one because
+	// its own is silent.
+	@Example
+	void heldPromptIsNotSentToAnotherEngine() throws IOException {
+		try (ScriptedRunner engine = new ScriptedRunner((request, count, socket, out) -> {
+		});
+				ScriptedRunner other = new ScriptedRunner(
+						(request, count, socket, out) -> write(out, HEAD + FIRST_EVENTS + LAST_EVENT));
+				RelayFixture router = new RelayFixture(engine).withConfiguration();
+				Socket caller = ask(router, "/model/1", "held", "x-parts: bad:10,own:10\r\n")) {
+			engine.next();
+			PartQuarantine quarantine = router.context().partQuarantine();
+			for (int i = 0; i < 3; i++) {
+				quarantine.recordCrash(PromptParts.parse("bad:10,other" + i + ":10"), new RunnerId("crashed-" + i), 1);
+				router.advanceCrashClock(Duration.ofSeconds(1));
+			}
+			for (int i = 0; i < 3; i++) {
+				router.context().progressTracker().track(List.of(ENGINE));
+			}
+			router.addEngine("engine-2", other);
+			checkForStalls(router);
+			try (Socket sound = ask(router, "/model/1", "sound", "")) {
+				RelayFixture.readUntil(sound.getInputStream(), END);
+			}
+			assertThat(other.next()).contains("x-attempt: sound");
+			assertThat(other.hasRequest()).isFalse();
+			assertThat(caller.isClosed()).isFalse();
+		}
+	}
+
 }
