Keep the attempt in progress when its backup cannot be made

A stream was cut, though its engine went on, when an exception prevented its backup attempt: the error ended the whole request. Such an attempt is now dropped if another one is in progress.

BackupAttemptTests.streamIsNotCutWhenItsBackupAttemptFailsToStart failed before: the connection closed after event 2.

--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/relay/RelayedRequest.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/relay/RelayedRequest.java
@@ -283,7 +283,18 @@
 		RunnerAttempt attempt = new RunnerAttempt(this.context, this.loop, targetQueue, reserved, this.response, this);
 		this.inProgress.add(attempt);
 		this.latest = attempt;
-		attempt.send((reservation, listener) -> createCall(decision, reservation, listener));
+		try {
+			attempt.send((reservation, listener) -> createCall(decision, reservation, listener));
+		}
+		catch (RuntimeException ex) {
+			if (this.inProgress.size() == 1) {
+				throw ex;
+			}
+			// The attempt that is already in progress can still answer.
+			this.log.stepFailed(ex);
+			cancelAttempt(attempt);
+			this.latest = this.inProgress.get(this.inProgress.size() - 1);
+		}
 	}
 
 	// A repetition uses a new connection, since a late response to an earlier attempt of
--- a/bilberryvalve-gateway/src/test/java/io/bilberryvalve/gateway/relay/BackupAttemptTests.java
+++ b/bilberryvalve-gateway/src/test/java/io/bilberryvalve/gateway/relay/BackupAttemptTests.java
@@ -8,6 +8,8 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 
 import io.bilberryvalve.gateway.fleet.ListedRunner;
 import io.bilberryvalve.model.RunnerId;
@@ -120,4 +122,34 @@
 		}
 	}
 
+	// Guards against a stream that is cut because its backup attempt could not be made,
+	// although its engine goes on.
+	@Example
+	void streamIsNotCutWhenItsBackupAttemptFailsToStart() throws IOException {
+		CountDownLatch goOn = new CountDownLatch(1);
+		ScriptedRunner.Script pausing = (request, count, socket, out) -> {
+			write(out, HEAD + FIRST_EVENTS);
+			try {
+				if (!goOn.await(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)) {
+					throw new IOException("the engine was not told to go on");
+				}
+			}
+			catch (InterruptedException ex) {
+				throw new IOException(ex);
+			}
+			write(out, LAST_EVENT);
+		};
+		try (ScriptedRunner engine = new ScriptedRunner(pausing);
+				RelayFixture router = new RelayFixture(engine).withConfiguration()
+					.withStallProbe(BackupAttemptTests::noReport);
+				Socket caller = ask(router, "/model/1", "a1", "")) {
+			RelayFixture.readUntil(caller.getInputStream(), "id: 2\ndata: b\n\n\r\n");
+			router.withFailingPools();
+			router.addEngine("engine-2", engine);
+			checkForStalls(router);
+			goOn.countDown();
+			assertThat(RelayFixture.readUntil(caller.getInputStream(), END)).contains("id: 3");
+		}
+	}
+
 }
