Remember that a part of a plain answer was sent

A plain answer of more than 1 MiB that broke off could be continued by the stream of another runner, if the request named a last event: whether a part had been sent was asked after the state of the response had been cleared.

BackupAttemptTests.longAnswerThatBreaksOffIsNotContinuedByAnotherRunner failed before: the answer ended as complete, with an event of the second runner in it.

--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/relay/AttemptResponse.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/relay/AttemptResponse.java
@@ -44,6 +44,8 @@
 
 	private boolean eventReceived;
 
+	private boolean committed;
+
 	private long droppedBytes;
 
 	/**
@@ -122,6 +124,7 @@
 			buffered.addComponent(true, content.retainedSlice());
 			if (buffered.readableBytes() > MAX_BUFFERED_BYTES) {
 				this.mode = Mode.PASS;
+				this.committed = true;
 				this.body = null;
 				this.listener.selected();
 				this.caller.sendPart(response, buffered);
@@ -199,7 +202,7 @@
 	 * @return whether the connection must be closed if this attempt fails
 	 */
 	boolean committed() {
-		return this.mode == Mode.PASS;
+		return this.committed;
 	}
 
 	/**
--- a/bilberryvalve-gateway/src/test/java/io/bilberryvalve/gateway/relay/BackupAttemptTests.java
+++ b/bilberryvalve-gateway/src/test/java/io/bilberryvalve/gateway/relay/BackupAttemptTests.java
@@ -152,4 +152,31 @@
 		}
 	}
 
+	// Guards against an answer of which a part was sent and that another attempt
+	// continues.
+	@Example
+	void longAnswerThatBreaksOffIsNotContinuedByAnotherRunner() throws IOException {
+		String part = "x".repeat(3 << 20);
+		ScriptedRunner.Script breaking = (request, count, socket, out) -> {
+			write(out, "HTTP/1.1 200 OK\r\nx-seal: s1\r\nContent-Length: " + (4 << 20) + "\r\n\r\n" + part);
+			socket.close();
+		};
+		ScriptedRunner.Script streaming = (request, count, socket, out) -> write(out, HEAD + LAST_EVENT);
+		CountDownLatch first = new CountDownLatch(1);
+		ScriptedRunner.Script script = (request, count, socket, out) -> {
+			boolean begins = first.getCount() > 0;
+			first.countDown();
+			(begins ? breaking : streaming).answer(request, count, socket, out);
+		};
+		try (ScriptedRunner one = new ScriptedRunner(script);
+				ScriptedRunner two = new ScriptedRunner(script);
+				RelayFixture router = new RelayFixture(one, two).withConfiguration()) {
+			String more = "Connection: close\r\nlast-event-id: 2\r\n";
+			String response = router.exchange(RelayFixture.request("GET", "/read/1", "a1", more, ""));
+			assertThat(response.length()).isGreaterThan(1 << 20);
+			assertThat(response.contains("id: 3")).isFalse();
+			assertThat(response.endsWith(END)).isFalse();
+		}
+	}
+
 }
