Answer the requests that are in progress when a daemon stops

When the time to leave was over, the process exited, and the connections of requests that still waited for a slot or an answer closed without one. They now end with 503 if they have certainly not run, else with 502 or a cut stream.

--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/Gateway.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/Gateway.java
@@ -107,6 +107,9 @@
 
 	private static final long SHUTDOWN_POLL_MILLIS = 50;
 
+	/** Time in which the last responses are sent before the process exits. */
+	private static final long LAST_RESPONSES_MILLIS = 100;
+
 	private static final CallerLimits DEFAULT_LIMITS = new CallerLimits(16384, 4 << 20, Duration.ofSeconds(3),
 			Duration.ofSeconds(15));
 
@@ -152,6 +155,8 @@
 
 	private volatile boolean leaving;
 
+	private boolean left;
+
 	private volatile int listedGateways;
 
 	/**
@@ -388,9 +393,11 @@
 		if (now >= schedule.refuseAtMillis()) {
 			this.server.closeIdle();
 		}
-		if (!left.isDone() && schedule.mayStop(now, this.relayContext.activeCount(), hasServingPeer())) {
+		if (!this.left && schedule.mayStop(now, this.relayContext.activeCount(), hasServingPeer())) {
+			this.left = true;
 			LogEvent.of("left").with("requests", this.relayContext.activeCount()).log(LOGGER, System.Logger.Level.INFO);
-			left.complete(null);
+			this.relayContext.endAll();
+			this.transport.next().schedule(() -> left.complete(null), LAST_RESPONSES_MILLIS, TimeUnit.MILLISECONDS);
 		}
 	}
 
--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/relay/RelayContext.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/relay/RelayContext.java
@@ -321,6 +321,14 @@
 		this.shutdownSchedule = schedule;
 	}
 
+	/**
+	 * Ends all requests in progress because this daemon stops. Those that have certainly
+	 * not run are rejected, so that their callers retry at another daemon.
+	 */
+	public void endAll() {
+		this.active.forEach(RelayedRequest::endOnShutdown);
+	}
+
 	private record ServiceQueue(@Nullable EngineProfile engine, ReservationQueue queue) {
 
 	}
--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/relay/RelayedRequest.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/relay/RelayedRequest.java
@@ -478,6 +478,17 @@
 		}
 	}
 
+	// Ends the request because this daemon stops. May be called on any thread.
+	void endOnShutdown() {
+		this.loop.execute(() -> {
+			if (!this.done) {
+				cancelPending();
+				endWithoutAnswer(HttpResponseStatus.BAD_GATEWAY, UnansweredCause.SHUTDOWN, LEAVING_RETRY_MILLIS,
+						"this daemon stops");
+			}
+		});
+	}
+
 	// Rejects the request with a retry delay only if it has certainly not run, since a
 	// caller repeats a rejected request. Otherwise the caller gets the given status,
 	// or its response is cut if it has started.
--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/report/UnansweredCause.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/report/UnansweredCause.java
@@ -13,6 +13,9 @@
 	/** The time limit of the request was reached. */
 	TIME_LIMIT,
 
+	/** This daemon stopped. */
+	SHUTDOWN,
+
 	/** An error in this daemon. */
 	INTERNAL;
 
