--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/relay/RelayedRequest.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/relay/RelayedRequest.java
@@ -283,7 +283,18 @@
 		RunnerAttempt attempt = new RunnerAttempt(this.context, this.loop, targetQueue, reserved, this.response, this);
 		this.inProgress.add(attempt);
 		this.latest = attempt;
-		attempt.send((reservation, listener) -> createCall(decision, reservation, listener));
+		try {
+			attempt.send((reservation, listener) -> createCall(decision, reservation, listener));
+		}
+		catch (RuntimeException ex) {
+			if (this.inProgress.size() == 1) {
+				throw ex;
+			}
+			// The attempt that is already in progress can still answer.
+			this.log.stepFailed(ex);
+			cancelAttempt(attempt);
+			this.latest = this.inProgress.get(this.inProgress.size() - 1);
+		}
 	}
 
 	// A repetition uses a new connection, since a late response to an earlier attempt of
@@ -467,6 +478,17 @@
 		}
 	}
 
+	// Ends the request because this daemon stops. May be called on any thread.
+	void endOnShutdown() {
+		this.loop.execute(() -> {
+			if (!this.done) {
+				cancelPending();
+				endWithoutAnswer(HttpResponseStatus.BAD_GATEWAY, UnansweredCause.SHUTDOWN, LEAVING_RETRY_MILLIS,
+						"this daemon stops");
+			}
+		});
+	}
+
 	// Rejects the request with a retry delay only if it has certainly not run, since a
 	// caller repeats a rejected request. Otherwise the caller gets the given status,
 	// or its response is cut if it has started.
@@ -558,7 +580,8 @@
 		if (next.isEmpty()) {
 			return false;
 		}
-		if (!this.context.retryBudget().tryRetry()) {
+		boolean held = !isAnswered() && this.context.partQuarantine().admit(this.prompt) > 0;
+		if (held || !this.context.retryBudget().tryRetry()) {
 			targetQueue.release(next.get(), false);
 			return false;
 		}
