Keep watching a table after a listener or a read failed

One row that a listener could not apply ended the chain of reads of the watcher: an exception in a listener, in the client of the store or in a stage of it skipped the next read, and nothing was logged. The daemon then kept the runners and the configuration of that moment for good.

All reads now go through one method, which turns an exception into a failed read with the usual backoff, and all calls of the listener run in a GuardedTask, which logs event=task-failed with the cause.

The three new tests of TableWatcherTests failed before: the watcher made no further read in two of them, and refresh() threw in the third.

--- a/bilberryvalve-platform/src/main/java/io/bilberryvalve/platform/watch/TableWatcher.java
+++ b/bilberryvalve-platform/src/main/java/io/bilberryvalve/platform/watch/TableWatcher.java
@@ -2,11 +2,15 @@
 
 import java.time.Duration;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import java.util.function.Supplier;
 
 import io.bilberryvalve.model.log.LogEvent;
+import io.bilberryvalve.model.task.GuardedTask;
 import io.bilberryvalve.platform.ReadResult;
 import io.bilberryvalve.platform.Row;
 import io.bilberryvalve.platform.StoreFailure;
@@ -15,9 +19,10 @@
  * Keeps a listener informed of the rows of a table. The watcher reads a snapshot and then
  * the changes after it, and reads a new snapshot when the store no longer has the history
  * that it needs. A snapshot with an older version than one seen before is discarded and
- * read again, since a store that recovers may return old rows. State and listener are
- * confined to the timer, which must run one task at a time; {@link #start()} and
- * {@link #refresh()} may be called from other threads.
+ * read again, since a store that recovers may return old rows. Neither a read that throws
+ * nor a listener that throws stops the watcher. State and listener are confined to the
+ * timer, which must run one task at a time; {@link #start()} and {@link #refresh()} may
+ * be called from other threads.
  */
 public final class TableWatcher {
 
@@ -95,16 +100,36 @@
 			return;
 		}
 		this.nextRefreshNanos = now + TimeUnit.MILLISECONDS.toNanos(MAX_BACKOFF_MILLIS);
-		this.feed.snapshot(this.table).thenAccept((result) -> this.timer.execute(() -> {
+		read(() -> this.feed.snapshot(this.table), (result) -> {
 			if (result instanceof ReadResult.Found<TableFeed.Snapshot> found
 					&& found.value().version() >= this.version) {
-				this.listener.onRefresh(found.value().rows());
+				notifyListener(() -> this.listener.onRefresh(found.value().rows()));
 			}
-		}));
+		});
 	}
 
 	private void readSnapshot() {
-		this.feed.snapshot(this.table).thenAccept((result) -> this.timer.execute(() -> handleSnapshot(result)));
+		read(() -> this.feed.snapshot(this.table), this::handleSnapshot);
+	}
+
+	private <T> void read(Supplier<CompletionStage<ReadResult<T>>> call, Consumer<ReadResult<T>> handler) {
+		CompletionStage<ReadResult<T>> reading;
+		try {
+			reading = call.get();
+		}
+		catch (RuntimeException ex) {
+			reading = CompletableFuture.failedFuture(ex);
+		}
+		reading.exceptionally(TableWatcher::toFailure)
+			.thenAccept((result) -> this.timer.execute(() -> handler.accept(result)));
+	}
+
+	private static <T> ReadResult<T> toFailure(Throwable cause) {
+		return new ReadResult.Failed<>(StoreFailure.of(StoreFailure.Kind.ANSWER_LOST, cause.toString()));
+	}
+
+	private void notifyListener(Runnable call) {
+		new GuardedTask("listener-of-" + this.table, call).run();
 	}
 
 	private void handleSnapshot(ReadResult<TableFeed.Snapshot> result) {
@@ -123,13 +148,12 @@
 		}
 		recordAvailable();
 		this.version = found.value().version();
-		this.listener.onSnapshot(found.value().rows());
+		notifyListener(() -> this.listener.onSnapshot(found.value().rows()));
 		readChanges();
 	}
 
 	private void readChanges() {
-		this.feed.changes(this.table, this.version, this.pollWait.get())
-			.thenAccept((result) -> this.timer.execute(() -> handleChanges(result)));
+		read(() -> this.feed.changes(this.table, this.version, this.pollWait.get()), this::handleChanges);
 	}
 
 	private void handleChanges(ReadResult<TableFeed.Changes> result) {
@@ -137,7 +161,7 @@
 			recordAvailable();
 			this.version = Math.max(this.version, found.value().version());
 			if (!found.value().changes().isEmpty()) {
-				this.listener.onChanges(found.value().changes());
+				notifyListener(() -> this.listener.onChanges(found.value().changes()));
 				this.timer.schedule(this::readChanges, BATCH_DELAY_MILLIS, TimeUnit.MILLISECONDS);
 			}
 			else {
@@ -165,7 +189,7 @@
 				.with("version", this.version)
 				.with("failure", failure)
 				.log(LOGGER, System.Logger.Level.WARNING);
-			this.listener.onUnavailable();
+			notifyListener(this.listener::onUnavailable);
 		}
 		retry(next);
 	}
@@ -184,7 +208,7 @@
 				.with("table", this.table)
 				.with("version", this.version)
 				.log(LOGGER, System.Logger.Level.INFO);
-			this.listener.onAvailable();
+			notifyListener(this.listener::onAvailable);
 		}
 	}
 
--- a/bilberryvalve-platform/src/test/java/io/bilberryvalve/platform/watch/ManualScheduler.java
+++ b/bilberryvalve-platform/src/test/java/io/bilberryvalve/platform/watch/ManualScheduler.java
@@ -1,7 +1,9 @@
 package io.bilberryvalve.platform.watch;
 
 import java.util.ArrayDeque;
+import java.util.ArrayList;
 import java.util.Deque;
+import java.util.List;
 import java.util.concurrent.Callable;
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.ScheduledThreadPoolExecutor;
@@ -15,6 +17,8 @@
 
 	private final Deque<Runnable> tasks = new ArrayDeque<>();
 
+	private final List<RuntimeException> failures = new ArrayList<>();
+
 	ManualScheduler() {
 		super(0);
 	}
@@ -31,10 +35,23 @@
 	}
 
 	void runAll() {
+		runAvailable();
+		shutdownNow();
+	}
+
+	/**
+	 * Runs the queued tasks. As on an event loop, a task that throws does not stop the
+	 * others.
+	 */
+	void runAvailable() {
 		for (Runnable task = this.tasks.poll(); task != null; task = this.tasks.poll()) {
-			task.run();
+			try {
+				task.run();
+			}
+			catch (RuntimeException ex) {
+				this.failures.add(ex);
+			}
 		}
-		shutdownNow();
 	}
 
 }
--- a/bilberryvalve-platform/src/test/java/io/bilberryvalve/platform/watch/TableWatcherTests.java
+++ b/bilberryvalve-platform/src/test/java/io/bilberryvalve/platform/watch/TableWatcherTests.java
@@ -17,6 +17,12 @@
 
 class TableWatcherTests {
 
+	/** Result with which a read throws. */
+	private static final Object THROWING = new Object();
+
+	/** Result with which the stage of a read fails. */
+	private static final Object FAILING = new Object();
+
 	private final ScriptedFeed feed = new ScriptedFeed();
 
 	private final ManualScheduler timer = new ManualScheduler();
@@ -92,18 +98,66 @@
 		assertThat(this.events).containsExactly("available", "replaced one", "changed two", "replaced three");
 	}
 
+	// Guards against a watcher that never reads again after its listener failed on a row.
+	@Example
+	void continuesAfterAListenerFailed() {
+		this.feed.snapshots.add(snapshot(5, "bad"));
+		this.feed.changes.add(change(7, "bad"));
+		this.feed.changes.add(failed());
+		this.feed.changes.add(change(9, "two"));
+		this.watch.start();
+		this.timer.runAll();
+		assertThat(this.events).containsExactly("available", "lost", "available", "changed two");
+		assertThat(this.feed.after).containsExactly(5L, 7L, 7L, 9L);
+	}
+
+	// Guards against a watcher that never reads again after an answer that the store
+	// client could not handle.
+	@Example
+	void continuesAfterTheStoreClientFailed() {
+		this.feed.snapshots.add(FAILING);
+		this.feed.snapshots.add(snapshot(5, "one"));
+		this.feed.changes.add(THROWING);
+		this.feed.changes.add(FAILING);
+		this.feed.changes.add(change(9, "two"));
+		this.watch.start();
+		this.timer.runAll();
+		assertThat(this.events).containsExactly("lost", "available", "replaced one", "lost", "available",
+				"changed two");
+	}
+
+	// Guards against a failed refresh that stops the timer of the watcher.
+	@Example
+	void refreshThatFailsHasNoEffect() {
+		this.feed.snapshots.add(snapshot(5, "one"));
+		this.feed.snapshots.add(THROWING);
+		this.watch.start();
+		this.timer.runAvailable();
+		this.watch.refresh();
+		this.timer.runAll();
+		assertThat(this.events).containsExactly("available", "replaced one");
+	}
+
 	private final class Recorder implements TableWatcher.Listener {
 
 		@Override
 		public void onSnapshot(List<Row> rows) {
+			check(rows.get(0));
 			TableWatcherTests.this.events.add("replaced " + rows.get(0).value());
 		}
 
 		@Override
 		public void onChanges(List<TableFeed.Change> changes) {
+			check(changes.get(0).row());
 			TableWatcherTests.this.events.add("changed " + changes.get(0).row().value());
 		}
 
+		private static void check(Row row) {
+			if (row.value().equals("bad")) {
+				throw new IllegalStateException("the row cannot be applied");
+			}
+		}
+
 		@Override
 		public void onRefresh(List<Row> rows) {
 			TableWatcherTests.this.events.add("refreshed");
@@ -126,15 +180,22 @@
 	 */
 	private static final class ScriptedFeed implements TableFeed {
 
-		private final Deque<ReadResult<Snapshot>> snapshots = new ArrayDeque<>();
+		private final Deque<Object> snapshots = new ArrayDeque<>();
 
-		private final Deque<ReadResult<Changes>> changes = new ArrayDeque<>();
+		private final Deque<Object> changes = new ArrayDeque<>();
 
 		private final List<Long> after = new ArrayList<>();
 
-		private static <T> CompletionStage<ReadResult<T>> next(Deque<ReadResult<T>> script) {
-			ReadResult<T> next = script.poll();
-			return (next != null) ? CompletableFuture.completedFuture(next) : new CompletableFuture<>();
+		@SuppressWarnings("unchecked")
+		private static <T> CompletionStage<ReadResult<T>> next(Deque<Object> script) {
+			Object next = script.poll();
+			if (next == THROWING) {
+				throw new IllegalStateException("the read cannot be sent");
+			}
+			if (next == FAILING) {
+				return CompletableFuture.failedFuture(new IllegalStateException("the answer cannot be decoded"));
+			}
+			return (next != null) ? CompletableFuture.completedFuture((ReadResult<T>) next) : new CompletableFuture<>();
 		}
 
 		@Override
