Run periodic tasks again after a failure

A task that an executor or event loop repeats is cancelled, without a log line, by the first exception: the placement of layers, the dispatch of waiting requests, the checks for stalls, the exchange of states and the check for timed-out connections then never ran again in that process. One order to a runner that could not be sent was enough to end the placement.

GuardedTask.repeat() now starts all of them. It logs event=task-failed with the name of the task and the cause, and goes on. The dispatch of a service and the check of a request are guarded singly, so that one that fails does not keep the others waiting.

--- a/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/lifecycle/DrainCoordinator.java
+++ b/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/lifecycle/DrainCoordinator.java
@@ -10,13 +10,13 @@
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
-import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 
 import io.bilberryvalve.daemon.http.Access;
 import io.bilberryvalve.daemon.http.Exchange;
 import io.bilberryvalve.daemon.http.Route;
 import io.bilberryvalve.model.log.LogEvent;
+import io.bilberryvalve.model.task.GuardedTask;
 import io.bilberryvalve.policy.membership.DrainPlan;
 import io.servicetalk.buffer.netty.BufferAllocators;
 import io.servicetalk.concurrent.api.Publisher;
@@ -34,7 +34,7 @@
 
 	private static final Logger LOGGER = System.getLogger(DrainCoordinator.class.getName());
 
-	private static final long ADVANCE_INTERVAL_MILLIS = 20;
+	private static final Duration ADVANCE_INTERVAL = Duration.ofMillis(20);
 
 	private final Lifecycle lifecycle;
 
@@ -69,8 +69,7 @@
 	 */
 	public CompletionStage<Void> drain() {
 		if (begin()) {
-			this.timer.scheduleWithFixedDelay(this::advance, ADVANCE_INTERVAL_MILLIS, ADVANCE_INTERVAL_MILLIS,
-					TimeUnit.MILLISECONDS);
+			GuardedTask.repeat(this.timer, "advance-drain", this::advance, ADVANCE_INTERVAL);
 		}
 		return completion();
 	}
--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/Gateway.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/Gateway.java
@@ -37,6 +37,7 @@
 import io.bilberryvalve.model.Address;
 import io.bilberryvalve.model.RunnerId;
 import io.bilberryvalve.model.log.LogEvent;
+import io.bilberryvalve.model.task.GuardedTask;
 import io.bilberryvalve.platform.CommitResult;
 import io.bilberryvalve.platform.ReadResult;
 import io.bilberryvalve.platform.Row;
@@ -73,12 +74,12 @@
 	 * Interval of stall checks; short against the target gap of a stream, so that a
 	 * silent stream is noticed early.
 	 */
-	private static final long PROGRESS_CHECK_INTERVAL_MILLIS = 25;
+	private static final Duration PROGRESS_CHECK_INTERVAL = Duration.ofMillis(25);
 
 	/**
 	 * Interval at which expired connections and runners are removed.
 	 */
-	private static final long EXPIRY_CHECK_INTERVAL_MILLIS = 100;
+	private static final Duration EXPIRY_CHECK_INTERVAL = Duration.ofMillis(100);
 
 	/**
 	 * Longest time between two stall checks of a running process; a longer time means
@@ -87,15 +88,15 @@
 	 */
 	private static final long PROCESS_PAUSE_MILLIS = 80;
 
-	private static final long DISPATCH_INTERVAL_MILLIS = 50;
+	private static final Duration DISPATCH_INTERVAL = Duration.ofMillis(50);
 
-	private static final long RECONCILE_INTERVAL_MILLIS = 250;
+	private static final Duration RECONCILE_INTERVAL = Duration.ofMillis(250);
 
 	/**
 	 * Interval at which the table of gateways is read again, so that gateways that have
 	 * missed each other find each other.
 	 */
-	private static final long LIST_INTERVAL_SECONDS = 30;
+	private static final Duration LIST_INTERVAL = Duration.ofSeconds(30);
 
 	private static final long REGISTER_RETRY_MILLIS = 500;
 
@@ -105,7 +106,7 @@
 	 */
 	private static final long ACCEPT_WHILE_LEAVING_MILLIS = 3000;
 
-	private static final long SHUTDOWN_POLL_MILLIS = 50;
+	private static final Duration SHUTDOWN_POLL_INTERVAL = Duration.ofMillis(50);
 
 	private static final CallerLimits DEFAULT_LIMITS = new CallerLimits(16384, 4 << 20, Duration.ofSeconds(3),
 			Duration.ofSeconds(15));
@@ -261,16 +262,11 @@
 		new LoopMonitor(this.clock).start(this.transport.loops(), metrics());
 		register();
 		EventLoop loop = this.transport.next();
-		this.transport.control()
-			.scheduleWithFixedDelay(this::listGateways, LIST_INTERVAL_SECONDS, LIST_INTERVAL_SECONDS, TimeUnit.SECONDS);
-		loop.scheduleWithFixedDelay(this::checkProgress, PROGRESS_CHECK_INTERVAL_MILLIS, PROGRESS_CHECK_INTERVAL_MILLIS,
-				TimeUnit.MILLISECONDS);
-		loop.scheduleWithFixedDelay(this::removeExpired, EXPIRY_CHECK_INTERVAL_MILLIS, EXPIRY_CHECK_INTERVAL_MILLIS,
-				TimeUnit.MILLISECONDS);
-		loop.scheduleWithFixedDelay(this.relayContext::dispatchWaiting, DISPATCH_INTERVAL_MILLIS,
-				DISPATCH_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
-		this.placement.scheduleWithFixedDelay(this::reconcileLayers, RECONCILE_INTERVAL_MILLIS,
-				RECONCILE_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
+		GuardedTask.repeat(this.transport.control(), "list-gateways", this::listGateways, LIST_INTERVAL);
+		GuardedTask.repeat(loop, "check-progress", this::checkProgress, PROGRESS_CHECK_INTERVAL);
+		GuardedTask.repeat(loop, "remove-expired", this::removeExpired, EXPIRY_CHECK_INTERVAL);
+		GuardedTask.repeat(loop, "dispatch", this.relayContext::dispatchWaiting, DISPATCH_INTERVAL);
+		GuardedTask.repeat(this.placement, "reconcile-layers", this::reconcileLayers, RECONCILE_INTERVAL);
 	}
 
 	private void register() {
@@ -377,9 +373,8 @@
 				start + Math.min(ACCEPT_WHILE_LEAVING_MILLIS, limit.toMillis() / 2), start + limit.toMillis());
 		this.relayContext.startLeaving(schedule, this::hasServingPeer);
 		CompletableFuture<Void> left = new CompletableFuture<>();
-		this.transport.next()
-			.scheduleWithFixedDelay(() -> checkShutdown(schedule, left), SHUTDOWN_POLL_MILLIS, SHUTDOWN_POLL_MILLIS,
-					TimeUnit.MILLISECONDS);
+		GuardedTask.repeat(this.transport.next(), "check-shutdown", () -> checkShutdown(schedule, left),
+				SHUTDOWN_POLL_INTERVAL);
 		return left;
 	}
 
--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/http/CallerServer.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/http/CallerServer.java
@@ -5,12 +5,12 @@
 import java.time.Duration;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
-import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 
 import io.bilberryvalve.gateway.route.CallerLimits;
 import io.bilberryvalve.model.Address;
+import io.bilberryvalve.model.task.GuardedTask;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
@@ -32,7 +32,7 @@
 	 */
 	private static final Duration TIMEOUT_MARGIN = Duration.ofSeconds(2);
 
-	private static final long TIMEOUT_CHECK_INTERVAL_MILLIS = 1000;
+	private static final Duration TIMEOUT_CHECK_INTERVAL = Duration.ofMillis(1000);
 
 	private final Transport transport;
 
@@ -82,9 +82,7 @@
 			throw new IllegalStateException(
 					"cannot listen on " + host + ":" + port + "; check that the address is free", bound.cause());
 		}
-		this.transport.next()
-			.scheduleWithFixedDelay(this::closeTimedOut, TIMEOUT_CHECK_INTERVAL_MILLIS, TIMEOUT_CHECK_INTERVAL_MILLIS,
-					TimeUnit.MILLISECONDS);
+		GuardedTask.repeat(this.transport.next(), "close-timed-out", this::closeTimedOut, TIMEOUT_CHECK_INTERVAL);
 		return new Address(host, ((InetSocketAddress) bound.channel().localAddress()).getPort());
 	}
 
--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/peer/StateExchange.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/peer/StateExchange.java
@@ -2,12 +2,12 @@
 
 import java.net.InetSocketAddress;
 import java.time.Clock;
+import java.time.Duration;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
-import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import java.util.function.LongConsumer;
 import java.util.function.LongSupplier;
@@ -21,6 +21,7 @@
 import io.bilberryvalve.model.DataCentreId;
 import io.bilberryvalve.model.RunnerId;
 import io.bilberryvalve.model.log.LogEvent;
+import io.bilberryvalve.model.task.GuardedTask;
 import io.bilberryvalve.policy.path.RunnerLoad;
 import io.bilberryvalve.policy.quarantine.PartQuarantine;
 import io.bilberryvalve.wire.proto.LoadMessages.DaemonState;
@@ -161,9 +162,8 @@
 					bound.cause());
 		}
 		this.channel = bound.channel();
-		bound.channel()
-			.eventLoop()
-			.scheduleWithFixedDelay(this::send, SEND_PERIOD_MILLIS, SEND_PERIOD_MILLIS, TimeUnit.MILLISECONDS);
+		GuardedTask.repeat(bound.channel().eventLoop(), "send-state", this::send,
+				Duration.ofMillis(SEND_PERIOD_MILLIS));
 	}
 
 	/**
--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/relay/RelayContext.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/relay/RelayContext.java
@@ -4,7 +4,6 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.Queue;
-import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.atomic.AtomicReference;
@@ -22,6 +21,7 @@
 import io.bilberryvalve.gateway.route.Service;
 import io.bilberryvalve.model.DataCentreId;
 import io.bilberryvalve.model.log.LogEvent;
+import io.bilberryvalve.model.task.GuardedTask;
 import io.bilberryvalve.policy.membership.ShutdownSchedule;
 import io.bilberryvalve.policy.placement.EngineProfile;
 import io.bilberryvalve.policy.quarantine.PartQuarantine;
@@ -71,7 +71,8 @@
 
 	private final Map<String, ServiceQueue> queues = new ConcurrentHashMap<>();
 
-	private final Set<RelayedRequest> active = ConcurrentHashMap.newKeySet();
+	/** Requests in progress, with the check of each for stalls. */
+	private final Map<RelayedRequest, GuardedTask> active = new ConcurrentHashMap<>();
 
 	private final Queue<Runnable> pendingStarts = new ConcurrentLinkedQueue<>();
 
@@ -202,7 +203,7 @@
 	private void runPendingStarts() {
 		for (Runnable next = ready() ? this.pendingStarts.poll() : null; next != null; next = this.pendingStarts
 			.poll()) {
-			next.run();
+			new GuardedTask("start-request", next).run();
 		}
 	}
 
@@ -250,7 +251,7 @@
 							this.progressTracker)
 					: new RunnerAllocator(name, this.localDataCentre, this.fleetRegistry, this.loadTracker,
 							this.runnerAvailability);
-			return new ServiceQueue(engine, new ReservationQueue(allocator, this.loadTracker, this.clock));
+			return new ServiceQueue(name, engine, new ReservationQueue(allocator, this.loadTracker, this.clock));
 		}).queue;
 	}
 
@@ -259,7 +260,7 @@
 	 * waited too long.
 	 */
 	public void dispatchWaiting() {
-		this.queues.values().forEach((serviceQueue) -> serviceQueue.queue.dispatchWaiting());
+		this.queues.values().forEach((serviceQueue) -> serviceQueue.dispatch.run());
 	}
 
 	/**
@@ -273,11 +274,11 @@
 		if (resumedAfterPause) {
 			this.progressTracker.resetSilence();
 		}
-		this.active.forEach(RelayedRequest::checkProgress);
+		this.active.values().forEach(GuardedTask::run);
 	}
 
 	void register(RelayedRequest request) {
-		this.active.add(request);
+		this.active.put(request, new GuardedTask("check-progress-of-request", request::checkProgress));
 	}
 
 	void unregister(RelayedRequest request) {
@@ -315,7 +316,18 @@
 		this.shutdownSchedule = schedule;
 	}
 
-	private record ServiceQueue(@Nullable EngineProfile engine, ReservationQueue queue) {
+	/**
+	 * Queue of a service.
+	 *
+	 * @param engine profile of its engines, or {@code null} for plain application runners
+	 * @param queue the queue
+	 * @param dispatch grants free slots; a failure does not affect other services
+	 */
+	private record ServiceQueue(@Nullable EngineProfile engine, ReservationQueue queue, GuardedTask dispatch) {
+
+		ServiceQueue(String service, @Nullable EngineProfile engine, ReservationQueue queue) {
+			this(engine, queue, new GuardedTask("dispatch-" + service, queue::dispatchWaiting));
+		}
 
 	}
 
--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/report/LoopMonitor.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/report/LoopMonitor.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.atomic.AtomicLong;
 
 import io.bilberryvalve.model.log.LogEvent;
+import io.bilberryvalve.model.task.GuardedTask;
 
 /**
  * Measures by how much the tasks of event loops run late. All I/O of a loop waits behind
@@ -54,7 +55,7 @@
 	private void schedule(int number, ScheduledExecutorService loop) {
 		long due = this.clock.millis() + PERIOD_MILLIS;
 		loop.schedule(() -> {
-			record(number, this.clock.millis() - due);
+			new GuardedTask("record-loop-delay", () -> record(number, this.clock.millis() - due)).run();
 			schedule(number, loop);
 		}, PERIOD_MILLIS, TimeUnit.MILLISECONDS);
 	}
--- a/bilberryvalve-model/src/main/java/io/bilberryvalve/model/task/GuardedTask.java
+++ b/bilberryvalve-model/src/main/java/io/bilberryvalve/model/task/GuardedTask.java
@@ -1,14 +1,17 @@
 package io.bilberryvalve.model.task;
 
+import java.time.Duration;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 
 import io.bilberryvalve.model.log.LogEvent;
 
 /**
  * Runs a task and logs what it throws. Schedulers cancel a periodic task without a log
- * line once it throws, so periodic tasks are wrapped in this class. The first failure is
- * logged, and after that each one at which the number of failures has doubled. Safe for
- * use by several threads if the task is.
+ * line once it throws, so periodic tasks are started with {@link #repeat}. The first
+ * failure is logged, and after that each one at which the number of failures has doubled.
+ * Safe for use by several threads if the task is.
  */
 public final class GuardedTask implements Runnable {
 
@@ -30,6 +33,18 @@
 		this.task = task;
 	}
 
+	/**
+	 * Schedules a task that runs again and again, also after it has thrown.
+	 * @param scheduler runs the task; its owner ends the repetition by shutting it down
+	 * @param name name of the task in log events
+	 * @param task the task; the scheduler never runs it twice at once
+	 * @param interval time until the first run, and from the end of a run to the next
+	 */
+	public static void repeat(ScheduledExecutorService scheduler, String name, Runnable task, Duration interval) {
+		scheduler.scheduleWithFixedDelay(new GuardedTask(name, task), interval.toMillis(), interval.toMillis(),
+				TimeUnit.MILLISECONDS);
+	}
+
 	@Override
 	public void run() {
 		try {
--- a/bilberryvalve-model/src/test/java/io/bilberryvalve/model/task/GuardedTaskTests.java
+++ b/bilberryvalve-model/src/test/java/io/bilberryvalve/model/task/GuardedTaskTests.java
@@ -1,7 +1,12 @@
 package io.bilberryvalve.model.task;
 
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
 import java.util.logging.Handler;
 import java.util.logging.LogRecord;
 import java.util.logging.Logger;
@@ -48,6 +53,22 @@
 		assertThat(this.recorder.lines).hasSize(10).last().asString().contains("failures=512");
 	}
 
+	@Example
+	void repeatedTaskRunsAgainAfterItHasThrown() throws InterruptedException {
+		ScheduledExecutorService scheduler = Executors.newSingleThreadScheduledExecutor();
+		CountDownLatch runs = new CountDownLatch(3);
+		try {
+			GuardedTask.repeat(scheduler, "check", () -> {
+				runs.countDown();
+				throw new IllegalStateException();
+			}, Duration.ofMillis(1));
+			assertThat(runs.await(5, TimeUnit.SECONDS)).isTrue();
+		}
+		finally {
+			scheduler.shutdownNow();
+		}
+	}
+
 	private static void recurse() {
 		recurse();
 	}
