Refuse a configuration that declares a service twice

Such a row threw an IllegalStateException, which the listener of the table does not catch, so that the watcher ended and no later configuration came into force.

OddEntriesProperties.oddConfigurationsAreRefused failed before with the exception.

--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/route/RouteTable.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/route/RouteTable.java
@@ -1,13 +1,13 @@
 package io.bilberryvalve.gateway.route;
 
 import java.util.Collection;
+import java.util.Collections;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
-import java.util.function.Function;
 import java.util.stream.Collectors;
 
 /**
@@ -20,7 +20,7 @@
 
 	private final Map<String, List<Route>> routesByHost;
 
-	private final Map<String, Service> services;
+	private final Map<String, Service> services = new HashMap<>();
 
 	private final Map<String, Team> teamsByKey = new HashMap<>();
 
@@ -35,6 +35,7 @@
 	 * @param services services of the routes
 	 * @param teams teams of callers; if there are none, callers need no key
 	 * @param limits limits for callers
+	 * @throws IllegalArgumentException if two services have the same name
 	 */
 	public RouteTable(long version, Collection<Route> routes, Collection<Service> services, Collection<Team> teams,
 			CallerLimits limits) {
@@ -42,7 +43,11 @@
 		this.routesByHost = routes.stream()
 			.sorted(Comparator.comparingInt((Route route) -> -route.prefix().length()))
 			.collect(Collectors.groupingBy((route) -> route.host().toLowerCase(Locale.ROOT)));
-		this.services = services.stream().collect(Collectors.toUnmodifiableMap(Service::name, Function.identity()));
+		services.forEach((service) -> {
+			if (this.services.put(service.name(), service) != null) {
+				throw new IllegalArgumentException("service " + service.name() + " is declared twice");
+			}
+		});
 		teams.forEach((team) -> team.keys().forEach((key) -> this.teamsByKey.put(key, team)));
 		this.teamsDeclared = !teams.isEmpty();
 		this.limits = limits;
@@ -69,7 +74,7 @@
 	 * @return the services in no particular order
 	 */
 	public Collection<Service> services() {
-		return this.services.values();
+		return Collections.unmodifiableCollection(this.services.values());
 	}
 
 	/**
