--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/Gateway.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/Gateway.java
@@ -390,7 +390,7 @@
 	}
 
 	/**
-	 * Creates an HTTP client for short calls of control.
+	 * Creates an HTTP client for short calls of control with responses of at most 16 MiB.
 	 * @param transport event loops, of which the one for control runs all calls of the
 	 * client
 	 * @param clock monotonic clock
@@ -400,4 +400,16 @@
 		return new HttpClient(new UpstreamPool(transport, transport.control(), clock));
 	}
 
+	/**
+	 * Creates an HTTP client for short calls of control.
+	 * @param transport event loops, of which the one for control runs all calls of the
+	 * client
+	 * @param clock monotonic clock
+	 * @param maxBodyBytes largest body of a response
+	 * @return a client with its own connection pool
+	 */
+	public static HttpClient createHttpClient(Transport transport, Clock clock, int maxBodyBytes) {
+		return new HttpClient(new UpstreamPool(transport, transport.control(), clock), maxBodyBytes);
+	}
+
 }
--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/http/HttpClient.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/http/HttpClient.java
@@ -22,16 +22,28 @@
  */
 public final class HttpClient {
 
-	private static final int MAX_BODY_BYTES = 16 << 20;
+	private static final int DEFAULT_MAX_BODY_BYTES = 16 << 20;
 
 	private final UpstreamPool pool;
 
+	private final int maxBodyBytes;
+
 	/**
-	 * Creates a client.
+	 * Creates a client for responses of at most 16 MiB.
 	 * @param pool connections of the client; calls run on its event loop
 	 */
 	public HttpClient(UpstreamPool pool) {
+		this(pool, DEFAULT_MAX_BODY_BYTES);
+	}
+
+	/**
+	 * Creates a client.
+	 * @param pool connections of the client; calls run on its event loop
+	 * @param maxBodyBytes largest body of a response; a call with a larger one fails
+	 */
+	public HttpClient(UpstreamPool pool, int maxBodyBytes) {
 		this.pool = pool;
+		this.maxBodyBytes = maxBodyBytes;
 	}
 
 	/**
@@ -53,7 +65,7 @@
 		if (body.length > 0 || method != HttpMethod.GET) {
 			headers.set(HttpHeaderNames.CONTENT_LENGTH, body.length);
 		}
-		ResponseCollector collector = new ResponseCollector();
+		ResponseCollector collector = new ResponseCollector(this.maxBodyBytes);
 		UpstreamCall call = new UpstreamCall(method, target, headers, Unpooled.wrappedBuffer(body), false, null,
 				collector);
 		this.pool.loop().execute(() -> {
@@ -76,8 +88,14 @@
 
 		private final ByteArrayOutputStream body = new ByteArrayOutputStream();
 
+		private final int maxBodyBytes;
+
 		private @Nullable HttpResponse head;
 
+		ResponseCollector(int maxBodyBytes) {
+			this.maxBodyBytes = maxBodyBytes;
+		}
+
 		@Override
 		public void onHead(HttpResponse response) {
 			this.head = response;
@@ -85,13 +103,13 @@
 
 		@Override
 		public void onContent(ByteBuf content) {
-			if (this.body.size() + content.readableBytes() <= MAX_BODY_BYTES) {
+			if (this.body.size() + content.readableBytes() <= this.maxBodyBytes) {
 				byte[] bytes = new byte[content.readableBytes()];
 				content.readBytes(bytes);
 				this.body.writeBytes(bytes);
 			}
 			else {
-				onFailure(true, "response exceeds " + MAX_BODY_BYTES + " bytes");
+				onFailure(true, "response exceeds " + this.maxBodyBytes + " bytes");
 			}
 		}
 
