Place layers beside entries that cannot hold them

An entry of an engine service that named no kind of card threw a NullPointerException in the placement of layers of whichever daemon held the lease, so that no layers were placed while the entry was listed. An entry with layers that the model does not have counted as a holder of the layers that it claimed, and gaps in them were not closed.

Such runners now take no part in the placement, as they took none in the choice of paths.

runnerWithoutKindGetsNoLayers and runnerWithLayersBeyondTheModelDoesNotCount of LayerReconcilerTests failed before.

--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/layers/LayerReconciler.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/layers/LayerReconciler.java
@@ -19,6 +19,7 @@
 import io.bilberryvalve.gateway.route.RouteTable;
 import io.bilberryvalve.gateway.route.Service;
 import io.bilberryvalve.model.DataCentreId;
+import io.bilberryvalve.model.LayerRange;
 import io.bilberryvalve.model.RunnerId;
 import io.bilberryvalve.model.log.LogEvent;
 import io.bilberryvalve.platform.TableService;
@@ -119,7 +120,11 @@
 		for (Service service : table.services()) {
 			EngineProfile engine = service.engine();
 			if (engine != null) {
-				reconcileService(service.name(), engine, fleet.ofService(service.name()), grant.get());
+				List<ListedRunner> runners = fleet.ofService(service.name())
+					.stream()
+					.filter((runner) -> fits(runner, engine))
+					.toList();
+				reconcileService(service.name(), engine, runners, grant.get());
 			}
 		}
 		return this.orderTracker.changingRunners(fleet.all());
@@ -129,7 +134,6 @@
 			LeaseCandidate.Grant grant) {
 		List<Card> cards = runners.stream()
 			.filter((runner) -> !runner.leaving() && this.orderTracker.acceptsOrders(runner.id()))
-			.filter((runner) -> engine.cards().containsKey(runner.card()))
 			.map((runner) -> this.orderTracker.card(runner, Objects.requireNonNull(engine.cards().get(runner.card()))))
 			.toList();
 		Optional<LayerTemplate> template = this.templates
@@ -147,6 +151,14 @@
 		}
 	}
 
+	// Entries may come from another writer and name no kind of card, or layers that the
+	// model does not have.
+	private static boolean fits(ListedRunner runner, EngineProfile engine) {
+		String card = runner.card();
+		LayerRange layers = runner.layers();
+		return card != null && engine.cards().containsKey(card) && (layers == null || layers.end() <= engine.layers());
+	}
+
 	// Spare cards replace lost ones at once. Changes to other cards wait until the list
 	// drops the lost card, since a card that was only cut off for a while comes back with
 	// its layers.
--- a/bilberryvalve-gateway/src/test/java/io/bilberryvalve/gateway/layers/LayerReconcilerTests.java
+++ b/bilberryvalve-gateway/src/test/java/io/bilberryvalve/gateway/layers/LayerReconcilerTests.java
@@ -29,6 +29,7 @@
 import io.bilberryvalve.policy.placement.CardKind;
 import io.bilberryvalve.policy.placement.EngineProfile;
 import net.jqwik.api.Example;
+import org.jspecify.annotations.Nullable;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -241,6 +242,49 @@
 		assertThat(this.runners.orders()).isLessThan(30);
 	}
 
+	// Guards against a placement that ends because an entry of another writer names no
+	// kind of card.
+	@Example
+	void runnerWithoutKindGetsNoLayers() {
+		this.runners.list(withOdd(null, null));
+		run("one", Duration.ofSeconds(10));
+		assertThat(completeWithout(odd())).isTrue();
+		assertThat(odd().layers()).isNull();
+	}
+
+	// Guards against a gap that stays because an entry of another writer claims to hold
+	// its layers.
+	@Example
+	void runnerWithLayersBeyondTheModelDoesNotCount() {
+		for (int first : new int[] { 0, LAYERS / 2, LAYERS - 1, LAYERS, Integer.MAX_VALUE - 1 }) {
+			this.reconcilers.clear();
+			this.lost.clear();
+			this.runners.list(List.of());
+			this.runners.list(withOdd("card", new LayerRange(first, Integer.MAX_VALUE)));
+			run("vm" + first, Duration.ofSeconds(20));
+			this.lost.add(new RunnerId("r0"));
+			run("vm" + first, Duration.ofSeconds(5));
+			this.runners.list(this.registry.snapshot()
+				.all()
+				.stream()
+				.filter((runner) -> !runner.id().equals(new RunnerId("r0")))
+				.toList());
+			run("vm" + first, Duration.ofSeconds(20));
+			assertThat(completeWithout(odd())).as("from layer %d", first).isTrue();
+		}
+	}
+
+	private ListedRunner odd() {
+		return this.registry.snapshot().find(new RunnerId("odd")).orElseThrow();
+	}
+
+	private static List<ListedRunner> withOdd(@Nullable String kind, @Nullable LayerRange layers) {
+		List<ListedRunner> all = cards(6);
+		all.add(new ListedRunner(new RunnerId("odd"), new Address("10.0.0.2", 1), "model", HERE, 100, false, kind,
+				layers, 1));
+		return all;
+	}
+
 	// Guards against orders without the lease while the store is unreachable.
 	@Example
 	void withoutLeaseNothingIsOrdered() {
