Take over a lease whose row cannot be read

A row of the lease that was not JSON, or had no valid fencing number, threw while the read was handled. The read then counted as in progress for good and the daemon never competed for the lease again: no daemon placed layers any more. A fencing number near the largest long had the same effect at the next grant.

Such a row is now taken as a released lease. Its fencing number is the version of the row, which no number granted before can exceed. A read or write whose stage fails counts as failed.

LayerReconcilerTests.unreadableLeaseIsTakenOver failed before.

--- a/bilberryvalve-gateway/src/test/java/io/bilberryvalve/gateway/layers/LayerReconcilerTests.java
+++ b/bilberryvalve-gateway/src/test/java/io/bilberryvalve/gateway/layers/LayerReconcilerTests.java
@@ -22,6 +22,7 @@
 import io.bilberryvalve.model.LayerRange;
 import io.bilberryvalve.model.RunnerId;
 import io.bilberryvalve.model.clock.ManualClock;
+import io.bilberryvalve.platform.RowOperation;
 import io.bilberryvalve.platform.lease.LeaseManager;
 import io.bilberryvalve.platform.memory.InMemoryTableService;
 import io.bilberryvalve.policy.lease.LeaseCandidate;
@@ -285,6 +286,28 @@
 		return all;
 	}
 
+	// Guards against a lease that no daemon acquires any more because of an odd row in
+	// the
+	// store, and against fencing numbers that runners have seen before.
+	@Example
+	void unreadableLeaseIsTakenOver() {
+		List<String> odd = List.of("", "{", "[]", "7", "{}", "{\"holder\":7,\"fencing\":1}",
+				"{\"holder\":\"x\",\"fencing\":0}", "{\"holder\":\"x\",\"fencing\":-1}",
+				"{\"holder\":\"x\",\"fencing\":1e30}", "{\"holder\":\"x\",\"fencing\":9223372036854775807}",
+				"{\"holder\":\"x\",\"fencing\":\"2\"}", "[".repeat(20_000));
+		for (int i = 0; i < odd.size(); i++) {
+			this.runners.list(cards(5));
+			run("vm" + i, Duration.ofSeconds(10));
+			assertThat(complete()).isTrue();
+			this.tables.commit(List.of(new RowOperation.Put("leases", "layers", null, odd.get(i))));
+			this.runners.list(cards(6));
+			run("vm" + i, Duration.ofSeconds(10));
+			assertThat(this.registry.snapshot().find(new RunnerId("r5")).orElseThrow().layers()).as(odd.get(i))
+				.isNotNull();
+			this.runners.list(cards(5));
+		}
+	}
+
 	// Guards against orders without the lease while the store is unreachable.
 	@Example
 	void withoutLeaseNothingIsOrdered() {
--- a/bilberryvalve-platform/src/main/java/io/bilberryvalve/platform/lease/LeaseManager.java
+++ b/bilberryvalve-platform/src/main/java/io/bilberryvalve/platform/lease/LeaseManager.java
@@ -1,21 +1,22 @@
 package io.bilberryvalve.platform.lease;
 
-import java.io.IOException;
 import java.util.List;
 import java.util.Optional;
 
+import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
+import io.bilberryvalve.model.log.LogEvent;
 import io.bilberryvalve.platform.CommitResult;
 import io.bilberryvalve.platform.ReadResult;
 import io.bilberryvalve.platform.Row;
 import io.bilberryvalve.platform.RowOperation;
+import io.bilberryvalve.platform.StoreFailure;
 import io.bilberryvalve.platform.TableService;
 import io.bilberryvalve.policy.lease.FencingNumber;
 import io.bilberryvalve.policy.lease.Lease;
 import io.bilberryvalve.policy.lease.LeaseAction;
 import io.bilberryvalve.policy.lease.LeaseCandidate;
-import org.jspecify.annotations.Nullable;
 
 /**
  * Acquires, renews and releases one lease in the table service. A {@link LeaseCandidate}
@@ -27,6 +28,8 @@
 	/** Name of the table that holds the leases. */
 	public static final String TABLE = "leases";
 
+	private static final System.Logger LOGGER = System.getLogger(LeaseManager.class.getName());
+
 	private static final ObjectMapper JSON = new ObjectMapper();
 
 	private final String key;
@@ -74,18 +77,25 @@
 
 	private void execute(LeaseAction action) {
 		if (action instanceof LeaseAction.Read) {
-			this.tables.read(TABLE, this.key).thenAccept((result) -> execute(onRead(result)));
+			this.tables.read(TABLE, this.key)
+				.exceptionally((cause) -> new ReadResult.Failed<>(
+						StoreFailure.of(StoreFailure.Kind.ANSWER_LOST, cause.toString())))
+				.thenAccept((result) -> execute(onRead(result)));
 		}
 		else if (action instanceof LeaseAction.Write write) {
 			RowOperation put = new RowOperation.Put(TABLE, this.key, write.expectVersion(), encode(write.lease()));
-			this.tables.commit(List.of(put)).thenAccept(this::onCommit);
+			this.tables.commit(List.of(put))
+				.exceptionally((cause) -> new CommitResult.Unknown(
+						StoreFailure.of(StoreFailure.Kind.ANSWER_LOST, cause.toString())))
+				.thenAccept(this::onCommit);
 		}
 	}
 
 	private LeaseAction onRead(ReadResult<Row> result) {
 		synchronized (this.candidate) {
 			if (result instanceof ReadResult.Found<Row> found) {
-				return this.candidate.leaseRead(found.value().version(), decode(found.value().value()));
+				Row row = found.value();
+				return this.candidate.leaseRead(row.version(), decode(row.version(), row.value()));
 			}
 			if (result instanceof ReadResult.Missing<Row>) {
 				return this.candidate.leaseRead(RowOperation.ABSENT, null);
@@ -103,7 +113,7 @@
 			else if (commit instanceof CommitResult.Conflict conflict) {
 				CommitResult.ConflictRow row = conflict.rows().get(0);
 				String value = row.value();
-				this.candidate.writeConflicted(row.version(), (value != null) ? decode(value) : null);
+				this.candidate.writeConflicted(row.version(), (value != null) ? decode(row.version(), value) : null);
 			}
 			else if (commit instanceof CommitResult.Refused) {
 				this.candidate.actionFailed();
@@ -118,14 +128,32 @@
 		return JSON.createObjectNode().put("holder", lease.holder()).put("fencing", lease.fencing().value()).toString();
 	}
 
-	private static @Nullable Lease decode(String text) {
+	// Each grant to another holder writes the row, and each write raises its version, so
+	// that a fencing number is never above the version. A row that cannot be read is
+	// taken
+	// as a released lease with the highest number that can have been granted.
+	private Lease decode(long version, String text) {
 		try {
 			JsonNode node = JSON.readTree(text);
-			return new Lease(node.path("holder").asText(), new FencingNumber(node.path("fencing").asLong()));
+			JsonNode fencing = node.path("fencing");
+			if (node.path("holder").isTextual() && fencing.canConvertToExactIntegral() && fencing.canConvertToLong()
+					&& fencing.longValue() >= 1 && fencing.longValue() <= version) {
+				return new Lease(node.path("holder").textValue(), new FencingNumber(fencing.longValue()));
+			}
+			logUnreadable(version, "no holder, or no fencing number up to the version");
 		}
-		catch (IOException ex) {
-			throw new IllegalArgumentException("the lease row is not valid JSON", ex);
+		catch (JsonProcessingException ex) {
+			logUnreadable(version, ex.getOriginalMessage());
 		}
+		return new Lease("", new FencingNumber(Math.max(1, version)));
+	}
+
+	private void logUnreadable(long version, String cause) {
+		LogEvent.of("lease-unreadable")
+			.with("lease", this.key)
+			.with("row-version", version)
+			.with("cause", cause)
+			.log(LOGGER, System.Logger.Level.WARNING);
 	}
 
 }
