Compute a layer template again if its row cannot be read

A row with a number that could not be parsed threw at each read, so that the service never got a template, and no layers. A number of layers that was negative or too large, or a kind of card that the service does not have, was used and ended in ranges that are none. A search that threw was never started again.

LayerReconcilerTests.unreadableTemplateIsComputedAgain failed before.

--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/layers/TemplateStore.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/layers/TemplateStore.java
@@ -11,6 +11,7 @@
 import java.util.stream.Collectors;
 
 import io.bilberryvalve.model.log.LogEvent;
+import io.bilberryvalve.model.task.GuardedTask;
 import io.bilberryvalve.platform.CommitResult;
 import io.bilberryvalve.platform.ReadResult;
 import io.bilberryvalve.platform.Row;
@@ -109,7 +110,7 @@
 	private synchronized void onRead(EngineProfile engine, List<Card> usable, ReadResult<Row> fetched) {
 		this.pending = false;
 		Row row = (fetched instanceof ReadResult.Found<Row> found) ? found.value() : null;
-		SizedTemplate known = (row != null) ? parse(row.value(), engine.layers()) : null;
+		SizedTemplate known = (row != null) ? parse(row.value(), engine) : null;
 		boolean settled = this.clock.millis() - this.unchangedSince >= this.settleMillis;
 		if (known != null && !known.isOutgrown(usable.size())) {
 			use(known);
@@ -117,7 +118,18 @@
 		else if (settled && !(fetched instanceof ReadResult.Failed<Row>)) {
 			long version = (row != null) ? row.version() : RowOperation.ABSENT;
 			this.pending = true;
-			this.searcher.execute(() -> commit(new TemplateSearch(engine, usable).best(), usable.size(), version));
+			this.searcher.execute(
+					new GuardedTask("search-template-" + this.service, () -> searchAndCommit(engine, usable, version)));
+		}
+	}
+
+	private void searchAndCommit(EngineProfile engine, List<Card> usable, long version) {
+		LayerTemplate best = new LayerTemplate(engine.layers(), Map.of(), 0);
+		try {
+			best = new TemplateSearch(engine, usable).best();
+		}
+		finally {
+			commit(best, usable.size(), version);
 		}
 	}
 
@@ -147,19 +159,28 @@
 			.log(LOGGER, System.Logger.Level.INFO);
 	}
 
-	private static @Nullable SizedTemplate parse(String text, int layers) {
+	// Returns null if the row cannot be read, so that the template is computed again and
+	// replaces it.
+	private static @Nullable SizedTemplate parse(String text, EngineProfile engine) {
 		Map<String, Integer> widths = new HashMap<>();
 		int size = 0;
-		for (String entry : text.split(",")) {
-			int colon = entry.lastIndexOf(':');
-			if (colon > 0) {
-				widths.put(entry.substring(0, colon), Integer.parseInt(entry.substring(colon + 1)));
-			}
-			else if (entry.startsWith(CARDS)) {
-				size = Integer.parseInt(entry.substring(CARDS.length()));
+		try {
+			for (String entry : text.split(",")) {
+				int colon = entry.lastIndexOf(':');
+				if (entry.startsWith(CARDS)) {
+					size = Integer.parseInt(entry.substring(CARDS.length()));
+				}
+				else if (colon > 0 && engine.cards().containsKey(entry.substring(0, colon))) {
+					widths.put(entry.substring(0, colon), Integer.parseInt(entry.substring(colon + 1)));
+				}
 			}
 		}
-		return widths.isEmpty() ? null : new SizedTemplate(new LayerTemplate(layers, widths, 0), size);
+		catch (NumberFormatException ex) {
+			return null;
+		}
+		boolean possible = size > 0 && !widths.isEmpty()
+				&& widths.values().stream().allMatch((width) -> width > 0 && width <= engine.layers());
+		return possible ? new SizedTemplate(new LayerTemplate(engine.layers(), widths, 0), size) : null;
 	}
 
 	/**
--- a/bilberryvalve-gateway/src/test/java/io/bilberryvalve/gateway/layers/LayerReconcilerTests.java
+++ b/bilberryvalve-gateway/src/test/java/io/bilberryvalve/gateway/layers/LayerReconcilerTests.java
@@ -286,6 +286,22 @@
 		return all;
 	}
 
+	// Guards against a model that is never loaded because of an odd row in the store.
+	@Example
+	void unreadableTemplateIsComputedAgain() {
+		List<String> odd = List.of("", "cards=6", "cards=6,card:", "cards=6,card:x", "cards=6,card:-1",
+				"cards=6,card:2147483647", "cards=6,card:99999999999", "cards=x,card:4", "cards=99999999999,card:4",
+				"cards=6,other:4", "{\"cards\":6}", ":::,=,\u0000");
+		for (int i = 0; i < odd.size(); i++) {
+			this.tables.commit(List.of(new RowOperation.Put("layer-templates", "model", null, odd.get(i))));
+			this.reconcilers.clear();
+			this.runners.list(List.of());
+			this.runners.list(cards(6));
+			run("vm" + i, Duration.ofSeconds(20));
+			assertThat(complete()).as(odd.get(i)).isTrue();
+		}
+	}
+
 	// Guards against a lease that no daemon acquires any more because of an odd row in
 	// the
 	// store, and against fencing numbers that runners have seen before.
