Find gateways beside unreadable rows

The first row of the table of gateways whose address could not be parsed ended the reading of the list: the gateways after it were not told of this one, no state was sent, and nothing was logged. Such rows are now skipped with event=gateway-row-unreadable and do not count as daemons. A host name is refused, since its look-up would block the event loop. A lease holder that is not named like a gateway keeps the lease until it expires; its name threw an exception before.

GatewayTests.gatewaysAreFoundBesideUnreadableRows failed before: no state arrived within 10 s.

--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/Gateway.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/Gateway.java
@@ -5,6 +5,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
@@ -21,6 +22,7 @@
 import io.bilberryvalve.gateway.http.CallerServer;
 import io.bilberryvalve.gateway.http.HeaderNames;
 import io.bilberryvalve.gateway.http.HttpClient;
+import io.bilberryvalve.gateway.http.IpAddresses;
 import io.bilberryvalve.gateway.http.Transport;
 import io.bilberryvalve.gateway.http.UpstreamPool;
 import io.bilberryvalve.gateway.layers.LayerOrders;
@@ -196,10 +198,16 @@
 				this.runnerAvailability::isLost, this.placement);
 	}
 
+	// A holder that is not named like a gateway keeps the lease until it expires.
 	private boolean hasHolderEnded(String holder) {
 		int slash = holder.lastIndexOf('/');
-		return slash > 0
-				&& this.stateExchange.hasEnded(holder.substring(0, slash), Long.parseLong(holder.substring(slash + 1)));
+		try {
+			return slash > 0 && this.stateExchange.hasEnded(holder.substring(0, slash),
+					Long.parseLong(holder.substring(slash + 1)));
+		}
+		catch (NumberFormatException ex) {
+			return false;
+		}
 	}
 
 	/**
@@ -286,13 +294,27 @@
 	private void listGateways() {
 		this.tables.list(TABLE, "", MAX_GATEWAYS).thenAccept((fetched) -> {
 			if (fetched instanceof ReadResult.Found<List<Row>> found) {
-				this.listedGateways = found.value().size();
-				found.value().forEach((row) -> this.stateExchange.addTarget(Address.parse(row.value())));
+				List<Address> addresses = found.value().stream().flatMap((row) -> parseAddress(row).stream()).toList();
+				this.listedGateways = addresses.size();
+				addresses.forEach(this.stateExchange::addTarget);
 				this.stateExchange.sendNow();
 			}
 		});
 	}
 
+	private static Optional<Address> parseAddress(Row row) {
+		try {
+			return Optional.of(IpAddresses.parse(row.value()));
+		}
+		catch (IllegalArgumentException ex) {
+			LogEvent.of("gateway-row-unreadable")
+				.with("vm", row.key())
+				.with("cause", ex.getMessage())
+				.log(LOGGER, System.Logger.Level.WARNING);
+			return Optional.empty();
+		}
+	}
+
 	private void checkProgress() {
 		long now = this.clock.millis();
 		this.relayContext
--- a/bilberryvalve-gateway/src/test/java/io/bilberryvalve/gateway/GatewayTests.java
+++ b/bilberryvalve-gateway/src/test/java/io/bilberryvalve/gateway/GatewayTests.java
@@ -1,7 +1,10 @@
 package io.bilberryvalve.gateway;
 
 import java.io.IOException;
+import java.net.DatagramPacket;
+import java.net.DatagramSocket;
 import java.net.InetAddress;
+import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.time.Duration;
 import java.util.HashMap;
@@ -25,6 +28,7 @@
 import io.bilberryvalve.model.LayerRange;
 import io.bilberryvalve.model.RunnerId;
 import io.bilberryvalve.model.clock.MonotonicClock;
+import io.bilberryvalve.platform.RowOperation;
 import io.bilberryvalve.platform.memory.InMemoryTableService;
 import io.bilberryvalve.policy.placement.CardKind;
 import io.bilberryvalve.policy.placement.EngineProfile;
@@ -82,6 +86,28 @@
 		}
 	}
 
+	// Guards against gateways that never hear of each other because of one odd row.
+	@Example
+	void gatewaysAreFoundBesideUnreadableRows() throws Exception {
+		try (DatagramSocket peer = new DatagramSocket(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
+				Transport transport = new Transport(1)) {
+			peer.setSoTimeout(LIMIT_MILLIS);
+			List<String> odd = List.of("", "nowhere", "10.0.0.1:65536", "10.0.0.1:99999999999", "gateway.example:7000");
+			for (int i = 0; i < odd.size(); i++) {
+				put("odd-" + i, odd.get(i));
+			}
+			put("peer", "127.0.0.1:" + peer.getLocalPort());
+			Gateway gateway = gateway(transport, new FailingOrders());
+			gateway.start();
+			peer.receive(new DatagramPacket(new byte[4096], 4096));
+			assertThat(gateway.daemonCount()).isEqualTo(2);
+		}
+	}
+
+	private void put(String key, String value) {
+		this.tables.commit(List.of(new RowOperation.Put("gateways", key, null, value)));
+	}
+
 	/** Fails on each order. */
 	private static final class FailingOrders implements LayerOrders {
 
