Refuse host names in the states of daemons

A state with a host name as address was accepted, and the name was looked up on the event loop for control each time a state was sent to it.

StateExchangeTests.stateWithAHostNameIsRefused failed before. The tests with random bytes and impossible numbers passed before as well.

--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/peer/StateExchange.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/peer/StateExchange.java
@@ -16,6 +16,7 @@
 import com.google.protobuf.InvalidProtocolBufferException;
 import io.bilberryvalve.gateway.fleet.LoadTracker;
 import io.bilberryvalve.gateway.fleet.RunnerAvailability;
+import io.bilberryvalve.gateway.http.IpAddresses;
 import io.bilberryvalve.gateway.http.Transport;
 import io.bilberryvalve.model.Address;
 import io.bilberryvalve.model.DataCentreId;
@@ -306,8 +307,8 @@
 		try {
 			DaemonState state = DaemonState.parseFrom(bytes);
 			PeerState peer = new PeerState(state.getVm(), state.getIncarnation(), state.getSequence(),
-					new DataCentreId(state.getDataCentre()), Address.parse(state.getCallerAddress()),
-					Address.parse(state.getStateAddress()), state.getServing(), state.getLeaving(),
+					new DataCentreId(state.getDataCentre()), IpAddresses.parse(state.getCallerAddress()),
+					IpAddresses.parse(state.getStateAddress()), state.getServing(), state.getLeaving(),
 					state.getStoreReachable(), state.getConfiguration(), runners(state.getLostRunnersList()),
 					runners(state.getChangingRunnersList()), this.clock.millis());
 			if (accept(peer)) {
