Receive states of daemons with many runners

A datagram of more than 2048 bytes, the default of the receive buffer, was cut off and could not be read. A daemon with requests at more than about eighty runners therefore was not heard: it counted as absent, and the others granted the slots that it used. The buffer now takes any datagram.

StateExchangeTests.stateWithTheLoadOfManyRunnersIsHeard, with 400 runners, failed before.

--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/http/Transport.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/http/Transport.java
@@ -9,6 +9,7 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
+import io.netty.channel.FixedRecvByteBufAllocator;
 import io.netty.channel.epoll.Epoll;
 import io.netty.channel.epoll.EpollChannelOption;
 import io.netty.channel.epoll.EpollDatagramChannel;
@@ -51,6 +52,9 @@
 	 */
 	private static final int BACKLOG = 1024;
 
+	/** Largest datagram; a longer one than the receive buffer would be cut off. */
+	private static final int MAX_DATAGRAM_BYTES = 65_536;
+
 	private final boolean epoll = Epoll.isAvailable();
 
 	private final EventLoopGroup eventLoops;
@@ -137,7 +141,8 @@
 	 */
 	public Bootstrap datagramBootstrap() {
 		return new Bootstrap().group(this.controlLoops)
-			.channel(this.epoll ? EpollDatagramChannel.class : NioDatagramChannel.class);
+			.channel(this.epoll ? EpollDatagramChannel.class : NioDatagramChannel.class)
+			.option(ChannelOption.RCVBUF_ALLOCATOR, new FixedRecvByteBufAllocator(MAX_DATAGRAM_BYTES));
 	}
 
 	@Override
--- a/bilberryvalve-gateway/src/test/java/io/bilberryvalve/gateway/peer/StateExchangeTests.java
+++ b/bilberryvalve-gateway/src/test/java/io/bilberryvalve/gateway/peer/StateExchangeTests.java
@@ -15,6 +15,7 @@
 import io.bilberryvalve.gateway.http.Transport;
 import io.bilberryvalve.model.Address;
 import io.bilberryvalve.model.DataCentreId;
+import io.bilberryvalve.model.RunnerId;
 import io.bilberryvalve.model.clock.MonotonicClock;
 import io.bilberryvalve.policy.quarantine.PartQuarantine;
 import io.bilberryvalve.wire.proto.LoadMessages.DaemonState;
@@ -84,6 +85,26 @@
 		return false;
 	}
 
+	// Guards against slots that are granted twice: a state that is cut off cannot be
+	// read,
+	// and its load does not count.
+	@Example
+	void stateWithTheLoadOfManyRunnersIsHeard() throws IOException {
+		with((peer) -> {
+			assertThat(isHeard(peer, (state) -> {
+				for (int i = 0; i < 400; i++) {
+					state.addUsage(RunnerUsage.newBuilder()
+						.setRunner("i-" + Integer.toHexString(0x7f3a0000 + i))
+						.setRunning(100)
+						.setTokenLayers(1_000_000)
+						.setUnreadLayers(1_000_000));
+				}
+			})).isTrue();
+			assertThat(this.loadTracker.of(new RunnerId("i-" + Integer.toHexString(0x7f3a0000 + 399))).running())
+				.isEqualTo(100);
+		});
+	}
+
 	@Example
 	void peerIsHeardAfterDatagramsThatAreNoStates() throws IOException {
 		Random random = new Random(190503);
