--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/Gateway.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/Gateway.java
@@ -5,6 +5,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
@@ -21,6 +22,7 @@
 import io.bilberryvalve.gateway.http.CallerServer;
 import io.bilberryvalve.gateway.http.HeaderNames;
 import io.bilberryvalve.gateway.http.HttpClient;
+import io.bilberryvalve.gateway.http.IpAddresses;
 import io.bilberryvalve.gateway.http.Transport;
 import io.bilberryvalve.gateway.http.UpstreamPool;
 import io.bilberryvalve.gateway.layers.LayerOrders;
@@ -37,6 +39,7 @@
 import io.bilberryvalve.model.Address;
 import io.bilberryvalve.model.RunnerId;
 import io.bilberryvalve.model.log.LogEvent;
+import io.bilberryvalve.model.task.GuardedTask;
 import io.bilberryvalve.platform.CommitResult;
 import io.bilberryvalve.platform.ReadResult;
 import io.bilberryvalve.platform.Row;
@@ -73,12 +76,12 @@
 	 * Interval of stall checks; short against the target gap of a stream, so that a
 	 * silent stream is noticed early.
 	 */
-	private static final long PROGRESS_CHECK_INTERVAL_MILLIS = 25;
+	private static final Duration PROGRESS_CHECK_INTERVAL = Duration.ofMillis(25);
 
 	/**
 	 * Interval at which expired connections and runners are removed.
 	 */
-	private static final long EXPIRY_CHECK_INTERVAL_MILLIS = 100;
+	private static final Duration EXPIRY_CHECK_INTERVAL = Duration.ofMillis(100);
 
 	/**
 	 * Longest time between two stall checks of a running process; a longer time means
@@ -87,15 +90,15 @@
 	 */
 	private static final long PROCESS_PAUSE_MILLIS = 80;
 
-	private static final long DISPATCH_INTERVAL_MILLIS = 50;
+	private static final Duration DISPATCH_INTERVAL = Duration.ofMillis(50);
 
-	private static final long RECONCILE_INTERVAL_MILLIS = 250;
+	private static final Duration RECONCILE_INTERVAL = Duration.ofMillis(250);
 
 	/**
 	 * Interval at which the table of gateways is read again, so that gateways that have
 	 * missed each other find each other.
 	 */
-	private static final long LIST_INTERVAL_SECONDS = 30;
+	private static final Duration LIST_INTERVAL = Duration.ofSeconds(30);
 
 	private static final long REGISTER_RETRY_MILLIS = 500;
 
@@ -105,7 +108,7 @@
 	 */
 	private static final long ACCEPT_WHILE_LEAVING_MILLIS = 3000;
 
-	private static final long SHUTDOWN_POLL_MILLIS = 50;
+	private static final Duration SHUTDOWN_POLL_INTERVAL = Duration.ofMillis(50);
 
 	/** Time in which the last responses are sent before the process exits. */
 	private static final long LAST_RESPONSES_MILLIS = 100;
@@ -200,10 +203,16 @@
 				this.runnerAvailability::isLost, this.placement);
 	}
 
+	// A holder that is not named like a gateway keeps the lease until it expires.
 	private boolean hasHolderEnded(String holder) {
 		int slash = holder.lastIndexOf('/');
-		return slash > 0
-				&& this.stateExchange.hasEnded(holder.substring(0, slash), Long.parseLong(holder.substring(slash + 1)));
+		try {
+			return slash > 0 && this.stateExchange.hasEnded(holder.substring(0, slash),
+					Long.parseLong(holder.substring(slash + 1)));
+		}
+		catch (NumberFormatException ex) {
+			return false;
+		}
 	}
 
 	/**
@@ -266,16 +275,11 @@
 		new LoopMonitor(this.clock).start(this.transport.loops(), metrics());
 		register();
 		EventLoop loop = this.transport.next();
-		this.transport.control()
-			.scheduleWithFixedDelay(this::listGateways, LIST_INTERVAL_SECONDS, LIST_INTERVAL_SECONDS, TimeUnit.SECONDS);
-		loop.scheduleWithFixedDelay(this::checkProgress, PROGRESS_CHECK_INTERVAL_MILLIS, PROGRESS_CHECK_INTERVAL_MILLIS,
-				TimeUnit.MILLISECONDS);
-		loop.scheduleWithFixedDelay(this::removeExpired, EXPIRY_CHECK_INTERVAL_MILLIS, EXPIRY_CHECK_INTERVAL_MILLIS,
-				TimeUnit.MILLISECONDS);
-		loop.scheduleWithFixedDelay(this.relayContext::dispatchWaiting, DISPATCH_INTERVAL_MILLIS,
-				DISPATCH_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
-		this.placement.scheduleWithFixedDelay(this::reconcileLayers, RECONCILE_INTERVAL_MILLIS,
-				RECONCILE_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
+		GuardedTask.repeat(this.transport.control(), "list-gateways", this::listGateways, LIST_INTERVAL);
+		GuardedTask.repeat(loop, "check-progress", this::checkProgress, PROGRESS_CHECK_INTERVAL);
+		GuardedTask.repeat(loop, "remove-expired", this::removeExpired, EXPIRY_CHECK_INTERVAL);
+		GuardedTask.repeat(loop, "dispatch", this.relayContext::dispatchWaiting, DISPATCH_INTERVAL);
+		GuardedTask.repeat(this.placement, "reconcile-layers", this::reconcileLayers, RECONCILE_INTERVAL);
 	}
 
 	private void register() {
@@ -295,13 +299,27 @@
 	private void listGateways() {
 		this.tables.list(TABLE, "", MAX_GATEWAYS).thenAccept((fetched) -> {
 			if (fetched instanceof ReadResult.Found<List<Row>> found) {
-				this.listedGateways = found.value().size();
-				found.value().forEach((row) -> this.stateExchange.addTarget(Address.parse(row.value())));
+				List<Address> addresses = found.value().stream().flatMap((row) -> parseAddress(row).stream()).toList();
+				this.listedGateways = addresses.size();
+				addresses.forEach(this.stateExchange::addTarget);
 				this.stateExchange.sendNow();
 			}
 		});
 	}
 
+	private static Optional<Address> parseAddress(Row row) {
+		try {
+			return Optional.of(IpAddresses.parse(row.value()));
+		}
+		catch (IllegalArgumentException ex) {
+			LogEvent.of("gateway-row-unreadable")
+				.with("vm", row.key())
+				.with("cause", ex.getMessage())
+				.log(LOGGER, System.Logger.Level.WARNING);
+			return Optional.empty();
+		}
+	}
+
 	private void checkProgress() {
 		long now = this.clock.millis();
 		this.relayContext
@@ -382,9 +400,8 @@
 				start + Math.min(ACCEPT_WHILE_LEAVING_MILLIS, limit.toMillis() / 2), start + limit.toMillis());
 		this.relayContext.startLeaving(schedule, this::hasServingPeer);
 		CompletableFuture<Void> left = new CompletableFuture<>();
-		this.transport.next()
-			.scheduleWithFixedDelay(() -> checkShutdown(schedule, left), SHUTDOWN_POLL_MILLIS, SHUTDOWN_POLL_MILLIS,
-					TimeUnit.MILLISECONDS);
+		GuardedTask.repeat(this.transport.next(), "check-shutdown", () -> checkShutdown(schedule, left),
+				SHUTDOWN_POLL_INTERVAL);
 		return left;
 	}
 
@@ -403,7 +420,7 @@
 	}
 
 	/**
-	 * Creates an HTTP client for short calls of control.
+	 * Creates an HTTP client for short calls of control with responses of at most 16 MiB.
 	 * @param transport event loops, of which the one for control runs all calls of the
 	 * client
 	 * @param clock monotonic clock
@@ -413,4 +430,16 @@
 		return new HttpClient(new UpstreamPool(transport, transport.control(), clock));
 	}
 
+	/**
+	 * Creates an HTTP client for short calls of control.
+	 * @param transport event loops, of which the one for control runs all calls of the
+	 * client
+	 * @param clock monotonic clock
+	 * @param maxBodyBytes largest body of a response
+	 * @return a client with its own connection pool
+	 */
+	public static HttpClient createHttpClient(Transport transport, Clock clock, int maxBodyBytes) {
+		return new HttpClient(new UpstreamPool(transport, transport.control(), clock), maxBodyBytes);
+	}
+
 }
--- a/bilberryvalve-gateway/src/test/java/io/bilberryvalve/gateway/layers/LayerReconcilerTests.java
+++ b/bilberryvalve-gateway/src/test/java/io/bilberryvalve/gateway/layers/LayerReconcilerTests.java
@@ -22,6 +22,7 @@
 import io.bilberryvalve.model.LayerRange;
 import io.bilberryvalve.model.RunnerId;
 import io.bilberryvalve.model.clock.ManualClock;
+import io.bilberryvalve.platform.RowOperation;
 import io.bilberryvalve.platform.lease.LeaseManager;
 import io.bilberryvalve.platform.memory.InMemoryTableService;
 import io.bilberryvalve.policy.lease.LeaseCandidate;
@@ -29,6 +30,7 @@
 import io.bilberryvalve.policy.placement.CardKind;
 import io.bilberryvalve.policy.placement.EngineProfile;
 import net.jqwik.api.Example;
+import org.jspecify.annotations.Nullable;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -241,6 +243,87 @@
 		assertThat(this.runners.orders()).isLessThan(30);
 	}
 
+	// Guards against a placement that ends because an entry of another writer names no
+	// kind of card.
+	@Example
+	void runnerWithoutKindGetsNoLayers() {
+		this.runners.list(withOdd(null, null));
+		run("one", Duration.ofSeconds(10));
+		assertThat(completeWithout(odd())).isTrue();
+		assertThat(odd().layers()).isNull();
+	}
+
+	// Guards against a gap that stays because an entry of another writer claims to hold
+	// its layers.
+	@Example
+	void runnerWithLayersBeyondTheModelDoesNotCount() {
+		for (int first : new int[] { 0, LAYERS / 2, LAYERS - 1, LAYERS, Integer.MAX_VALUE - 1 }) {
+			this.reconcilers.clear();
+			this.lost.clear();
+			this.runners.list(List.of());
+			this.runners.list(withOdd("card", new LayerRange(first, Integer.MAX_VALUE)));
+			run("vm" + first, Duration.ofSeconds(20));
+			this.lost.add(new RunnerId("r0"));
+			run("vm" + first, Duration.ofSeconds(5));
+			this.runners.list(this.registry.snapshot()
+				.all()
+				.stream()
+				.filter((runner) -> !runner.id().equals(new RunnerId("r0")))
+				.toList());
+			run("vm" + first, Duration.ofSeconds(20));
+			assertThat(completeWithout(odd())).as("from layer %d", first).isTrue();
+		}
+	}
+
+	private ListedRunner odd() {
+		return this.registry.snapshot().find(new RunnerId("odd")).orElseThrow();
+	}
+
+	private static List<ListedRunner> withOdd(@Nullable String kind, @Nullable LayerRange layers) {
+		List<ListedRunner> all = cards(6);
+		all.add(new ListedRunner(new RunnerId("odd"), new Address("10.0.0.2", 1), "model", HERE, 100, false, kind,
+				layers, 1));
+		return all;
+	}
+
+	// Guards against a model that is never loaded because of an odd row in the store.
+	@Example
+	void unreadableTemplateIsComputedAgain() {
+		List<String> odd = List.of("", "cards=6", "cards=6,card:", "cards=6,card:x", "cards=6,card:-1",
+				"cards=6,card:2147483647", "cards=6,card:99999999999", "cards=x,card:4", "cards=99999999999,card:4",
+				"cards=6,other:4", "{\"cards\":6}", ":::,=,\u0000");
+		for (int i = 0; i < odd.size(); i++) {
+			this.tables.commit(List.of(new RowOperation.Put("layer-templates", "model", null, odd.get(i))));
+			this.reconcilers.clear();
+			this.runners.list(List.of());
+			this.runners.list(cards(6));
+			run("vm" + i, Duration.ofSeconds(20));
+			assertThat(complete()).as(odd.get(i)).isTrue();
+		}
+	}
+
+	// Guards against a lease that no daemon acquires any more because of an odd row in
+	// the
+	// store, and against fencing numbers that runners have seen before.
+	@Example
+	void unreadableLeaseIsTakenOver() {
+		List<String> odd = List.of("", "{", "[]", "7", "{}", "{\"holder\":7,\"fencing\":1}",
+				"{\"holder\":\"x\",\"fencing\":0}", "{\"holder\":\"x\",\"fencing\":-1}",
+				"{\"holder\":\"x\",\"fencing\":1e30}", "{\"holder\":\"x\",\"fencing\":9223372036854775807}",
+				"{\"holder\":\"x\",\"fencing\":\"2\"}", "[".repeat(20_000));
+		for (int i = 0; i < odd.size(); i++) {
+			this.runners.list(cards(5));
+			run("vm" + i, Duration.ofSeconds(10));
+			assertThat(complete()).isTrue();
+			this.tables.commit(List.of(new RowOperation.Put("leases", "layers", null, odd.get(i))));
+			this.runners.list(cards(6));
+			run("vm" + i, Duration.ofSeconds(10));
+			assertThat(this.registry.snapshot().find(new RunnerId("r5")).orElseThrow().layers()).as(odd.get(i))
+				.isNotNull();
+			this.runners.list(cards(5));
+		}
+	}
+
 	// Guards against orders without the lease while the store is unreachable.
 	@Example
 	void withoutLeaseNothingIsOrdered() {
