Answer a request also after an error in the end of an attempt

A request was held until its time limit when an exception occurred while the end of an attempt was handled: these callbacks come from the connection to the runner, whose handler had already given up the call, and were not under the guard that answers the caller. Neither were the result of the crash check, the rejection by the queue and the time limit.

BackupAttemptTests.requestIsAnsweredWhenItsBrokenAttemptCannotBeHandled failed before: nothing was received within 2 s.

--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/relay/RelayedRequest.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/relay/RelayedRequest.java
@@ -214,8 +214,8 @@
 		this.deadlineAt = this.arrivedAt + decision.timeoutMillis();
 		this.exchange.onDisconnect(this::callerDisconnected);
 		this.exchange.onWritabilityChanged(this::writabilityChanged);
-		this.timer = this.loop.schedule(this::timedOut, this.deadlineAt - this.context.clock().millis(),
-				TimeUnit.MILLISECONDS);
+		this.timer = this.loop.schedule(() -> runSafely(this::timedOut),
+				this.deadlineAt - this.context.clock().millis(), TimeUnit.MILLISECONDS);
 		this.context.register(this);
 		this.context.retryBudget().recordRequest();
 		requestReservation(decision, this.queue);
@@ -368,13 +368,17 @@
 	@Override
 	public void notRun(RunnerAttempt attempt, RunnerId faulty) {
 		removeEnded(attempt, faulty);
-		continueOrRetry(attempt, "not run by the runner");
+		runSafely(() -> continueOrRetry(attempt, "not run by the runner"));
 	}
 
 	@Override
 	public void notSent(RunnerAttempt attempt, String reason) {
 		removeEnded(attempt, attempt.firstRunner().id());
 		this.sends--;
+		runSafely(() -> reserveAgain(reason));
+	}
+
+	private void reserveAgain(String reason) {
 		RoutingDecision.Allowed decision = this.allowed;
 		ReservationQueue targetQueue = this.queue;
 		if (this.done || !this.inProgress.isEmpty()) {
@@ -391,7 +395,7 @@
 	@Override
 	public void unusable(RunnerAttempt attempt, String reason) {
 		removeEnded(attempt, attempt.firstRunner().id());
-		interrupted(attempt, reason);
+		runSafely(() -> interrupted(attempt, reason));
 	}
 
 	// If the runner may have crashed because of the prompt, this is found out before the
@@ -399,21 +403,26 @@
 	@Override
 	public void brokenOff(RunnerAttempt attempt, String reason) {
 		removeEnded(attempt, attempt.firstRunner().id());
+		this.mayHaveRunBefore = true;
+		runSafely(() -> checkCrash(attempt, reason));
+	}
+
+	private void checkCrash(RunnerAttempt attempt, String reason) {
 		boolean answered = isAnswered() || this.request.lastEvent() != null;
 		if (answered || this.prompt.shared().isEmpty() || attempt.committed()) {
 			interrupted(attempt, reason);
 			return;
 		}
-		this.mayHaveRunBefore = true;
 		ListedRunner runner = attempt.firstRunner();
-		this.context.connectionPool(this.loop).probe(runner.address(), CRASH_CHECK_MILLIS, (refused) -> {
-			if (refused) {
-				this.log.runnerCrashed(runner, this.prompt);
-				this.context.runnerAvailability().markLost(runner, "its address refuses connections");
-				this.context.partQuarantine().recordCrash(this.prompt, runner.id(), runner.startedMillis());
-			}
-			continueOrRetry(attempt, reason);
-		});
+		this.context.connectionPool(this.loop)
+			.probe(runner.address(), CRASH_CHECK_MILLIS, (refused) -> runSafely(() -> {
+				if (refused) {
+					this.log.runnerCrashed(runner, this.prompt);
+					this.context.runnerAvailability().markLost(runner, "its address refuses connections");
+					this.context.partQuarantine().recordCrash(this.prompt, runner.id(), runner.startedMillis());
+				}
+				continueOrRetry(attempt, reason);
+			}));
 	}
 
 	// Handles an attempt that may have run and whose response will not be completed.
@@ -677,7 +686,7 @@
 				RelayedRequest.this.loop.execute(() -> rejected(retryMillis));
 			}
 			else if (take()) {
-				RelayedRequest.this.rejected(this.targetQueue, retryMillis);
+				runSafely(() -> RelayedRequest.this.rejected(this.targetQueue, retryMillis));
 			}
 		}
 
--- a/bilberryvalve-gateway/src/test/java/io/bilberryvalve/gateway/relay/BackupAttemptTests.java
+++ b/bilberryvalve-gateway/src/test/java/io/bilberryvalve/gateway/relay/BackupAttemptTests.java
@@ -152,6 +152,32 @@
 		}
 	}
 
+	// Guards against a request that is held until its time limit, because an error occurs
+	// while its broken attempt is handled.
+	@Example
+	void requestIsAnsweredWhenItsBrokenAttemptCannotBeHandled() throws IOException {
+		CountDownLatch goOn = new CountDownLatch(1);
+		ScriptedRunner.Script breaking = (request, count, socket, out) -> {
+			try {
+				if (!goOn.await(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)) {
+					throw new IOException("the engine was not told to go on");
+				}
+			}
+			catch (InterruptedException ex) {
+				throw new IOException(ex);
+			}
+			socket.close();
+		};
+		try (ScriptedRunner engine = new ScriptedRunner(breaking);
+				RelayFixture router = new RelayFixture(engine).withConfiguration();
+				Socket caller = ask(router, "/model/1", "a1", "x-parts: shared:10,own:10\r\n")) {
+			engine.next();
+			router.withFailingPools();
+			goOn.countDown();
+			assertThat(RelayFixture.readUntil(caller.getInputStream(), "\r\n\r\n")).startsWith("HTTP/1.1 502 ");
+		}
+	}
+
 	// Guards against an answer of which a part was sent and that another attempt
 	// continues.
 	@Example
