Repeat a lookup at the only runner of its service

A lookup whose only runner reset the connection waited for a runner that it had not tried yet, of which there was none, until it was rejected. The runners that failed before are now used if there are no others; a backup attempt still avoids them.

RelayTests.idempotentRequestIsRepeatedAtTheOnlyRunner failed before.

--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/relay/RunnerAllocator.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/relay/RunnerAllocator.java
@@ -41,9 +41,20 @@
 
 	@Override
 	public Optional<Reservation> reserve(RequestSize size, Set<RunnerId> excluded) {
-		List<ListedRunner> candidates = availableRunners().stream()
-			.filter((runner) -> !excluded.contains(runner.id()))
-			.toList();
+		List<ListedRunner> others = runnersWithout(excluded);
+		return reserve(size, others.isEmpty() ? availableRunners() : others);
+	}
+
+	@Override
+	public Optional<Reservation> reserveElsewhere(RequestSize size, Set<RunnerId> avoided) {
+		return reserve(size, runnersWithout(avoided));
+	}
+
+	private List<ListedRunner> runnersWithout(Set<RunnerId> excluded) {
+		return availableRunners().stream().filter((runner) -> !excluded.contains(runner.id())).toList();
+	}
+
+	private Optional<Reservation> reserve(RequestSize size, List<ListedRunner> candidates) {
 		List<ListedRunner> trusted = candidates.stream()
 			.filter((runner) -> this.runnerAvailability.isUsable(runner.id()))
 			.toList();
@@ -58,11 +69,6 @@
 			});
 	}
 
-	@Override
-	public Optional<Reservation> reserveElsewhere(RequestSize size, Set<RunnerId> avoided) {
-		return reserve(size, avoided);
-	}
-
 	@Override
 	public long prefillBacklogMillis(Reservation reservation) {
 		return 0;
--- a/bilberryvalve-gateway/src/test/java/io/bilberryvalve/gateway/relay/RelayTests.java
+++ b/bilberryvalve-gateway/src/test/java/io/bilberryvalve/gateway/relay/RelayTests.java
@@ -401,4 +401,22 @@
 		}
 	}
 
+	// Guards against a lookup that waits for a runner that it has not tried yet, although
+	// its service has no other.
+	@Example
+	void idempotentRequestIsRepeatedAtTheOnlyRunner() throws IOException {
+		BlockingQueue<Boolean> broken = new LinkedBlockingQueue<>(List.of(true));
+		try (ScriptedRunner runner = new ScriptedRunner((request, count, socket, out) -> {
+			if (broken.poll() != null) {
+				reset(socket);
+			}
+			else {
+				write(out, ok(attempt(request), "hello"));
+			}
+		}); RelayFixture router = new RelayFixture(runner).withConfiguration()) {
+			String response = router.exchange(RelayFixture.request("GET", "/read/1", "a1", CLOSE, ""));
+			assertThat(response).startsWith("HTTP/1.1 200 OK").endsWith("hello");
+		}
+	}
+
 }
