Search less often for a path beside a silent one, and log what goes on

A stream whose path is silent searched for another path at each check, 40 times a second, for as long as the silence lasted, now that it stays in progress. It waits 50 ms after a search that found none. attempt-failed now tells how many attempts go on. An attempt that is sent while its caller reads nothing is paused from the start.

StallDetectorTests.backupIsTriedAgainAfterAnInterval was written with the change; it would fail before, as the old code has no interval (read from the code, not run).

--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/relay/RelayedRequest.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/relay/RelayedRequest.java
@@ -285,6 +285,9 @@
 		this.latest = attempt;
 		try {
 			attempt.send((reservation, listener) -> createCall(decision, reservation, listener));
+			if (!this.exchange.isWritable()) {
+				attempt.setPaused(true);
+			}
 		}
 		catch (RuntimeException ex) {
 			if (this.inProgress.size() == 1) {
@@ -456,7 +459,8 @@
 			return;
 		}
 		if (!this.inProgress.isEmpty() || this.pending != null) {
-			this.log.attemptFailed(failed, reason, false, this.sends, this.response.lastEvent());
+			this.log.attemptFailed(failed, reason, false, this.sends, this.inProgress.size(),
+					this.response.lastEvent());
 			return;
 		}
 		RoutingDecision.Allowed decision = this.allowed;
@@ -465,7 +469,7 @@
 		boolean permitted = decision != null && !held && this.sends < decision.route().maxAttempts()
 				&& (!mayHaveRun() || mayRepeat(decision));
 		boolean granted = permitted && this.context.retryBudget().tryRetry();
-		this.log.attemptFailed(failed, reason, granted, this.sends, this.response.lastEvent());
+		this.log.attemptFailed(failed, reason, granted, this.sends, 0, this.response.lastEvent());
 		if (granted && decision != null && targetQueue != null) {
 			requestReservation(decision, targetQueue);
 		}
--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/relay/RequestLog.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/relay/RequestLog.java
@@ -119,7 +119,8 @@
 			.log(LOGGER, System.Logger.Level.INFO);
 	}
 
-	void attemptFailed(RunnerAttempt attempt, String reason, boolean repeated, int sends, @Nullable String lastEvent) {
+	void attemptFailed(RunnerAttempt attempt, String reason, boolean repeated, int sends, int inProgress,
+			@Nullable String lastEvent) {
 		this.context.metrics().recordFailedAttempt(repeated);
 		LogEvent.of("attempt-failed")
 			.with("request", this.attemptId)
@@ -129,6 +130,7 @@
 			.with("sends", sends)
 			.with("reason", reason)
 			.with("repeat", repeated)
+			.with("in-progress", (inProgress > 0) ? inProgress : null)
 			.with("last-event", lastEvent)
 			.log(LOGGER, System.Logger.Level.INFO);
 	}
--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/relay/StallDetector.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/relay/StallDetector.java
@@ -30,6 +30,12 @@
 	/** Time until the runners of a silent request are checked again. */
 	private static final long REPROBE_MILLIS = 400;
 
+	/**
+	 * Time until a backup attempt is tried again after no other path was free; each try
+	 * searches for a path.
+	 */
+	private static final long RETRY_BACKUP_MILLIS = 50;
+
 	/** Used for a report that cannot be read, which shows no cause. */
 	private static final StallProbe.ProbeResult NO_CAUSE = new StallProbe.ProbeResult(true, List.of());
 
@@ -47,6 +53,8 @@
 
 	private long nextProbeAt;
 
+	private long nextBackupAt;
+
 	private boolean probing;
 
 	StallDetector(RelayContext context, EventLoop loop, Listener listener) {
@@ -123,20 +131,22 @@
 	 */
 	void check(Route route, Reservation reservation, boolean firstEventReceived, long backlogMillis) {
 		long silenceMillis = silenceMillis();
-		if (reservation.path() != null) {
+		long now = this.context.clock().millis();
+		if (reservation.path() != null && now >= this.nextBackupAt) {
 			Set<RunnerId> suspects = SuspectDetector.suspects(
 					this.context.progressTracker().silences(reservation.runnerIds()), route.targetGap().toMillis(),
 					backlogMillis);
 			if (!suspects.isEmpty() && reportSuspects(reservation, suspects, silenceMillis)) {
 				return;
 			}
+			this.nextBackupAt = suspects.isEmpty() ? 0 : now + RETRY_BACKUP_MILLIS;
 		}
 		if (this.probing || silenceMillis < RelayTimeouts.stallMillis(route, firstEventReceived)
-				|| this.context.clock().millis() < this.nextProbeAt) {
+				|| now < this.nextProbeAt) {
 			return;
 		}
 		if (reservation.path() == null) {
-			this.nextProbeAt = this.context.clock().millis() + REPROBE_MILLIS;
+			this.nextProbeAt = now + REPROBE_MILLIS;
 			this.context.runnerAvailability()
 				.recordFailure(reservation.firstRunner().id(), "silent for " + silenceMillis + " ms");
 			this.listener.pathStalled(reservation, Set.of(reservation.firstRunner().id()), silenceMillis);
--- a/bilberryvalve-gateway/src/test/java/io/bilberryvalve/gateway/relay/StallDetectorTests.java
+++ b/bilberryvalve-gateway/src/test/java/io/bilberryvalve/gateway/relay/StallDetectorTests.java
@@ -181,4 +181,16 @@
 		assertThat(this.probes).isEqualTo(2);
 	}
 
+	// Guards against a search for a path at every check, of which there are many per
+	// second for each silent stream.
+	@Example
+	void backupIsTriedAgainAfterAnInterval() throws Exception {
+		silenceThreeStreams();
+		checkAfter(150);
+		checkAfter(25);
+		assertThat(this.suspected).hasSize(1);
+		checkAfter(25);
+		assertThat(this.suspected).hasSize(2);
+	}
+
 }
