--- a/bilberryvalve-daemon/src/test/java/io/bilberryvalve/daemon/reply/FakeEngines.java
+++ b/bilberryvalve-daemon/src/test/java/io/bilberryvalve/daemon/reply/FakeEngines.java
@@ -39,6 +39,9 @@
 
 	final Set<Address> unreachable = new HashSet<>();
 
+	/** Engines that accept connections and answer nothing. */
+	final Set<Address> silent = new HashSet<>();
+
 	final Set<Address> leaving = new HashSet<>();
 
 	@Override
@@ -52,7 +55,9 @@
 		}
 		else {
 			this.opened.add(stream);
-			listener.onOpened();
+			if (!this.silent.contains(request.chain().first().runner().address())) {
+				listener.onOpened();
+			}
 		}
 		return stream;
 	}
@@ -79,7 +84,7 @@
 
 	@Override
 	public CompletionStage<Result<LoadReport>> fetchLoad(Address address) {
-		if (this.unreachable.contains(address)) {
+		if (this.unreachable.contains(address) || this.silent.contains(address)) {
 			return CompletableFuture.completedFuture(Result
 				.failed(Problem.unknown(ProblemKind.RUNNER_FAILED, "no answer", "check whether the engine runs")));
 		}
--- a/bilberryvalve-daemon/src/test/java/io/bilberryvalve/daemon/reply/ReplyFixture.java
+++ b/bilberryvalve-daemon/src/test/java/io/bilberryvalve/daemon/reply/ReplyFixture.java
@@ -75,14 +75,17 @@
 	}
 
 	static FederationConfiguration configuration() {
-		List<Runner> runners = List.of(runner(1, 0, 4), runner(2, 0, 4), runner(3, 4, 8), runner(4, 4, 8));
+		return configuration(1, List.of(runner(1, 0, 4), runner(2, 0, 4), runner(3, 4, 8), runner(4, 4, 8)));
+	}
+
+	static FederationConfiguration configuration(long version, List<Runner> runners) {
 		FederationPart part = new FederationPart(List.of(), List.of(),
 				List.of(new ModelSpec(MODEL, 8, 1000, 1000, List.of())),
 				List.of(new AcceleratorSpec(new AcceleratorKind("a"), 400, 4000)), List.of(), runners, List.of());
 		ClubPart club = new ClubPart(CLUB, List.of(), List.of(), List.of(),
 				List.of(new ClubPart.Pipeline(new PipelineId("notes"), MODEL, null, List.of(CALLER.caller()), 100)),
 				List.of());
-		return new FederationConfiguration(1, part, Map.of(CLUB, club));
+		return new FederationConfiguration(version, part, Map.of(CLUB, club));
 	}
 
 	static Runner runner(int number, int first, int end) {
