Write no rejection of a pipelined body within another response

A request with a body above the limit, or one that asks for permission to send its body, could break the answer before it on the same connection: the aggregator wrote its 413 or 100 at once, in the middle of a response in progress. A stream was cut, or the 413 came in place of its answer.

RequestAggregator passes a request with too long a body on as a failed one, so that its 413 keeps its place, and sends no 100 while a response may be in progress. After a 413 to a caller that waits for permission the connection closes, as before.

--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/http/CallerConnection.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/http/CallerConnection.java
@@ -20,6 +20,7 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.TooLongHttpContentException;
 import io.netty.util.ReferenceCountUtil;
 import org.jspecify.annotations.Nullable;
 
@@ -117,7 +118,11 @@
 		startExchange(ctx, request);
 	}
 
-	private boolean hasRequest() {
+	/**
+	 * Returns whether a request that was read has no complete response yet.
+	 * @return whether no response to a later request may be written
+	 */
+	boolean hasRequest() {
 		return this.current != null || !this.pipelinedRequests.isEmpty();
 	}
 
@@ -137,15 +142,23 @@
 		this.current = exchange;
 		this.inProgress = true;
 		if (request.decoderResult().isFailure()) {
-			boolean tooLong = request.decoderResult().cause() instanceof TooLongFrameException;
-			HttpResponseStatus status = tooLong ? HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE
-					: HttpResponseStatus.BAD_REQUEST;
-			exchange.respond(status, new DefaultHttpHeaders(), "the request is not valid HTTP");
+			reject(exchange, request.decoderResult().cause());
 			return;
 		}
 		this.handler.accept(exchange);
 	}
 
+	private static void reject(CallerExchange exchange, Throwable cause) {
+		if (cause instanceof TooLongHttpContentException) {
+			exchange.respond(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, new DefaultHttpHeaders(), "");
+		}
+		else {
+			HttpResponseStatus status = (cause instanceof TooLongFrameException)
+					? HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE : HttpResponseStatus.BAD_REQUEST;
+			exchange.respond(status, new DefaultHttpHeaders(), "the request is not valid HTTP");
+		}
+	}
+
 	void onExchangeEnded(boolean keep) {
 		this.current = null;
 		this.inProgress = keep && !this.pipelinedRequests.isEmpty();
--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/http/CallerExchange.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/http/CallerExchange.java
@@ -7,6 +7,7 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.handler.codec.DecoderResult;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.FullHttpRequest;
@@ -19,6 +20,7 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.handler.codec.http.TooLongHttpContentException;
 
 /**
  * Request of a caller and the response to it. Must be used on the event loop of the
@@ -52,7 +54,15 @@
 		this.connection = connection;
 		this.context = context;
 		this.request = request;
-		this.keepAlive = request.decoderResult().isSuccess() && HttpUtil.isKeepAlive(request);
+		this.keepAlive = isComplete(request) && HttpUtil.isKeepAlive(request);
+	}
+
+	// Returns whether another request can follow. The rest of a body that is too long is
+	// dropped, unless its caller waits for permission and may not send it.
+	private static boolean isComplete(FullHttpRequest request) {
+		DecoderResult result = request.decoderResult();
+		return result.isSuccess()
+				|| (result.cause() instanceof TooLongHttpContentException && !HttpUtil.is100ContinueExpected(request));
 	}
 
 	/**
--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/http/CallerServer.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/http/CallerServer.java
@@ -14,7 +14,6 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
-import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpServerCodec;
 
 /**
@@ -97,7 +96,7 @@
 		channel.pipeline()
 			.addLast(head.beforeCodec(),
 					new HttpServerCodec(MAX_REQUEST_LINE_BYTES, now.headerBytes(), MAX_CHUNK_BYTES), head.afterCodec(),
-					new HttpObjectAggregator(now.bodyBytes(), true), connection);
+					new RequestAggregator(now.bodyBytes(), connection::hasRequest), connection);
 	}
 
 	/**
--- a/bilberryvalve-gateway/src/test/java/io/bilberryvalve/gateway/http/CallerConnectionTests.java
+++ b/bilberryvalve-gateway/src/test/java/io/bilberryvalve/gateway/http/CallerConnectionTests.java
@@ -37,6 +37,8 @@
 
 	private static final String BODY_HEAD = "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\n";
 
+	private static final String EXPECTING_HEAD = BODY_HEAD.replace("\r\n\r\n", "\r\nExpect: 100-continue\r\n\r\n");
+
 	private final ManualClock clock = new ManualClock();
 
 	private final Transport transport = new Transport(1);
@@ -218,6 +220,45 @@
 		assertThat(sent()).endsWith("/c");
 	}
 
+	@Example
+	void tooLargeBodyIsRejectedAfterTheResponseBeforeIt() {
+		receive(get("/stream"));
+		this.exchanges.get(0).start(new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK));
+		receive(BODY_HEAD.replace("4\r", "65\r"));
+		this.exchanges.get(0).end();
+		this.channel.runPendingTasks();
+		assertThat(sent()).startsWith("HTTP/1.1 200").contains("0\r\n\r\nHTTP/1.1 413");
+		assertThat(this.handled).containsExactly("/stream");
+	}
+
+	@Example
+	void continuationIsNotSentWithinAnotherResponse() {
+		receive(get("/stream"));
+		this.exchanges.get(0).start(new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK));
+		receive(EXPECTING_HEAD);
+		this.exchanges.get(0).end();
+		receive("abcd");
+		this.channel.runPendingTasks();
+		answer(1);
+		assertThat(sent()).startsWith("HTTP/1.1 200").doesNotContain("100 Continue").endsWith("/a");
+	}
+
+	@Example
+	void connectionClosesWhenTheCallerMayNotSendATooLargeBody() {
+		receive(EXPECTING_HEAD.replace("Length: 4", "Length: 65"));
+		assertThat(sent()).startsWith("HTTP/1.1 413").contains("connection: close");
+		assertThat(this.channel.isOpen()).isFalse();
+	}
+
+	@Example
+	void continuationIsSentBeforeTheBodyIsRead() {
+		receive(EXPECTING_HEAD);
+		assertThat(sent()).startsWith("HTTP/1.1 100");
+		receive("abcd");
+		answer(0);
+		assertThat(sent()).startsWith("HTTP/1.1 200");
+	}
+
 	@Example
 	void slowHeadIsNotRejectedBeforeAWaitingRequestIsAnswered() {
 		receive(get("/a") + get("/b"));
