Test the choice of a path with impossible ranges and loads

Entries of runners and states of daemons come from other processes. The property passed at once: ranges beyond the model are left out, and no load makes the choice throw.

--- a/bilberryvalve-policy/src/test/java/io/bilberryvalve/policy/path/PathChooserTests.java
+++ b/bilberryvalve-policy/src/test/java/io/bilberryvalve/policy/path/PathChooserTests.java
@@ -35,6 +35,33 @@
 
 	private final SimpleLoads loads = new SimpleLoads();
 
+	// Guards against a choice that fails for all requests because of one runner with an
+	// impossible range of layers or an impossible load.
+	@Property(seed = "190504", tries = 300)
+	void impossibleRangesAndLoadsDoNotEndTheChoice(@ForAll @IntRange(min = 0, max = 100000) int seed) {
+		Random random = new Random(seed);
+		int[] bounds = { 0, 1, 7, TestCards.LAYERS - 1, TestCards.LAYERS, TestCards.LAYERS + 1, Integer.MAX_VALUE - 1,
+				Integer.MAX_VALUE };
+		long[] numbers = { Long.MIN_VALUE, Integer.MIN_VALUE, -1, 0, 1, Integer.MAX_VALUE, Long.MAX_VALUE };
+		List<LayerHolder> holders = new ArrayList<>();
+		for (int i = 0; i < 10; i++) {
+			int first = random.nextInt(bounds.length - 1);
+			int end = first + 1 + random.nextInt(bounds.length - 1 - first);
+			holders.add(holder("odd" + i, "a", bounds[first], bounds[end]));
+		}
+		holders.add(holder("start", "a", 0, 40));
+		holders.add(holder("end", "a", 40, TestCards.LAYERS));
+		LoadSource odd = (runner) -> runner.value().startsWith("odd")
+				? new RunnerLoad((int) numbers[random.nextInt(numbers.length)], numbers[random.nextInt(numbers.length)],
+						(int) numbers[random.nextInt(numbers.length)], numbers[random.nextInt(numbers.length)])
+				: RunnerLoad.NONE;
+		assertThat(this.chooser.choose(holders, odd, TYPICAL, (runner) -> true)).isPresent();
+		assertThat(this.chooser.choose(holders, odd, new RequestSize(Integer.MAX_VALUE, Integer.MAX_VALUE),
+				(runner) -> runner.value().startsWith("odd")))
+			.satisfiesAnyOf((path) -> assertThat(path).isEmpty(), (path) -> assertThat(path.orElseThrow().hops()).last()
+				.satisfies((hop) -> assertThat(hop.layers().end()).isEqualTo(TestCards.LAYERS)));
+	}
+
 	// Guards against tokens that miss a layer or pass one twice, and against paths that
 	// return to a runner, which the runner refuses.
 	@Property(seed = "23", tries = 200)
