Cut off long values in log lines

The messages on unreadable rows repeat text of the row, which another writer can make as long as the store permits. Some hundred of such lines wait in the queue of the log at once. A value now has at most 1,000 characters.

LogEventTests.longValuesAreCutOff failed before.

--- a/bilberryvalve-model/src/main/java/io/bilberryvalve/model/log/LogEvent.java
+++ b/bilberryvalve-model/src/main/java/io/bilberryvalve/model/log/LogEvent.java
@@ -17,6 +17,9 @@
  */
 public final class LogEvent {
 
+	/** Longest value, in characters; values may come from other processes. */
+	private static final int MAX_VALUE_LENGTH = 1000;
+
 	private final StringBuilder line;
 
 	private LogEvent(String event) {
@@ -35,14 +38,15 @@
 	/**
 	 * Adds a key=value pair.
 	 * @param key the key, written without quotes
-	 * @param value value whose {@code toString()} is written, or {@code null} to leave
-	 * the pair out
+	 * @param value value whose {@code toString()} is written, up to 1,000 characters, or
+	 * {@code null} to leave the pair out
 	 * @return this event
 	 */
 	public LogEvent with(String key, @Nullable Object value) {
 		if (value != null) {
 			this.line.append(' ').append(key).append('=');
-			append(value.toString());
+			String text = value.toString();
+			append((text.length() > MAX_VALUE_LENGTH) ? text.substring(0, MAX_VALUE_LENGTH) + "..." : text);
 		}
 		return this;
 	}
--- a/bilberryvalve-model/src/test/java/io/bilberryvalve/model/log/LogEventTests.java
+++ b/bilberryvalve-model/src/test/java/io/bilberryvalve/model/log/LogEventTests.java
@@ -16,6 +16,14 @@
 		assertThat(line).doesNotContain("\n", "\r");
 	}
 
+	// Guards against a process that ends for lack of memory while it logs the values of
+	// unreadable rows.
+	@Example
+	void longValuesAreCutOff() {
+		String line = LogEvent.of("test").with("value", "x".repeat(1_000_000)).with("next", 1).toString();
+		assertThat(line).hasSizeLessThan(1100).startsWith("event=test value=xxx").endsWith("xxx... next=1");
+	}
+
 	@Example
 	void quotesValuesWithSpacesAndEscapesQuotes() {
 		String line = LogEvent.of("test").with("text", "a \"b\"").with("count", 2).with("none", null).toString();
