Register a gateway again after any failure

If the stage of the first write failed, it was never repeated, and the other gateways did not find this one.

GatewayTests.registrationIsRepeatedAfterAFailure failed before: one write within 10 s.

--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/Gateway.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/Gateway.java
@@ -286,7 +286,7 @@
 		this.tables
 			.commit(List
 				.of(new RowOperation.Put(TABLE, this.settings.vm(), null, this.settings.stateAddress().toString())))
-			.thenAccept((commit) -> {
+			.whenComplete((commit, failure) -> {
 				if (commit instanceof CommitResult.Committed) {
 					listGateways();
 				}
--- a/bilberryvalve-gateway/src/test/java/io/bilberryvalve/gateway/GatewayTests.java
+++ b/bilberryvalve-gateway/src/test/java/io/bilberryvalve/gateway/GatewayTests.java
@@ -28,7 +28,11 @@
 import io.bilberryvalve.model.LayerRange;
 import io.bilberryvalve.model.RunnerId;
 import io.bilberryvalve.model.clock.MonotonicClock;
+import io.bilberryvalve.platform.CommitResult;
+import io.bilberryvalve.platform.ReadResult;
+import io.bilberryvalve.platform.Row;
 import io.bilberryvalve.platform.RowOperation;
+import io.bilberryvalve.platform.TableService;
 import io.bilberryvalve.platform.memory.InMemoryTableService;
 import io.bilberryvalve.policy.placement.CardKind;
 import io.bilberryvalve.policy.placement.EngineProfile;
@@ -50,10 +54,14 @@
 	private final InMemoryTableService tables = new InMemoryTableService();
 
 	private Gateway gateway(Transport transport, LayerOrders orders) throws IOException {
+		return gateway(transport, orders, this.tables);
+	}
+
+	private static Gateway gateway(Transport transport, LayerOrders orders, TableService tables) throws IOException {
 		GatewaySettings settings = new GatewaySettings("vm", new DataCentreId("a"), freeAddress(), freeAddress(), 1,
 				0.1, 10, Duration.ofSeconds(10), Duration.ofMillis(100));
 		StallProbe probe = (first) -> CompletableFuture.completedFuture(new StallProbe.ProbeResult(false, List.of()));
-		return new Gateway(settings, HEADER_NAMES, transport, this.tables, probe, orders, new MonotonicClock(), 1);
+		return new Gateway(settings, HEADER_NAMES, transport, tables, probe, orders, new MonotonicClock(), 1);
 	}
 
 	private static Address freeAddress() throws IOException {
@@ -108,6 +116,40 @@
 		this.tables.commit(List.of(new RowOperation.Put("gateways", key, null, value)));
 	}
 
+	// Guards against a gateway that the others never find because its first attempt to
+	// register failed.
+	@Example
+	void registrationIsRepeatedAfterAFailure() throws Exception {
+		FailingCommits failing = new FailingCommits();
+		try (Transport transport = new Transport(1)) {
+			gateway(transport, new FailingOrders(), failing).start();
+			assertThat(failing.commits.await(LIMIT_MILLIS, TimeUnit.MILLISECONDS)).isTrue();
+		}
+	}
+
+	/** Store in which the stage of each commit fails. */
+	private static final class FailingCommits implements TableService {
+
+		private final CountDownLatch commits = new CountDownLatch(2);
+
+		@Override
+		public CompletionStage<ReadResult<Row>> read(String table, String key) {
+			return CompletableFuture.completedFuture(new ReadResult.Missing<>());
+		}
+
+		@Override
+		public CompletionStage<ReadResult<List<Row>>> list(String table, String prefix, int limit) {
+			return CompletableFuture.completedFuture(new ReadResult.Found<>(List.of()));
+		}
+
+		@Override
+		public CompletionStage<CommitResult> commit(List<RowOperation> operations) {
+			this.commits.countDown();
+			return CompletableFuture.failedFuture(new IllegalStateException("the answer cannot be decoded"));
+		}
+
+	}
+
 	/** Fails on each order. */
 	private static final class FailingOrders implements LayerOrders {
 
