Decode each response by the method of its own request

The response to a HEAD request on a connection that a GET had opened was taken for incomplete, since its body was awaited. The decoder was told once, when the connection was opened, whether responses have a body.

The decoder now asks for the method of the request in progress.

--- /dev/null
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/http/ResponseDecoder.java
@@ -0,0 +1,36 @@
+package io.bilberryvalve.gateway.http;
+
+import java.util.function.BooleanSupplier;
+
+import io.netty.handler.codec.http.HttpMessage;
+import io.netty.handler.codec.http.HttpResponseDecoder;
+
+/**
+ * Decodes the responses on one connection to an upstream.
+ */
+final class ResponseDecoder extends HttpResponseDecoder {
+
+	private static final int MAX_STATUS_LINE_BYTES = 8192;
+
+	private static final int MAX_HEADER_BYTES = 32768;
+
+	private static final int MAX_CHUNK_BYTES = 65536;
+
+	private final BooleanSupplier headRequested;
+
+	/**
+	 * Creates a decoder.
+	 * @param headRequested tells whether the current request has the method HEAD, whose
+	 * responses have no body
+	 */
+	ResponseDecoder(BooleanSupplier headRequested) {
+		super(MAX_STATUS_LINE_BYTES, MAX_HEADER_BYTES, MAX_CHUNK_BYTES);
+		this.headRequested = headRequested;
+	}
+
+	@Override
+	protected boolean isContentAlwaysEmpty(HttpMessage message) {
+		return this.headRequested.getAsBoolean() || super.isContentAlwaysEmpty(message);
+	}
+
+}
--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/http/UpstreamConnection.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/http/UpstreamConnection.java
@@ -1,11 +1,14 @@
 package io.bilberryvalve.gateway.http;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.channel.ChannelHandler;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
@@ -49,6 +52,8 @@
 
 	private final String key;
 
+	private final ResponseDecoder decoder = new ResponseDecoder(this::isHeadRequested);
+
 	private @Nullable ChannelHandlerContext context;
 
 	private @Nullable UpstreamCall call;
@@ -121,11 +126,20 @@
 	}
 
 	/**
-	 * Returns a handler that counts the received bytes; it precedes the decoder, which
-	 * drops some of them.
-	 * @return a new handler for the pipeline of this connection
+	 * Returns the handlers of this connection.
+	 * @return handlers for an empty pipeline, in order
 	 */
-	ChannelInboundHandlerAdapter byteCounter() {
+	ChannelHandler[] handlers() {
+		return new ChannelHandler[] { byteCounter(), new HttpRequestEncoder(), this.decoder, this };
+	}
+
+	private boolean isHeadRequested() {
+		UpstreamCall current = this.call;
+		return current != null && HttpMethod.HEAD.equals(current.request().method());
+	}
+
+	// Precedes the decoder, which drops some of the received bytes.
+	private ChannelInboundHandlerAdapter byteCounter() {
 		return new ChannelInboundHandlerAdapter() {
 
 			@Override
@@ -224,8 +238,7 @@
 			this.skippingResponse = false;
 			return;
 		}
-		if (this.expectedBytes >= 0 && this.receivedBytes != this.expectedBytes
-				&& !current.request().method().name().equals("HEAD")) {
+		if (this.expectedBytes >= 0 && this.receivedBytes != this.expectedBytes && !isHeadRequested()) {
 			fail("response ended after " + this.receivedBytes + " of " + this.expectedBytes + " bytes");
 			return;
 		}
--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/http/UpstreamPool.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/http/UpstreamPool.java
@@ -17,9 +17,6 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.ConnectTimeoutException;
 import io.netty.channel.EventLoop;
-import io.netty.handler.codec.http.HttpMessage;
-import io.netty.handler.codec.http.HttpRequestEncoder;
-import io.netty.handler.codec.http.HttpResponseDecoder;
 
 /**
  * Pool of connections to upstreams on one event loop. Not safe for use outside that event
@@ -27,12 +24,6 @@
  */
 public final class UpstreamPool {
 
-	private static final int MAX_STATUS_LINE_BYTES = 8192;
-
-	private static final int MAX_HEADER_BYTES = 32768;
-
-	private static final int MAX_CHUNK_BYTES = 65536;
-
 	/** Largest number of idle connections per address. */
 	private static final int MAX_IDLE_PER_ADDRESS = 16;
 
@@ -89,13 +80,11 @@
 
 	private void connect(Address address, String key, UpstreamCall call) {
 		UpstreamConnection connection = new UpstreamConnection(this, key);
-		boolean headOnly = call.request().method().name().equals("HEAD");
 		ChannelFuture opened = this.transport.clientBootstrap(this.loop).handler(new ChannelInitializer<Channel>() {
 
 			@Override
 			protected void initChannel(Channel channel) {
-				channel.pipeline()
-					.addLast(connection.byteCounter(), new HttpRequestEncoder(), decoder(headOnly), connection);
+				channel.pipeline().addLast(connection.handlers());
 			}
 
 		}).connect(address.host(), address.port());
@@ -141,17 +130,6 @@
 		return cause instanceof ConnectException && !(cause instanceof ConnectTimeoutException);
 	}
 
-	private static HttpResponseDecoder decoder(boolean headOnly) {
-		return new HttpResponseDecoder(MAX_STATUS_LINE_BYTES, MAX_HEADER_BYTES, MAX_CHUNK_BYTES) {
-
-			@Override
-			protected boolean isContentAlwaysEmpty(HttpMessage message) {
-				return headOnly || super.isContentAlwaysEmpty(message);
-			}
-
-		};
-	}
-
 	long millis() {
 		return this.clock.millis();
 	}
