Accept a refusal only for the request that it certainly answers

A faulty runner wrote an earlier refusal once more on a kept connection. A caller whose lookup or resumable stream the runner was running was told that it had not run.

Cause: the class of fault is a response that is attributed by its place on the connection. A response without identifier was taken for that to the request in progress, and bytes that arrived between two requests were kept as the beginning of the next response unless they formed a whole message. Bytes received together with a response were found only after the connection could have been used again. Requests that must not run twice were not affected, since they use new connections.

An error without identifier is now accepted only as the first response on a connection; otherwise the outcome is unknown and the connection is closed. Any byte without a request in progress closes the connection, whether it arrives between two requests or behind a response. A connection that carried a response to another attempt is not used again, and a response without identifier behind one is a failure. A success without identifier is accepted as before.

--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/http/ResponseDecoder.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/http/ResponseDecoder.java
@@ -33,4 +33,12 @@
 		return this.headRequested.getAsBoolean() || super.isContentAlwaysEmpty(message);
 	}
 
+	/**
+	 * Tells whether bytes were received behind the last message that was decoded.
+	 * @return whether bytes have not been decoded yet
+	 */
+	boolean hasUnreadBytes() {
+		return actualReadableBytes() > 0;
+	}
+
 }
--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/http/UpstreamCall.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/http/UpstreamCall.java
@@ -64,6 +64,24 @@
 		return this.requiresNewConnection;
 	}
 
+	/**
+	 * Returns whether responses are checked for the attempt that they answer.
+	 * @return {@code true} if upstreams repeat the identifier of the attempt
+	 */
+	boolean checksAttempt() {
+		return this.attemptHeader != null;
+	}
+
+	/**
+	 * Returns whether a response names the attempt of the request.
+	 * @param response headers of the response
+	 * @return {@code true} if the response belongs to this attempt
+	 */
+	boolean isNamedIn(HttpHeaders response) {
+		return this.attemptHeader != null && this.attemptId != null
+				&& this.attemptId.equals(response.get(this.attemptHeader));
+	}
+
 	/**
 	 * Returns whether a response belongs to another attempt.
 	 * @param response headers of the response
@@ -71,10 +89,7 @@
 	 * request
 	 */
 	boolean belongsToOtherAttempt(HttpHeaders response) {
-		if (this.attemptHeader == null || this.attemptId == null) {
-			return false;
-		}
-		String named = response.get(this.attemptHeader);
+		String named = (this.attemptHeader != null) ? response.get(this.attemptHeader) : null;
 		return named != null && !named.equals(this.attemptId);
 	}
 
--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/http/UpstreamConnection.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/http/UpstreamConnection.java
@@ -18,8 +18,9 @@
 
 /**
  * Handles one connection to a runner, with one request at a time. Bytes that arrive while
- * no request is in progress close the connection, and a response to another attempt is
- * skipped.
+ * no request is in progress close the connection. A response to another attempt is
+ * skipped. An error that names no attempt is accepted only on a connection that has
+ * carried nothing else, since a runner may write an earlier refusal once more.
  */
 final class UpstreamConnection extends ChannelInboundHandlerAdapter {
 
@@ -67,6 +68,14 @@
 
 	private boolean headReceived;
 
+	private boolean requestSent;
+
+	/** Whether a request was sent before the current one. */
+	private boolean reused;
+
+	/** Whether a response to another attempt has arrived. */
+	private boolean foreignReceived;
+
 	private boolean reusable = true;
 
 	private long expectedBytes;
@@ -107,6 +116,8 @@
 		if (ctx == null) {
 			throw new IllegalStateException("the connection is not open");
 		}
+		this.reused = this.requestSent;
+		this.requestSent = true;
 		this.call = next;
 		this.written = false;
 		this.headReceived = false;
@@ -138,12 +149,18 @@
 		return current != null && HttpMethod.HEAD.equals(current.request().method());
 	}
 
-	// Precedes the decoder, which drops some of the received bytes.
+	// Precedes the decoder, which drops some bytes and keeps others until it has a whole
+	// head.
 	private ChannelInboundHandlerAdapter byteCounter() {
 		return new ChannelInboundHandlerAdapter() {
 
 			@Override
 			public void channelRead(ChannelHandlerContext ctx, Object message) {
+				if (UpstreamConnection.this.call == null) {
+					ReferenceCountUtil.release(message);
+					ctx.close();
+					return;
+				}
 				if (message instanceof ByteBuf bytes && countSkipped(bytes.readableBytes())) {
 					bytes.release();
 					fail("no response within " + MAX_SKIPPED_BYTES + " bytes");
@@ -159,7 +176,7 @@
 		if (!this.headReceived) {
 			this.skippedBytes += bytes;
 		}
-		return this.call != null && this.skippedBytes > MAX_SKIPPED_BYTES;
+		return this.skippedBytes > MAX_SKIPPED_BYTES;
 	}
 
 	@Override
@@ -203,12 +220,17 @@
 		HttpHeaders headers = head.headers();
 		boolean informational = head.status().codeClass() == HttpStatusClass.INFORMATIONAL;
 		boolean foreign = current.belongsToOtherAttempt(headers);
+		if (!informational && !foreign && mayAnswerEarlierRequest(current, head)) {
+			fail("the response may answer an earlier request");
+			return;
+		}
+		this.foreignReceived |= foreign;
 		this.skippingResponse = informational || foreign;
 		this.receivedBytes = 0;
 		this.expectedBytes = HttpUtil.isTransferEncodingChunked(head) ? -1 : HttpUtil.getContentLength(head, -1L);
 		boolean unframed = this.expectedBytes < 0 && !HttpUtil.isTransferEncodingChunked(head);
 		if (!informational) {
-			this.reusable = !foreign && !unframed && HttpUtil.isKeepAlive(head);
+			this.reusable = !this.foreignReceived && !unframed && HttpUtil.isKeepAlive(head);
 			this.idleMillis = parseIdleMillis(headers);
 		}
 		if (!this.skippingResponse) {
@@ -218,6 +240,16 @@
 		}
 	}
 
+	// A success promises nothing about the request, but an error without an identifier
+	// may
+	// be the refusal of an earlier one.
+	private boolean mayAnswerEarlierRequest(UpstreamCall current, HttpResponse head) {
+		if (!current.checksAttempt() || current.isNamedIn(head.headers())) {
+			return false;
+		}
+		return this.foreignReceived || (this.reused && head.status().codeClass() != HttpStatusClass.SUCCESS);
+	}
+
 	private static long parseIdleMillis(HttpHeaders headers) {
 		String value = headers.get(KEEP_ALIVE);
 		int at = (value != null) ? value.indexOf(KEEP_ALIVE_TIMEOUT) : -1;
@@ -245,7 +277,8 @@
 		this.call = null;
 		current.finish();
 		ChannelHandlerContext ctx = this.context;
-		if (this.reusable && this.written && ctx != null) {
+		boolean keep = this.reusable && this.written && !this.decoder.hasUnreadBytes();
+		if (keep && ctx != null) {
 			ctx.channel().config().setAutoRead(true);
 			this.idleUntil = this.pool.millis() + this.idleMillis;
 			this.pool.release(this);
--- a/bilberryvalve-gateway/src/test/java/io/bilberryvalve/gateway/http/UpstreamConnectionTests.java
+++ b/bilberryvalve-gateway/src/test/java/io/bilberryvalve/gateway/http/UpstreamConnectionTests.java
@@ -27,15 +27,19 @@
 
 	private static final Address RUNNER = new Address("127.0.0.1", 1);
 
+	private static final int MAX_LENGTH = 60;
+
 	private static final String ANSWER = response("200 OK", "first");
 
+	private static final String REFUSAL = response("503 Full", "first");
+
 	private final Transport transport = new Transport(1);
 
 	private final UpstreamPool pool = new UpstreamPool(this.transport, this.transport.next(), new ManualClock());
 
-	private final UpstreamConnection connection = new UpstreamConnection(this.pool, RUNNER.toString());
+	private UpstreamConnection connection = new UpstreamConnection(this.pool, RUNNER.toString());
 
-	private final EmbeddedChannel channel = new EmbeddedChannel(this.connection.handlers());
+	private EmbeddedChannel channel = new EmbeddedChannel(this.connection.handlers());
 
 	private static String response(String status, String attempt) {
 		return "HTTP/1.1 " + status + "\r\n" + (attempt.isEmpty() ? "" : ATTEMPT + ": " + attempt + "\r\n")
@@ -47,6 +51,12 @@
 		return new UpstreamCall(method, "/", headers, Unpooled.EMPTY_BUFFER, false, ATTEMPT, listener);
 	}
 
+	private void reopen() {
+		this.channel.finishAndReleaseAll();
+		this.connection = new UpstreamConnection(this.pool, RUNNER.toString());
+		this.channel = new EmbeddedChannel(this.connection.handlers());
+	}
+
 	private Recorder send(String attempt) {
 		Recorder recorder = new Recorder();
 		this.connection.send(call(HttpMethod.GET, attempt, recorder));
@@ -57,12 +67,97 @@
 		this.channel.writeInbound(Unpooled.copiedBuffer(bytes, StandardCharsets.ISO_8859_1));
 	}
 
+	private void receiveInParts(String bytes, int size) {
+		for (int i = 0; i < bytes.length() && this.channel.isOpen(); i += size) {
+			receive(bytes.substring(i, Math.min(bytes.length(), i + size)));
+		}
+	}
+
 	@AfterTry
 	void close() {
 		this.channel.finishAndReleaseAll();
 		this.transport.close();
 	}
 
+	// Guards against a response to an earlier request that is taken for the next one,
+	// however it is split.
+	@Example
+	void responseOfTheEarlierRequestIsSkipped() {
+		for (int size = 1; size <= MAX_LENGTH; size++) {
+			reopen();
+			Recorder first = send("first");
+			receiveInParts(REFUSAL, size);
+			Recorder second = send("second");
+			receiveInParts(REFUSAL + response("200 OK", "second"), size);
+			assertThat(first.heard).containsExactly("503", "end");
+			assertThat(second.heard).containsExactly("200", "end");
+			assertThat(this.channel.isOpen()).isFalse();
+		}
+	}
+
+	// Guards against a response without identifier that is taken for that to the second
+	// request of a connection.
+	@Example
+	void secondResponseWithoutIdentifierIsAFailure() {
+		for (int size = 1; size <= MAX_LENGTH; size++) {
+			reopen();
+			send("first");
+			receiveInParts(REFUSAL, size);
+			Recorder second = send("second");
+			receiveInParts(response("503 Full", "") + response("200 OK", "second"), size);
+			assertThat(second.heard).containsExactly("failure");
+			assertThat(this.channel.isOpen()).isFalse();
+		}
+	}
+
+	// Guards against a response without identifier behind one to another request, which
+	// shows that the order of the responses cannot be relied on.
+	@Example
+	void responseWithoutIdentifierBehindAForeignOneIsAFailure() {
+		for (int size = 1; size <= MAX_LENGTH; size++) {
+			reopen();
+			Recorder only = send("second");
+			receiveInParts(REFUSAL + response("503 Full", ""), size);
+			assertThat(only.heard).containsExactly("failure");
+		}
+	}
+
+	// Guards against bytes between two requests that are kept as the beginning of the
+	// next response.
+	@Example
+	void bytesBetweenTwoRequestsCloseTheConnection() {
+		for (int length = 1; length <= MAX_LENGTH; length++) {
+			reopen();
+			Recorder first = send("first");
+			receive(ANSWER);
+			receive(REFUSAL.substring(0, Math.min(length, REFUSAL.length())));
+			assertThat(first.heard).containsExactly("200", "end");
+			assertThat(this.channel.isOpen()).isFalse();
+		}
+	}
+
+	// Guards against a connection that is used again although more bytes were received
+	// together with the response.
+	@Example
+	void bytesBehindAResponseReachNoOtherRequest() {
+		for (int length = 1; length <= MAX_LENGTH; length++) {
+			reopen();
+			Recorder second = new Recorder();
+			UpstreamCall next = call(HttpMethod.GET, "second", second);
+			Recorder first = new Recorder(() -> {
+				if (this.connection.isUsableAt(this.pool.millis())) {
+					this.connection.send(next);
+				}
+			});
+			this.connection.send(call(HttpMethod.GET, "first", first));
+			receive(ANSWER
+					+ response("503 Full", "").substring(0, Math.min(length, response("503 Full", "").length())));
+			assertThat(first.heard).containsExactly("200", "end");
+			assertThat(second.heard).isEmpty();
+			assertThat(this.channel.isOpen()).isFalse();
+		}
+	}
+
 	// Guards against a new connection for each request.
 	@Example
 	void connectionIsKeptAfterAResponse() {
@@ -95,6 +190,17 @@
 
 		private final List<String> heard = new ArrayList<>();
 
+		private final Runnable onEnd;
+
+		Recorder() {
+			this(() -> {
+			});
+		}
+
+		Recorder(Runnable onEnd) {
+			this.onEnd = onEnd;
+		}
+
 		@Override
 		public void onHead(HttpResponse head) {
 			this.heard.add(Integer.toString(head.status().code()));
@@ -107,6 +213,7 @@
 		@Override
 		public void onEnd() {
 			this.heard.add("end");
+			this.onEnd.run();
 		}
 
 		@Override
