Pass on a refusal only if the runner states that it did not run the request

A response with status 408, 429 or 503 without the statement that the request was not run was passed on as it was. Callers repeat any request after these, so that a booking which a runner had run could run again.

Cause: the statement was looked for only to decide on another attempt, not on what the caller is told. These responses now count as unusable: the outcome is unknown, and the caller gets 502 if the request is not repeated. A success that bears the statement contradicts itself and is unusable too.

Evidence: refusalWithoutTheStatementOfTheRunnerIsNotPassedOn (24 of 24 combinations of status, signature and kind of request) and successThatStatesThatItWasNotRunIsNoRefusal failed on and pass now.

--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/relay/AttemptResponse.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/relay/AttemptResponse.java
@@ -1,5 +1,7 @@
 package io.bilberryvalve.gateway.relay;
 
+import java.util.Set;
+
 import io.bilberryvalve.gateway.http.HeaderNames;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.CompositeByteBuf;
@@ -28,6 +30,13 @@
 	/** Largest number of bytes of a body that is dropped. */
 	private static final long MAX_DROPPED_BYTES = 1 << 20;
 
+	/**
+	 * Statuses after which a caller repeats any request, so that they are not passed on
+	 * unless the runner states that it did not run the request.
+	 */
+	private static final Set<Integer> REFUSALS = Set.of(HttpResponseStatus.REQUEST_TIMEOUT.code(),
+			HttpResponseStatus.TOO_MANY_REQUESTS.code(), HttpResponseStatus.SERVICE_UNAVAILABLE.code());
+
 	private final CallerResponse caller;
 
 	private final HeaderNames headerNames;
@@ -74,7 +83,10 @@
 		boolean success = response.status().codeClass() == HttpStatusClass.SUCCESS;
 		this.mode = Mode.DROP;
 		if (headers.contains(this.headerNames.notRun()) || status == HttpResponseStatus.MISDIRECTED_REQUEST.code()) {
-			return Verdict.NOT_RUN;
+			return success ? Verdict.UNUSABLE : Verdict.NOT_RUN;
+		}
+		if (REFUSALS.contains(status)) {
+			return Verdict.UNUSABLE;
 		}
 		boolean sealed = headers.contains(this.headerNames.responseSignature())
 				&& !headers.contains(HttpHeaderNames.CONTENT_ENCODING);
@@ -266,7 +278,8 @@
 		FAILURE,
 
 		/**
-		 * A success without the runner's signature or with a content encoding, or a
+		 * A success without the runner's signature, with a content encoding or with the
+		 * statement that the request was not run, a refusal without that statement, or a
 		 * response that cannot continue the stream of which a part was already sent.
 		 */
 		UNUSABLE
--- a/bilberryvalve-gateway/src/test/java/io/bilberryvalve/gateway/relay/RepeatedRefusalTests.java
+++ b/bilberryvalve-gateway/src/test/java/io/bilberryvalve/gateway/relay/RepeatedRefusalTests.java
@@ -274,4 +274,38 @@
 		}
 	}
 
+	// Guards against a refusal that promises that a request has not run, although its
+	// runner did not state that.
+	@Example
+	void refusalWithoutTheStatementOfTheRunnerIsNotPassedOn() throws IOException {
+		SoftAssertions softly = new SoftAssertions();
+		for (String status : List.of("503 Full", "429 Many", "408 Slow")) {
+			for (String seal : List.of("x-seal: s1\r\n", "")) {
+				for (String path : PATHS) {
+					try (ScriptedRunner runner = new ScriptedRunner((request, count, socket, out) -> write(out,
+							"HTTP/1.1 " + status + "\r\nx-attempt: a0\r\n" + seal + "Content-Length: 4\r\n\r\nbusy"));
+							RelayFixture router = router(runner)) {
+						softly.assertThat(exchange(router, path, "a0"))
+							.as(status + ", " + seal + ", " + path)
+							.startsWith("HTTP/1.1 502 ")
+							.doesNotContain("x-seal");
+					}
+				}
+			}
+		}
+		softly.assertAll();
+	}
+
+	// Guards against a success that is taken for a refusal.
+	@Example
+	void successThatStatesThatItWasNotRunIsNoRefusal() throws IOException {
+		for (String path : PATHS) {
+			try (ScriptedRunner runner = new ScriptedRunner((request, count, socket, out) -> write(out,
+					answer(request).replace("x-seal", "x-not-run: 1\r\nx-seal")));
+					RelayFixture router = router(runner)) {
+				assertThat(exchange(router, path, "a0")).as(path).startsWith("HTTP/1.1 502 ");
+			}
+		}
+	}
+
 }
