Continue a stream only with events that certainly follow the last one

A stream had begun and broke off. Where the next runner sent an error as an event, or a response head within its stream, callers found it in the middle of their stream, which then ended as if it were complete. Where it repeated earlier events with other boundaries, a part could come twice.

Cause: whatever the next runner sent as a signed event stream was relayed. An event of a continuation must now have an identifier, and a runner that repeats events must repeat the last one that the caller received. Otherwise the attempt is given up, and the stream continues at another runner or is cut. After an event without identifier a stream is not continued at all. Events that precede the defect in the same read are flushed before.

--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/relay/AttemptResponse.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/relay/AttemptResponse.java
@@ -55,6 +55,14 @@
 
 	private boolean committed;
 
+	/** Whether this response continues a stream that another attempt has begun. */
+	private boolean continuation;
+
+	private boolean eventSent;
+
+	/** The last event of this response that the caller had already received. */
+	private @Nullable String repeatedEvent;
+
 	private long droppedBytes;
 
 	/**
@@ -103,6 +111,7 @@
 		}
 		if (stream) {
 			this.mode = Mode.STREAM;
+			this.continuation = this.caller.isStarted();
 			this.splitter = new EventSplitter(this.caller.allocator());
 		}
 		else {
@@ -116,7 +125,7 @@
 	 * Receives a part of the body.
 	 * @param content the bytes, valid during the call
 	 * @return whether to go on reading; {@code false} if an event or a body that is
-	 * dropped exceeds the size limit
+	 * dropped exceeds the size limit, or an event does not continue the stream
 	 */
 	boolean content(ByteBuf content) {
 		HttpResponse response = this.head;
@@ -150,12 +159,19 @@
 			return false;
 		}
 		for (EventSplitter.Event event = events.next(); event != null; event = events.next()) {
+			boolean repeated = this.caller.hasReceived(event);
+			if (!repeated && !continuesStream(event)) {
+				event.bytes().release();
+				return false;
+			}
 			this.eventReceived = true;
 			this.listener.eventReceived();
-			if (this.caller.hasReceived(event)) {
+			if (repeated) {
+				this.repeatedEvent = event.id();
 				event.bytes().release();
 			}
 			else {
+				this.eventSent = true;
 				this.listener.selected();
 				this.caller.sendEvent(response, event);
 			}
@@ -163,6 +179,17 @@
 		return true;
 	}
 
+	// Bytes without an identifier may be anything. A runner that repeats events must
+	// repeat the last one that the caller received, or its events have other boundaries.
+	private boolean continuesStream(EventSplitter.Event event) {
+		if (!this.continuation) {
+			return true;
+		}
+		boolean seamless = this.eventSent || this.repeatedEvent == null
+				|| this.repeatedEvent.equals(this.caller.lastEvent());
+		return event.id() != null && seamless;
+	}
+
 	/**
 	 * Flushes relayed data to the caller's connection.
 	 */
@@ -235,9 +262,10 @@
 	}
 
 	/**
-	 * Releases all buffers.
+	 * Flushes relayed data and releases all buffers.
 	 */
 	void release() {
+		flush();
 		CompositeByteBuf buffered = this.body;
 		EventSplitter events = this.splitter;
 		this.body = null;
--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/relay/CallerResponse.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/relay/CallerResponse.java
@@ -22,6 +22,8 @@
 
 	private @Nullable String lastEvent;
 
+	private boolean lastEventIdentified;
+
 	/**
 	 * Creates a response that has not been started.
 	 * @param exchange the caller's request, to which the response is written
@@ -61,9 +63,10 @@
 	 * Returns whether a stream with the given status can continue the response.
 	 * @param next status of the stream
 	 * @return {@code true} if nothing was sent yet, or a stream with the same status
+	 * whose last event has an identifier
 	 */
 	boolean canContinueWith(HttpResponseStatus next) {
-		return !isStarted() || next.equals(this.status);
+		return !isStarted() || (this.lastEventIdentified && next.equals(this.status));
 	}
 
 	/**
@@ -93,7 +96,8 @@
 	 * @param event the event; the ownership of its bytes passes to this response
 	 */
 	void sendEvent(HttpResponse head, EventSplitter.Event event) {
-		this.lastEvent = (event.id() != null) ? event.id() : this.lastEvent;
+		this.lastEventIdentified = event.id() != null;
+		this.lastEvent = this.lastEventIdentified ? event.id() : this.lastEvent;
 		sendPart(head, event.bytes());
 	}
 
