--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/http/HttpClient.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/http/HttpClient.java
@@ -58,6 +58,27 @@
 	 */
 	public CompletableFuture<HttpResult> call(Address address, HttpMethod method, String target, byte[] body,
 			@Nullable String contentType, Duration timeout) {
+		return call(address, method, target, body, contentType, timeout, false);
+	}
+
+	/**
+	 * Sends a request on a connection that carries no other one and collects its
+	 * response, so that no response to another request can be taken for it.
+	 * @param address address of the server
+	 * @param method method of the request
+	 * @param target the request target
+	 * @param body the body, empty for none
+	 * @param contentType media type of the body, or {@code null} without body
+	 * @param timeout longest time until the complete response
+	 * @return the response or the failure; the future never completes exceptionally
+	 */
+	public CompletableFuture<HttpResult> callOnNewConnection(Address address, HttpMethod method, String target,
+			byte[] body, @Nullable String contentType, Duration timeout) {
+		return call(address, method, target, body, contentType, timeout, true);
+	}
+
+	private CompletableFuture<HttpResult> call(Address address, HttpMethod method, String target, byte[] body,
+			@Nullable String contentType, Duration timeout, boolean onNewConnection) {
 		HttpHeaders headers = new DefaultHttpHeaders().set(HttpHeaderNames.HOST, address.toString());
 		if (contentType != null) {
 			headers.set(HttpHeaderNames.CONTENT_TYPE, contentType);
@@ -66,8 +87,8 @@
 			headers.set(HttpHeaderNames.CONTENT_LENGTH, body.length);
 		}
 		ResponseCollector collector = new ResponseCollector(this.maxBodyBytes);
-		UpstreamCall call = new UpstreamCall(method, target, headers, Unpooled.wrappedBuffer(body), false, null,
-				collector);
+		UpstreamCall call = new UpstreamCall(method, target, headers, Unpooled.wrappedBuffer(body), onNewConnection,
+				null, collector);
 		this.pool.loop().execute(() -> {
 			ScheduledFuture<?> timer = this.pool.loop().schedule(() -> {
 				call.cancel();
--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/http/UpstreamCall.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/http/UpstreamCall.java
@@ -72,6 +72,15 @@
 		return this.attemptHeader != null;
 	}
 
+	/**
+	 * Returns whether no other request may follow on the connection. It may not where
+	 * only the connection tells to which request a response belongs.
+	 * @return {@code true} to close the connection after the response
+	 */
+	boolean closesConnection() {
+		return this.attemptHeader == null && this.requiresNewConnection;
+	}
+
 	/**
 	 * Returns whether a response names the attempt of the request.
 	 * @param response headers of the response
--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/http/UpstreamConnection.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/http/UpstreamConnection.java
@@ -277,7 +277,7 @@
 		this.call = null;
 		current.finish();
 		ChannelHandlerContext ctx = this.context;
-		boolean keep = this.reusable && this.written && !this.decoder.hasUnreadBytes();
+		boolean keep = this.reusable && this.written && !this.decoder.hasUnreadBytes() && !current.closesConnection();
 		if (keep && ctx != null) {
 			ctx.channel().config().setAutoRead(true);
 			this.idleUntil = this.pool.millis() + this.idleMillis;
