--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/relay/AttemptResponse.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/relay/AttemptResponse.java
@@ -1,5 +1,7 @@
 package io.bilberryvalve.gateway.relay;
 
+import java.util.Set;
+
 import io.bilberryvalve.gateway.http.HeaderNames;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.CompositeByteBuf;
@@ -28,6 +30,13 @@
 	/** Largest number of bytes of a body that is dropped. */
 	private static final long MAX_DROPPED_BYTES = 1 << 20;
 
+	/**
+	 * Statuses after which a caller repeats any request, so that they are not passed on
+	 * unless the runner states that it did not run the request.
+	 */
+	private static final Set<Integer> REFUSALS = Set.of(HttpResponseStatus.REQUEST_TIMEOUT.code(),
+			HttpResponseStatus.TOO_MANY_REQUESTS.code(), HttpResponseStatus.SERVICE_UNAVAILABLE.code());
+
 	private final CallerResponse caller;
 
 	private final HeaderNames headerNames;
@@ -46,6 +55,14 @@
 
 	private boolean committed;
 
+	/** Whether this response continues a stream that another attempt has begun. */
+	private boolean continuation;
+
+	private boolean eventSent;
+
+	/** The last event of this response that the caller had already received. */
+	private @Nullable String repeatedEvent;
+
 	private long droppedBytes;
 
 	/**
@@ -74,7 +91,10 @@
 		boolean success = response.status().codeClass() == HttpStatusClass.SUCCESS;
 		this.mode = Mode.DROP;
 		if (headers.contains(this.headerNames.notRun()) || status == HttpResponseStatus.MISDIRECTED_REQUEST.code()) {
-			return Verdict.NOT_RUN;
+			return success ? Verdict.UNUSABLE : Verdict.NOT_RUN;
+		}
+		if (REFUSALS.contains(status)) {
+			return Verdict.UNUSABLE;
 		}
 		boolean sealed = headers.contains(this.headerNames.responseSignature())
 				&& !headers.contains(HttpHeaderNames.CONTENT_ENCODING);
@@ -91,6 +111,7 @@
 		}
 		if (stream) {
 			this.mode = Mode.STREAM;
+			this.continuation = this.caller.isStarted();
 			this.splitter = new EventSplitter(this.caller.allocator());
 		}
 		else {
@@ -104,7 +125,7 @@
 	 * Receives a part of the body.
 	 * @param content the bytes, valid during the call
 	 * @return whether to go on reading; {@code false} if an event or a body that is
-	 * dropped exceeds the size limit
+	 * dropped exceeds the size limit, or an event does not continue the stream
 	 */
 	boolean content(ByteBuf content) {
 		HttpResponse response = this.head;
@@ -138,12 +159,19 @@
 			return false;
 		}
 		for (EventSplitter.Event event = events.next(); event != null; event = events.next()) {
+			boolean repeated = this.caller.hasReceived(event);
+			if (!repeated && !continuesStream(event)) {
+				event.bytes().release();
+				return false;
+			}
 			this.eventReceived = true;
 			this.listener.eventReceived();
-			if (this.caller.hasReceived(event)) {
+			if (repeated) {
+				this.repeatedEvent = event.id();
 				event.bytes().release();
 			}
 			else {
+				this.eventSent = true;
 				this.listener.selected();
 				this.caller.sendEvent(response, event);
 			}
@@ -151,6 +179,17 @@
 		return true;
 	}
 
+	// Bytes without an identifier may be anything. A runner that repeats events must
+	// repeat the last one that the caller received, or its events have other boundaries.
+	private boolean continuesStream(EventSplitter.Event event) {
+		if (!this.continuation) {
+			return true;
+		}
+		boolean seamless = this.eventSent || this.repeatedEvent == null
+				|| this.repeatedEvent.equals(this.caller.lastEvent());
+		return event.id() != null && seamless;
+	}
+
 	/**
 	 * Flushes relayed data to the caller's connection.
 	 */
@@ -223,9 +262,10 @@
 	}
 
 	/**
-	 * Releases all buffers.
+	 * Flushes relayed data and releases all buffers.
 	 */
 	void release() {
+		flush();
 		CompositeByteBuf buffered = this.body;
 		EventSplitter events = this.splitter;
 		this.body = null;
@@ -266,7 +306,8 @@
 		FAILURE,
 
 		/**
-		 * A success without the runner's signature or with a content encoding, or a
+		 * A success without the runner's signature, with a content encoding or with the
+		 * statement that the request was not run, a refusal without that statement, or a
 		 * response that cannot continue the stream of which a part was already sent.
 		 */
 		UNUSABLE
