--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/relay/CallerResponse.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/relay/CallerResponse.java
@@ -59,6 +59,15 @@
 		return this.lastEvent;
 	}
 
+	/**
+	 * Returns whether another attempt can continue the response.
+	 * @return {@code true} if nothing was sent yet, or the last event that was sent has
+	 * an identifier
+	 */
+	boolean canBeContinued() {
+		return !isStarted() || this.lastEventIdentified;
+	}
+
 	/**
 	 * Returns whether a stream with the given status can continue the response.
 	 * @param next status of the stream
@@ -66,7 +75,7 @@
 	 * whose last event has an identifier
 	 */
 	boolean canContinueWith(HttpResponseStatus next) {
-		return !isStarted() || (this.lastEventIdentified && next.equals(this.status));
+		return canBeContinued() && (!isStarted() || next.equals(this.status));
 	}
 
 	/**
--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/relay/RelayedRequest.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/relay/RelayedRequest.java
@@ -445,11 +445,10 @@
 		return this.mayHaveRunBefore || !this.inProgress.isEmpty();
 	}
 
-	// Returns whether a request that may have run can be sent once more. A stream whose
-	// events have no identifiers cannot be resumed after the first one.
+	// Returns whether a request that may have run can be sent once more.
 	private boolean mayRepeat(RoutingDecision.Allowed decision) {
 		return decision.route().isRepeatable() && this.sends < decision.route().maxAttempts()
-				&& !(this.response.isStarted() && this.response.lastEvent() == null);
+				&& this.response.canBeContinued();
 	}
 
 	// Leaves the request to another attempt if one is in progress; otherwise sends it
--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/relay/RunnerAttempt.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/relay/RunnerAttempt.java
@@ -201,7 +201,7 @@
 			this.listener.notRun(this, faultyRunner());
 		}
 		else {
-			abort("an event or a dropped body is too long");
+			abort("an event does not continue the stream, or a part is too long");
 		}
 	}
 
