Keep a silent attempt of a reply until its replacement goes on

Callers of /v1/completions saw a begun reply end with a problem although its engine was only silent for a second: the session closed the silent attempt and cancelled its epoch before a replacement was planned, and ended the reply when the plan, the new engine or its chain failed.

A silent attempt now stays open beside its replacement. The first of them that has the next token continues the reply and the others are cancelled. If nothing can replace the silent attempt, it goes on until its own end or the deadline. The sequencer changes the epoch when the replacement goes on, so that each token is still delivered once and in order. An attempt that shares a stage with its replacement is closed when the engine accepts the replacement, because a stage refuses the steps of earlier epochs from then on.

--- a/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/reply/Attempt.java
+++ b/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/reply/Attempt.java
@@ -1,10 +1,13 @@
 package io.bilberryvalve.daemon.reply;
 
+import java.util.List;
+
 import io.bilberryvalve.daemon.engine.EngineClient;
 import io.bilberryvalve.daemon.engine.EngineFailure;
 import io.bilberryvalve.daemon.engine.EngineListener;
 import io.bilberryvalve.daemon.engine.EngineStream;
 import io.bilberryvalve.daemon.runner.ChainRouter.WorkTracker;
+import io.bilberryvalve.model.RunnerId;
 import io.bilberryvalve.policy.chain.Chain;
 import io.bilberryvalve.policy.chain.Stage;
 import io.bilberryvalve.policy.outcome.ReplyPosition;
@@ -43,6 +46,10 @@
 		return this.chain;
 	}
 
+	private boolean uses(RunnerId runner) {
+		return this.chain.uses(List.of(runner));
+	}
+
 	WorkTracker work() {
 		return this.work;
 	}
@@ -63,15 +70,20 @@
 	 * @param request request that the reply belongs to
 	 * @param sent whether the request may have been sent, so that every stage must cancel
 	 * the epoch
+	 * @param open attempts that may go on; a stage of an earlier one is left alone,
+	 * because an engine cancels all epochs up to the one named
 	 */
-	void stop(EngineClient engines, ReplyRequest request, boolean sent) {
+	void stop(EngineClient engines, ReplyRequest request, boolean sent, List<Attempt> open) {
 		this.work.end(false);
 		if (this.stream != null) {
 			this.stream.close();
 		}
 		if (sent) {
 			for (Stage stage : this.chain.stages()) {
-				engines.cancelStream(stage.runner().address(), request.id(), this.startPosition.epoch());
+				RunnerId runner = stage.runner().id();
+				if (open.stream().noneMatch((other) -> other.epoch() < epoch() && other.uses(runner))) {
+					engines.cancelStream(stage.runner().address(), request.id(), epoch());
+				}
 			}
 		}
 	}
--- a/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/reply/ReplySession.java
+++ b/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/reply/ReplySession.java
@@ -3,6 +3,8 @@
 import java.lang.System.Logger;
 import java.lang.System.Logger.Level;
 import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 
@@ -59,6 +61,10 @@
 
 	private @Nullable Attempt attempt;
 
+	private final SilentAttempts silentAttempts = new SilentAttempts();
+
+	private int lastEpoch;
+
 	private boolean readingPaused;
 
 	/**
@@ -76,6 +82,7 @@
 		this.services = services;
 		this.registry = registry;
 		this.sequencer = new ReplySequencer(request.layers(), start);
+		this.lastEpoch = start.epoch();
 		this.repairPlanner = new RepairPlanner(services, request);
 		this.readerTracker = new ReaderTracker(now());
 		this.progress = new AttemptProgress(services.clock(), services.settings());
@@ -88,8 +95,7 @@
 	 * @return the continuation, not started
 	 */
 	ReplySession continuation(ReplyRequest next) {
-		ReplyPosition position = this.sequencer.position();
-		ReplyPosition start = new ReplyPosition(position.epoch() + 1, this.log.nextIndex());
+		ReplyPosition start = new ReplyPosition(this.lastEpoch + 1, this.log.nextIndex());
 		ReplySession session = new ReplySession(next, this.services, this.registry, start);
 		this.log.tokens(0, this.log.nextIndex()).forEach(session.log::append);
 		if (this.gate.dispatched()) {
@@ -145,7 +151,7 @@
 			end(ReplyProblems.deadlineExceeded(this.gate.closeAndGetOutcome()));
 			return;
 		}
-		ReplyPosition position = this.sequencer.position();
+		ReplyPosition position = new ReplyPosition(this.lastEpoch, this.sequencer.position().nextIndex());
 		int tokens = this.request.estimatedPromptTokens() + position.nextIndex();
 		Attempt next = new Attempt(this, position, chain, this.services.chains().startWork(chain, tokens));
 		StreamRequest stream = new StreamRequest(this.request.id(), position.epoch(), this.request.caller().club(),
@@ -160,12 +166,17 @@
 	}
 
 	void onOpened(Attempt source) {
+		if (!isOpen(source)) {
+			return;
+		}
 		if (source == this.attempt) {
 			this.progress.recordActivity();
-			if (!this.opened.isDone()) {
-				this.readerTracker.startIdleTimer(now());
-				this.opened.complete(Result.ok(this.log));
-			}
+			this.silentAttempts.removeSharing(source.chain()).forEach((old) -> stop(old, true));
+			advanceEpochIfAlone();
+		}
+		if (!this.opened.isDone()) {
+			this.readerTracker.startIdleTimer(now());
+			this.opened.complete(Result.ok(this.log));
 		}
 	}
 
@@ -176,15 +187,44 @@
 	}
 
 	void onToken(Attempt source, TokenEvent event) {
+		if (this.phase != Phase.ENDED && !isOpen(source)) {
+			return;
+		}
+		ReplyPosition position = this.sequencer.position();
+		boolean ahead = event.epoch() == source.epoch() && source.epoch() > position.epoch();
+		if (event.epoch() == source.epoch() && event.index() == position.nextIndex()
+				&& event.traceCovers(this.request.layers())) {
+			select(source);
+		}
 		Verdict verdict = this.sequencer.accept(event);
 		if (verdict == Verdict.DELIVER) {
 			deliver(source, event);
 		}
-		else if (verdict.failsAttempt()) {
+		else if (verdict.failsAttempt() || (ahead && event.index() >= position.nextIndex())) {
 			onFailed(source, new EngineFailure(Kind.MALFORMED, null, "token event rejected: " + verdict));
 		}
 	}
 
+	// Continues the reply with an attempt that has its next token, and ends the others.
+	private void select(Attempt winner) {
+		if (this.phase == Phase.ENDED) {
+			return;
+		}
+		Attempt latest = this.attempt;
+		List<Attempt> others = new ArrayList<>(this.silentAttempts.removeAll());
+		if (others.remove(winner)) {
+			this.attempt = winner;
+			this.phase = Phase.RUNNING;
+			this.readingPaused = false;
+			log("reply-attempt-continued", Level.INFO, "epoch " + winner.epoch() + " went on after a silence");
+		}
+		if (latest != null && latest != winner) {
+			others.add(latest);
+		}
+		others.forEach((other) -> stop(other, true));
+		advanceEpoch(winner.epoch());
+	}
+
 	private void deliver(Attempt source, TokenEvent event) {
 		this.progress.recordToken();
 		source.work().onTokenDelivered();
@@ -208,6 +248,9 @@
 				source.read();
 			}
 		}
+		else if (this.silentAttempts.contains(source)) {
+			source.read();
+		}
 	}
 
 	void onEnded(Attempt source) {
@@ -215,18 +258,40 @@
 	}
 
 	void onFailed(Attempt source, EngineFailure failure) {
+		boolean sent = failure.kind() != Kind.REFUSED;
+		if (this.silentAttempts.remove(source)) {
+			stop(source, sent);
+			advanceEpochIfAlone();
+			return;
+		}
 		if (source != this.attempt || this.phase != Phase.RUNNING) {
 			return;
 		}
-		stopAttempt(source, failure.kind() != Kind.REFUSED);
+		this.attempt = null;
+		stop(source, sent);
+		repair(source, failure);
+		advanceEpochIfAlone();
+	}
+
+	// Looks for a replacement of an attempt that may still go on.
+	private void onSilent(Attempt source, EngineFailure failure) {
+		if (source != this.attempt || this.phase != Phase.RUNNING || this.readingPaused) {
+			return;
+		}
+		this.attempt = null;
+		this.silentAttempts.add(source);
+		repair(source, failure);
+	}
+
+	private void repair(Attempt failed, EngineFailure failure) {
 		this.phase = Phase.REPAIRING;
-		int next = this.sequencer.advanceEpoch().epoch();
+		int epoch = ++this.lastEpoch;
 		log("reply-attempt-failed", Level.WARNING, failure.kind() + ": " + failure.detail());
-		this.repairPlanner.plan(source, failure, next).thenAccept((result) -> post(() -> continueWith(result)));
+		this.repairPlanner.plan(failed, failure, epoch).thenAccept((result) -> post(() -> continueWith(epoch, result)));
 	}
 
-	private void continueWith(Result<Chain> result) {
-		if (this.phase != Phase.REPAIRING) {
+	private void continueWith(int epoch, Result<Chain> result) {
+		if (this.phase != Phase.REPAIRING || epoch != this.lastEpoch) {
 			return;
 		}
 		if (result instanceof Result.Ok<Chain> ok) {
@@ -234,19 +299,48 @@
 			return;
 		}
 		Problem problem = ((Result.Failed<Chain>) result).problem();
-		end(ReplyProblems.withOutcome(problem, this.gate.closeAndGetOutcome()));
+		if (this.silentAttempts.isEmpty()) {
+			end(ReplyProblems.withOutcome(problem, this.gate.closeAndGetOutcome()));
+			return;
+		}
+		// Nothing can replace the silent attempt, so it keeps its chance to go on.
+		this.attempt = this.silentAttempts.removeLatest();
+		this.phase = Phase.RUNNING;
+		this.progress.resetTimers();
+		log("reply-attempt-kept", Level.WARNING, problem.detail());
 	}
 
-	private void stopAttempt(Attempt source, boolean sent) {
-		this.attempt = null;
-		source.stop(this.services.engines(), this.request, sent);
+	private void stop(Attempt source, boolean sent) {
+		List<Attempt> open = new ArrayList<>(this.silentAttempts.list());
+		if (this.attempt != null) {
+			open.add(this.attempt);
+		}
+		source.stop(this.services.engines(), this.request, sent, open);
+	}
+
+	// Without an earlier attempt that could go on, no event of its epoch is accepted.
+	private void advanceEpochIfAlone() {
+		if (this.silentAttempts.isEmpty() && this.phase != Phase.ENDED) {
+			advanceEpoch((this.attempt != null) ? this.attempt.epoch() : this.lastEpoch);
+		}
+	}
+
+	private void advanceEpoch(int epoch) {
+		while (this.sequencer.position().epoch() < epoch) {
+			this.sequencer.advanceEpoch();
+		}
+	}
+
+	private boolean isOpen(Attempt source) {
+		return source == this.attempt || this.silentAttempts.contains(source);
 	}
 
 	private void complete(Attempt source, boolean lastSeen) {
 		source.work().end(true);
 		this.sequencer.end();
 		if (!lastSeen) {
-			stopAttempt(source, true);
+			this.attempt = null;
+			stop(source, true);
 		}
 		this.phase = Phase.ENDED;
 		releasePermit();
@@ -257,10 +351,12 @@
 	}
 
 	private void end(Problem problem) {
-		Attempt running = this.attempt;
-		if (running != null) {
-			stopAttempt(running, this.gate.dispatched());
+		List<Attempt> running = new ArrayList<>(this.silentAttempts.removeAll());
+		if (this.attempt != null) {
+			running.add(this.attempt);
+			this.attempt = null;
 		}
+		running.forEach((each) -> stop(each, this.gate.dispatched()));
 		this.phase = Phase.ENDED;
 		this.sequencer.end();
 		releasePermit();
@@ -353,7 +449,7 @@
 		}
 		else if (running != null && !this.readingPaused && this.progress.isSilent()) {
 			this.services.engines().reconnect(running.chain().first().runner().address());
-			onFailed(running, new EngineFailure(Kind.SILENT, null, "neither token nor keep-alive arrived in time"));
+			onSilent(running, new EngineFailure(Kind.SILENT, null, "neither token nor keep-alive arrived in time"));
 		}
 		else if (running != null && !this.readingPaused && this.progress.tryStartProbe()) {
 			probeStages(running);
@@ -365,7 +461,7 @@
 	private void probeStages(Attempt running) {
 		ChainHealth.probe(this.services.engines(), running.chain()).thenAccept((health) -> {
 			if (!health.unreachable().isEmpty()) {
-				post(() -> onFailed(running, new EngineFailure(Kind.STAGE, health.unreachable().iterator().next(),
+				post(() -> onSilent(running, new EngineFailure(Kind.STAGE, health.unreachable().iterator().next(),
 						"the stage does not answer")));
 			}
 		});
@@ -374,7 +470,7 @@
 	private void log(String event, Level level, @Nullable String detail) {
 		LogEvent.of(event)
 			.with("request", this.request.id())
-			.with("epoch", this.sequencer.position().epoch())
+			.with("epoch", this.lastEpoch)
 			.with("tokens", this.log.nextIndex())
 			.with("dropped", this.sequencer.droppedCount())
 			.with("detail", detail)
