Keep a silent runner of an idempotent call while the next one is asked

Callers of an idempotent operation got the outcome unknown although the first runner answered before the deadline: the attempt was ended after half of the remaining time, and the last runner that was asked instead decided the result, even if its connection broke.

A runner that is silent for half of the remaining time now stays in progress until the deadline while the next one is asked. The first answer counts; the call fails only when no runner can answer any more.

--- a/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/RequestServices.java
+++ b/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/RequestServices.java
@@ -22,6 +22,7 @@
 import io.bilberryvalve.daemon.engine.HttpEngineClient;
 import io.bilberryvalve.daemon.http.BodyReader;
 import io.bilberryvalve.daemon.http.Route;
+import io.bilberryvalve.daemon.lifecycle.Timer;
 import io.bilberryvalve.daemon.peer.NettyPeerNetwork;
 import io.bilberryvalve.daemon.peer.VmDirectory;
 import io.bilberryvalve.daemon.reply.CompletionHandler;
@@ -109,7 +110,8 @@
 		this.completionHandler = new CompletionHandler(services, configuration, peers, settings.vm(), incarnation,
 				new BodyReader(settings.limits().bodyBytes(), BODY_TIMEOUT), burnRates);
 		this.executions = createExecutionStore(settings, clock, background, platform, incarnation);
-		this.callHandler = createCallHandler(settings, clock, configuration, peers, directory, incarnation);
+		this.callHandler = createCallHandler(settings, clock, configuration, peers, directory, background.timer(),
+				incarnation);
 		background.scheduleRepeated(REPLY_TICK_INTERVAL, "replies", this.completionHandler::tick)
 			.scheduleRepeated(LOAD_TICK_INTERVAL, "loads", monitor::tick);
 		this.admission.start();
@@ -161,10 +163,10 @@
 	}
 
 	private CallHandler createCallHandler(DaemonSettings settings, Clock clock, ConfigurationSource configuration,
-			NettyPeerNetwork peers, VmDirectory directory, long incarnation) {
+			NettyPeerNetwork peers, VmDirectory directory, Timer timer, long incarnation) {
 		SecureRandom random = new SecureRandom();
 		CallDispatcher dispatcher = new CallDispatcher(new RunnerRotation(configuration, clock, directory::isLeaving),
-				new HttpApplicationClient(CONNECT_TIMEOUT), createRetryAllowance(clock), clock);
+				new HttpApplicationClient(CONNECT_TIMEOUT), createRetryAllowance(clock), clock, timer);
 		IssuedKeys keys = new IssuedKeys(settings.vm(), incarnation, clock, random::nextLong, MAX_ISSUED_KEYS);
 		IssuedKeyCallService issued = new IssuedKeyCallService(settings.vm(), keys, dispatcher, peers, clock);
 		return new CallHandler(configuration, new BodyReader(settings.limits().bodyBytes(), BODY_TIMEOUT), dispatcher,
--- a/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/call/CallDispatcher.java
+++ b/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/call/CallDispatcher.java
@@ -7,20 +7,15 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 
+import io.bilberryvalve.daemon.lifecycle.Timer;
 import io.bilberryvalve.model.ApplicationRunner;
 
 /**
  * Sends a call to the runners of its application, one after the other, until one of them
- * accepts it. An idempotent call is also retried if its response is lost.
+ * accepts it. An idempotent call is also retried if its response is lost or late.
  */
 public final class CallDispatcher {
 
-	/**
-	 * Each attempt of an idempotent call, except the one at the last runner, may use this
-	 * fraction (1/2) of the remaining time, so that time is left for a retry.
-	 */
-	private static final int ATTEMPT_TIMEOUT_DIVISOR = 2;
-
 	private final RunnerRotation rotation;
 
 	private final ApplicationClient client;
@@ -29,8 +24,11 @@
 
 	private final Clock clock;
 
+	private final Timer timer;
+
 	/**
-	 * Creates a dispatcher.
+	 * Creates a dispatcher that retries an idempotent call only after its response was
+	 * lost.
 	 * @param rotation orders the runners of an application
 	 * @param client sends a call to one runner
 	 * @param retryAllowance limits the retries of idempotent calls
@@ -38,10 +36,25 @@
 	 */
 	public CallDispatcher(RunnerRotation rotation, ApplicationClient client, RetryAllowance retryAllowance,
 			Clock clock) {
+		this(rotation, client, retryAllowance, clock, (delay, task) -> {
+		});
+	}
+
+	/**
+	 * Creates a dispatcher that also retries an idempotent call whose runner is silent.
+	 * @param rotation orders the runners of an application
+	 * @param client sends a call to one runner
+	 * @param retryAllowance limits the retries of idempotent calls
+	 * @param clock monotonic clock
+	 * @param timer decides when a runner has been silent for too long
+	 */
+	public CallDispatcher(RunnerRotation rotation, ApplicationClient client, RetryAllowance retryAllowance, Clock clock,
+			Timer timer) {
 		this.rotation = rotation;
 		this.client = client;
 		this.retryAllowance = retryAllowance;
 		this.clock = clock;
+		this.timer = timer;
 	}
 
 	/**
@@ -53,48 +66,39 @@
 	 * accepted a connection before the deadline
 	 */
 	public CompletionStage<ApplicationClient.Reply> dispatchOnce(ApplicationCall call, Instant deadline) {
-		return tryRunners(call, deadline, this.rotation.candidates(call.application()), 0, false);
+		return tryRunners(call, deadline, this.rotation.candidates(call.application()), 0);
 	}
 
 	/**
-	 * Dispatches an idempotent call. If the response is lost, the call is retried at the
-	 * next runner as far as the retry allowance and the deadline permit.
+	 * Dispatches an idempotent call. If the response is lost or does not arrive within
+	 * half of the remaining time, the call is retried at the next runner as far as the
+	 * retry allowance and the deadline permit. A silent runner may still answer while the
+	 * next one is tried.
 	 * @param call the call
 	 * @param deadline time at which the caller stops waiting
-	 * @return the reply of the last runner tried; {@code Lost} if a response was lost and
-	 * no later attempt was sent
+	 * @return the first answer; {@code Lost} if a response was lost and no runner
+	 * answered
 	 */
 	public CompletionStage<ApplicationClient.Reply> dispatchIdempotent(ApplicationCall call, Instant deadline) {
 		this.retryAllowance.recordAttempt();
-		return tryRunners(call, deadline, this.rotation.candidates(call.application()), 0, true);
+		return new IdempotentDispatch(call, deadline, this.rotation, this.client, this.retryAllowance, this.clock,
+				this.timer)
+			.start();
 	}
 
 	private CompletionStage<ApplicationClient.Reply> tryRunners(ApplicationCall call, Instant deadline,
-			List<ApplicationRunner> runners, int index, boolean idempotent) {
+			List<ApplicationRunner> runners, int index) {
 		Duration remaining = Duration.between(this.clock.instant(), deadline);
 		if (index >= runners.size() || remaining.isNegative() || remaining.isZero()) {
 			return CompletableFuture.completedFuture(new ApplicationClient.Reply.NotSent(
 					(index >= runners.size()) ? "no runner accepted a connection" : "the deadline passed"));
 		}
 		ApplicationRunner runner = runners.get(index);
-		boolean last = index + 1 == runners.size();
-		Duration timeout = (idempotent && !last) ? remaining.dividedBy(ATTEMPT_TIMEOUT_DIVISOR) : remaining;
-		return this.client.send(runner, call, timeout).thenCompose((reply) -> {
+		return this.client.send(runner, call, remaining).thenCompose((reply) -> {
 			boolean notSent = reply instanceof ApplicationClient.Reply.NotSent;
 			this.rotation.recordAttempt(runner.id(), !notSent);
-			if (notSent) {
-				return tryRunners(call, deadline, runners, index + 1, idempotent);
-			}
-			if (reply instanceof ApplicationClient.Reply.Lost && mayRetry(idempotent, last, deadline)) {
-				return tryRunners(call, deadline, runners, index + 1, true)
-					.thenApply((next) -> (next instanceof ApplicationClient.Reply.NotSent) ? reply : next);
-			}
-			return CompletableFuture.completedFuture(reply);
+			return notSent ? tryRunners(call, deadline, runners, index + 1) : CompletableFuture.completedFuture(reply);
 		});
 	}
 
-	private boolean mayRetry(boolean idempotent, boolean last, Instant deadline) {
-		return idempotent && !last && this.clock.instant().isBefore(deadline) && this.retryAllowance.tryRetry();
-	}
-
 }
