Answer a resumed reply whose owner sends an unreadable message

A caller that resumed a reply at another entry got neither an answer nor a refusal if the owner sent a message that cannot be parsed, a problem or an outcome of another version, or a token with an invalid runner, or if the event id named the last possible index: the exception ended the task that handles the answer, and nothing else completed the request.

Such an answer is now logged and treated like that of an owner that does not know the reply, so that the engine is asked. A position that no token can follow is refused.

--- a/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/reply/ResumeService.java
+++ b/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/reply/ResumeService.java
@@ -64,6 +64,10 @@
 			return CompletableFuture
 				.completedFuture(Result.failed(ReplyProblems.lost("this club has no reply with the request id")));
 		}
+		if (last.index() == Integer.MAX_VALUE) {
+			return CompletableFuture
+				.completedFuture(Result.failed(ReplyProblems.lost("no token can follow token " + last.index())));
+		}
 		ResumedReply reply = new ResumedReply(this.services, this.peers, this.index, this.registry, club, last);
 		return reply.start().thenApply((result) -> result.flatMap((log) -> Result.ok(new OpenReply(log, reply))));
 	}
--- a/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/reply/ResumedReply.java
+++ b/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/reply/ResumedReply.java
@@ -1,5 +1,7 @@
 package io.bilberryvalve.daemon.reply;
 
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.concurrent.CompletableFuture;
@@ -15,6 +17,7 @@
 import io.bilberryvalve.model.Problem;
 import io.bilberryvalve.model.Result;
 import io.bilberryvalve.model.Runner;
+import io.bilberryvalve.model.log.LogEvent;
 import io.bilberryvalve.policy.outcome.ReplyPosition;
 import io.bilberryvalve.policy.outcome.ReplySequencer;
 import io.bilberryvalve.policy.outcome.TokenEvent;
@@ -31,6 +34,8 @@
  */
 final class ResumedReply implements ReplyReaderListener, EngineListener {
 
+	private static final Logger LOGGER = System.getLogger(ResumedReply.class.getName());
+
 	private static final Duration CALL_TIMEOUT = Duration.ofMillis(800);
 
 	private static final int TOKENS_PER_CALL = 64;
@@ -107,12 +112,24 @@
 		if (this.finished) {
 			return;
 		}
-		ResumeAnswer answer = (result instanceof Result.Ok<byte[]> ok) ? ResumeMessages.answer(ok.value())
-				: ResumeAnswer.getDefaultInstance();
-		if (answer.getStatus() != ResumeAnswer.Status.STATUS_FOUND) {
-			resumeFromEngine();
-			return;
+		try {
+			ResumeAnswer answer = (result instanceof Result.Ok<byte[]> ok) ? ResumeMessages.answer(ok.value())
+					: ResumeAnswer.getDefaultInstance();
+			if (answer.getStatus() == ResumeAnswer.Status.STATUS_FOUND) {
+				handleFound(answer);
+				return;
+			}
 		}
+		catch (IllegalArgumentException ex) {
+			LogEvent.of("resume-answer-unreadable")
+				.with("request", this.lastEvent.request())
+				.with("error", ex)
+				.log(LOGGER, Level.WARNING);
+		}
+		resumeFromEngine();
+	}
+
+	private void handleFound(ResumeAnswer answer) {
 		for (ResumedToken token : answer.getTokensList()) {
 			if (token.getIndex() == this.log.nextIndex()) {
 				append(ResumeMessages.token(token));
--- a/bilberryvalve-daemon/src/test/java/io/bilberryvalve/daemon/reply/FakeEngines.java
+++ b/bilberryvalve-daemon/src/test/java/io/bilberryvalve/daemon/reply/FakeEngines.java
@@ -37,6 +37,10 @@
 
 	final List<String> calls = new ArrayList<>();
 
+	final List<FakeStream> resumed = new ArrayList<>();
+
+	boolean keepsStreams;
+
 	final Set<Address> unreachable = new HashSet<>();
 
 	final Set<Address> leaving = new HashSet<>();
@@ -61,8 +65,15 @@
 	public EngineStream resumeStream(Address address, RequestId stream, int from, ClubId club,
 			EngineListener listener) {
 		this.calls.add("resume " + address + " " + from + " " + club);
-		listener.onFailed(new EngineFailure(Kind.UNKNOWN_STREAM, null, "unknown"));
-		return new FakeStream(null, listener);
+		FakeStream resumedStream = new FakeStream(null, listener);
+		if (this.keepsStreams) {
+			this.resumed.add(resumedStream);
+			listener.onOpened();
+		}
+		else {
+			listener.onFailed(new EngineFailure(Kind.UNKNOWN_STREAM, null, "unknown"));
+		}
+		return resumedStream;
 	}
 
 	@Override
