Keep a silent owner or engine of a resumed reply

An owner that was sent the call and did not answer is now asked again while the engine is tried, unless its connection is refused. A silent stream of the engine stays open while a second connection reads the same stream from the next token on; the first of them that has this token is kept. The reply ends when neither can continue it, or after the request timeout without any sign of either.

--- a/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/reply/ResumedReply.java
+++ b/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/reply/ResumedReply.java
@@ -4,6 +4,8 @@
 import java.lang.System.Logger.Level;
 import java.time.Duration;
 import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 
@@ -14,6 +16,7 @@
 import io.bilberryvalve.daemon.peer.PeerNetwork;
 import io.bilberryvalve.model.ClubId;
 import io.bilberryvalve.model.EventId;
+import io.bilberryvalve.model.Outcome;
 import io.bilberryvalve.model.Problem;
 import io.bilberryvalve.model.Result;
 import io.bilberryvalve.model.Runner;
@@ -30,9 +33,11 @@
 /**
  * A reply that another entry owns and a caller resumes at this entry. The tokens are
  * fetched from the owner; if the owner does not answer or does not know the request, they
- * are read from the engine of the runner named in the last event id.
+ * are read from the engine of the runner named in the last event id. An owner or an
+ * engine that falls silent may go on, so it is asked again and the reply ends only when
+ * neither can continue it.
  */
-final class ResumedReply implements ReplyReaderListener, EngineListener {
+final class ResumedReply implements ReplyReaderListener {
 
 	private static final Logger LOGGER = System.getLogger(ResumedReply.class.getName());
 
@@ -40,6 +45,9 @@
 
 	private static final int TOKENS_PER_CALL = 64;
 
+	/** Number of connections on which a silent engine may answer. */
+	private static final int MAX_STREAMS = 2;
+
 	private final ReplyServices services;
 
 	private final PeerNetwork peers;
@@ -62,10 +70,16 @@
 
 	private @Nullable ReplySequencer sequencer;
 
-	private @Nullable EngineStream stream;
+	private final List<EngineSource> sources = new ArrayList<>();
 
 	private Instant lastActivityAt;
 
+	private Instant lastAttemptAt;
+
+	private boolean callInProgress;
+
+	private boolean ownerSilent;
+
 	private int readIndex;
 
 	private boolean readingPaused;
@@ -86,6 +100,7 @@
 		this.log = new ReplyLog(this.readIndex);
 		this.createdAt = services.clock().instant();
 		this.lastActivityAt = this.createdAt;
+		this.lastAttemptAt = this.createdAt;
 	}
 
 	CompletionStage<Result<ReplyLog>> start() {
@@ -103,15 +118,19 @@
 			.setLimit(TOKENS_PER_CALL)
 			.setRestart(restart)
 			.build();
-		this.lastActivityAt = this.services.clock().instant();
+		this.callInProgress = true;
 		this.peers.call(this.lastEvent.request().entry(), MessageKind.RESUME, request.toByteArray(), CALL_TIMEOUT)
 			.thenAccept((result) -> this.executor.execute(() -> handleAnswer(result)));
 	}
 
 	private void handleAnswer(Result<byte[]> result) {
+		this.callInProgress = false;
 		if (this.finished) {
 			return;
 		}
+		// An owner that was sent the call and has not answered may do so later.
+		this.ownerSilent = result instanceof Result.Failed<byte[]> failed
+				&& failed.problem().outcome() != Outcome.NOT_RUN;
 		try {
 			ResumeAnswer answer = (result instanceof Result.Ok<byte[]> ok) ? ResumeMessages.answer(ok.value())
 					: ResumeAnswer.getDefaultInstance();
@@ -126,10 +145,14 @@
 				.with("error", ex)
 				.log(LOGGER, Level.WARNING);
 		}
-		resumeFromEngine();
+		if (this.sources.isEmpty()) {
+			resumeFromEngine();
+		}
 	}
 
 	private void handleFound(ResumeAnswer answer) {
+		recordActivity();
+		closeSources(null);
 		for (ResumedToken token : answer.getTokensList()) {
 			if (token.getIndex() == this.log.nextIndex()) {
 				append(ResumeMessages.token(token));
@@ -156,38 +179,30 @@
 		Runner runner = this.index.runner(this.lastEvent.runner());
 		int layers = (runner != null) ? this.index.layers(runner.model()) : 0;
 		if (runner == null || layers == 0) {
-			finish(ReplyProblems.lost("neither the owner nor the engine of the reply is known"));
+			endUnlessOwnerSilent("neither the owner nor the engine of the reply is known");
 			return;
 		}
-		this.sequencer = new ReplySequencer(layers, new ReplyPosition(this.lastEvent.epoch(), this.log.nextIndex()));
-		this.lastActivityAt = this.services.clock().instant();
-		EngineStream source = this.services.engines()
-			.resumeStream(runner.address(), this.lastEvent.request(), this.log.nextIndex(), this.club, this);
-		this.stream = source;
+		if (this.sources.isEmpty()) {
+			this.sequencer = new ReplySequencer(layers,
+					new ReplyPosition(this.lastEvent.epoch(), this.log.nextIndex()));
+		}
+		EngineSource source = new EngineSource();
+		this.sources.add(source);
+		this.lastAttemptAt = this.services.clock().instant();
+		source.stream = this.services.engines()
+			.resumeStream(runner.address(), this.lastEvent.request(), this.log.nextIndex(), this.club, source);
 		source.read();
 	}
 
-	@Override
-	public void onOpened() {
-		this.executor.execute(() -> {
-			this.lastActivityAt = this.services.clock().instant();
-			this.opened.complete(Result.ok(this.log));
-		});
-	}
-
-	@Override
-	public void onToken(TokenEvent event) {
-		this.executor.execute(() -> handleToken(event));
-	}
-
-	private void handleToken(TokenEvent event) {
+	private void handleToken(EngineSource source, TokenEvent event) {
 		ReplySequencer current = this.sequencer;
 		if (this.finished || current == null) {
 			return;
 		}
 		Verdict verdict = current.accept(event);
 		if (verdict == Verdict.DELIVER) {
-			this.lastActivityAt = this.services.clock().instant();
+			recordActivity();
+			closeSources(source);
 			append(new ReplyToken(event.index(), event.epoch(), this.lastEvent.runner(), event.text(),
 					event.last() ? "stop" : null));
 			if (event.last()) {
@@ -195,34 +210,35 @@
 			}
 		}
 		else if (verdict.failsAttempt()) {
-			finish(ReplyProblems.lost("the engine sent an unusable event: " + verdict));
+			source.close();
+			handleFailure(source, "the engine sent an unusable event: " + verdict);
 		}
 	}
 
-	@Override
-	public void onKeepAlive() {
-		this.executor.execute(() -> this.lastActivityAt = this.services.clock().instant());
+	private void handleFailure(EngineSource source, String detail) {
+		if (this.sources.remove(source) && this.sources.isEmpty() && !this.finished) {
+			endUnlessOwnerSilent(detail);
+		}
 	}
 
-	@Override
-	public void onReadComplete() {
-		this.executor.execute(() -> {
-			this.readingPaused = !windowOpen();
-			if (!this.readingPaused && this.stream != null) {
-				this.stream.read();
-			}
-		});
+	private void endUnlessOwnerSilent(String detail) {
+		if (!this.ownerSilent && !this.callInProgress) {
+			finish(ReplyProblems.lost(detail));
+		}
 	}
 
-	@Override
-	public void onEnded() {
-		this.executor.execute(() -> finish(ReplyProblems.lost("the engine ended the stream before the last token")));
+	private void closeSources(@Nullable EngineSource kept) {
+		for (EngineSource source : List.copyOf(this.sources)) {
+			if (source != kept) {
+				this.sources.remove(source);
+				source.close();
+			}
+		}
 	}
 
-	@Override
-	public void onFailed(EngineFailure failure) {
-		this.executor
-			.execute(() -> finish(ReplyProblems.lost("the engine cannot continue the reply: " + failure.detail())));
+	private void recordActivity() {
+		this.lastActivityAt = this.services.clock().instant();
+		this.lastAttemptAt = this.lastActivityAt;
 	}
 
 	@Override
@@ -238,12 +254,12 @@
 				return;
 			}
 			this.readingPaused = false;
-			this.lastActivityAt = this.services.clock().instant();
-			if (this.stream != null) {
-				this.stream.read();
+			recordActivity();
+			if (this.sources.isEmpty()) {
+				requestFromOwner(false);
 			}
 			else {
-				requestFromOwner(false);
+				this.sources.forEach(EngineSource::read);
 			}
 		});
 	}
@@ -264,13 +280,30 @@
 				finish(ReplyProblems.lost("no reader asked for the reply"));
 				return;
 			}
-			Instant limit = this.lastActivityAt.plus(this.services.settings().progressTimeout());
-			if (this.stream != null && !this.readingPaused && limit.isBefore(this.services.clock().instant())) {
-				finish(ReplyProblems.lost("neither token nor keep-alive arrived from the engine in time"));
+			if (!this.finished && !this.readingPaused) {
+				checkSilence(this.services.clock().instant());
 			}
 		});
 	}
 
+	private void checkSilence(Instant now) {
+		if (this.lastActivityAt.plus(this.services.settings().defaultTimeout()).isBefore(now)) {
+			finish(ReplyProblems.lost("neither the owner nor the engine of the reply answered in time"));
+			return;
+		}
+		if (this.ownerSilent && !this.callInProgress) {
+			requestFromOwner(true);
+		}
+		if (!this.sources.isEmpty() && this.sources.size() < MAX_STREAMS
+				&& this.lastAttemptAt.plus(this.services.settings().progressTimeout()).isBefore(now)) {
+			Runner runner = this.index.runner(this.lastEvent.runner());
+			if (runner != null) {
+				this.services.engines().reconnect(runner.address());
+			}
+			resumeFromEngine();
+		}
+	}
+
 	private boolean windowOpen() {
 		return this.log.nextIndex() - this.readIndex < this.services.settings().windowTokens();
 	}
@@ -285,11 +318,77 @@
 			this.log.complete();
 			return;
 		}
+		closeSources(null);
 		this.opened.complete(Result.failed(problem));
 		this.log.fail(problem);
-		if (this.stream != null) {
-			this.stream.close();
+	}
+
+	/**
+	 * A stream of the engine. Its events are handled by tasks of the
+	 * {@link SerialExecutor}.
+	 */
+	private final class EngineSource implements EngineListener {
+
+		private @Nullable EngineStream stream;
+
+		private void read() {
+			if (this.stream != null) {
+				this.stream.read();
+			}
+		}
+
+		private void close() {
+			if (this.stream != null) {
+				this.stream.close();
+			}
 		}
+
+		private void post(Runnable task) {
+			ResumedReply.this.executor.execute(() -> {
+				if (ResumedReply.this.sources.contains(this)) {
+					task.run();
+				}
+			});
+		}
+
+		@Override
+		public void onOpened() {
+			post(() -> {
+				ResumedReply.this.lastAttemptAt = ResumedReply.this.services.clock().instant();
+				ResumedReply.this.opened.complete(Result.ok(ResumedReply.this.log));
+			});
+		}
+
+		@Override
+		public void onToken(TokenEvent event) {
+			post(() -> handleToken(this, event));
+		}
+
+		@Override
+		public void onKeepAlive() {
+			post(ResumedReply.this::recordActivity);
+		}
+
+		@Override
+		public void onReadComplete() {
+			post(() -> {
+				ResumedReply.this.readingPaused = !windowOpen();
+				if (!ResumedReply.this.readingPaused) {
+					read();
+				}
+			});
+		}
+
+		@Override
+		public void onEnded() {
+			post(() -> handleFailure(this, "the engine ended the stream before the last token"));
+		}
+
+		@Override
+		public void onFailed(EngineFailure failure) {
+			post(() -> handleFailure(this, "the engine cannot continue the reply: " + failure.detail()));
+		}
+
 	}
 
 }
