Keep a redundant connection between daemons while it carries a call

A call with a key of another entry ended with the outcome unknown after 5 s although the runner was still working and the deadline was far away: two daemons that open connections to each other at the same time close one of them when it has been idle for 5 s, and only the start of a call counted as use.

A connection now is in use until its calls have ended, in both directions.

NettyPeerNetworkTests.keepsARedundantConnectionWhileACallIsInProgress failed before the change and passes now.

--- a/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/peer/MonitoredConnection.java
+++ b/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/peer/MonitoredConnection.java
@@ -2,6 +2,7 @@
 
 import java.time.Clock;
 import java.time.Duration;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
 
 import io.bilberryvalve.policy.retry.SilenceDetector;
@@ -24,6 +25,8 @@
 
 	private final AtomicLong answered = new AtomicLong();
 
+	private final AtomicInteger callsInProgress = new AtomicInteger();
+
 	private volatile long usedMillis;
 
 	MonitoredConnection(PeerConnection connection, Clock clock, Duration silence) {
@@ -63,12 +66,26 @@
 		return this.detector.silence();
 	}
 
-	void recordUse() {
+	/**
+	 * Records the start of a call in either direction. The connection is in use until
+	 * {@link #endCall()}.
+	 */
+	void startCall() {
+		this.callsInProgress.incrementAndGet();
+	}
+
+	void endCall() {
 		this.usedMillis = this.clock.millis();
+		this.callsInProgress.decrementAndGet();
 	}
 
+	/**
+	 * Returns the time since the last call on the connection ended.
+	 * @return the time, zero while a call is in progress
+	 */
 	Duration idleTime() {
-		return Duration.ofMillis(this.clock.millis() - this.usedMillis);
+		return (this.callsInProgress.get() > 0) ? Duration.ZERO
+				: Duration.ofMillis(this.clock.millis() - this.usedMillis);
 	}
 
 }
--- a/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/peer/NettyPeerNetwork.java
+++ b/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/peer/NettyPeerNetwork.java
@@ -6,6 +6,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Objects;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
@@ -266,9 +267,14 @@
 			.setTimeoutMillis(timeout.toMillis());
 		MonitoredConnection monitored = this.connections.find(connection);
 		if (monitored != null) {
-			monitored.recordUse();
+			monitored.startCall();
 		}
-		return this.pendingCalls.send(connection, PeerEnvelopes.envelope(connection).setCall(call).build(), timeout);
+		CompletableFuture<Result<byte[]>> answer = this.pendingCalls.send(connection,
+				PeerEnvelopes.envelope(connection).setCall(call).build(), timeout);
+		if (monitored != null) {
+			answer.whenComplete((result, error) -> monitored.endCall());
+		}
+		return answer;
 	}
 
 	private Running requireRunning() {
--- a/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/peer/PeerEventHandler.java
+++ b/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/peer/PeerEventHandler.java
@@ -103,9 +103,12 @@
 	private void handleCall(PeerConnection connection, Call call) {
 		MonitoredConnection monitored = this.connections.find(connection);
 		if (monitored != null) {
-			monitored.recordUse();
+			monitored.startCall();
 		}
 		this.dispatcher.dispatch(connection.remote().vm(), call).whenComplete((body, failure) -> {
+			if (monitored != null) {
+				monitored.endCall();
+			}
 			Answer.Builder answer = Answer.newBuilder().setCorrelation(call.getCorrelation());
 			if (failure == null) {
 				answer.setBody(ByteString.copyFrom(body));
--- a/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/peer/PeerMaintenance.java
+++ b/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/peer/PeerMaintenance.java
@@ -41,10 +41,7 @@
 
 	private static final Duration UNSELECTED_IDLE_TIMEOUT = Duration.ofMinutes(1);
 
-	/**
-	 * Idle time after which a redundant connection is closed. It is longer than a call
-	 * between daemons may take, so that no answer is lost.
-	 */
+	/** Idle time after which a redundant connection is closed. */
 	private static final Duration REDUNDANT_IDLE_TIMEOUT = Duration.ofSeconds(5);
 
 	private final PeerSettings settings;
--- a/bilberryvalve-daemon/src/test/java/io/bilberryvalve/daemon/peer/NettyPeerNetworkTests.java
+++ b/bilberryvalve-daemon/src/test/java/io/bilberryvalve/daemon/peer/NettyPeerNetworkTests.java
@@ -14,6 +14,7 @@
 import io.bilberryvalve.model.Result;
 import io.bilberryvalve.model.VmId;
 import io.bilberryvalve.wire.FederationSecret;
+import io.bilberryvalve.wire.PeerConnection;
 import net.jqwik.api.Example;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -195,6 +196,41 @@
 		}
 	}
 
+	// Guards against the outcome unknown before the deadline of a call, because the
+	// connection that carries it was closed as redundant while the call was in progress.
+	@Example
+	void keepsARedundantConnectionWhileACallIsInProgress() {
+		try (TestFederation federation = new TestFederation()) {
+			NettyPeerNetwork a = federation.add("vm-a", 1);
+			NettyPeerNetwork b = federation.add("vm-b", 1);
+			federation.seeds.add(b.identity().peerAddress());
+			CompletableFuture<byte[]> work = new CompletableFuture<>();
+			b.setResponder(MessageKind.KEY_CALL, (sender, body) -> work);
+			federation.await("two connections", () -> a.connections().size() >= 2 && b.connections().size() >= 2);
+			PeerConnection redundant = a.connections()
+				.stream()
+				.filter(PeerConnection::isInitiator)
+				.findFirst()
+				.orElseThrow();
+			a.connections().stream().filter(PeerConnection::isInitiator).forEach(federation.silencedConnections::add);
+			b.connections()
+				.stream()
+				.filter((connection) -> !connection.isInitiator())
+				.forEach(federation.silencedConnections::add);
+			CompletableFuture<Result<byte[]>> answer = a
+				.send(redundant, MessageKind.KEY_CALL, bytes("call"), Duration.ofSeconds(30))
+				.toCompletableFuture();
+			for (int i = 0; i < 200; i++) {
+				federation.step();
+			}
+			assertThat(answer).isNotDone();
+			work.complete(bytes("done"));
+			Await.until("answer", answer::isDone);
+			assertThat(answer.join()).isInstanceOf(Result.Ok.class);
+			federation.await("the redundant connection is closed", () -> !a.connections().contains(redundant));
+		}
+	}
+
 	private static Result<byte[]> await(TestFederation federation, NettyPeerNetwork from, String to, MessageKind kind) {
 		CompletableFuture<Result<byte[]>> answer = call(from, to, kind);
 		federation.await("answer", answer::isDone);
