Send each call to an application runner on its own connection

A faulty runner that writes the answer to an earlier call, such as a refusal, once more on a kept connection had it taken for the answer to the next call: the caller got, and the execution record kept, a refusal for a call that the runner ran. Answers of application runners carry no identifier that could be checked.

Each call now closes its connection, so that no answer to an earlier call can be on it.

HttpApplicationClientTests.sendsEachCallOnAConnectionOfItsOwn got status 503 in place of 201 before the change and passes now.

--- a/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/call/HttpApplicationClient.java
+++ b/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/call/HttpApplicationClient.java
@@ -23,10 +23,11 @@
 import org.jspecify.annotations.Nullable;
 
 /**
- * Sends calls to application runners over HTTP/1.1. A call that times out closes its
- * connection, so that a connection that no longer responds is not used again. Automatic
- * retries of the HTTP client are disabled, because a call must be sent once. Safe for use
- * by several threads.
+ * Sends calls to application runners over HTTP/1.1, each on a connection of its own.
+ * Answers carry no identifier, so on a kept connection a repeated or late answer to an
+ * earlier call could not be told from that of the next call. Automatic retries of the
+ * HTTP client are disabled, because a call must be sent once. Safe for use by several
+ * threads.
  */
 public final class HttpApplicationClient implements ApplicationClient, AutoCloseable {
 
@@ -49,7 +50,7 @@
 		HttpClient client = this.clients.computeIfAbsent(runner.address(), this::client);
 		String operation = URLEncoder.encode(call.operation().value(), StandardCharsets.UTF_8);
 		HttpRequest request = client.post("/v1/operations/" + operation);
-		request.headers().set("content-type", call.contentType());
+		request.headers().set("content-type", call.contentType()).set("connection", "close");
 		if (call.key() != null) {
 			request.headers().set("idempotency-key", call.key());
 		}
--- a/bilberryvalve-daemon/src/test/java/io/bilberryvalve/daemon/call/HttpApplicationClientTests.java
+++ b/bilberryvalve-daemon/src/test/java/io/bilberryvalve/daemon/call/HttpApplicationClientTests.java
@@ -81,6 +81,73 @@
 		}
 	}
 
+	// Guards against the answer to an earlier call, which a faulty runner writes once
+	// more
+	// on a kept connection, as the answer to a later call.
+	@Example
+	void sendsEachCallOnAConnectionOfItsOwn() throws Exception {
+		String refusal = "HTTP/1.1 503 x\r\ncontent-length: 0\r\n\r\n";
+		String answer = "HTTP/1.1 201 x\r\ncontent-length: 2\r\n\r\nok";
+		try (ServerSocket server = new ServerSocket(0, 4, InetAddress.getLoopbackAddress());
+				HttpApplicationClient client = new HttpApplicationClient(Duration.ofSeconds(2))) {
+			Thread thread = new Thread(() -> repeatFirstAnswer(server, refusal, answer), "faulty-application");
+			thread.setDaemon(true);
+			thread.start();
+			assertThat(status(client, server.getLocalPort())).isEqualTo(503);
+			for (int i = 0; i < 3; i++) {
+				assertThat(status(client, server.getLocalPort())).isEqualTo(201);
+			}
+		}
+	}
+
+	// Answers the first request with a refusal and all others with the answer, but writes
+	// the refusal again on each connection that gets a second request.
+	private static void repeatFirstAnswer(ServerSocket server, String refusal, String answer) {
+		try {
+			for (int i = 0; i < 4; i++) {
+				Socket connection = server.accept();
+				String own = (i == 0) ? refusal : answer;
+				Thread thread = new Thread(() -> answerAll(connection, own, refusal + answer), "faulty-connection");
+				thread.setDaemon(true);
+				thread.start();
+			}
+		}
+		catch (IOException ex) {
+			// The server was closed.
+		}
+	}
+
+	private static void answerAll(Socket connection, String first, String later) {
+		try (Socket open = connection) {
+			InputStream in = open.getInputStream();
+			String answer = first;
+			StringBuilder request = new StringBuilder();
+			for (int next = in.read(); next >= 0; next = in.read()) {
+				request.append((char) next);
+				if (request.toString().endsWith("body")) {
+					request.setLength(0);
+					open.getOutputStream().write(answer.getBytes(StandardCharsets.UTF_8));
+					answer = later;
+				}
+			}
+		}
+		catch (IOException ex) {
+			// The client closed the connection.
+		}
+	}
+
+	private static int status(HttpApplicationClient client, int port) throws Exception {
+		ApplicationClient.Reply reply = client.send(runner(port), CALL, Duration.ofSeconds(5))
+			.toCompletableFuture()
+			.get(20, TimeUnit.SECONDS);
+		return (reply instanceof ApplicationClient.Reply.Answered answered) ? answered.result().status() : 0;
+	}
+
+	private static ApplicationRunner runner(int port) {
+		return new ApplicationRunner(new RunnerId("a1"), new Address("127.0.0.1", port), new DataCentreId("dc-1"),
+				new ApplicationId("orders"), false);
+	}
+
 	private static boolean accepts(ServerSocket server) throws IOException {
 		try (Socket connection = server.accept()) {
 			return connection.isBound();
@@ -111,8 +178,7 @@
 	}
 
 	private static ApplicationClient.Reply send(int port, Duration timeout) throws Exception {
-		ApplicationRunner runner = new ApplicationRunner(new RunnerId("a1"), new Address("127.0.0.1", port),
-				new DataCentreId("dc-1"), new ApplicationId("orders"), false);
+		ApplicationRunner runner = runner(port);
 		try (HttpApplicationClient client = new HttpApplicationClient(Duration.ofSeconds(2))) {
 			return client.send(runner, CALL, timeout).toCompletableFuture().get(20, TimeUnit.SECONDS);
 		}
