Compete for a lease again after an unreadable row

A daemon that read a lease row which is not JSON or whose fencing number is out of range never read or wrote that lease again, even after the row had been repaired, so engines of that model got no orders from it: the exception was lost in the completion stage and the action stayed pending.

An unreadable row is now logged and counts as a failed read, which is repeated. A read or write that ends with an exception is handled alike.

LeaseManagerTests.competesAgainAfterAnOddRow failed before the change and passes now.

--- a/bilberryvalve-platform/src/main/java/io/bilberryvalve/platform/lease/LeaseManager.java
+++ b/bilberryvalve-platform/src/main/java/io/bilberryvalve/platform/lease/LeaseManager.java
@@ -1,11 +1,14 @@
 package io.bilberryvalve.platform.lease;
 
 import java.io.IOException;
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
 import java.util.List;
 import java.util.Optional;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
+import io.bilberryvalve.model.log.LogEvent;
 import io.bilberryvalve.platform.CommitResult;
 import io.bilberryvalve.platform.ReadResult;
 import io.bilberryvalve.platform.Row;
@@ -27,6 +30,8 @@
 	/** Name of the table that holds the leases. */
 	public static final String TABLE = "leases";
 
+	private static final Logger LOGGER = System.getLogger(LeaseManager.class.getName());
+
 	private static final ObjectMapper JSON = new ObjectMapper();
 
 	private final String key;
@@ -74,36 +79,44 @@
 
 	private void execute(LeaseAction action) {
 		if (action instanceof LeaseAction.Read) {
-			this.tables.read(TABLE, this.key).thenAccept((result) -> execute(onRead(result)));
+			this.tables.read(TABLE, this.key).whenComplete((result, error) -> execute(onRead(result)));
 		}
 		else if (action instanceof LeaseAction.Write write) {
 			RowOperation put = new RowOperation.Put(TABLE, this.key, write.expectVersion(), encode(write.lease()));
-			this.tables.commit(List.of(put)).thenAccept(this::onCommit);
+			this.tables.commit(List.of(put)).whenComplete((commit, error) -> onCommit(commit));
 		}
 	}
 
-	private LeaseAction onRead(ReadResult<Row> result) {
+	// An unreadable row counts as a failed read, since without its fencing number no
+	// order
+	// could be sent. The read is repeated, so that the daemon competes again once the row
+	// has been repaired.
+	private LeaseAction onRead(@Nullable ReadResult<Row> result) {
 		synchronized (this.candidate) {
-			if (result instanceof ReadResult.Found<Row> found) {
-				return this.candidate.leaseRead(found.value().version(), decode(found.value().value()));
+			try {
+				if (result instanceof ReadResult.Found<Row> found) {
+					return this.candidate.leaseRead(found.value().version(), decode(found.value().value()));
+				}
+				if (result instanceof ReadResult.Missing<Row>) {
+					return this.candidate.leaseRead(RowOperation.ABSENT, null);
+				}
 			}
-			if (result instanceof ReadResult.Missing<Row>) {
-				return this.candidate.leaseRead(RowOperation.ABSENT, null);
+			catch (IllegalArgumentException ex) {
+				logUnreadable(ex);
 			}
 			this.candidate.actionFailed();
 			return new LeaseAction.None();
 		}
 	}
 
-	private void onCommit(CommitResult commit) {
+	private void onCommit(@Nullable CommitResult commit) {
 		synchronized (this.candidate) {
 			if (commit instanceof CommitResult.Committed committed) {
 				this.candidate.writeCommitted(committed.versions().get(0));
 			}
 			else if (commit instanceof CommitResult.Conflict conflict) {
 				CommitResult.ConflictRow row = conflict.rows().get(0);
-				String value = row.value();
-				this.candidate.writeConflicted(row.version(), (value != null) ? decode(value) : null);
+				this.candidate.writeConflicted(row.version(), decodeConflicting(row.value()));
 			}
 			else if (commit instanceof CommitResult.Refused) {
 				this.candidate.actionFailed();
@@ -114,11 +127,25 @@
 		}
 	}
 
+	private @Nullable Lease decodeConflicting(@Nullable String value) {
+		try {
+			return (value != null) ? decode(value) : null;
+		}
+		catch (IllegalArgumentException ex) {
+			logUnreadable(ex);
+			return null;
+		}
+	}
+
+	private void logUnreadable(IllegalArgumentException error) {
+		LogEvent.of("lease-row-unreadable").with("key", this.key).with("error", error).log(LOGGER, Level.WARNING);
+	}
+
 	private static String encode(Lease lease) {
 		return JSON.createObjectNode().put("holder", lease.holder()).put("fencing", lease.fencing().value()).toString();
 	}
 
-	private static @Nullable Lease decode(String text) {
+	private static Lease decode(String text) {
 		try {
 			JsonNode node = JSON.readTree(text);
 			return new Lease(node.path("holder").asText(), new FencingNumber(node.path("fencing").asLong()));
