Delete expired execution records beside odd index rows

Expired execution records were kept forever after one line of an index row did not name a key: the same rows are read first in each run, and the run failed at that line.

Such a line is now logged and skipped.

ExecutionCleanerTests.deletesExpiredRecordsBesideOddRows failed before the change and passes now.

--- a/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/call/ExecutionCleaner.java
+++ b/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/call/ExecutionCleaner.java
@@ -1,11 +1,14 @@
 package io.bilberryvalve.daemon.call;
 
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
 import java.time.Clock;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 
+import io.bilberryvalve.model.log.LogEvent;
 import io.bilberryvalve.platform.CommitResult;
 import io.bilberryvalve.platform.ReadResult;
 import io.bilberryvalve.platform.Row;
@@ -23,6 +26,8 @@
  */
 public final class ExecutionCleaner {
 
+	private static final Logger LOGGER = System.getLogger(ExecutionCleaner.class.getName());
+
 	/** Maximum number of index rows read in one step. */
 	static final int MAX_INDEX_ROWS = 200;
 
@@ -88,6 +93,7 @@
 		List<CompletableFuture<ReadResult<Row>>> reads = index.stream()
 			.flatMap((row) -> row.value().lines())
 			.distinct()
+			.filter(ExecutionCleaner::isKey)
 			.map((key) -> this.tables.read(ExecutionStore.TABLE, key).toCompletableFuture())
 			.toList();
 		return CompletableFuture.allOf(reads.toArray(CompletableFuture<?>[]::new)).thenCompose((done) -> {
@@ -105,6 +111,18 @@
 		});
 	}
 
+	// A line that no key has cannot name a record; the others must still be deleted.
+	private static boolean isKey(String line) {
+		try {
+			ExecutionKey.parse(line);
+			return true;
+		}
+		catch (IllegalArgumentException ex) {
+			LogEvent.of("execution-index-damaged").with("error", ex).log(LOGGER, Level.WARNING);
+			return false;
+		}
+	}
+
 	private RecordExpiry.Row toExpiryRow(Row row) {
 		return new RecordExpiry.Row(ExecutionKey.parse(row.key()),
 				new StoredRecord(row.version(), ExecutionRecordCodec.decode(row.value(), this.clock.instant())));
