Leave an odd entry out of a digest of members

One odd entry in a digest, for example a port out of range or a blank name, ended the connection on which it arrived, so that the daemons reconnected again and again and learned nothing from each other. An entry about the receiver itself with the highest possible incarnation made it take a negative one, which its peers ignore from then on.

Entries that cannot be read or whose incarnation is out of range are now logged and left out; the others are merged.

PeerMembershipTests: both tests failed before the change and pass now.

--- a/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/peer/PeerMembership.java
+++ b/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/peer/PeerMembership.java
@@ -37,6 +37,12 @@
 
 	private static final Logger LOGGER = System.getLogger(PeerMembership.class.getName());
 
+	/**
+	 * Highest incarnation accepted from peers; a daemon must still be able to take a
+	 * higher one than they know.
+	 */
+	private static final long MAX_INCARNATION = Long.MAX_VALUE / 2;
+
 	private final Lifecycle lifecycle;
 
 	private final MemberTable table;
@@ -103,7 +109,7 @@
 	synchronized void mergeDigest(MemberDigest digest) {
 		List<MemberChange> changes = new ArrayList<>();
 		for (MemberEntry entry : digest.getEntriesList()) {
-			this.table.handleGossip(decode(entry)).ifPresent(changes::add);
+			decode(entry).flatMap(this.table::handleGossip).ifPresent(changes::add);
 		}
 		publish(changes);
 		if (this.table.self().incarnation() != this.identity.incarnation()) {
@@ -209,11 +215,25 @@
 			.build();
 	}
 
-	private static MemberUpdate decode(MemberEntry entry) {
-		Member member = new Member(new VmId(entry.getVm()), entry.getIncarnation(),
-				new DataCentreId(entry.getDataCentre()), Address.parse(entry.getCallerAddress()),
-				Address.parse(entry.getPeerAddress()));
-		return new MemberUpdate(member, entry.getBeat(), entry.getReady(), entry.getLeaving(), entry.getAbsent());
+	// An odd entry says nothing about the others, so it is left out.
+	private static Optional<MemberUpdate> decode(MemberEntry entry) {
+		try {
+			if (entry.getIncarnation() < 0 || entry.getIncarnation() > MAX_INCARNATION) {
+				throw new IllegalArgumentException("incarnation " + entry.getIncarnation() + " is out of range");
+			}
+			Member member = new Member(new VmId(entry.getVm()), entry.getIncarnation(),
+					new DataCentreId(entry.getDataCentre()), Address.parse(entry.getCallerAddress()),
+					Address.parse(entry.getPeerAddress()));
+			return Optional
+				.of(new MemberUpdate(member, entry.getBeat(), entry.getReady(), entry.getLeaving(), entry.getAbsent()));
+		}
+		catch (IllegalArgumentException ex) {
+			LogEvent.of("member-entry-unreadable")
+				.with("vm", entry.getVm())
+				.with("error", ex)
+				.log(LOGGER, Level.WARNING);
+			return Optional.empty();
+		}
 	}
 
 }
