Test that a silent stream survives dropping the connections of its engine

A silent attempt is only of use if its connection stays open while the idle connections to the engine are replaced. The test passes without a change.

--- a/bilberryvalve-daemon/src/test/java/io/bilberryvalve/daemon/engine/EngineAnswerTests.java
+++ b/bilberryvalve-daemon/src/test/java/io/bilberryvalve/daemon/engine/EngineAnswerTests.java
@@ -92,6 +92,31 @@
 		}
 	}
 
+	// Guards against ending a stream that was silent for a moment by dropping the idle
+	// connections to its engine.
+	@Example
+	void keepsAnOpenStreamOnReconnect() throws Exception {
+		CompletableFuture<Void> reconnected = new CompletableFuture<>();
+		Listener listener = new Listener();
+		try (ServerSocket server = new ServerSocket(0, 4, InetAddress.getLoopbackAddress());
+				HttpEngineClient client = new HttpEngineClient(Duration.ofSeconds(2), Duration.ofSeconds(2),
+						Duration.ofSeconds(2))) {
+			Thread thread = new Thread(
+					() -> serve(server, head(200, "text/event-stream") + "data: " + TOKEN + "\n\n", reconnected,
+							"data: " + TOKEN.replace("\"index\":1", "\"index\":2") + "\n\ndata: [DONE]\n\n"),
+					"stub-engine");
+			thread.setDaemon(true);
+			thread.start();
+			StreamRequest request = request(server.getLocalPort());
+			listener.attach(client.openStream(request, () -> true, listener));
+			listener.first.get(20, TimeUnit.SECONDS);
+			client.reconnect(request.chain().first().runner().address());
+			reconnected.complete(null);
+			assertThat(listener.end.get(20, TimeUnit.SECONDS)).isEqualTo("ended");
+		}
+		assertThat(listener.tokens).extracting(TokenEvent::index).containsExactly(1, 2);
+	}
+
 	private static String head(int status, String type) {
 		return "HTTP/1.1 " + status + " x\r\ncontent-type: " + type + "\r\nconnection: close\r\n\r\n";
 	}
@@ -101,21 +126,26 @@
 		try (ServerSocket server = new ServerSocket(0, 4, InetAddress.getLoopbackAddress());
 				HttpEngineClient client = new HttpEngineClient(Duration.ofSeconds(2), Duration.ofSeconds(2),
 						Duration.ofSeconds(2))) {
-			Thread thread = new Thread(() -> serve(server, answer), "stub-engine");
+			Thread thread = new Thread(() -> serve(server, answer, CompletableFuture.completedFuture(null), ""),
+					"stub-engine");
 			thread.setDaemon(true);
 			thread.start();
-			Runner runner = new Runner(new RunnerId("r1"), new Address("127.0.0.1", server.getLocalPort()),
-					new DataCentreId("dc"), new AcceleratorKind("a"), MODEL, new LayerRange(0, 8), true, null);
-			Chain chain = new Chain(List.of(new Stage(runner, new LayerRange(0, 8))), 1, 1);
-			StreamRequest request = new StreamRequest(REQUEST, 2, new ClubId("pavio"), new PlanKey(MODEL, null),
-					"prompt", List.of("t0"), 8, 0, chain);
+			StreamRequest request = request(server.getLocalPort());
 			listener.attach(client.openStream(request, () -> true, listener));
 			listener.end.get(20, TimeUnit.SECONDS);
 		}
 		return listener;
 	}
 
-	private static void serve(ServerSocket server, String answer) {
+	private static StreamRequest request(int port) {
+		Runner runner = new Runner(new RunnerId("r1"), new Address("127.0.0.1", port), new DataCentreId("dc"),
+				new AcceleratorKind("a"), MODEL, new LayerRange(0, 8), true, null);
+		Chain chain = new Chain(List.of(new Stage(runner, new LayerRange(0, 8))), 1, 1);
+		return new StreamRequest(REQUEST, 2, new ClubId("pavio"), new PlanKey(MODEL, null), "prompt", List.of("t0"), 8,
+				0, chain);
+	}
+
+	private static void serve(ServerSocket server, String answer, CompletableFuture<Void> ready, String rest) {
 		try (Socket connection = server.accept()) {
 			InputStream in = connection.getInputStream();
 			StringBuilder request = new StringBuilder();
@@ -124,6 +154,8 @@
 			}
 			in.skip(in.available());
 			connection.getOutputStream().write(answer.getBytes(StandardCharsets.UTF_8));
+			ready.join();
+			connection.getOutputStream().write(rest.getBytes(StandardCharsets.UTF_8));
 		}
 		catch (IOException ex) {
 			// The client closed the connection.
@@ -137,6 +169,8 @@
 
 		private final List<TokenEvent> tokens = new CopyOnWriteArrayList<>();
 
+		private final CompletableFuture<TokenEvent> first = new CompletableFuture<>();
+
 		private final CompletableFuture<String> end = new CompletableFuture<>();
 
 		private final CompletableFuture<EngineStream> stream = new CompletableFuture<>();
@@ -153,6 +187,7 @@
 		@Override
 		public void onToken(TokenEvent event) {
 			this.tokens.add(event);
+			this.first.complete(event);
 		}
 
 		@Override
