Wait for connections in both directions in the test of a redundant one

In 1 of 40 runs two connections existed that the peer had opened, so that the test found none of its own.

--- a/bilberryvalve-daemon/src/test/java/io/bilberryvalve/daemon/peer/NettyPeerNetworkTests.java
+++ b/bilberryvalve-daemon/src/test/java/io/bilberryvalve/daemon/peer/NettyPeerNetworkTests.java
@@ -206,7 +206,7 @@
 			federation.seeds.add(b.identity().peerAddress());
 			CompletableFuture<byte[]> work = new CompletableFuture<>();
 			b.setResponder(MessageKind.KEY_CALL, (sender, body) -> work);
-			federation.await("two connections", () -> a.connections().size() >= 2 && b.connections().size() >= 2);
+			federation.await("connections in both directions", () -> hasBothDirections(a) && hasBothDirections(b));
 			PeerConnection redundant = a.connections()
 				.stream()
 				.filter(PeerConnection::isInitiator)
@@ -231,6 +231,12 @@
 		}
 	}
 
+	private static boolean hasBothDirections(NettyPeerNetwork network) {
+		List<PeerConnection> all = network.connections();
+		return all.stream().anyMatch(PeerConnection::isInitiator)
+				&& all.stream().anyMatch((connection) -> !connection.isInitiator());
+	}
+
 	private static Result<byte[]> await(TestFederation federation, NettyPeerNetwork from, String to, MessageKind kind) {
 		CompletableFuture<Result<byte[]>> answer = call(from, to, kind);
 		federation.await("answer", answer::isDone);
