--- a/bilberryvalve-daemon/src/test/java/io/bilberryvalve/daemon/call/HttpApplicationClientTests.java
+++ b/bilberryvalve-daemon/src/test/java/io/bilberryvalve/daemon/call/HttpApplicationClientTests.java
@@ -82,8 +82,7 @@
 	}
 
 	// Guards against the answer to an earlier call, which a faulty runner writes once
-	// more
-	// on a kept connection, as the answer to a later call.
+	// more on a kept connection, as the answer to a later call.
 	@Example
 	void sendsEachCallOnAConnectionOfItsOwn() throws Exception {
 		String refusal = "HTTP/1.1 503 x\r\ncontent-length: 0\r\n\r\n";
--- a/bilberryvalve-daemon/src/test/java/io/bilberryvalve/daemon/engine/EngineAnswerTests.java
+++ b/bilberryvalve-daemon/src/test/java/io/bilberryvalve/daemon/engine/EngineAnswerTests.java
@@ -41,9 +41,8 @@
 	private static final String TOKEN = "{\"stream\":\"" + REQUEST + "\",\"epoch\":2,\"index\":1,\"text\":\"t1\","
 			+ "\"layers\":[{\"runner\":\"r1\",\"first\":0,\"end\":8}],\"last\":false}";
 
-	// Guards against the text of an error, or an answer that is no stream, in the middle
-	// of
-	// a reply, and against an end that looks complete.
+	// Guards against the text of an error, or an answer that is no stream, in the
+	// middle of a reply, and against an end that looks complete.
 	@Example
 	void reportsEveryAnswerWithoutTokensAsAFailure() throws Exception {
 		for (String answer : List.of(head(500, "text/plain") + "internal error", head(200, "text/plain") + "data oops",
@@ -60,8 +59,7 @@
 	}
 
 	// Guards against a stream without an end after an odd event, which would hang its
-	// reply
-	// until the time limit for silence.
+	// reply until the time limit for silence.
 	@Example
 	void endsAStreamWithOddEvents() throws Exception {
 		for (String odd : List.of("", "null", "7", "[]", "{}", "[".repeat(5000), "{\"epoch\":" + "9".repeat(2000) + "}",
--- a/bilberryvalve-daemon/src/test/java/io/bilberryvalve/daemon/share/OddDemandTests.java
+++ b/bilberryvalve-daemon/src/test/java/io/bilberryvalve/daemon/share/OddDemandTests.java
@@ -25,8 +25,7 @@
 	private static final int STREAMS = 40;
 
 	// Guards against rounds of the admission that end with an exception, and against
-	// limits
-	// out of range, whatever numbers a peer reports.
+	// limits out of range, whatever numbers a peer reports.
 	@Property(tries = 200, seed = "91")
 	void allocatesWhateverAPeerReports(@ForAll long seed) {
 		Random random = new Random(seed);
--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/http/UpstreamConnection.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/http/UpstreamConnection.java
@@ -241,8 +241,7 @@
 	}
 
 	// A success promises nothing about the request, but an error without an identifier
-	// may
-	// be the refusal of an earlier one.
+	// may be the refusal of an earlier one.
 	private boolean mayAnswerEarlierRequest(UpstreamCall current, HttpResponse head) {
 		if (!current.checksAttempt() || current.isNamedIn(head.headers())) {
 			return false;
--- a/bilberryvalve-gateway/src/test/java/io/bilberryvalve/gateway/layers/LayerReconcilerTests.java
+++ b/bilberryvalve-gateway/src/test/java/io/bilberryvalve/gateway/layers/LayerReconcilerTests.java
@@ -303,8 +303,7 @@
 	}
 
 	// Guards against a lease that no daemon acquires any more because of an odd row in
-	// the
-	// store, and against fencing numbers that runners have seen before.
+	// the store, and against fencing numbers that runners have seen before.
 	@Example
 	void unreadableLeaseIsTakenOver() {
 		List<String> odd = List.of("", "{", "[]", "7", "{}", "{\"holder\":7,\"fencing\":1}",
--- a/bilberryvalve-platform/src/main/java/io/bilberryvalve/platform/http/HttpVmList.java
+++ b/bilberryvalve-platform/src/main/java/io/bilberryvalve/platform/http/HttpVmList.java
@@ -29,8 +29,7 @@
 	private static final Logger LOGGER = System.getLogger(HttpVmList.class.getName());
 
 	// Without these limits of the parser, which are meant for trees, the value of one
-	// entry
-	// cannot make the list unreadable.
+	// entry cannot make the list unreadable.
 	private static final JsonFactory JSON = JsonFactory.builder()
 		.streamReadConstraints(StreamReadConstraints.builder()
 			.maxNestingDepth(Integer.MAX_VALUE)
