Obey runners that say that they leave or want no requests for a while

Cause: a runner that leaves says so in its answers, possibly before or without an entry in the list, and an overloaded one asks for a pause in the Retry-After of its 503. Nothing read either, so both went on getting requests.

Change: the head of any response on a runner's connection, also of one that is skipped or refused, is read as a RunnerNotice. A leaving runner is marked in the fleet registry until it starts again under the same identifier, so that attempts, retries, backups, continuations, paths and layer orders avoid it as they avoid one that is listed as leaving. A paused runner gets no request even if no other is left, and a request whose connection was opened slowly is not sent into a pause. While all runners are paused, requests are rejected at once with the time until the first pause ends, unless they can still be on time. A stalled path probes a paused runner once at most. Daemons do not tell each other, since a stale word could empty a service.

--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/fleet/FleetRegistry.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/fleet/FleetRegistry.java
@@ -15,8 +15,10 @@
  * Registry of the runners, kept up to date from the list of runners in the store. While
  * the list cannot be read, the last known runners stay in the registry. Entries that
  * disappear during an outage or shortly after it are kept for a grace period, because
- * they may have expired in the outage and are written again by runners that are alive.
- * Safe for use by several threads; {@link #snapshot()} never blocks.
+ * they may have expired in the outage and are written again by runners that are alive. A
+ * runner that has told this daemon that it leaves stays leaving until it starts again,
+ * whatever its entry says. Safe for use by several threads; {@link #snapshot()} never
+ * blocks.
  */
 public final class FleetRegistry {
 
@@ -28,12 +30,21 @@
 	 */
 	private static final Duration RELIST_GRACE = Duration.ofMillis(2000);
 
+	/**
+	 * Time for which the announcement of a runner that is no longer listed is kept. Its
+	 * entry may come back within seconds of an outage, while it still leaves.
+	 */
+	private static final Duration ANNOUNCEMENT_RETENTION = Duration.ofMinutes(10);
+
 	private final Clock clock;
 
 	private final Map<RunnerId, ListedRunner> listed = new HashMap<>();
 
 	private final Map<RunnerId, Instant> removalTimes = new HashMap<>();
 
+	/** Runners that have told this daemon that they leave. */
+	private final Map<RunnerId, Announcement> announcements = new HashMap<>();
+
 	private final CopyOnWriteArrayList<Runnable> listeners = new CopyOnWriteArrayList<>();
 
 	private volatile FleetSnapshot snapshot = FleetSnapshot.EMPTY;
@@ -87,7 +98,7 @@
 	}
 
 	/**
-	 * Adds a listener that is called after each change.
+	 * Adds a listener that is called after each change of the snapshot.
 	 * @param listener called while the registry is locked; it must not block
 	 */
 	public void onChange(Runnable listener) {
@@ -123,14 +134,17 @@
 	 * @param runners all entries of the list
 	 */
 	public synchronized void replace(Map<RunnerId, ListedRunner> runners) {
+		boolean changed = !this.loaded;
 		for (RunnerId id : List.copyOf(this.listed.keySet())) {
 			if (!runners.containsKey(id)) {
-				removeOrDefer(id);
+				changed |= removeOrDefer(id);
 			}
 		}
-		runners.values().forEach(this::put);
+		for (ListedRunner runner : runners.values()) {
+			changed |= put(runner);
+		}
 		this.loaded = true;
-		publish();
+		publishIf(changed);
 	}
 
 	/**
@@ -139,15 +153,40 @@
 	 * removed
 	 */
 	public synchronized void update(Map<RunnerId, ListedRunner> changes) {
-		changes.forEach((id, runner) -> {
-			if (runner == null) {
-				removeOrDefer(id);
-			}
-			else {
-				put(runner);
-			}
-		});
-		publish();
+		boolean changed = false;
+		for (Map.Entry<RunnerId, ListedRunner> change : changes.entrySet()) {
+			ListedRunner runner = change.getValue();
+			changed |= (runner != null) ? put(runner) : removeOrDefer(change.getKey());
+		}
+		publishIf(changed);
+	}
+
+	/**
+	 * Records that a runner has told this daemon that it leaves. It gets no new requests
+	 * from now on, although its entry may not say so yet or may never do. A later start
+	 * with the same identifier is not affected.
+	 * @param runner entry of the runner when the request was sent to which it said so
+	 * @return whether it was not known before
+	 */
+	public synchronized boolean recordLeaving(ListedRunner runner) {
+		ListedRunner now = this.listed.get(runner.id());
+		boolean restarted = now != null && now.startedMillis() != runner.startedMillis();
+		if (restarted || isAnnounced(runner)) {
+			return false;
+		}
+		this.announcements.put(runner.id(), new Announcement(runner.startedMillis(), this.clock.instant()));
+		LogEvent.of("runner-leaving")
+			.with("runner", runner.id())
+			.with("started", runner.startedMillis())
+			.with("listed-as-leaving", (now != null) ? now.leaving() : null)
+			.log(LOGGER, System.Logger.Level.INFO);
+		publishIf(now != null && put(now));
+		return true;
+	}
+
+	private boolean isAnnounced(ListedRunner runner) {
+		Announcement announcement = this.announcements.get(runner.id());
+		return announcement != null && announcement.startedMillis == runner.startedMillis();
 	}
 
 	/**
@@ -156,6 +195,9 @@
 	 */
 	public synchronized void removeExpired() {
 		Instant now = this.clock.instant();
+		this.announcements.entrySet()
+			.removeIf((entry) -> !this.listed.containsKey(entry.getKey())
+					&& entry.getValue().at.plus(ANNOUNCEMENT_RETENTION).isBefore(now));
 		boolean changed = this.removalTimes.entrySet().removeIf((entry) -> {
 			boolean gone = !now.isBefore(entry.getValue());
 			if (gone) {
@@ -163,44 +205,61 @@
 			}
 			return gone;
 		});
-		if (changed) {
-			publish();
-		}
+		publishIf(changed);
 	}
 
-	private void put(ListedRunner runner) {
+	// Returns whether the entry differs from the previous one. Most heartbeats of runners
+	// change nothing.
+	private boolean put(ListedRunner entry) {
+		ListedRunner runner = isAnnounced(entry) ? entry.asLeaving() : entry;
 		this.removalTimes.remove(runner.id());
 		ListedRunner before = this.listed.put(runner.id(), runner);
-		if (!runner.equals(before)) {
-			LogEvent.of("runner-listed")
-				.with("runner", runner.id())
-				.with("address", runner.address())
-				.with("leaving", runner.leaving())
-				.with("layers", runner.layers())
-				.log(LOGGER, System.Logger.Level.INFO);
+		if (runner.equals(before)) {
+			return false;
 		}
+		LogEvent.of("runner-listed")
+			.with("runner", runner.id())
+			.with("address", runner.address())
+			.with("leaving", runner.leaving())
+			.with("layers", runner.layers())
+			.log(LOGGER, System.Logger.Level.INFO);
+		return true;
 	}
 
-	private void removeOrDefer(RunnerId id) {
+	// Returns whether the entry was removed now.
+	private boolean removeOrDefer(RunnerId id) {
 		ListedRunner runner = this.listed.get(id);
 		Instant until = this.reachableSince.equals(Instant.MIN) ? Instant.MIN : this.reachableSince.plus(RELIST_GRACE);
 		if (runner != null && !runner.leaving() && (this.unreachable || this.clock.instant().isBefore(until))) {
 			this.removalTimes.putIfAbsent(id, this.unreachable ? this.clock.instant().plus(RELIST_GRACE) : until);
+			return false;
 		}
-		else {
-			remove(id, "removed from the list");
-		}
+		return remove(id, "removed from the list");
 	}
 
-	private void remove(RunnerId id, String reason) {
-		if (this.listed.remove(id) != null) {
+	private boolean remove(RunnerId id, String reason) {
+		boolean removed = this.listed.remove(id) != null;
+		if (removed) {
 			LogEvent.of("runner-gone").with("runner", id).with("reason", reason).log(LOGGER, System.Logger.Level.INFO);
 		}
+		return removed;
 	}
 
-	private void publish() {
-		this.snapshot = new FleetSnapshot(this.listed.values());
-		this.listeners.forEach(Runnable::run);
+	private void publishIf(boolean changed) {
+		if (changed) {
+			this.snapshot = new FleetSnapshot(this.listed.values());
+			this.listeners.forEach(Runnable::run);
+		}
+	}
+
+	/**
+	 * Announcement of a runner that it leaves.
+	 *
+	 * @param startedMillis time of its start on its own clock
+	 * @param at time at which it was first heard
+	 */
+	private record Announcement(long startedMillis, Instant at) {
+
 	}
 
 }
--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/fleet/ListedRunner.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/fleet/ListedRunner.java
@@ -23,4 +23,13 @@
 public record ListedRunner(RunnerId id, Address address, String service, DataCentreId dataCentre, int slots,
 		boolean leaving, @Nullable String card, @Nullable LayerRange layers, long startedMillis) {
 
+	/**
+	 * Returns this entry as that of a runner that accepts no new requests.
+	 * @return the entry with {@link #leaving()} set
+	 */
+	public ListedRunner asLeaving() {
+		return this.leaving ? this : new ListedRunner(this.id, this.address, this.service, this.dataCentre, this.slots,
+				true, this.card, this.layers, this.startedMillis);
+	}
+
 }
--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/http/HeaderNames.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/http/HeaderNames.java
@@ -23,10 +23,11 @@
  * @param responseSignature signature of the runner for its response
  * @param notRun set by a runner that has not run the request
  * @param faultyRunner address of the runner that caused a failure
+ * @param leaving set to 1 by a runner that is about to leave, in all its responses
  */
 public record HeaderNames(String attemptId, String deadline, String apiKey, String team, String expectedRunner,
 		String path, String urgency, String tokenCounts, String promptParts, String expectedAnswerTokens,
-		String lastEventId, String responseSignature, String notRun, String faultyRunner) {
+		String lastEventId, String responseSignature, String notRun, String faultyRunner, String leaving) {
 
 	/**
 	 * Returns the headers of requests to runners that only the router may set. They are
--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/http/UpstreamConnection.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/http/UpstreamConnection.java
@@ -218,6 +218,7 @@
 
 	private void startResponse(UpstreamCall current, HttpResponse head) {
 		HttpHeaders headers = head.headers();
+		current.listener().onAnyHead(head);
 		boolean informational = head.status().codeClass() == HttpStatusClass.INFORMATIONAL;
 		boolean foreign = current.belongsToOtherAttempt(headers);
 		if (!informational && !foreign && mayAnswerEarlierRequest(current, head)) {
--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/http/UpstreamListener.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/http/UpstreamListener.java
@@ -9,6 +9,23 @@
  */
 public interface UpstreamListener {
 
+	/**
+	 * Called before the request is sent, and again if a connection had to be opened
+	 * first, which may have taken long.
+	 * @return whether to send the request; otherwise {@link #onFailure} is called
+	 */
+	default boolean maySend() {
+		return true;
+	}
+
+	/**
+	 * Called for each response that arrives on the connection, including one to another
+	 * request, which is skipped or makes this call fail.
+	 * @param head status and headers
+	 */
+	default void onAnyHead(HttpResponse head) {
+	}
+
 	/**
 	 * Called when the head of the response has arrived.
 	 * @param head status and headers
--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/http/UpstreamPool.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/http/UpstreamPool.java
@@ -62,6 +62,9 @@
 	 * @param call the request and the listener for its response
 	 */
 	public void send(Address address, UpstreamCall call) {
+		if (isWithdrawn(call)) {
+			return;
+		}
 		String key = address.toString();
 		if (!call.requiresNewConnection()) {
 			Deque<UpstreamConnection> connections = this.idle.get(key);
@@ -93,19 +96,31 @@
 				call.request().release();
 				opened.channel().close();
 			}
-			else if (done.isSuccess()) {
-				connection.send(call);
-			}
-			else {
+			else if (!done.isSuccess()) {
 				call.request().release();
 				if (isRefusal(done.cause())) {
 					call.notifyConnectionRefused();
 				}
 				call.fail(false, "no connection: " + done.cause().getMessage());
 			}
+			else if (isWithdrawn(call)) {
+				opened.channel().close();
+			}
+			else {
+				connection.send(call);
+			}
 		});
 	}
 
+	private static boolean isWithdrawn(UpstreamCall call) {
+		if (call.listener().maySend()) {
+			return false;
+		}
+		call.request().release();
+		call.fail(false, "the upstream wants no requests now");
+		return true;
+	}
+
 	/**
 	 * Finds out whether an address refuses connections, as that of a process that has
 	 * ended.
--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/relay/CapacityAllocator.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/relay/CapacityAllocator.java
@@ -12,6 +12,9 @@
  */
 interface CapacityAllocator {
 
+	/** Result of {@link #unavailableMillis} if no runner can serve a request. */
+	long NEVER = Long.MAX_VALUE;
+
 	/**
 	 * Reserves a slot at each runner that the request passes.
 	 * @param size size of the request
@@ -46,9 +49,10 @@
 	boolean recovering();
 
 	/**
-	 * Tells whether any runners could serve a request if they were free.
-	 * @return whether a request may wait for a slot
+	 * Returns when any runners could serve a request if they were free.
+	 * @return time in milliseconds, 0 if there are such runners now, or {@link #NEVER} if
+	 * there will be none without a change of the fleet
 	 */
-	boolean canServe();
+	long unavailableMillis();
 
 }
--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/relay/PathAllocator.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/relay/PathAllocator.java
@@ -4,7 +4,9 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Predicate;
 import java.util.stream.Collectors;
+import java.util.stream.LongStream;
 
 import io.bilberryvalve.gateway.fleet.FleetRegistry;
 import io.bilberryvalve.gateway.fleet.FleetSnapshot;
@@ -12,6 +14,7 @@
 import io.bilberryvalve.gateway.fleet.LoadTracker;
 import io.bilberryvalve.gateway.fleet.ProgressTracker;
 import io.bilberryvalve.gateway.fleet.RunnerAvailability;
+import io.bilberryvalve.gateway.fleet.RunnerPauses;
 import io.bilberryvalve.model.LayerRange;
 import io.bilberryvalve.model.RunnerId;
 import io.bilberryvalve.policy.path.LayerHolder;
@@ -42,18 +45,21 @@
 
 	private final RunnerAvailability runnerAvailability;
 
+	private final RunnerPauses runnerPauses;
+
 	private final ProgressTracker progressTracker;
 
 	private volatile HolderSnapshot holderSnapshot = new HolderSnapshot(FleetSnapshot.EMPTY, List.of());
 
 	PathAllocator(String service, EngineProfile profile, FleetRegistry fleetRegistry, LoadTracker loadTracker,
-			RunnerAvailability runnerAvailability, ProgressTracker progressTracker) {
+			RunnerAvailability runnerAvailability, RunnerPauses runnerPauses, ProgressTracker progressTracker) {
 		this.service = service;
 		this.profile = profile;
 		this.chooser = new PathChooser(profile);
 		this.fleetRegistry = fleetRegistry;
 		this.loadTracker = loadTracker;
 		this.runnerAvailability = runnerAvailability;
+		this.runnerPauses = runnerPauses;
 		this.progressTracker = progressTracker;
 	}
 
@@ -61,13 +67,15 @@
 	public Optional<Reservation> reserve(RequestSize size, Set<RunnerId> excluded) {
 		FleetSnapshot fleet = this.fleetRegistry.snapshot();
 		List<LayerHolder> holders = holders(fleet);
+		Predicate<RunnerId> usable = (runner) -> isUsable(fleet, runner);
 		Optional<LayerPath> path = this.chooser.choose(holders, this.loadTracker, size,
-				(runner) -> !excluded.contains(runner) && usable(runner));
+				usable.and((runner) -> !excluded.contains(runner)));
 		if (path.isEmpty() && !excluded.isEmpty()) {
-			path = this.chooser.choose(holders, this.loadTracker, size, this::usable);
+			path = this.chooser.choose(holders, this.loadTracker, size, usable);
 		}
-		if (path.isEmpty() && !hasUsablePath(holders)) {
-			path = this.chooser.choose(holders, this.loadTracker, size, (runner) -> !excluded.contains(runner));
+		if (path.isEmpty() && !covers(holders, usable)) {
+			path = this.chooser.choose(holders, this.loadTracker, size,
+					(runner) -> !excluded.contains(runner) && pausedMillis(fleet, runner) == 0);
 		}
 		return path.flatMap((chosen) -> reserve(fleet, chosen, size));
 	}
@@ -76,7 +84,8 @@
 	public Optional<Reservation> reserveElsewhere(RequestSize size, Set<RunnerId> avoided) {
 		FleetSnapshot fleet = this.fleetRegistry.snapshot();
 		return this.chooser
-			.choose(holders(fleet), this.loadTracker, size, (runner) -> !avoided.contains(runner) && usable(runner))
+			.choose(holders(fleet), this.loadTracker, size,
+					(runner) -> !avoided.contains(runner) && isUsable(fleet, runner))
 			.flatMap((path) -> reserve(fleet, path, size));
 	}
 
@@ -92,15 +101,20 @@
 				? this.profile.prefillMillis(card, 1, this.loadTracker.of(runner.id()).prefillTokenLayers()) : 0;
 	}
 
-	private boolean usable(RunnerId runner) {
-		return this.runnerAvailability.isUsable(runner) && !this.progressTracker.isSuspected(runner);
+	private boolean isUsable(FleetSnapshot fleet, RunnerId runner) {
+		return this.runnerAvailability.isUsable(runner) && !this.progressTracker.isSuspected(runner)
+				&& pausedMillis(fleet, runner) == 0;
+	}
+
+	private long pausedMillis(FleetSnapshot fleet, RunnerId runner) {
+		return this.runnerPauses.isEmpty() ? 0 : fleet.find(runner).map(this.runnerPauses::remainingMillis).orElse(0L);
 	}
 
-	// Returns whether the usable runners cover all layers when idle. If so, a request
-	// waits for them instead of using a runner that is avoided or suspected of a
-	// stall.
-	private boolean hasUsablePath(List<LayerHolder> holders) {
-		return this.chooser.choose(holders, LoadSource.IDLE, MIN_REQUEST_SIZE, this::usable).isPresent();
+	// Returns whether the allowed runners cover all layers when idle. If usable ones do,
+	// a request waits for them instead of using a runner that is avoided or suspected of
+	// a stall.
+	private boolean covers(List<LayerHolder> holders, Predicate<RunnerId> allowed) {
+		return this.chooser.choose(holders, LoadSource.IDLE, MIN_REQUEST_SIZE, allowed).isPresent();
 	}
 
 	private Optional<Reservation> reserve(FleetSnapshot fleet, LayerPath path, RequestSize size) {
@@ -117,20 +131,25 @@
 	// model, since each data centre is meant to hold all of its layers.
 	@Override
 	public boolean recovering() {
-		return holders(this.fleetRegistry.snapshot()).stream()
+		FleetSnapshot fleet = this.fleetRegistry.snapshot();
+		return holders(fleet).stream()
 			.collect(Collectors.groupingBy(LayerHolder::dataCentre))
 			.values()
 			.stream()
-			.anyMatch((dataCentreHolders) -> this.chooser
-				.choose(dataCentreHolders, LoadSource.IDLE, MIN_REQUEST_SIZE, this::usable)
-				.isEmpty());
+			.anyMatch((dataCentreHolders) -> !covers(dataCentreHolders, (runner) -> isUsable(fleet, runner)));
 	}
 
 	@Override
-	public boolean canServe() {
-		return this.chooser
-			.choose(holders(this.fleetRegistry.snapshot()), LoadSource.IDLE, MIN_REQUEST_SIZE, (runner) -> true)
-			.isPresent();
+	public long unavailableMillis() {
+		FleetSnapshot fleet = this.fleetRegistry.snapshot();
+		List<LayerHolder> holders = holders(fleet);
+		if (covers(holders, (runner) -> pausedMillis(fleet, runner) == 0)) {
+			return 0;
+		}
+		return LongStream.of(this.runnerPauses.remainingMillis())
+			.filter((millis) -> covers(holders, (runner) -> pausedMillis(fleet, runner) <= millis))
+			.findFirst()
+			.orElse(NEVER);
 	}
 
 	// Caches the holders per fleet snapshot: they depend only on the fleet, and each
--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/relay/RelayContext.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/relay/RelayContext.java
@@ -11,9 +11,11 @@
 import java.util.function.Function;
 
 import io.bilberryvalve.gateway.fleet.FleetRegistry;
+import io.bilberryvalve.gateway.fleet.ListedRunner;
 import io.bilberryvalve.gateway.fleet.LoadTracker;
 import io.bilberryvalve.gateway.fleet.ProgressTracker;
 import io.bilberryvalve.gateway.fleet.RunnerAvailability;
+import io.bilberryvalve.gateway.fleet.RunnerPauses;
 import io.bilberryvalve.gateway.http.HeaderNames;
 import io.bilberryvalve.gateway.http.UpstreamPool;
 import io.bilberryvalve.gateway.report.Metrics;
@@ -55,6 +57,8 @@
 
 	private final RunnerAvailability runnerAvailability;
 
+	private final RunnerPauses runnerPauses;
+
 	private final ProgressTracker progressTracker;
 
 	private final PartQuarantine partQuarantine;
@@ -102,6 +106,7 @@
 		this.fleetRegistry = fleetRegistry;
 		this.loadTracker = loadTracker;
 		this.runnerAvailability = runnerAvailability;
+		this.runnerPauses = new RunnerPauses(clock);
 		this.progressTracker = new ProgressTracker(clock);
 		this.partQuarantine = partQuarantine;
 		this.retryBudget = retryBudget;
@@ -151,6 +156,10 @@
 		return this.runnerAvailability;
 	}
 
+	RunnerPauses runnerPauses() {
+		return this.runnerPauses;
+	}
+
 	ProgressTracker progressTracker() {
 		return this.progressTracker;
 	}
@@ -234,6 +243,20 @@
 		return newer;
 	}
 
+	/**
+	 * Records what a runner said about itself in a response.
+	 * @param runner entry of the runner
+	 * @param notice what it said
+	 */
+	void recordNotice(ListedRunner runner, RunnerNotice notice) {
+		if (notice.leaving() && this.fleetRegistry.recordLeaving(runner)) {
+			this.metrics.recordRunnerNotice("leaving");
+		}
+		if (notice.pauseMillis() > 0 && this.runnerPauses.pause(runner, notice.pauseMillis())) {
+			this.metrics.recordRunnerNotice("paused");
+		}
+	}
+
 	ReservationQueue reservationQueue(Service service) {
 		EngineProfile engine = service.engine();
 		return this.queues.compute(service.name(), (name, old) -> {
@@ -256,9 +279,9 @@
 	private CapacityAllocator createAllocator(String service, @Nullable EngineProfile engine) {
 		return (engine != null)
 				? new PathAllocator(service, engine, this.fleetRegistry, this.loadTracker, this.runnerAvailability,
-						this.progressTracker)
+						this.runnerPauses, this.progressTracker)
 				: new RunnerAllocator(service, this.localDataCentre, this.fleetRegistry, this.loadTracker,
-						this.runnerAvailability);
+						this.runnerAvailability, this.runnerPauses);
 	}
 
 	/**
--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/relay/RelayedRequest.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/relay/RelayedRequest.java
@@ -473,7 +473,8 @@
 			requestReservation(decision, targetQueue);
 		}
 		else {
-			giveUp(NOT_RUN_RETRY_MILLIS, reason);
+			long unavailable = (targetQueue != null) ? targetQueue.unavailableMillis() : 0;
+			giveUp(Math.max(NOT_RUN_RETRY_MILLIS, unavailable), reason);
 		}
 	}
 
--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/relay/ReservationQueue.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/relay/ReservationQueue.java
@@ -31,6 +31,12 @@
 	 */
 	private static final long RECOVERY_CHECK_INTERVAL_MILLIS = 200;
 
+	/**
+	 * Interval at which it is checked whether any runners can serve requests. The search
+	 * is needed only when no slot is free, at which many requests may arrive.
+	 */
+	private static final long CAPACITY_CHECK_INTERVAL_MILLIS = 50;
+
 	/**
 	 * Largest number of waiting requests that one dispatch tries; each try searches for a
 	 * path.
@@ -53,6 +59,10 @@
 
 	private final RetryAfter retryAfter = new RetryAfter(new SplittableRandom());
 
+	private long availableAt;
+
+	private long capacityCheckedAt = -CAPACITY_CHECK_INTERVAL_MILLIS;
+
 	private boolean recovering;
 
 	private long recoveryCheckedAt = -RECOVERY_CHECK_INTERVAL_MILLIS;
@@ -84,8 +94,8 @@
 			reservation = (target.size() == 0) ? reserve(request) : Optional.empty();
 			if (reservation.isEmpty()) {
 				long now = this.clock.millis();
-				retryMillis = this.allocator.canServe()
-						? target.offer(request, request.priority(), now, request.waitLimits()) : NO_RUNNER_RETRY_MILLIS;
+				retryMillis = missesCapacity(request, now) ? capacityRetryMillis(now)
+						: target.offer(request, request.priority(), now, request.waitLimits());
 				retryMillis = (retryMillis > 0) ? this.retryAfter.draw(retryMillis, recovering(now)) : 0;
 			}
 		}
@@ -100,6 +110,39 @@
 		}
 	}
 
+	/**
+	 * Returns when the runners of the service can serve requests if they are free.
+	 * @return milliseconds, 0 if there are such runners now
+	 */
+	long unavailableMillis() {
+		synchronized (this.waitQueue) {
+			long now = this.clock.millis();
+			return (availableAt(now) > now) ? capacityRetryMillis(now) : 0;
+		}
+	}
+
+	// Returns whether no runner may be used until the request would be late.
+	private boolean missesCapacity(ReservationRequest request, long now) {
+		WaitQueue.WaitLimits limits = request.waitLimits();
+		long available = availableAt(now);
+		return available > now && available > Math.min(limits.onTimeUntil(), limits.rejectAt());
+	}
+
+	private long capacityRetryMillis(long now) {
+		long available = availableAt(now);
+		return (available == CapacityAllocator.NEVER) ? NO_RUNNER_RETRY_MILLIS : available - now;
+	}
+
+	// Returns the time at which runners can serve a request if they are free.
+	private long availableAt(long now) {
+		if (now - this.capacityCheckedAt >= CAPACITY_CHECK_INTERVAL_MILLIS) {
+			this.capacityCheckedAt = now;
+			long unavailable = this.allocator.unavailableMillis();
+			this.availableAt = (unavailable == CapacityAllocator.NEVER) ? unavailable : now + unavailable;
+		}
+		return this.availableAt;
+	}
+
 	private WaitQueue<ReservationRequest> queueOf(ReservationRequest request) {
 		return request.elsewhereOnly() ? this.backupQueue : this.waitQueue;
 	}
@@ -172,8 +215,13 @@
 
 	private void dispatch(WaitQueue<ReservationRequest> queue, long now, List<Runnable> outcomes) {
 		for (ReservationRequest request : queue.expire(now)) {
-			long retryMillis = this.retryAfter.draw(queue.retryAfterMillis(), recovering(now));
-			outcomes.add(() -> request.receiver().rejected(retryMillis));
+			reject(request, queue.retryAfterMillis(), now, outcomes);
+		}
+		long available = (queue.size() > 0) ? availableAt(now) : now;
+		if (available > now && available != CapacityAllocator.NEVER) {
+			for (ReservationRequest request : queue.expire(available)) {
+				reject(request, available - now, now, outcomes);
+			}
 		}
 		for (ReservationRequest request : queue.peek(now, MAX_DISPATCH_CANDIDATES)) {
 			Optional<Reservation> reservation = reserve(request);
@@ -185,6 +233,11 @@
 		}
 	}
 
+	private void reject(ReservationRequest request, long expectedMillis, long now, List<Runnable> outcomes) {
+		long retryMillis = this.retryAfter.draw(expectedMillis, recovering(now));
+		outcomes.add(() -> request.receiver().rejected(retryMillis));
+	}
+
 	private boolean recovering(long now) {
 		if (now - this.recoveryCheckedAt >= RECOVERY_CHECK_INTERVAL_MILLIS) {
 			this.recoveryCheckedAt = now;
--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/relay/RunnerAllocator.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/relay/RunnerAllocator.java
@@ -4,11 +4,13 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import java.util.stream.Stream;
 
 import io.bilberryvalve.gateway.fleet.FleetRegistry;
 import io.bilberryvalve.gateway.fleet.ListedRunner;
 import io.bilberryvalve.gateway.fleet.LoadTracker;
 import io.bilberryvalve.gateway.fleet.RunnerAvailability;
+import io.bilberryvalve.gateway.fleet.RunnerPauses;
 import io.bilberryvalve.model.DataCentreId;
 import io.bilberryvalve.model.RunnerId;
 import io.bilberryvalve.policy.path.RequestSize;
@@ -30,19 +32,22 @@
 
 	private final RunnerAvailability runnerAvailability;
 
+	private final RunnerPauses runnerPauses;
+
 	RunnerAllocator(String service, DataCentreId localDataCentre, FleetRegistry fleetRegistry, LoadTracker loadTracker,
-			RunnerAvailability runnerAvailability) {
+			RunnerAvailability runnerAvailability, RunnerPauses runnerPauses) {
 		this.service = service;
 		this.localDataCentre = localDataCentre;
 		this.fleetRegistry = fleetRegistry;
 		this.loadTracker = loadTracker;
 		this.runnerAvailability = runnerAvailability;
+		this.runnerPauses = runnerPauses;
 	}
 
 	@Override
 	public Optional<Reservation> reserve(RequestSize size, Set<RunnerId> excluded) {
 		List<ListedRunner> others = runnersWithout(excluded);
-		return reserve(size, others.isEmpty() ? availableRunners() : others);
+		return reserve(size, others.isEmpty() ? openRunners() : others);
 	}
 
 	@Override
@@ -51,7 +56,7 @@
 	}
 
 	private List<ListedRunner> runnersWithout(Set<RunnerId> excluded) {
-		return availableRunners().stream().filter((runner) -> !excluded.contains(runner.id())).toList();
+		return openRunners().stream().filter((runner) -> !excluded.contains(runner.id())).toList();
 	}
 
 	private Optional<Reservation> reserve(RequestSize size, List<ListedRunner> candidates) {
@@ -80,16 +85,16 @@
 	}
 
 	@Override
-	public boolean canServe() {
-		return !availableRunners().isEmpty();
+	public long unavailableMillis() {
+		return presentRunners().mapToLong(this.runnerPauses::remainingMillis).min().orElse(NEVER);
 	}
 
-	private List<ListedRunner> availableRunners() {
-		return this.fleetRegistry.snapshot()
-			.ofService(this.service)
-			.stream()
-			.filter((runner) -> !runner.leaving())
-			.toList();
+	private List<ListedRunner> openRunners() {
+		return presentRunners().filter((runner) -> !this.runnerPauses.isPaused(runner)).toList();
+	}
+
+	private Stream<ListedRunner> presentRunners() {
+		return this.fleetRegistry.snapshot().ofService(this.service).stream().filter((runner) -> !runner.leaving());
 	}
 
 }
--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/relay/RunnerAttempt.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/relay/RunnerAttempt.java
@@ -178,6 +178,16 @@
 		return first;
 	}
 
+	@Override
+	public boolean maySend() {
+		return !this.context.runnerPauses().isPaused(firstRunner());
+	}
+
+	@Override
+	public void onAnyHead(HttpResponse head) {
+		this.context.recordNotice(firstRunner(), RunnerNotice.of(head, this.context.headerNames()));
+	}
+
 	@Override
 	public void onHead(HttpResponse head) {
 		this.stallDetector.recordProgress();
@@ -244,7 +254,9 @@
 			this.listener.notRun(this, faultyRunner());
 			return;
 		}
-		this.context.runnerAvailability().recordFailure(firstRunner().id(), reason);
+		if (sent || maySend()) {
+			this.context.runnerAvailability().recordFailure(firstRunner().id(), reason);
+		}
 		if (sent) {
 			this.listener.brokenOff(this, reason);
 		}
--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/relay/StallDetector.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/relay/StallDetector.java
@@ -152,6 +152,10 @@
 			this.listener.pathStalled(reservation, Set.of(reservation.firstRunner().id()), silenceMillis);
 			return;
 		}
+		if (!this.context.runnerPauses().tryProbe(reservation.firstRunner())) {
+			this.nextProbeAt = now + REPROBE_MILLIS;
+			return;
+		}
 		this.probing = true;
 		this.context.stallProbe()
 			.probe(reservation.firstRunner())
--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/report/Metrics.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/report/Metrics.java
@@ -55,6 +55,12 @@
 		.help("Requests that were not sent, or not again, because a part of the prompt crashes runners")
 		.register(this.registry);
 
+	private final Counter runnerNotices = Counter.builder()
+		.name("bilberryvalve_runner_notices_total")
+		.help("Runners that said in a response that they leave, or that they want no requests for some time")
+		.labelNames("notice")
+		.register(this.registry);
+
 	private final Histogram duration = histogram("bilberryvalve_request_seconds",
 			"Time from a request to the end of its response");
 
@@ -148,6 +154,14 @@
 		this.heldRequests.inc();
 	}
 
+	/**
+	 * Records that a runner said something new about itself in a response.
+	 * @param notice {@code leaving} or {@code paused}
+	 */
+	public void recordRunnerNotice(String notice) {
+		this.runnerNotices.labelValues(notice).inc();
+	}
+
 	/**
 	 * Returns all metrics as text.
 	 * @return the metrics in the Prometheus text format
--- a/bilberryvalve-gateway/src/test/java/io/bilberryvalve/gateway/GatewayTests.java
+++ b/bilberryvalve-gateway/src/test/java/io/bilberryvalve/gateway/GatewayTests.java
@@ -46,7 +46,7 @@
 	private static final int LIMIT_MILLIS = 10_000;
 
 	private static final HeaderNames HEADER_NAMES = new HeaderNames("a", "b", "c", "d", "e", "f", "g", "h", "i", "j",
-			"k", "l", "m", "n");
+			"k", "l", "m", "n", "o");
 
 	private static final EngineProfile PROFILE = new EngineProfile(100, 20, 1000, 100_000, 1, 0.01, 0.01, 200, 2, 500,
 			100, 0, 0, 10, Map.of("card", new CardKind("card", 8000, 2, 2)), Map.of());
--- a/bilberryvalve-gateway/src/test/java/io/bilberryvalve/gateway/fleet/FleetRegistryTests.java
+++ b/bilberryvalve-gateway/src/test/java/io/bilberryvalve/gateway/fleet/FleetRegistryTests.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.Collections;
 import java.util.Map;
+import java.util.concurrent.atomic.AtomicInteger;
 
 import io.bilberryvalve.model.Address;
 import io.bilberryvalve.model.DataCentreId;
@@ -21,8 +22,16 @@
 	private final FleetRegistry registry = new FleetRegistry(this.clock);
 
 	private static ListedRunner runner(boolean leaving) {
+		return runner(leaving, 1);
+	}
+
+	private static ListedRunner runner(boolean leaving, long started) {
 		return new ListedRunner(ID, new Address("10.0.0.1", 80), "app", new DataCentreId("a"), 4, leaving, null, null,
-				1);
+				started);
+	}
+
+	private boolean leaving() {
+		return this.registry.snapshot().find(ID).orElseThrow().leaving();
 	}
 
 	private boolean listed() {
@@ -76,6 +85,68 @@
 		assertThat(listed()).isFalse();
 	}
 
+	// Guards against work for each heartbeat of each runner, of which hundreds arrive in
+	// a second.
+	@Example
+	void entryThatDoesNotChangeChangesNothing() {
+		this.registry.replace(Map.of(ID, runner(false)));
+		AtomicInteger changes = new AtomicInteger();
+		this.registry.onChange(changes::incrementAndGet);
+		FleetSnapshot before = this.registry.snapshot();
+		this.registry.update(Map.of(ID, runner(false)));
+		this.registry.replace(Map.of(ID, runner(false)));
+		this.registry.update(Collections.singletonMap(new RunnerId("unknown"), null));
+		assertThat(this.registry.snapshot()).isSameAs(before);
+		assertThat(changes).hasValue(0);
+		this.registry.update(Map.of(ID, runner(true)));
+		assertThat(changes).hasValue(1);
+	}
+
+	@Example
+	void emptyListCountsAsLoaded() {
+		AtomicInteger changes = new AtomicInteger();
+		this.registry.onChange(changes::incrementAndGet);
+		this.registry.replace(Map.of());
+		assertThat(this.registry.isLoaded()).isTrue();
+		assertThat(changes).hasValue(1);
+	}
+
+	// Guards against requests to a runner that has said that it leaves, when its entry
+	// does not say so or comes back after an outage.
+	@Example
+	void runnerThatSaidThatItLeavesStaysLeaving() {
+		this.registry.replace(Map.of(ID, runner(false)));
+		assertThat(this.registry.recordLeaving(runner(false))).isTrue();
+		assertThat(leaving()).isTrue();
+		assertThat(this.registry.recordLeaving(runner(false))).isFalse();
+		this.registry.update(Map.of(ID, runner(false)));
+		assertThat(leaving()).isTrue();
+		this.registry.update(Collections.singletonMap(ID, null));
+		this.clock.advance(Duration.ofMinutes(1));
+		this.registry.removeExpired();
+		this.registry.replace(Map.of(ID, runner(false)));
+		assertThat(leaving()).isTrue();
+	}
+
+	// Guards against a restarted runner that stays idle because of its predecessor.
+	@Example
+	void runnerThatStartsAgainIsNotLeaving() {
+		this.registry.replace(Map.of(ID, runner(false)));
+		this.registry.recordLeaving(runner(false));
+		this.registry.update(Map.of(ID, runner(false, 2)));
+		assertThat(leaving()).isFalse();
+		assertThat(this.registry.recordLeaving(runner(false, 1))).isFalse();
+		assertThat(leaving()).isFalse();
+	}
+
+	@Example
+	void runnerThatIsNotListedCanSayThatItLeaves() {
+		this.registry.replace(Map.of());
+		assertThat(this.registry.recordLeaving(runner(false))).isTrue();
+		this.registry.update(Map.of(ID, runner(false)));
+		assertThat(leaving()).isTrue();
+	}
+
 	// Guards against requests to a draining runner because an outage hides its removal.
 	@Example
 	void leavingRunnerIsNotKeptAfterAnOutage() {
--- a/bilberryvalve-gateway/src/test/java/io/bilberryvalve/gateway/relay/RelayFixture.java
+++ b/bilberryvalve-gateway/src/test/java/io/bilberryvalve/gateway/relay/RelayFixture.java
@@ -53,7 +53,8 @@
 final class RelayFixture implements AutoCloseable {
 
 	static final HeaderNames HEADER_NAMES = new HeaderNames("x-attempt", "x-deadline", "x-key", "x-team", "x-expect",
-			"x-path", "x-urgency", "x-tokens", "x-parts", "x-hint", "last-event-id", "x-seal", "x-not-run", "x-faulty");
+			"x-path", "x-urgency", "x-tokens", "x-parts", "x-hint", "last-event-id", "x-seal", "x-not-run", "x-faulty",
+			"x-leaving");
 
 	private static final EngineProfile ENGINE = new EngineProfile(100, 4, 1000, 100_000, 1, 0.01, 0.01, 200, 2, 500,
 			100, 0, 0, 10, Map.of("card", new CardKind("card", 8000, 2, 2)), Map.of());
@@ -89,20 +90,26 @@
 		this.context = new RelayContext(HEADER_NAMES, HERE, this.clock, this.fleetRegistry, this.loadTracker,
 				new RunnerAvailability(this.clock), new PartQuarantine(this.crashClock), budget,
 				(first) -> this.stallProbe.probe(first), this::pool);
+		listRunners(1, runners);
+		CallerServer server = new CallerServer(this.transport, () -> LIMITS, this.clock,
+				new RelayHandler(this.context));
+		this.address = server.listen("127.0.0.1", 0);
+	}
+
+	// Lists the given runners as ready and no others. Those with the same place in the
+	// list have the same identifier.
+	void listRunners(long started, ScriptedRunner... runners) {
 		Map<RunnerId, ListedRunner> listed = new HashMap<>();
 		for (int i = 0; i < runners.length; i++) {
 			RunnerId id = new RunnerId("runner-" + i);
-			listed.put(id, new ListedRunner(id, runners[i].address(), "app", HERE, 4, false, null, null, 1));
+			listed.put(id, new ListedRunner(id, runners[i].address(), "app", HERE, 4, false, null, null, started));
 		}
 		if (runners.length > 0) {
 			RunnerId id = new RunnerId("engine");
 			listed.put(id, new ListedRunner(id, runners[0].address(), "model", HERE, 100, false, "card",
-					new LayerRange(0, 4), 1));
+					new LayerRange(0, 4), started));
 		}
 		this.fleetRegistry.replace(listed);
-		CallerServer server = new CallerServer(this.transport, () -> LIMITS, this.clock,
-				new RelayHandler(this.context));
-		this.address = server.listen("127.0.0.1", 0);
 	}
 
 	private UpstreamPool pool(EventLoop loop) {
@@ -145,6 +152,11 @@
 			.scheduleWithFixedDelay(() -> this.context.checkProgress(false), 0, 25, TimeUnit.MILLISECONDS);
 	}
 
+	// Starts to grant free slots to waiting requests, every 50 ms as a gateway does.
+	void startDispatching() {
+		this.transport.next().scheduleWithFixedDelay(this.context::dispatchWaiting, 0, 50, TimeUnit.MILLISECONDS);
+	}
+
 	// Waits until a number of requests are in progress or wait for slots.
 	void awaitActive(int count) {
 		long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(10);
