Keep the load reported by other daemons as a running sum

Cause: each state of another daemon made this one add up the reports of all daemons again, so that the work for states grew with the square of the fleet. The search for a path visited all layers of the model although partial paths end at few of them.

Change: a report changes the sum by its difference to the previous one. The search skips layers that no partial path reaches; its result is the same.

--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/fleet/LoadTracker.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/fleet/LoadTracker.java
@@ -27,7 +27,8 @@
 
 	private final Map<String, Report> reports = new ConcurrentHashMap<>();
 
-	private Map<RunnerId, RunnerLoad> others = Map.of();
+	/** Sum of all reports, kept up to date with each of them. */
+	private final Map<RunnerId, RunnerLoad> others = new HashMap<>();
 
 	/**
 	 * Creates a tracker without load.
@@ -86,6 +87,18 @@
 		}
 	}
 
+	private void changeOthers(RunnerId runner, RunnerLoad before, RunnerLoad after) {
+		if (!after.equals(before)) {
+			RunnerLoad sum = this.others.getOrDefault(runner, RunnerLoad.NONE).plus(after).minus(before);
+			if (sum.equals(RunnerLoad.NONE)) {
+				this.others.remove(runner);
+			}
+			else {
+				this.others.put(runner, sum);
+			}
+		}
+	}
+
 	/**
 	 * Returns the load by requests of this daemon.
 	 * @return load by identifier of the runner or link, without those that have none
@@ -100,8 +113,14 @@
 	 * @param load load by its own requests, by identifier of the runner or link
 	 */
 	public synchronized void applyReport(String daemon, Map<RunnerId, RunnerLoad> load) {
-		this.reports.put(daemon, new Report(this.clock.millis(), load));
-		sumOthers();
+		Report previous = this.reports.put(daemon, new Report(this.clock.millis(), load));
+		Map<RunnerId, RunnerLoad> before = (previous != null) ? previous.load : Map.of();
+		load.forEach((runner, now) -> changeOthers(runner, before.getOrDefault(runner, RunnerLoad.NONE), now));
+		before.forEach((runner, gone) -> {
+			if (!load.containsKey(runner)) {
+				changeOthers(runner, gone, RunnerLoad.NONE);
+			}
+		});
 	}
 
 	/**
@@ -109,17 +128,13 @@
 	 */
 	public synchronized void removeExpired() {
 		long oldest = this.clock.millis() - REPORT_LIFETIME.toMillis();
-		if (this.reports.values().removeIf((report) -> report.millis < oldest)) {
-			sumOthers();
-		}
-	}
-
-	private void sumOthers() {
-		Map<RunnerId, RunnerLoad> sum = new HashMap<>();
-		for (Report report : this.reports.values()) {
-			report.load.forEach((runner, load) -> sum.merge(runner, load, RunnerLoad::plus));
-		}
-		this.others = sum;
+		this.reports.values().removeIf((report) -> {
+			boolean expired = report.millis < oldest;
+			if (expired) {
+				report.load.forEach((runner, gone) -> changeOthers(runner, gone, RunnerLoad.NONE));
+			}
+			return expired;
+		});
 	}
 
 	@Override
--- a/bilberryvalve-policy/src/main/java/io/bilberryvalve/policy/path/PathChooser.java
+++ b/bilberryvalve-policy/src/main/java/io/bilberryvalve/policy/path/PathChooser.java
@@ -159,6 +159,9 @@
 		Optional<LayerPath> run() {
 			int layers = PathChooser.this.profile.layers();
 			for (int layer = 0; layer < layers; layer++) {
+				if (layer > 0 && !isReached(layer)) {
+					continue;
+				}
 				for (Candidate candidate : this.candidates) {
 					LayerRange range = candidate.holder.layers();
 					if (range.first() <= layer && layer < range.end()) {
@@ -175,6 +178,16 @@
 			return (end != null) ? Optional.of(path(end)) : Optional.empty();
 		}
 
+		// Most layers are no boundary of any range, so that no partial path ends there.
+		private boolean isReached(int layer) {
+			for (PartialPath partial : this.best[layer]) {
+				if (partial != null) {
+					return true;
+				}
+			}
+			return false;
+		}
+
 		private void extend(Candidate candidate, int layer) {
 			PartialPath from = (layer > 0) ? cheapest(candidate, layer) : null;
 			boolean full = layer == 0 && candidate.load.firstHops() >= PathChooser.this.profile.slots();
--- a/bilberryvalve-policy/src/main/java/io/bilberryvalve/policy/path/RunnerLoad.java
+++ b/bilberryvalve-policy/src/main/java/io/bilberryvalve/policy/path/RunnerLoad.java
@@ -26,4 +26,14 @@
 				this.firstHops + other.firstHops, this.prefillTokenLayers + other.prefillTokenLayers);
 	}
 
+	/**
+	 * Subtracts a load.
+	 * @param other load to subtract
+	 * @return a new load with the differences
+	 */
+	public RunnerLoad minus(RunnerLoad other) {
+		return new RunnerLoad(this.running - other.running, this.tokenLayers - other.tokenLayers,
+				this.firstHops - other.firstHops, this.prefillTokenLayers - other.prefillTokenLayers);
+	}
+
 }
