Let two daemons read the list of runners often and tell the others

Cause: each daemon polled the list about twice a second, since some heartbeat ended each poll at once, and the operator's table every 1.2 s.

Change: the two present daemons with the least names that serve and reach the store keep that pace. A version that the store does not have causes one read.

Result: TableWatcherTests, SharedPollPaceTests, StateExchangeTests and the other 198 tests of the gateway, 23 of the platform clients and 29 of the adapter pass.

--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/Gateway.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/Gateway.java
@@ -14,6 +14,7 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.function.LongConsumer;
 import java.util.function.Predicate;
 
 import io.bilberryvalve.gateway.fleet.FleetRegistry;
@@ -156,6 +157,8 @@
 
 	private long progressCheckedAt;
 
+	private volatile long runnerListVersion;
+
 	private volatile boolean leaving;
 
 	private boolean left;
@@ -193,7 +196,7 @@
 		this.stateExchange = new StateExchange(transport,
 				new StateExchange.LocalState(settings.vm(), settings.dataCentre(), settings.callerAddress(),
 						settings.stateAddress(), this::isServing, () -> this.leaving, this.fleetRegistry::isReachable,
-						this::configurationVersion),
+						this::configurationVersion, () -> this.runnerListVersion),
 				this.loadTracker, this.runnerAvailability, partQuarantine, clock, incarnation);
 		this.server = new CallerServer(transport, this::callerLimits, clock, new RelayHandler(this.relayContext));
 		LeaseCandidate candidate = new LeaseCandidate(settings.vm() + "/" + incarnation, LEASE_TIMES, clock,
@@ -264,6 +267,37 @@
 		this.stateExchange.onNewerConfiguration((version) -> action.run());
 	}
 
+	/**
+	 * Sets the action to run when another gateway reports a later change of the list of
+	 * runners.
+	 * @param action receives the version of the store with the change, on the event loop
+	 * that receives the report
+	 */
+	public void onNewerRunnerList(LongConsumer action) {
+		this.stateExchange.onNewerRunnerList(action);
+	}
+
+	/**
+	 * Records that the list of runners has changed. If this gateway is one of those that
+	 * read the store often, the others are told.
+	 * @param version version of the store with the change
+	 */
+	public void runnerListChanged(long version) {
+		this.runnerListVersion = Math.max(this.runnerListVersion, version);
+		if (isReader()) {
+			this.stateExchange.sendNowToAll();
+		}
+	}
+
+	/**
+	 * Returns whether this gateway is one of the few that read the store often and tell
+	 * the others of changes.
+	 * @return {@code true} also if no other gateway is heard
+	 */
+	public boolean isReader() {
+		return this.stateExchange.isReader();
+	}
+
 	/**
 	 * Starts to listen for callers and for states of other gateways, registers this
 	 * gateway, and schedules the periodic tasks.
--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/fleet/FleetRegistry.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/fleet/FleetRegistry.java
@@ -132,8 +132,9 @@
 	/**
 	 * Replaces all entries after the whole list has been read.
 	 * @param runners all entries of the list
+	 * @return whether the runners have changed
 	 */
-	public synchronized void replace(Map<RunnerId, ListedRunner> runners) {
+	public synchronized boolean replace(Map<RunnerId, ListedRunner> runners) {
 		boolean changed = !this.loaded;
 		for (RunnerId id : List.copyOf(this.listed.keySet())) {
 			if (!runners.containsKey(id)) {
@@ -145,20 +146,23 @@
 		}
 		this.loaded = true;
 		publishIf(changed);
+		return changed;
 	}
 
 	/**
 	 * Applies changes of single entries.
 	 * @param changes new entry of each changed runner, or {@code null} if the entry was
 	 * removed
+	 * @return whether the runners have changed
 	 */
-	public synchronized void update(Map<RunnerId, ListedRunner> changes) {
+	public synchronized boolean update(Map<RunnerId, ListedRunner> changes) {
 		boolean changed = false;
 		for (Map.Entry<RunnerId, ListedRunner> change : changes.entrySet()) {
 			ListedRunner runner = change.getValue();
 			changed |= (runner != null) ? put(runner) : removeOrDefer(change.getKey());
 		}
 		publishIf(changed);
+		return changed;
 	}
 
 	/**
--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/peer/StateExchange.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/peer/StateExchange.java
@@ -81,6 +81,9 @@
 	/** Silence after which no more states are sent to a daemon. */
 	private static final long TARGET_RETENTION_MILLIS = 60_000;
 
+	/** Number of daemons that read the store often; one of them may fail at any time. */
+	private static final int READERS = 2;
+
 	/** Number of periods between two states to an absent daemon. */
 	private static final int ABSENT_PERIODS = 8;
 
@@ -107,6 +110,9 @@
 	private LongConsumer onNewerConfiguration = (version) -> {
 	};
 
+	private LongConsumer onNewerRunnerList = (version) -> {
+	};
+
 	private @Nullable Channel channel;
 
 	private long sequence;
@@ -148,6 +154,16 @@
 		this.onNewerConfiguration = action;
 	}
 
+	/**
+	 * Sets the action to run when a peer knows a later change of the list of runners than
+	 * this daemon.
+	 * @param action receives the version of the store with the change, on the event loop
+	 * that receives states; it may run several times for one change
+	 */
+	public void onNewerRunnerList(LongConsumer action) {
+		this.onNewerRunnerList = action;
+	}
+
 	/**
 	 * Starts to receive and to send states.
 	 * @throws IllegalStateException if the address cannot be bound
@@ -163,7 +179,7 @@
 					bound.cause());
 		}
 		this.channel = bound.channel();
-		GuardedTask.repeat(bound.channel().eventLoop(), "send-state", this::send,
+		GuardedTask.repeat(bound.channel().eventLoop(), "send-state", () -> send(false),
 				Duration.ofMillis(SEND_PERIOD_MILLIS));
 	}
 
@@ -205,6 +221,18 @@
 			.noneMatch((peer) -> peer.serving() && peer.storeReachable() && peer.vm().compareTo(this.local.vm()) < 0);
 	}
 
+	/**
+	 * Returns whether this daemon is one of the few that read the store often and tell
+	 * the others of changes. All daemons choose those with the least names among the
+	 * daemons that are present, serve and reach the store.
+	 * @return {@code true} if fewer such daemons than needed have lesser names
+	 */
+	public boolean isReader() {
+		return presentPeers().stream()
+			.filter((peer) -> peer.serving() && peer.storeReachable() && peer.vm().compareTo(this.local.vm()) < 0)
+			.count() < READERS;
+	}
+
 	/**
 	 * Returns whether an incarnation of a daemon has ended. It has ended if the daemon
 	 * has become silent, has started again, or no longer serves or reaches the store, or
@@ -232,11 +260,21 @@
 	public void sendNow() {
 		Channel socket = this.channel;
 		if (socket != null) {
-			socket.eventLoop().execute(this::send);
+			socket.eventLoop().execute(() -> send(false));
+		}
+	}
+
+	/**
+	 * Sends the state now to all daemons, including those that get every few states only.
+	 */
+	public void sendNowToAll() {
+		Channel socket = this.channel;
+		if (socket != null) {
+			socket.eventLoop().execute(() -> send(true));
 		}
 	}
 
-	private void send() {
+	private void send(boolean toAll) {
 		Channel socket = this.channel;
 		if (socket == null) {
 			return;
@@ -250,7 +288,7 @@
 		int crossEvery = crossDataCentrePeriods(this.targets.size());
 		this.targets.forEach((address, heard) -> {
 			int every = (now - heard >= absentMillis()) ? ABSENT_PERIODS : near.contains(address) ? 1 : crossEvery;
-			if (this.sequence % every == 0) {
+			if (toAll || this.sequence % every == 0) {
 				socket.write(new DatagramPacket(Unpooled.wrappedBuffer(bytes),
 						new InetSocketAddress(address.host(), address.port())));
 			}
@@ -288,7 +326,8 @@
 			.setServing(this.local.serving().getAsBoolean())
 			.setLeaving(this.local.leaving().getAsBoolean())
 			.setStoreReachable(this.local.storeReachable().getAsBoolean())
-			.setConfiguration(this.local.configurationVersion().getAsLong());
+			.setConfiguration(this.local.configurationVersion().getAsLong())
+			.setRunnerList(this.local.runnerListVersion().getAsLong());
 		this.runnerAvailability.lostRunners().forEach((runner) -> builder.addLostRunners(runner.value()));
 		this.runnerAvailability.changingRunners().forEach((runner) -> builder.addChangingRunners(runner.value()));
 		this.loadTracker.ownLoads()
@@ -312,6 +351,9 @@
 					state.getStoreReachable(), state.getConfiguration(), runners(state.getLostRunnersList()),
 					runners(state.getChangingRunnersList()), this.clock.millis());
 			if (accept(peer)) {
+				if (state.getRunnerList() > this.local.runnerListVersion().getAsLong()) {
+					this.onNewerRunnerList.accept(state.getRunnerList());
+				}
 				this.loadTracker.applyReport(peer.vm(), usage(state));
 				this.runnerAvailability.applyReport(peer.vm(), peer.lostRunners(), peer.changingRunners());
 				this.partQuarantine
@@ -372,10 +414,12 @@
 	 * @param leaving whether it is stopping
 	 * @param storeReachable whether it can reach the store
 	 * @param configurationVersion version of its configuration, 0 for none
+	 * @param runnerListVersion version of the store with the latest change of the list of
+	 * runners that it knows, 0 for none
 	 */
 	public record LocalState(String vm, DataCentreId dataCentre, Address callerAddress, Address stateAddress,
 			BooleanSupplier serving, BooleanSupplier leaving, BooleanSupplier storeReachable,
-			LongSupplier configurationVersion) {
+			LongSupplier configurationVersion, LongSupplier runnerListVersion) {
 
 	}
 
--- a/bilberryvalve-gateway/src/test/java/io/bilberryvalve/gateway/peer/StateExchangeTests.java
+++ b/bilberryvalve-gateway/src/test/java/io/bilberryvalve/gateway/peer/StateExchangeTests.java
@@ -8,6 +8,8 @@
 import java.net.SocketTimeoutException;
 import java.util.Arrays;
 import java.util.Random;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
 import java.util.function.Consumer;
 
 import io.bilberryvalve.gateway.fleet.LoadTracker;
@@ -39,6 +41,10 @@
 
 	private final LoadTracker loadTracker = new LoadTracker(this.clock);
 
+	private final BlockingQueue<Long> newerRunnerLists = new LinkedBlockingQueue<>();
+
+	private StateExchange exchange;
+
 	private long sequence;
 
 	private void with(Check check) throws IOException {
@@ -46,11 +52,13 @@
 				DatagramSocket peer = new DatagramSocket(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0))) {
 			peer.setSoTimeout(ANSWER_MILLIS);
 			Address address = freeAddress();
-			new StateExchange(transport,
+			this.exchange = new StateExchange(transport,
 					new StateExchange.LocalState("self", HERE, address, address, () -> true, () -> false, () -> true,
-							() -> 1),
-					this.loadTracker, new RunnerAvailability(this.clock), new PartQuarantine(this.clock), this.clock, 1)
-				.start();
+							() -> 1, () -> 40),
+					this.loadTracker, new RunnerAvailability(this.clock), new PartQuarantine(this.clock), this.clock,
+					1);
+			this.exchange.onNewerRunnerList(this.newerRunnerLists::add);
+			this.exchange.start();
 			check.run(new Peer(peer, address));
 		}
 	}
@@ -162,6 +170,36 @@
 		});
 	}
 
+	// Guards against a change of the list of runners that daemons notice late which read
+	// the store seldom.
+	@Example
+	void laterRunnerListOfAPeerIsReported() throws IOException, InterruptedException {
+		with((peer) -> {
+			peer.send(state(peer).setRunnerList(39).build().toByteArray());
+			peer.send(state(peer).setRunnerList(40).build().toByteArray());
+			peer.send(state(peer).setRunnerList(41).build().toByteArray());
+			assertThat(isHeard(peer, (state) -> {
+			})).isTrue();
+		});
+		assertThat(this.newerRunnerLists).containsExactly(41L);
+	}
+
+	// Guards against fleets in which all daemons read the store often, or none does.
+	@Example
+	void twoDaemonsWithTheLeastNamesReadOften() throws IOException {
+		with((peer) -> {
+			assertThat(this.exchange.isReader()).isTrue();
+			assertThat(isHeard(peer, (state) -> state.setVm("a"))).isTrue();
+			assertThat(isHeard(peer, (state) -> state.setVm("z"))).isTrue();
+			assertThat(this.exchange.isReader()).isTrue();
+			assertThat(isHeard(peer, (state) -> state.setVm("b"))).isTrue();
+			assertThat(this.exchange.isReader()).isFalse();
+			peer.send(state(peer).setVm("b").setStoreReachable(false).build().toByteArray());
+			assertThat(isHeard(peer, (state) -> state.setVm("z"))).isTrue();
+			assertThat(this.exchange.isReader()).isTrue();
+		});
+	}
+
 	/** Check that uses a running exchange. */
 	private interface Check {
 
--- a/bilberryvalve-platform/src/main/java/io/bilberryvalve/platform/watch/TableWatcher.java
+++ b/bilberryvalve-platform/src/main/java/io/bilberryvalve/platform/watch/TableWatcher.java
@@ -1,10 +1,10 @@
 package io.bilberryvalve.platform.watch;
 
-import java.time.Duration;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
@@ -14,6 +14,7 @@
 import io.bilberryvalve.platform.ReadResult;
 import io.bilberryvalve.platform.Row;
 import io.bilberryvalve.platform.StoreFailure;
+import org.jspecify.annotations.Nullable;
 
 /**
  * Keeps a listener informed of the rows of a table. The watcher reads a snapshot and then
@@ -28,12 +29,6 @@
 
 	private static final System.Logger LOGGER = System.getLogger(TableWatcher.class.getName());
 
-	/**
-	 * Delay before the next read after a change. Changes often come in groups; reading
-	 * several at once saves calls and delays them little.
-	 */
-	private static final long BATCH_DELAY_MILLIS = 120;
-
 	private static final long INITIAL_BACKOFF_MILLIS = 150;
 
 	/**
@@ -49,7 +44,7 @@
 
 	private final ScheduledExecutorService timer;
 
-	private final Supplier<Duration> pollWait;
+	private final PollPace pace;
 
 	private final Listener listener;
 
@@ -59,6 +54,12 @@
 
 	private boolean unavailable;
 
+	/** Latest version for which changes were read early. */
+	private long caughtUp;
+
+	/** The read of changes that is scheduled, unless one is in progress. */
+	private @Nullable ScheduledFuture<?> nextRead;
+
 	private long backoffMillis = INITIAL_BACKOFF_MILLIS;
 
 	private volatile long nextRefreshNanos;
@@ -69,16 +70,15 @@
 	 * @param feed store of the table
 	 * @param timer runs the steps of the watcher and its listener, one at a time; owned
 	 * by the caller
-	 * @param pollWait supplies the longest wait of the store for a change; a poll that
-	 * the store loses delays the next change by about this time
+	 * @param pace decides how often the store is asked for changes
 	 * @param listener receives the rows, one call at a time
 	 */
-	public TableWatcher(String table, TableFeed feed, ScheduledExecutorService timer, Supplier<Duration> pollWait,
+	public TableWatcher(String table, TableFeed feed, ScheduledExecutorService timer, PollPace pace,
 			Listener listener) {
 		this.table = table;
 		this.feed = feed;
 		this.timer = timer;
-		this.pollWait = pollWait;
+		this.pace = pace;
 		this.listener = listener;
 	}
 
@@ -108,6 +108,22 @@
 		});
 	}
 
+	/**
+	 * Reads the changes up to a version now if the next read is scheduled for later.
+	 * Callers use this when they learn that the table has changed. Each version has an
+	 * effect once, so that a wrong one does not cause many reads.
+	 * @param known version of the change
+	 */
+	public void catchUp(long known) {
+		this.timer.execute(() -> {
+			ScheduledFuture<?> scheduled = this.nextRead;
+			if (known > Math.max(this.version, this.caughtUp) && scheduled != null && scheduled.cancel(false)) {
+				this.caughtUp = known;
+				readChanges();
+			}
+		});
+	}
+
 	private void readSnapshot() {
 		read(() -> this.feed.snapshot(this.table), this::handleSnapshot);
 	}
@@ -153,7 +169,8 @@
 	}
 
 	private void readChanges() {
-		read(() -> this.feed.changes(this.table, this.version, this.pollWait.get()), this::handleChanges);
+		this.nextRead = null;
+		read(() -> this.feed.changes(this.table, this.version, this.pace.longestWait()), this::handleChanges);
 	}
 
 	private void handleChanges(ReadResult<TableFeed.Changes> result) {
@@ -162,7 +179,8 @@
 			this.version = Math.max(this.version, found.value().version());
 			if (!found.value().changes().isEmpty()) {
 				notifyListener(() -> this.listener.onChanges(found.value().changes()));
-				this.timer.schedule(this::readChanges, BATCH_DELAY_MILLIS, TimeUnit.MILLISECONDS);
+				this.nextRead = this.timer.schedule(this::readChanges, this.pace.delayAfterChange().toMillis(),
+						TimeUnit.MILLISECONDS);
 			}
 			else {
 				readChanges();
--- a/bilberryvalve-platform/src/test/java/io/bilberryvalve/platform/watch/ManualScheduler.java
+++ b/bilberryvalve-platform/src/test/java/io/bilberryvalve/platform/watch/ManualScheduler.java
@@ -17,6 +17,8 @@
 
 	private final Deque<Runnable> tasks = new ArrayDeque<>();
 
+	private final Deque<Delayed> delayed = new ArrayDeque<>();
+
 	private final List<RuntimeException> failures = new ArrayList<>();
 
 	ManualScheduler() {
@@ -30,8 +32,10 @@
 
 	@Override
 	public ScheduledFuture<?> schedule(Runnable task, long delay, TimeUnit unit) {
-		this.tasks.add(task);
-		return super.schedule((Callable<Void>) () -> null, Long.MAX_VALUE / 2, TimeUnit.NANOSECONDS);
+		ScheduledFuture<?> future = super.schedule((Callable<Void>) () -> null, Long.MAX_VALUE / 2,
+				TimeUnit.NANOSECONDS);
+		this.delayed.add(new Delayed(task, future));
+		return future;
 	}
 
 	void runAll() {
@@ -40,10 +44,23 @@
 	}
 
 	/**
-	 * Runs the queued tasks. As on an event loop, a task that throws does not stop the
-	 * others.
+	 * Runs the queued tasks, and those that were scheduled and not cancelled.
 	 */
 	void runAvailable() {
+		runUndelayed();
+		for (Delayed next = this.delayed.poll(); next != null; next = this.delayed.poll()) {
+			if (!next.future.isCancelled()) {
+				this.tasks.add(next.task);
+			}
+			runUndelayed();
+		}
+	}
+
+	/**
+	 * Runs the queued tasks but not those that were scheduled for later. As on an event
+	 * loop, a task that throws does not stop the others.
+	 */
+	void runUndelayed() {
 		for (Runnable task = this.tasks.poll(); task != null; task = this.tasks.poll()) {
 			try {
 				task.run();
@@ -54,4 +71,14 @@
 		}
 	}
 
+	/**
+	 * A task that was scheduled.
+	 *
+	 * @param task the task
+	 * @param future tells whether it was cancelled
+	 */
+	private record Delayed(Runnable task, ScheduledFuture<?> future) {
+
+	}
+
 }
--- a/bilberryvalve-platform/src/test/java/io/bilberryvalve/platform/watch/TableWatcherTests.java
+++ b/bilberryvalve-platform/src/test/java/io/bilberryvalve/platform/watch/TableWatcherTests.java
@@ -29,7 +29,8 @@
 
 	private final List<String> events = new ArrayList<>();
 
-	private final TableWatcher watch = new TableWatcher("t", this.feed, this.timer, () -> Duration.ofSeconds(1),
+	private final TableWatcher watch = new TableWatcher("t", this.feed, this.timer,
+			new SharedPollPace(new PollBudget(1, 1), () -> 1, () -> false, Duration.ZERO, Duration.ofSeconds(1)),
 			new Recorder());
 
 	private static Row row(String value) {
@@ -138,6 +139,42 @@
 		assertThat(this.events).containsExactly("available", "replaced one");
 	}
 
+	// Guards against a change that is noticed only at the next poll although another
+	// daemon has told of it.
+	@Example
+	void readsChangesEarlyOnceTheyAreKnown() {
+		this.feed.snapshots.add(snapshot(5, "one"));
+		this.feed.changes.add(change(7, "two"));
+		this.feed.changes.add(change(9, "three"));
+		this.watch.start();
+		this.timer.runUndelayed();
+		assertThat(this.feed.after).containsExactly(5L);
+		this.watch.catchUp(7);
+		this.timer.runUndelayed();
+		assertThat(this.feed.after).as("a known version").containsExactly(5L);
+		this.watch.catchUp(8);
+		this.timer.runUndelayed();
+		assertThat(this.feed.after).containsExactly(5L, 7L);
+		assertThat(this.events).endsWith("changed two", "changed three");
+	}
+
+	// Guards against a read for each message of a daemon that reports a version which the
+	// store does not have.
+	@Example
+	void wrongVersionCausesOneRead() {
+		this.feed.snapshots.add(snapshot(5, "one"));
+		this.feed.changes.add(change(7, "two"));
+		this.feed.changes.add(change(9, "three"));
+		this.feed.changes.add(change(11, "four"));
+		this.watch.start();
+		this.timer.runUndelayed();
+		for (int i = 0; i < 3; i++) {
+			this.watch.catchUp(Long.MAX_VALUE);
+			this.timer.runUndelayed();
+		}
+		assertThat(this.feed.after).containsExactly(5L, 7L);
+	}
+
 	private final class Recorder implements TableWatcher.Listener {
 
 		@Override
--- a/bilberryvalve-wire/src/main/java/io/bilberryvalve/wire/proto/LoadMessages.java
+++ b/bilberryvalve-wire/src/main/java/io/bilberryvalve/wire/proto/LoadMessages.java
@@ -331,6 +331,16 @@
      */
     io.bilberryvalve.wire.proto.LoadMessages.PromptPartOrBuilder getPromptPartsOrBuilder(
         int index);
+
+    /**
+     * <pre>
+     * Version of the store with the latest change of the list of runners that this daemon knows, 0 for none.
+     * </pre>
+     *
+     * <code>int64 runner_list = 15;</code>
+     * @return The runnerList.
+     */
+    long getRunnerList();
   }
   /**
    * <pre>
@@ -881,6 +891,21 @@
       return promptParts_.get(index);
     }
 
+    public static final int RUNNER_LIST_FIELD_NUMBER = 15;
+    private long runnerList_ = 0L;
+    /**
+     * <pre>
+     * Version of the store with the latest change of the list of runners that this daemon knows, 0 for none.
+     * </pre>
+     *
+     * <code>int64 runner_list = 15;</code>
+     * @return The runnerList.
+     */
+    @java.lang.Override
+    public long getRunnerList() {
+      return runnerList_;
+    }
+
     private byte memoizedIsInitialized = -1;
     @java.lang.Override
     public final boolean isInitialized() {
@@ -937,6 +962,9 @@
       for (int i = 0; i < promptParts_.size(); i++) {
         output.writeMessage(14, promptParts_.get(i));
       }
+      if (runnerList_ != 0L) {
+        output.writeInt64(15, runnerList_);
+      }
       getUnknownFields().writeTo(output);
     }
 
@@ -1006,6 +1034,10 @@
         size += com.google.protobuf.CodedOutputStream
           .computeMessageSize(14, promptParts_.get(i));
       }
+      if (runnerList_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeInt64Size(15, runnerList_);
+      }
       size += getUnknownFields().getSerializedSize();
       memoizedSize = size;
       return size;
@@ -1049,6 +1081,8 @@
           .equals(other.getChangingRunnersList())) return false;
       if (!getPromptPartsList()
           .equals(other.getPromptPartsList())) return false;
+      if (getRunnerList()
+          != other.getRunnerList()) return false;
       if (!getUnknownFields().equals(other.getUnknownFields())) return false;
       return true;
     }
@@ -1102,6 +1136,9 @@
         hash = (37 * hash) + PROMPT_PARTS_FIELD_NUMBER;
         hash = (53 * hash) + getPromptPartsList().hashCode();
       }
+      hash = (37 * hash) + RUNNER_LIST_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getRunnerList());
       hash = (29 * hash) + getUnknownFields().hashCode();
       memoizedHashCode = hash;
       return hash;
@@ -1265,6 +1302,7 @@
           promptPartsBuilder_.clear();
         }
         bitField0_ = (bitField0_ & ~0x00002000);
+        runnerList_ = 0L;
         return this;
       }
 
@@ -1358,6 +1396,9 @@
           changingRunners_.makeImmutable();
           result.changingRunners_ = changingRunners_;
         }
+        if (((from_bitField0_ & 0x00004000) != 0)) {
+          result.runnerList_ = runnerList_;
+        }
       }
 
       @java.lang.Override
@@ -1482,6 +1523,9 @@
             }
           }
         }
+        if (other.getRunnerList() != 0L) {
+          setRunnerList(other.getRunnerList());
+        }
         this.mergeUnknownFields(other.getUnknownFields());
         onChanged();
         return this;
@@ -1596,6 +1640,11 @@
                 }
                 break;
               } // case 114
+              case 120: {
+                runnerList_ = input.readInt64();
+                bitField0_ |= 0x00004000;
+                break;
+              } // case 120
               default: {
                 if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                   done = true; // was an endgroup tag
@@ -3143,6 +3192,50 @@
         return promptPartsBuilder_;
       }
 
+      private long runnerList_ ;
+      /**
+       * <pre>
+       * Version of the store with the latest change of the list of runners that this daemon knows, 0 for none.
+       * </pre>
+       *
+       * <code>int64 runner_list = 15;</code>
+       * @return The runnerList.
+       */
+      @java.lang.Override
+      public long getRunnerList() {
+        return runnerList_;
+      }
+      /**
+       * <pre>
+       * Version of the store with the latest change of the list of runners that this daemon knows, 0 for none.
+       * </pre>
+       *
+       * <code>int64 runner_list = 15;</code>
+       * @param value The runnerList to set.
+       * @return This builder for chaining.
+       */
+      public Builder setRunnerList(long value) {
+
+        runnerList_ = value;
+        bitField0_ |= 0x00004000;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * Version of the store with the latest change of the list of runners that this daemon knows, 0 for none.
+       * </pre>
+       *
+       * <code>int64 runner_list = 15;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearRunnerList() {
+        bitField0_ = (bitField0_ & ~0x00004000);
+        runnerList_ = 0L;
+        onChanged();
+        return this;
+      }
+
       // @@protoc_insertion_point(builder_scope:bilberryvalve.load.DaemonState)
     }
 
@@ -5771,7 +5864,7 @@
       descriptor;
   static {
     java.lang.String[] descriptorData = {
-      "\n\nload.proto\022\022bilberryvalve.load\"\354\002\n\013Dae" +
+      "\n\nload.proto\022\022bilberryvalve.load\"\201\003\n\013Dae" +
       "monState\022\n\n\002vm\030\001 \001(\t\022\023\n\013incarnation\030\002 \001(" +
       "\003\022\020\n\010sequence\030\003 \001(\003\022\023\n\013data_centre\030\004 \001(\t" +
       "\022\026\n\016caller_address\030\005 \001(\t\022\025\n\rstate_addres" +
@@ -5780,16 +5873,17 @@
       "oad.RunnerUsage\022\017\n\007leaving\030\n \001(\010\022\027\n\017stor" +
       "e_reachable\030\013 \001(\010\022\024\n\014lost_runners\030\014 \003(\t\022" +
       "\030\n\020changing_runners\030\r \003(\t\0224\n\014prompt_part" +
-      "s\030\016 \003(\0132\036.bilberryvalve.load.PromptPart\"" +
-      "x\n\nPromptPart\022\014\n\004part\030\001 \001(\t\0220\n\007crashes\030\002" +
-      " \003(\0132\037.bilberryvalve.load.PromptCrash\022\031\n" +
-      "\014answered_age\030\003 \001(\003H\000\210\001\001B\017\n\r_answered_ag" +
-      "e\":\n\013PromptCrash\022\016\n\006prompt\030\001 \001(\006\022\013\n\003age\030" +
-      "\002 \001(\003\022\016\n\006runner\030\003 \001(\006\"l\n\013RunnerUsage\022\016\n\006" +
-      "runner\030\001 \001(\t\022\017\n\007running\030\002 \001(\005\022\024\n\014token_l" +
-      "ayers\030\003 \001(\003\022\017\n\007entered\030\004 \001(\005\022\025\n\runread_l" +
-      "ayers\030\005 \001(\003B+\n\033io.bilberryvalve.wire.pro" +
-      "toB\014LoadMessagesb\006proto3"
+      "s\030\016 \003(\0132\036.bilberryvalve.load.PromptPart\022" +
+      "\023\n\013runner_list\030\017 \001(\003\"x\n\nPromptPart\022\014\n\004pa" +
+      "rt\030\001 \001(\t\0220\n\007crashes\030\002 \003(\0132\037.bilberryvalv" +
+      "e.load.PromptCrash\022\031\n\014answered_age\030\003 \001(\003" +
+      "H\000\210\001\001B\017\n\r_answered_age\":\n\013PromptCrash\022\016\n" +
+      "\006prompt\030\001 \001(\006\022\013\n\003age\030\002 \001(\003\022\016\n\006runner\030\003 \001" +
+      "(\006\"l\n\013RunnerUsage\022\016\n\006runner\030\001 \001(\t\022\017\n\007run" +
+      "ning\030\002 \001(\005\022\024\n\014token_layers\030\003 \001(\003\022\017\n\007ente" +
+      "red\030\004 \001(\005\022\025\n\runread_layers\030\005 \001(\003B+\n\033io.b" +
+      "ilberryvalve.wire.protoB\014LoadMessagesb\006p" +
+      "roto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -5800,7 +5894,7 @@
     internal_static_bilberryvalve_load_DaemonState_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_bilberryvalve_load_DaemonState_descriptor,
-        new java.lang.String[] { "Vm", "Incarnation", "Sequence", "DataCentre", "CallerAddress", "StateAddress", "Serving", "Configuration", "Usage", "Leaving", "StoreReachable", "LostRunners", "ChangingRunners", "PromptParts", });
+        new java.lang.String[] { "Vm", "Incarnation", "Sequence", "DataCentre", "CallerAddress", "StateAddress", "Serving", "Configuration", "Usage", "Leaving", "StoreReachable", "LostRunners", "ChangingRunners", "PromptParts", "RunnerList", });
     internal_static_bilberryvalve_load_PromptPart_descriptor =
       getDescriptor().getMessageType(1);
     internal_static_bilberryvalve_load_PromptPart_fieldAccessorTable = new
