Take a success without a length and without a body for cut off

Cause: a runner that stops right behind the head of an answer without a length, and closes, looked like one whose body is empty. Callers got 200 with Content-Length 0, also for bookings.

Change: a success without Content-Length and chunks needs a body, unless it answers HEAD or has status 204. Otherwise the attempt is broken off, so that a lookup is repeated and a booking gets 502. An answer without a length that has a body still ends with its connection, as runners may send it; a reset is no end.

--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/http/UpstreamConnection.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/http/UpstreamConnection.java
@@ -10,6 +10,7 @@
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
@@ -78,6 +79,12 @@
 
 	private boolean reusable = true;
 
+	/**
+	 * Whether the response is a success without framing. If the runner stops behind the
+	 * head, nothing but the missing body shows that the response is not complete.
+	 */
+	private boolean requiresBody;
+
 	private long expectedBytes;
 
 	private long receivedBytes;
@@ -230,6 +237,8 @@
 		this.receivedBytes = 0;
 		this.expectedBytes = HttpUtil.isTransferEncodingChunked(head) ? -1 : HttpUtil.getContentLength(head, -1L);
 		boolean unframed = this.expectedBytes < 0 && !HttpUtil.isTransferEncodingChunked(head);
+		this.requiresBody = unframed && head.status().codeClass() == HttpStatusClass.SUCCESS
+				&& !head.status().equals(HttpResponseStatus.NO_CONTENT) && !isHeadRequested();
 		if (!informational) {
 			this.reusable = !this.foreignReceived && !unframed && HttpUtil.isKeepAlive(head);
 			this.idleMillis = parseIdleMillis(headers);
@@ -274,6 +283,10 @@
 			fail("response ended after " + this.receivedBytes + " of " + this.expectedBytes + " bytes");
 			return;
 		}
+		if (this.requiresBody && this.receivedBytes == 0) {
+			fail("response ended without a body");
+			return;
+		}
 		this.call = null;
 		current.finish();
 		ChannelHandlerContext ctx = this.context;
