Take nothing that a leaving daemon cannot end, and leave within the grace period

Cause: in its first three seconds a leaving daemon accepted any request, so that streams and bookings were cut off when it stopped although other daemons could have served them. The process exited 100 ms after the last requests were ended, whether or not their answers had been sent.

Change: while others serve, a request that cannot be repeated is refused if its time limit ends after the daemon stops, and a stream is rejected as not run, with an early Retry-After, if its runners are expected to end it after that. The process exits once all answers are sent, 300 ms after the end at the latest; requests that arrive meanwhile are ended, too.

--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/Gateway.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/Gateway.java
@@ -111,8 +111,14 @@
 
 	private static final Duration SHUTDOWN_POLL_INTERVAL = Duration.ofMillis(50);
 
-	/** Time in which the last responses are sent before the process exits. */
-	private static final long LAST_RESPONSES_MILLIS = 100;
+	/** Shortest time in which the last responses are sent before the process exits. */
+	private static final long MIN_LAST_RESPONSES_MILLIS = 100;
+
+	/**
+	 * Longest time in which the last responses are sent, if an event loop has a backlog
+	 * or callers read slowly.
+	 */
+	private static final long MAX_LAST_RESPONSES_MILLIS = 300;
 
 	private static final CallerLimits DEFAULT_LIMITS = new CallerLimits(16384, 4 << 20, Duration.ofSeconds(3),
 			Duration.ofSeconds(15));
@@ -161,7 +167,8 @@
 
 	private volatile boolean leaving;
 
-	private boolean left;
+	/** Time at which this gateway left, 0 before. */
+	private long leftAt;
 
 	private volatile int listedGateways;
 
@@ -434,7 +441,7 @@
 				start + Math.min(ACCEPT_WHILE_LEAVING_MILLIS, limit.toMillis() / 2), start + limit.toMillis());
 		this.relayContext.startLeaving(schedule, this::hasServingPeer);
 		CompletableFuture<Void> left = new CompletableFuture<>();
-		GuardedTask.repeat(this.transport.next(), "check-shutdown", () -> checkShutdown(schedule, left),
+		GuardedTask.repeat(this.transport.control(), "check-shutdown", () -> checkShutdown(schedule, left),
 				SHUTDOWN_POLL_INTERVAL);
 		return left;
 	}
@@ -445,11 +452,19 @@
 			this.server.closeIdle();
 		}
 		int unfinished = this.server.unfinishedCount();
-		if (!this.left && schedule.mayStop(now, unfinished, hasServingPeer())) {
-			this.left = true;
+		if (this.leftAt == 0 && schedule.mayStop(now, unfinished, hasServingPeer())) {
+			this.leftAt = now;
 			LogEvent.of("left").with("requests", unfinished).log(LOGGER, System.Logger.Level.INFO);
-			this.relayContext.endAll();
-			this.transport.next().schedule(() -> left.complete(null), LAST_RESPONSES_MILLIS, TimeUnit.MILLISECONDS);
+		}
+		if (this.leftAt == 0) {
+			return;
+		}
+		// Requests may still arrive, and their responses may need several turns of an
+		// event loop.
+		this.relayContext.endAll();
+		long since = now - this.leftAt;
+		if (since >= MAX_LAST_RESPONSES_MILLIS || (since >= MIN_LAST_RESPONSES_MILLIS && unfinished == 0)) {
+			left.complete(null);
 		}
 	}
 
--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/relay/RelayContext.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/relay/RelayContext.java
@@ -326,13 +326,26 @@
 	/**
 	 * Tells whether to reject a new request because this daemon is leaving.
 	 * @param timeoutMillis time limit of the request
+	 * @param repeatable whether the request may be repeated if it is cut off
 	 * @return whether to reject the request; always {@code false} before
 	 * {@link #startLeaving}
 	 */
-	boolean rejectsWhileLeaving(long timeoutMillis) {
+	boolean rejectsWhileLeaving(long timeoutMillis, boolean repeatable) {
 		ShutdownSchedule schedule = this.shutdownSchedule;
-		return schedule != null
-				&& schedule.refuses(this.clock.millis(), timeoutMillis, this.otherDaemonsServe.getAsBoolean());
+		return schedule != null && schedule.refuses(this.clock.millis(), timeoutMillis, repeatable,
+				this.otherDaemonsServe.getAsBoolean());
+	}
+
+	/**
+	 * Tells whether this daemon is leaving and would stop within the answer to a request.
+	 * @param reservation runners to which the request is about to be sent
+	 * @return whether to reject the request instead; always {@code false} before
+	 * {@link #startLeaving}
+	 */
+	boolean stopsWithin(Reservation reservation) {
+		ShutdownSchedule schedule = this.shutdownSchedule;
+		return schedule != null && schedule.outlasts(this.clock.millis(), reservation.expectedMillis(),
+				this.otherDaemonsServe.getAsBoolean());
 	}
 
 	/**
--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/relay/RelayedRequest.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/relay/RelayedRequest.java
@@ -85,6 +85,8 @@
 	 */
 	private static final int CRASH_CHECK_MILLIS = 100;
 
+	private static final String LEAVING_REASON = "this daemon is leaving";
+
 	private static final String HELD_REASON = "a part of the prompt crashes runners";
 
 	private static final double MILLIS_PER_SECOND = 1000;
@@ -203,8 +205,8 @@
 	private void accept(RoutingDecision.Allowed decision) {
 		this.allowed = decision;
 		this.log.routed(decision);
-		if (this.context.rejectsWhileLeaving(decision.timeoutMillis())) {
-			reject(LEAVING_RETRY_MILLIS, "this daemon is leaving");
+		if (this.context.rejectsWhileLeaving(decision.timeoutMillis(), decision.route().isRepeatable())) {
+			reject(LEAVING_RETRY_MILLIS, LEAVING_REASON);
 			return;
 		}
 		if (endIfHeld(this.context.partQuarantine().heldMillis(this.prompt))) {
@@ -233,6 +235,11 @@
 			targetQueue.release(reserved, false);
 			return;
 		}
+		if (!mayHaveRun() && this.context.stopsWithin(reserved)) {
+			targetQueue.release(reserved, false);
+			giveUp(LEAVING_RETRY_MILLIS, LEAVING_REASON);
+			return;
+		}
 		long heldMillis = isAnswered() ? 0 : this.context.partQuarantine().admit(this.prompt);
 		if (heldMillis == 0) {
 			send(decision, targetQueue, reserved);
--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/relay/Reservation.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/relay/Reservation.java
@@ -32,6 +32,16 @@
 		return this.runners.stream().map(ListedRunner::id).toList();
 	}
 
+	/**
+	 * Returns the expected time from the request to the end of its answer.
+	 * @return milliseconds; 0 for an application runner, whose time is not known
+	 */
+	double expectedMillis() {
+		LayerPath layerPath = this.path;
+		return (layerPath != null) ? layerPath.firstTokenMillis() + this.size.answerTokens() * layerPath.tokenMillis()
+				: 0;
+	}
+
 	// Returns the runners that the request uses in order of the path, and then the
 	// links between data centres that it crosses.
 	List<LoadTracker.PathSegment> resources() {
--- a/bilberryvalve-gateway/src/test/java/io/bilberryvalve/gateway/relay/ShutdownTests.java
+++ b/bilberryvalve-gateway/src/test/java/io/bilberryvalve/gateway/relay/ShutdownTests.java
@@ -2,9 +2,11 @@
 
 import java.io.IOException;
 import java.net.Socket;
+import java.nio.charset.StandardCharsets;
 import java.util.Map;
 
 import io.bilberryvalve.model.RunnerId;
+import io.bilberryvalve.policy.membership.ShutdownSchedule;
 import io.bilberryvalve.policy.path.RunnerLoad;
 import net.jqwik.api.Example;
 
@@ -43,6 +45,46 @@
 		}
 	}
 
+	// Guards against streams that are sent to runners by a leaving daemon and cut off
+	// when it stops, although others could have served them.
+	@Example
+	void streamThatWouldBeCutOffIsRejectedByALeavingDaemon() throws IOException {
+		try (ScriptedRunner engine = answering(); RelayFixture router = new RelayFixture(engine).withConfiguration()) {
+			long now = router.millis();
+			router.context().startLeaving(new ShutdownSchedule(now + 60_000, now + 61_000), () -> true);
+			assertThat(exchange(router, "/model/1")).startsWith("HTTP/1.1 200 ");
+			engine.next();
+			router.context().startLeaving(new ShutdownSchedule(now + 60_000, now + 1), () -> true);
+			assertThat(exchange(router, "/model/1")).startsWith("HTTP/1.1 503 ").contains("retry-after: 0.1");
+			assertThat(engine.hasRequest()).isFalse();
+			router.context().startLeaving(new ShutdownSchedule(now + 60_000, now + 1), () -> false);
+			assertThat(exchange(router, "/model/1")).as("no other daemon serves").startsWith("HTTP/1.1 200 ");
+		}
+	}
+
+	// Guards against a booking of which nobody knows whether it was made.
+	@Example
+	void bookingThatMayBeCutOffIsRejectedByALeavingDaemon() throws IOException {
+		try (ScriptedRunner runner = answering(); RelayFixture router = new RelayFixture(runner).withConfiguration()) {
+			long now = router.millis();
+			router.context().startLeaving(new ShutdownSchedule(now + 60_000, now + 3000), () -> true);
+			assertThat(exchange(router, "/book/1")).startsWith("HTTP/1.1 503 ").contains("retry-after: 0.1");
+			assertThat(runner.hasRequest()).isFalse();
+			assertThat(exchange(router, "/read/1")).startsWith("HTTP/1.1 200 ");
+		}
+	}
+
+	private static ScriptedRunner answering() {
+		return new ScriptedRunner((request, count, socket, out) -> out
+			.write(("HTTP/1.1 200 OK\r\nx-attempt: a1\r\nx-seal: s1\r\nContent-Type: text/event-stream\r\n"
+					+ "Content-Length: 16\r\n\r\nid: 1\ndata: ab\n\n")
+				.getBytes(StandardCharsets.ISO_8859_1)));
+	}
+
+	private static String exchange(RelayFixture router, String path) throws IOException {
+		return router.exchange(RelayFixture.request("POST", path, "a1", "Connection: close\r\n", "body"));
+	}
+
 	// Guards against a rejection, which promises that the request has not run.
 	@Example
 	void bookingInProgressIsNotRejectedWhenTheDaemonStops() throws IOException {
--- a/bilberryvalve-policy/src/test/java/io/bilberryvalve/policy/membership/ShutdownScheduleTests.java
+++ b/bilberryvalve-policy/src/test/java/io/bilberryvalve/policy/membership/ShutdownScheduleTests.java
@@ -12,21 +12,40 @@
 	// leaving daemon.
 	@Example
 	void acceptsAllRequestsAtFirst() {
-		assertThat(this.schedule.refuses(2999, 60_000, true)).isFalse();
+		assertThat(this.schedule.refuses(2999, 60_000, true, true)).isFalse();
+		assertThat(this.schedule.refuses(2999, 4501, false, true)).isFalse();
+		assertThat(this.schedule.refuses(2999, 60_000, false, false)).isFalse();
+	}
+
+	// Guards against bookings that are cut off when the daemon stops, so that nobody
+	// knows whether they were made.
+	@Example
+	void refusesWhatMayBeCutOffAndCannotBeRepeated() {
+		assertThat(this.schedule.refuses(0, 7501, false, true)).isTrue();
+		assertThat(this.schedule.refuses(2999, 4502, false, true)).isTrue();
+	}
+
+	// Guards against streams that are sent to runners although the daemon stops before
+	// their end.
+	@Example
+	void answerThatWouldBeCutOffOutlastsTheDaemon() {
+		assertThat(this.schedule.outlasts(2000, 5500, true)).isFalse();
+		assertThat(this.schedule.outlasts(2000, 5501, true)).isTrue();
+		assertThat(this.schedule.outlasts(2000, 5501, false)).isFalse();
 	}
 
 	@Example
 	void refusesRequestsLaterIfOthersServe() {
-		assertThat(this.schedule.refuses(3000, 1, true)).isTrue();
+		assertThat(this.schedule.refuses(3000, 1, true, true)).isTrue();
 	}
 
 	// Guards against requests that no daemon accepts: three daemons leave one after
 	// another while the fourth loses power.
 	@Example
 	void acceptsWhatEndsInTimeWhileNoOtherServes() {
-		assertThat(this.schedule.refuses(4000, 3500, false)).isFalse();
-		assertThat(this.schedule.refuses(4000, 3501, false)).isTrue();
-		assertThat(this.schedule.refuses(7400, 101, false)).isTrue();
+		assertThat(this.schedule.refuses(4000, 3500, false, false)).isFalse();
+		assertThat(this.schedule.refuses(4000, 3501, true, false)).isTrue();
+		assertThat(this.schedule.refuses(7400, 101, true, false)).isTrue();
 	}
 
 	// Guards against a daemon that stops while callers still use its address, while
