Reject requests behind a backlog of the event loop

Cause: when callers are many times as numerous and all repeat, requests wait in the socket buffers for over a second before they are read. Their time limits counted from the reading, and nothing was rejected, so that most were answered after their callers had left.

Change: the last two measured delays of a loop tell its backlog. The time in it counts towards the time limit of a request. From one second on, new requests are rejected as not run, with a Retry-After of one to two backlogs. A single delay, as after a pause of the process, is no backlog.

--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/Gateway.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/Gateway.java
@@ -155,6 +155,8 @@
 
 	private final RelayContext relayContext;
 
+	private final LoopMonitor loopMonitor;
+
 	private final StateExchange stateExchange;
 
 	private final CallerServer server;
@@ -205,6 +207,8 @@
 						settings.stateAddress(), this::isServing, () -> this.leaving, this.fleetRegistry::isReachable,
 						this::configurationVersion, () -> this.runnerListVersion),
 				this.loadTracker, this.runnerAvailability, partQuarantine, clock, incarnation);
+		this.loopMonitor = new LoopMonitor(clock);
+		this.relayContext.useBacklogs(this.loopMonitor::backlog);
 		this.server = new CallerServer(transport, this::callerLimits, clock, new RelayHandler(this.relayContext));
 		LeaseCandidate candidate = new LeaseCandidate(settings.vm() + "/" + incarnation, LEASE_TIMES, clock,
 				new Random(incarnation), this::hasHolderEnded);
@@ -313,7 +317,7 @@
 	public void start() {
 		this.server.listen(this.settings.callerAddress().host(), this.settings.callerAddress().port());
 		this.stateExchange.start();
-		new LoopMonitor(this.clock).start(this.transport.loops(), metrics());
+		this.loopMonitor.start(this.transport.loops(), metrics());
 		register();
 		EventLoop loop = this.transport.next();
 		GuardedTask.repeat(this.transport.control(), "list-gateways", this::listGateways, LIST_INTERVAL);
--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/relay/RelayContext.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/relay/RelayContext.java
@@ -25,6 +25,7 @@
 import io.bilberryvalve.model.log.LogEvent;
 import io.bilberryvalve.model.task.GuardedTask;
 import io.bilberryvalve.policy.membership.ShutdownSchedule;
+import io.bilberryvalve.policy.overload.Backlog;
 import io.bilberryvalve.policy.placement.EngineProfile;
 import io.bilberryvalve.policy.quarantine.PartQuarantine;
 import io.bilberryvalve.policy.retry.RetryBudget;
@@ -45,6 +46,8 @@
 	 */
 	private static final int MAX_PENDING_STARTS = 500;
 
+	private static final Backlog NO_BACKLOG = new Backlog();
+
 	private final HeaderNames headerNames;
 
 	private final DataCentreId localDataCentre;
@@ -80,6 +83,8 @@
 
 	private final Queue<Runnable> pendingStarts = new ConcurrentLinkedQueue<>();
 
+	private volatile Function<EventLoop, Backlog> backlogs = (loop) -> NO_BACKLOG;
+
 	private volatile BooleanSupplier otherDaemonsServe = () -> true;
 
 	private volatile @Nullable ShutdownSchedule shutdownSchedule;
@@ -136,6 +141,18 @@
 		return this.metrics;
 	}
 
+	/**
+	 * Sets the source of the backlogs of event loops, without which there are none.
+	 * @param source returns the backlog of a loop
+	 */
+	public void useBacklogs(Function<EventLoop, Backlog> source) {
+		this.backlogs = source;
+	}
+
+	Backlog backlog(EventLoop loop) {
+		return this.backlogs.apply(loop);
+	}
+
 	HeaderNames headerNames() {
 		return this.headerNames;
 	}
--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/relay/RelayedRequest.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/relay/RelayedRequest.java
@@ -15,6 +15,7 @@
 import io.bilberryvalve.gateway.report.UnansweredCause;
 import io.bilberryvalve.gateway.route.RouteTable;
 import io.bilberryvalve.model.RunnerId;
+import io.bilberryvalve.policy.overload.Backlog;
 import io.bilberryvalve.policy.quarantine.PromptParts;
 import io.bilberryvalve.policy.queue.WaitQueue;
 import io.netty.channel.EventLoop;
@@ -142,7 +143,7 @@
 		this.context = context;
 		this.exchange = exchange;
 		this.loop = (EventLoop) exchange.context().executor();
-		this.arrivedAt = context.clock().millis();
+		this.arrivedAt = context.clock().millis() - context.backlog(this.loop).millis();
 		this.request = new RequestHead(exchange.request().headers(), context.headerNames());
 		this.prompt = this.request.promptParts();
 		this.response = new CallerResponse(exchange, this.request.lastEvent());
@@ -209,6 +210,12 @@
 			reject(LEAVING_RETRY_MILLIS, LEAVING_REASON);
 			return;
 		}
+		Backlog backlog = this.context.backlog(this.loop);
+		if (backlog.rejects()) {
+			reject(backlog.millis() + ThreadLocalRandom.current().nextLong(backlog.millis()),
+					"this daemon has a backlog");
+			return;
+		}
 		if (endIfHeld(this.context.partQuarantine().heldMillis(this.prompt))) {
 			return;
 		}
--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/report/LoopMonitor.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/report/LoopMonitor.java
@@ -2,12 +2,15 @@
 
 import java.time.Clock;
 import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 
 import io.bilberryvalve.model.log.LogEvent;
 import io.bilberryvalve.model.task.GuardedTask;
+import io.bilberryvalve.policy.overload.Backlog;
 
 /**
  * Measures by how much the tasks of event loops run late. All I/O of a loop waits behind
@@ -27,6 +30,8 @@
 
 	private final Clock clock;
 
+	private final Map<ScheduledExecutorService, Backlog> backlogs = new ConcurrentHashMap<>();
+
 	/** Largest delay in milliseconds since the last scrape of the metric. */
 	private final AtomicLong largest = new AtomicLong();
 
@@ -52,10 +57,21 @@
 		}
 	}
 
+	/**
+	 * Returns the backlog of a loop.
+	 * @param loop the loop
+	 * @return its backlog, which is empty until the loop is measured
+	 */
+	public Backlog backlog(ScheduledExecutorService loop) {
+		return this.backlogs.computeIfAbsent(loop, (key) -> new Backlog());
+	}
+
 	private void schedule(int number, ScheduledExecutorService loop) {
 		long due = this.clock.millis() + PERIOD_MILLIS;
 		loop.schedule(() -> {
-			new GuardedTask("record-loop-delay", () -> record(number, this.clock.millis() - due)).run();
+			long delay = this.clock.millis() - due;
+			backlog(loop).record(delay);
+			new GuardedTask("record-loop-delay", () -> record(number, delay)).run();
 			schedule(number, loop);
 		}, PERIOD_MILLIS, TimeUnit.MILLISECONDS);
 	}
