Cost less per request and state in large fleets

Cause: with 216 runners the search for a path took 27 of 100 samples of the event loops of callers: for each pair of partial path and runner it built the identifier of a link and looked up its delay and load, and for each runner it went through the reports of all daemons. States with the usage of all runners crossed between data centres each 0.6 s; they were most of the bytes there.

Change: a search computes the transfers between data centres once, compares costs before it creates a partial path, and reads the reports of other daemons once. Every second state to another data centre leaves out the usage, and reports count for 2.5 s, so that one may be lost.

Tests of paths, availability, states and loads pass; stateWithoutUsageKeepsTheLoad is new.

--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/fleet/LoadTracker.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/fleet/LoadTracker.java
@@ -18,8 +18,11 @@
  */
 public final class LoadTracker implements LoadSource {
 
-	/** Time after which the last report of a daemon no longer counts. */
-	private static final Duration REPORT_LIFETIME = Duration.ofSeconds(2);
+	/**
+	 * Time after which the last report of a daemon no longer counts. Reports of daemons
+	 * in other data centres come every 1.2 s, and one of them may be lost.
+	 */
+	private static final Duration REPORT_LIFETIME = Duration.ofMillis(2500);
 
 	private final Clock clock;
 
--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/fleet/RunnerAvailability.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/fleet/RunnerAvailability.java
@@ -1,6 +1,7 @@
 package io.bilberryvalve.gateway.fleet;
 
 import java.time.Clock;
+import java.util.HashSet;
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
@@ -153,13 +154,10 @@
 	}
 
 	private boolean isReported(RunnerId runner) {
-		return anyReport((report) -> report.lost.contains(runner));
-	}
-
-	private boolean anyReport(Predicate<Report> condition) {
 		long oldest = this.clock.millis() - REPORT_LIFETIME_MILLIS;
-		return !this.reports.isEmpty()
-				&& this.reports.values().stream().anyMatch((report) -> report.at >= oldest && condition.test(report));
+		return !this.reports.isEmpty() && this.reports.values()
+			.stream()
+			.anyMatch((report) -> report.at >= oldest && report.lost.contains(runner));
 	}
 
 	/**
@@ -181,12 +179,35 @@
 	 * @return whether it is neither avoided nor lost nor changing its layers
 	 */
 	public boolean isUsable(RunnerId runner) {
-		Failures record = this.failures.get(runner);
-		Loss loss = this.losses.get(runner);
+		return usableRunners().test(runner);
+	}
+
+	/**
+	 * Returns which runners should get requests now. A search over many runners uses this
+	 * in place of {@link #isUsable}, so that the reports of other daemons are read once.
+	 * @return accepts the runners that are neither avoided nor lost nor changing their
+	 * layers at the time of this call
+	 */
+	public Predicate<RunnerId> usableRunners() {
 		long now = this.clock.millis();
-		boolean avoided = (record != null && now < record.until) || (loss != null && now - loss.at < LOST_MILLIS);
-		return !avoided && !this.changing.contains(runner)
-				&& !anyReport((report) -> report.lost.contains(runner) || report.changing.contains(runner));
+		Set<RunnerId> reported = reportedRunners(now - REPORT_LIFETIME_MILLIS);
+		return (runner) -> {
+			Failures record = this.failures.get(runner);
+			Loss loss = this.losses.get(runner);
+			boolean avoided = (record != null && now < record.until) || (loss != null && now - loss.at < LOST_MILLIS);
+			return !avoided && !this.changing.contains(runner) && !reported.contains(runner);
+		};
+	}
+
+	private Set<RunnerId> reportedRunners(long oldest) {
+		Set<RunnerId> reported = new HashSet<>();
+		for (Report report : this.reports.values()) {
+			if (report.at >= oldest) {
+				reported.addAll(report.lost);
+				reported.addAll(report.changing);
+			}
+		}
+		return reported;
 	}
 
 	/**
--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/peer/StateExchange.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/peer/StateExchange.java
@@ -59,8 +59,9 @@
 	private static final long MIN_ABSENT_MILLIS = 1100;
 
 	/**
-	 * Largest number of periods between two states to another data centre; the loads seen
-	 * there can be that old.
+	 * Largest number of periods between two states to another data centre. Every second
+	 * one leaves out the usage of runners, which is the largest part, so that the loads
+	 * seen there can be twice as old.
 	 */
 	private static final int MAX_CROSS_PERIODS = 4;
 
@@ -281,7 +282,9 @@
 		}
 		this.loadTracker.removeExpired();
 		this.sequence++;
-		byte[] bytes = buildState().toByteArray();
+		DaemonState state = buildState();
+		byte[] whole = state.toByteArray();
+		byte[] brief = state.toBuilder().clearUsage().setWithoutUsage(true).build().toByteArray();
 		long now = this.clock.millis();
 		this.targets.values().removeIf((heard) -> now - heard > TARGET_RETENTION_MILLIS);
 		Set<Address> near = sameDataCentreAddresses();
@@ -289,7 +292,8 @@
 		this.targets.forEach((address, heard) -> {
 			int every = (now - heard >= absentMillis()) ? ABSENT_PERIODS : near.contains(address) ? 1 : crossEvery;
 			if (toAll || this.sequence % every == 0) {
-				socket.write(new DatagramPacket(Unpooled.wrappedBuffer(bytes),
+				boolean shortened = every > 1 && this.sequence / every % 2 != 0;
+				socket.write(new DatagramPacket(Unpooled.wrappedBuffer(shortened ? brief : whole),
 						new InetSocketAddress(address.host(), address.port())));
 			}
 		});
@@ -354,7 +358,9 @@
 				if (state.getRunnerList() > this.local.runnerListVersion().getAsLong()) {
 					this.onNewerRunnerList.accept(state.getRunnerList());
 				}
-				this.loadTracker.applyReport(peer.vm(), usage(state));
+				if (!state.getWithoutUsage()) {
+					this.loadTracker.applyReport(peer.vm(), usage(state));
+				}
 				this.runnerAvailability.applyReport(peer.vm(), peer.lostRunners(), peer.changingRunners());
 				this.partQuarantine
 					.applyReports(state.getPromptPartsList().stream().map(PartReportCodec::decode).toList());
--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/relay/PathAllocator.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/relay/PathAllocator.java
@@ -67,7 +67,7 @@
 	public Optional<Reservation> reserve(RequestSize size, Set<RunnerId> excluded) {
 		FleetSnapshot fleet = this.fleetRegistry.snapshot();
 		List<LayerHolder> holders = holders(fleet);
-		Predicate<RunnerId> usable = (runner) -> isUsable(fleet, runner);
+		Predicate<RunnerId> usable = usableRunners(fleet);
 		Optional<LayerPath> path = this.chooser.choose(holders, this.loadTracker, size,
 				usable.and((runner) -> !excluded.contains(runner)));
 		if (path.isEmpty() && !excluded.isEmpty()) {
@@ -83,9 +83,10 @@
 	@Override
 	public Optional<Reservation> reserveElsewhere(RequestSize size, Set<RunnerId> avoided) {
 		FleetSnapshot fleet = this.fleetRegistry.snapshot();
+		Predicate<RunnerId> usable = usableRunners(fleet);
 		return this.chooser
 			.choose(holders(fleet), this.loadTracker, size,
-					(runner) -> !avoided.contains(runner) && isUsable(fleet, runner))
+					(runner) -> !avoided.contains(runner) && usable.test(runner))
 			.flatMap((path) -> reserve(fleet, path, size));
 	}
 
@@ -101,9 +102,9 @@
 				? this.profile.prefillMillis(card, 1, this.loadTracker.of(runner.id()).prefillTokenLayers()) : 0;
 	}
 
-	private boolean isUsable(FleetSnapshot fleet, RunnerId runner) {
-		return this.runnerAvailability.isUsable(runner) && !this.progressTracker.isSuspected(runner)
-				&& pausedMillis(fleet, runner) == 0;
+	private Predicate<RunnerId> usableRunners(FleetSnapshot fleet) {
+		return this.runnerAvailability.usableRunners()
+			.and((runner) -> !this.progressTracker.isSuspected(runner) && pausedMillis(fleet, runner) == 0);
 	}
 
 	private long pausedMillis(FleetSnapshot fleet, RunnerId runner) {
@@ -132,11 +133,12 @@
 	@Override
 	public boolean recovering() {
 		FleetSnapshot fleet = this.fleetRegistry.snapshot();
+		Predicate<RunnerId> usable = usableRunners(fleet);
 		return holders(fleet).stream()
 			.collect(Collectors.groupingBy(LayerHolder::dataCentre))
 			.values()
 			.stream()
-			.anyMatch((dataCentreHolders) -> !covers(dataCentreHolders, (runner) -> isUsable(fleet, runner)));
+			.anyMatch((dataCentreHolders) -> !covers(dataCentreHolders, usable));
 	}
 
 	@Override
--- a/bilberryvalve-gateway/src/test/java/io/bilberryvalve/gateway/peer/StateExchangeTests.java
+++ b/bilberryvalve-gateway/src/test/java/io/bilberryvalve/gateway/peer/StateExchangeTests.java
@@ -170,6 +170,20 @@
 		});
 	}
 
+	// Guards against loads that vanish because a state leaves them out.
+	@Example
+	void stateWithoutUsageKeepsTheLoad() throws IOException {
+		with((peer) -> {
+			RunnerUsage.Builder usage = RunnerUsage.newBuilder().setRunner("r").setRunning(3);
+			assertThat(isHeard(peer, (state) -> state.addUsage(usage))).isTrue();
+			assertThat(isHeard(peer, (state) -> state.setWithoutUsage(true))).isTrue();
+			assertThat(this.loadTracker.of(new RunnerId("r")).running()).isEqualTo(3);
+			assertThat(isHeard(peer, (state) -> {
+			})).isTrue();
+			assertThat(this.loadTracker.of(new RunnerId("r")).running()).isZero();
+		});
+	}
+
 	// Guards against a change of the list of runners that daemons notice late which read
 	// the store seldom.
 	@Example
--- a/bilberryvalve-policy/src/main/java/io/bilberryvalve/policy/path/PathChooser.java
+++ b/bilberryvalve-policy/src/main/java/io/bilberryvalve/policy/path/PathChooser.java
@@ -139,17 +139,22 @@
 
 		private final @Nullable PartialPath[][] best;
 
+		/** Transfers between data centres, {@code null} where the link is overloaded. */
+		private final @Nullable Transfer[][] transfers;
+
 		Search(List<LayerHolder> usable, LoadSource loadSource, RequestSize size, boolean wholeRanges) {
 			this.loadSource = loadSource;
 			this.size = size;
 			this.wholeRanges = wholeRanges;
 			int layers = PathChooser.this.profile.layers();
+			this.dataCentres = usable.stream().map(LayerHolder::dataCentre).distinct().sorted().toList();
 			this.candidates = usable.stream()
 				.filter((holder) -> holder.layers().end() <= layers)
-				.map((holder) -> new Candidate(holder, loadSource, size, PathChooser.this.profile))
+				.map((holder) -> new Candidate(holder, this.dataCentres.indexOf(holder.dataCentre()), loadSource, size,
+						PathChooser.this.profile))
 				.filter((candidate) -> candidate.maxLayers > 0)
 				.toList();
-			this.dataCentres = usable.stream().map(LayerHolder::dataCentre).distinct().sorted().toList();
+			this.transfers = transfers();
 			this.boundary = new boolean[layers + 1];
 			this.boundary[layers] = true;
 			this.candidates.forEach((candidate) -> this.boundary[candidate.holder.layers().first()] = true);
@@ -196,15 +201,15 @@
 			}
 			int end = candidate.holder.layers().end();
 			int most = Math.min(end, layer + candidate.maxLayers);
-			int dataCentreIndex = this.dataCentres.indexOf(candidate.holder.dataCentre());
+			Transfer transfer = (from != null) ? transfer(from.candidate, candidate) : Transfer.NONE;
+			double startCost = ((from != null) ? from.cost : 0) + ((transfer != null) ? transfer.cost(this.size) : 0);
 			for (int next = layer + 1; next <= most; next++) {
 				if (next == end || (this.boundary[next] && !this.wholeRanges)) {
-					PartialPath partial = new PartialPath(candidate, layer, next, from,
-							(from != null) ? transfer(from.candidate.holder, candidate.holder) : Transfer.NONE,
-							this.size);
-					PartialPath known = this.best[next][dataCentreIndex];
-					if (known == null || partial.cost < known.cost) {
-						this.best[next][dataCentreIndex] = partial;
+					double cost = startCost + candidate.cost(next - layer, this.size);
+					PartialPath known = this.best[next][candidate.dataCentreIndex];
+					if (transfer != null && (known == null || cost < known.cost)) {
+						this.best[next][candidate.dataCentreIndex] = new PartialPath(candidate, layer, next, from,
+								transfer, cost);
 					}
 				}
 			}
@@ -215,7 +220,7 @@
 			double cost = Double.MAX_VALUE;
 			for (PartialPath partial : this.best[layer]) {
 				Transfer transfer = (partial != null && partial.candidate != candidate)
-						? transfer(partial.candidate.holder, candidate.holder) : null;
+						? transfer(partial.candidate, candidate) : null;
 				if (partial != null && transfer != null && partial.cost + transfer.cost(this.size) < cost) {
 					cost = partial.cost + transfer.cost(this.size);
 					result = partial;
@@ -224,15 +229,31 @@
 			return result;
 		}
 
-		// Returns the transfer between two runners, or null if the link is overloaded.
-		private @Nullable Transfer transfer(LayerHolder before, LayerHolder holder) {
+		private @Nullable Transfer transfer(Candidate before, Candidate candidate) {
+			return this.transfers[before.dataCentreIndex][candidate.dataCentreIndex];
+		}
+
+		private @Nullable Transfer[][] transfers() {
+			int count = this.dataCentres.size();
+			Transfer[][] result = new Transfer[count][count];
+			for (int from = 0; from < count; from++) {
+				for (int to = 0; to < count; to++) {
+					result[from][to] = transfer(this.dataCentres.get(from), this.dataCentres.get(to));
+				}
+			}
+			return result;
+		}
+
+		// Returns the transfer between two data centres, or null if the link is
+		// overloaded.
+		private @Nullable Transfer transfer(DataCentreId from, DataCentreId to) {
 			EngineProfile engine = PathChooser.this.profile;
-			double delay = engine.delayMillis(before.dataCentre(), holder.dataCentre());
+			double delay = engine.delayMillis(from, to);
 			double token = engine.linkTransferMillis(1);
-			if (before.dataCentre().equals(holder.dataCentre()) || token == 0) {
+			if (from.equals(to) || token == 0) {
 				return new Transfer(delay, 0, 0);
 			}
-			int running = this.loadSource.of(LoadSource.linkId(before.dataCentre(), holder.dataCentre())).running();
+			int running = this.loadSource.of(LoadSource.linkId(from, to)).running();
 			double typicalTokens = engine.promptTokens() + engine.answerTokens();
 			double utilization = (running + 1) * typicalTokens * token / TYPICAL_RESIDENCE_MILLIS;
 			if (utilization > MAX_LINK_UTILIZATION) {
@@ -249,6 +270,8 @@
 
 		private final LayerHolder holder;
 
+		private final int dataCentreIndex;
+
 		private final RunnerLoad load;
 
 		private final double stepMillis;
@@ -259,8 +282,10 @@
 
 		private final int maxLayers;
 
-		Candidate(LayerHolder holder, LoadSource loadSource, RequestSize size, EngineProfile profile) {
+		Candidate(LayerHolder holder, int dataCentreIndex, LoadSource loadSource, RequestSize size,
+				EngineProfile profile) {
 			this.holder = holder;
+			this.dataCentreIndex = dataCentreIndex;
 			this.load = loadSource.of(holder.runner());
 			int held = holder.layers().size();
 			double batch = (this.load.running() + 1) * BATCH_FRACTION;
@@ -277,6 +302,13 @@
 					: (int) Math.min(held, free / Math.max(1, size.totalTokens()));
 		}
 
+		// Returns the expected time of a request in some layers, with the penalty for the
+		// load.
+		double cost(int layers, RequestSize size) {
+			return this.prefillMillis * layers + size.answerTokens() * this.stepMillis * layers
+					+ this.penaltyMillis * layers;
+		}
+
 	}
 
 	/** The last hop of the cheapest partial path that ends at a layer. */
@@ -295,14 +327,13 @@
 		private final double cost;
 
 		PartialPath(Candidate candidate, int first, int end, @Nullable PartialPath previous, Transfer transfer,
-				RequestSize size) {
+				double cost) {
 			this.candidate = candidate;
 			this.first = first;
 			this.end = end;
 			this.previous = previous;
 			this.transfer = transfer;
-			this.cost = ((previous != null) ? previous.cost : 0) + transfer.cost(size) + prefillMillis()
-					+ size.answerTokens() * stepMillis() + this.candidate.penaltyMillis * (end - first);
+			this.cost = cost;
 		}
 
 		double stepMillis() {
--- a/bilberryvalve-wire/src/main/java/io/bilberryvalve/wire/proto/LoadMessages.java
+++ b/bilberryvalve-wire/src/main/java/io/bilberryvalve/wire/proto/LoadMessages.java
@@ -341,6 +341,16 @@
      * @return The runnerList.
      */
     long getRunnerList();
+
+    /**
+     * <pre>
+     * Whether usage is left out, so that the one sent before still holds.
+     * </pre>
+     *
+     * <code>bool without_usage = 16;</code>
+     * @return The withoutUsage.
+     */
+    boolean getWithoutUsage();
   }
   /**
    * <pre>
@@ -906,6 +916,21 @@
       return runnerList_;
     }
 
+    public static final int WITHOUT_USAGE_FIELD_NUMBER = 16;
+    private boolean withoutUsage_ = false;
+    /**
+     * <pre>
+     * Whether usage is left out, so that the one sent before still holds.
+     * </pre>
+     *
+     * <code>bool without_usage = 16;</code>
+     * @return The withoutUsage.
+     */
+    @java.lang.Override
+    public boolean getWithoutUsage() {
+      return withoutUsage_;
+    }
+
     private byte memoizedIsInitialized = -1;
     @java.lang.Override
     public final boolean isInitialized() {
@@ -965,6 +990,9 @@
       if (runnerList_ != 0L) {
         output.writeInt64(15, runnerList_);
       }
+      if (withoutUsage_ != false) {
+        output.writeBool(16, withoutUsage_);
+      }
       getUnknownFields().writeTo(output);
     }
 
@@ -1038,6 +1066,10 @@
         size += com.google.protobuf.CodedOutputStream
           .computeInt64Size(15, runnerList_);
       }
+      if (withoutUsage_ != false) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeBoolSize(16, withoutUsage_);
+      }
       size += getUnknownFields().getSerializedSize();
       memoizedSize = size;
       return size;
@@ -1083,6 +1115,8 @@
           .equals(other.getPromptPartsList())) return false;
       if (getRunnerList()
           != other.getRunnerList()) return false;
+      if (getWithoutUsage()
+          != other.getWithoutUsage()) return false;
       if (!getUnknownFields().equals(other.getUnknownFields())) return false;
       return true;
     }
@@ -1139,6 +1173,9 @@
       hash = (37 * hash) + RUNNER_LIST_FIELD_NUMBER;
       hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
           getRunnerList());
+      hash = (37 * hash) + WITHOUT_USAGE_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+          getWithoutUsage());
       hash = (29 * hash) + getUnknownFields().hashCode();
       memoizedHashCode = hash;
       return hash;
@@ -1303,6 +1340,7 @@
         }
         bitField0_ = (bitField0_ & ~0x00002000);
         runnerList_ = 0L;
+        withoutUsage_ = false;
         return this;
       }
 
@@ -1399,6 +1437,9 @@
         if (((from_bitField0_ & 0x00004000) != 0)) {
           result.runnerList_ = runnerList_;
         }
+        if (((from_bitField0_ & 0x00008000) != 0)) {
+          result.withoutUsage_ = withoutUsage_;
+        }
       }
 
       @java.lang.Override
@@ -1526,6 +1567,9 @@
         if (other.getRunnerList() != 0L) {
           setRunnerList(other.getRunnerList());
         }
+        if (other.getWithoutUsage() != false) {
+          setWithoutUsage(other.getWithoutUsage());
+        }
         this.mergeUnknownFields(other.getUnknownFields());
         onChanged();
         return this;
@@ -1645,6 +1689,11 @@
                 bitField0_ |= 0x00004000;
                 break;
               } // case 120
+              case 128: {
+                withoutUsage_ = input.readBool();
+                bitField0_ |= 0x00008000;
+                break;
+              } // case 128
               default: {
                 if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                   done = true; // was an endgroup tag
@@ -3236,6 +3285,50 @@
         return this;
       }
 
+      private boolean withoutUsage_ ;
+      /**
+       * <pre>
+       * Whether usage is left out, so that the one sent before still holds.
+       * </pre>
+       *
+       * <code>bool without_usage = 16;</code>
+       * @return The withoutUsage.
+       */
+      @java.lang.Override
+      public boolean getWithoutUsage() {
+        return withoutUsage_;
+      }
+      /**
+       * <pre>
+       * Whether usage is left out, so that the one sent before still holds.
+       * </pre>
+       *
+       * <code>bool without_usage = 16;</code>
+       * @param value The withoutUsage to set.
+       * @return This builder for chaining.
+       */
+      public Builder setWithoutUsage(boolean value) {
+
+        withoutUsage_ = value;
+        bitField0_ |= 0x00008000;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * Whether usage is left out, so that the one sent before still holds.
+       * </pre>
+       *
+       * <code>bool without_usage = 16;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearWithoutUsage() {
+        bitField0_ = (bitField0_ & ~0x00008000);
+        withoutUsage_ = false;
+        onChanged();
+        return this;
+      }
+
       // @@protoc_insertion_point(builder_scope:bilberryvalve.load.DaemonState)
     }
 
@@ -5864,7 +5957,7 @@
       descriptor;
   static {
     java.lang.String[] descriptorData = {
-      "\n\nload.proto\022\022bilberryvalve.load\"\201\003\n\013Dae" +
+      "\n\nload.proto\022\022bilberryvalve.load\"\230\003\n\013Dae" +
       "monState\022\n\n\002vm\030\001 \001(\t\022\023\n\013incarnation\030\002 \001(" +
       "\003\022\020\n\010sequence\030\003 \001(\003\022\023\n\013data_centre\030\004 \001(\t" +
       "\022\026\n\016caller_address\030\005 \001(\t\022\025\n\rstate_addres" +
@@ -5874,16 +5967,16 @@
       "e_reachable\030\013 \001(\010\022\024\n\014lost_runners\030\014 \003(\t\022" +
       "\030\n\020changing_runners\030\r \003(\t\0224\n\014prompt_part" +
       "s\030\016 \003(\0132\036.bilberryvalve.load.PromptPart\022" +
-      "\023\n\013runner_list\030\017 \001(\003\"x\n\nPromptPart\022\014\n\004pa" +
-      "rt\030\001 \001(\t\0220\n\007crashes\030\002 \003(\0132\037.bilberryvalv" +
-      "e.load.PromptCrash\022\031\n\014answered_age\030\003 \001(\003" +
-      "H\000\210\001\001B\017\n\r_answered_age\":\n\013PromptCrash\022\016\n" +
-      "\006prompt\030\001 \001(\006\022\013\n\003age\030\002 \001(\003\022\016\n\006runner\030\003 \001" +
-      "(\006\"l\n\013RunnerUsage\022\016\n\006runner\030\001 \001(\t\022\017\n\007run" +
-      "ning\030\002 \001(\005\022\024\n\014token_layers\030\003 \001(\003\022\017\n\007ente" +
-      "red\030\004 \001(\005\022\025\n\runread_layers\030\005 \001(\003B+\n\033io.b" +
-      "ilberryvalve.wire.protoB\014LoadMessagesb\006p" +
-      "roto3"
+      "\023\n\013runner_list\030\017 \001(\003\022\025\n\rwithout_usage\030\020 " +
+      "\001(\010\"x\n\nPromptPart\022\014\n\004part\030\001 \001(\t\0220\n\007crash" +
+      "es\030\002 \003(\0132\037.bilberryvalve.load.PromptCras" +
+      "h\022\031\n\014answered_age\030\003 \001(\003H\000\210\001\001B\017\n\r_answere" +
+      "d_age\":\n\013PromptCrash\022\016\n\006prompt\030\001 \001(\006\022\013\n\003" +
+      "age\030\002 \001(\003\022\016\n\006runner\030\003 \001(\006\"l\n\013RunnerUsage" +
+      "\022\016\n\006runner\030\001 \001(\t\022\017\n\007running\030\002 \001(\005\022\024\n\014tok" +
+      "en_layers\030\003 \001(\003\022\017\n\007entered\030\004 \001(\005\022\025\n\runre" +
+      "ad_layers\030\005 \001(\003B+\n\033io.bilberryvalve.wire" +
+      ".protoB\014LoadMessagesb\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -5894,7 +5987,7 @@
     internal_static_bilberryvalve_load_DaemonState_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_bilberryvalve_load_DaemonState_descriptor,
-        new java.lang.String[] { "Vm", "Incarnation", "Sequence", "DataCentre", "CallerAddress", "StateAddress", "Serving", "Configuration", "Usage", "Leaving", "StoreReachable", "LostRunners", "ChangingRunners", "PromptParts", "RunnerList", });
+        new java.lang.String[] { "Vm", "Incarnation", "Sequence", "DataCentre", "CallerAddress", "StateAddress", "Serving", "Configuration", "Usage", "Leaving", "StoreReachable", "LostRunners", "ChangingRunners", "PromptParts", "RunnerList", "WithoutUsage", });
     internal_static_bilberryvalve_load_PromptPart_descriptor =
       getDescriptor().getMessageType(1);
     internal_static_bilberryvalve_load_PromptPart_fieldAccessorTable = new
