Keep identifiers of runners between received states

Cause: a third of the processor time for states of other daemons went to checking and comparing the names of the same runners.

Change: the exchange keeps the identifiers that it has checked.

Result: StateExchangeTests and LoadTrackerProperties pass; no separate measurement.

--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/peer/StateExchange.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/peer/StateExchange.java
@@ -82,6 +82,9 @@
 	/** Silence after which no more states are sent to a daemon. */
 	private static final long TARGET_RETENTION_MILLIS = 60_000;
 
+	/** Number of identifiers of runners that are kept; more than a fleet has. */
+	private static final int MAX_KNOWN_RUNNERS = 20_000;
+
 	/** Number of daemons that read the store often; one of them may fail at any time. */
 	private static final int READERS = 2;
 
@@ -118,6 +121,12 @@
 
 	private long sequence;
 
+	/**
+	 * Identifiers in received states, which name the same runners many times a second.
+	 * Confined to the event loop that receives states.
+	 */
+	private final Map<String, RunnerId> knownRunners = new HashMap<>();
+
 	private final VersionLag versionLag;
 
 	/**
@@ -400,11 +409,15 @@
 		return names.stream().map(RunnerId::new).collect(Collectors.toSet());
 	}
 
-	private static Map<RunnerId, RunnerLoad> usage(DaemonState state) {
+	private Map<RunnerId, RunnerLoad> usage(DaemonState state) {
 		Map<RunnerId, RunnerLoad> usage = new HashMap<>();
+		if (this.knownRunners.size() > MAX_KNOWN_RUNNERS) {
+			this.knownRunners.clear();
+		}
 		for (RunnerUsage entry : state.getUsageList()) {
-			usage.put(new RunnerId(entry.getRunner()), new RunnerLoad(entry.getRunning(), entry.getTokenLayers(),
-					entry.getEntered(), entry.getUnreadLayers()));
+			RunnerId runner = this.knownRunners.computeIfAbsent(entry.getRunner(), RunnerId::new);
+			usage.put(runner, new RunnerLoad(entry.getRunning(), entry.getTokenLayers(), entry.getEntered(),
+					entry.getUnreadLayers()));
 		}
 		return usage;
 	}
