Look for callers who left behind a backlog before their requests are sent

Change: while the loop has a backlog of 250 ms or more, a request is sent by a task that runs after the next read.

Result: BacklogOfRequestsTests.requestOfACallerWhoHasLeftIsNotSent fails without the change and passes with it.

--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/relay/RelayedRequest.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/relay/RelayedRequest.java
@@ -237,8 +237,19 @@
 		new PendingReservation(decision, targetQueue).submit(waitLimits, false);
 	}
 
+	// With a backlog, the caller may have left while its request waited in the socket
+	// buffer. Scheduled tasks run after the loop has read that.
 	private void granted(RoutingDecision.Allowed decision, ReservationQueue targetQueue, Reservation reserved) {
-		if (!mayUse(decision)) {
+		if (this.context.backlog(this.loop).mayHideDepartures()) {
+			this.loop.schedule(() -> runSafely(() -> use(decision, targetQueue, reserved)), 1, TimeUnit.MILLISECONDS);
+		}
+		else {
+			use(decision, targetQueue, reserved);
+		}
+	}
+
+	private void use(RoutingDecision.Allowed decision, ReservationQueue targetQueue, Reservation reserved) {
+		if (this.done || !mayUse(decision)) {
 			targetQueue.release(reserved, false);
 			return;
 		}
--- a/bilberryvalve-gateway/src/test/java/io/bilberryvalve/gateway/relay/BacklogOfRequestsTests.java
+++ b/bilberryvalve-gateway/src/test/java/io/bilberryvalve/gateway/relay/BacklogOfRequestsTests.java
@@ -1,8 +1,10 @@
 package io.bilberryvalve.gateway.relay;
 
 import java.io.IOException;
+import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.concurrent.CountDownLatch;
 
 import io.bilberryvalve.policy.overload.Backlog;
 import net.jqwik.api.Example;
@@ -24,10 +26,10 @@
 	}
 
 	private static ScriptedRunner runner() {
-		return new ScriptedRunner((request, count, socket, out) -> out
-			.write(("HTTP/1.1 200 OK\r\nx-attempt: a1\r\nx-seal: s1\r\nContent-Type: text/event-stream\r\n"
-					+ "Content-Length: 16\r\n\r\nid: 1\ndata: ab\n\n")
-				.getBytes(StandardCharsets.ISO_8859_1)));
+		return new ScriptedRunner((request, count, socket, out) -> out.write(
+				("HTTP/1.1 200 OK\r\nx-attempt: a1\r\nx-seal: s1\r\nKeep-Alive: timeout=9\r\nContent-Type: text/event-stream\r\n"
+						+ "Content-Length: 16\r\n\r\nid: 1\ndata: ab\n\n")
+					.getBytes(StandardCharsets.ISO_8859_1)));
 	}
 
 	private static String exchange(RelayFixture router, String path) throws IOException {
@@ -51,6 +53,23 @@
 		}
 	}
 
+	// Guards against work of runners for callers who left while their requests waited.
+	@Example
+	void requestOfACallerWhoHasLeftIsNotSent() throws IOException {
+		try (ScriptedRunner runner = runner(); RelayFixture router = new RelayFixture(runner).withConfiguration()) {
+			router.context().useBacklogs((loop) -> backlog(400));
+			assertThat(exchange(router, "/read/1")).startsWith("HTTP/1.1 200 ");
+			CountDownLatch idle = router.occupyLoop();
+			try (Socket caller = router.open()) {
+				RelayFixture.send(caller, RelayFixture.request("POST", "/read/2", "a1", "", "body"));
+			}
+			idle.countDown();
+			assertThat(exchange(router, "/read/3")).startsWith("HTTP/1.1 200 ");
+			assertThat(runner.next()).startsWith("POST /read/1 ");
+			assertThat(runner.next()).startsWith("POST /read/3 ");
+		}
+	}
+
 	// Guards against runners that are given more time than is left of the caller's.
 	@Example
 	void timeInTheBacklogCountsTowardsTheTimeLimit() throws IOException {
--- a/bilberryvalve-gateway/src/test/java/io/bilberryvalve/gateway/relay/RelayFixture.java
+++ b/bilberryvalve-gateway/src/test/java/io/bilberryvalve/gateway/relay/RelayFixture.java
@@ -17,6 +17,7 @@
 import java.util.OptionalInt;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 
@@ -157,6 +158,27 @@
 		this.transport.next().scheduleWithFixedDelay(this.context::dispatchWaiting, 0, 50, TimeUnit.MILLISECONDS);
 	}
 
+	// Occupies the event loop of all connections until the latch is counted down.
+	CountDownLatch occupyLoop() {
+		CountDownLatch idle = new CountDownLatch(1);
+		CountDownLatch occupied = new CountDownLatch(1);
+		this.transport.next().execute(() -> {
+			occupied.countDown();
+			awaitQuietly(idle);
+		});
+		awaitQuietly(occupied);
+		return idle;
+	}
+
+	private static void awaitQuietly(CountDownLatch latch) {
+		try {
+			latch.await();
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
+	}
+
 	// Waits until a number of requests are in progress or wait for slots.
 	void awaitActive(int count) {
 		long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(10);
--- a/bilberryvalve-policy/src/main/java/io/bilberryvalve/policy/overload/Backlog.java
+++ b/bilberryvalve-policy/src/main/java/io/bilberryvalve/policy/overload/Backlog.java
@@ -13,6 +13,9 @@
 	/** Backlog in milliseconds from which new requests are rejected unread. */
 	static final long REJECT_MILLIS = 1000;
 
+	/** Backlog in milliseconds from which callers may have left unnoticed. */
+	private static final long HIDDEN_DEPARTURE_MILLIS = 250;
+
 	private volatile long last;
 
 	private volatile long millis;
@@ -35,6 +38,15 @@
 		return this.millis;
 	}
 
+	/**
+	 * Decides whether to look for the departure of a caller before its request is sent to
+	 * a runner.
+	 * @return whether a caller may have left long ago
+	 */
+	public boolean mayHideDepartures() {
+		return this.millis >= HIDDEN_DEPARTURE_MILLIS;
+	}
+
 	/**
 	 * Decides whether a new request is rejected, so that those before it are served in
 	 * time.
--- a/bilberryvalve-policy/src/test/java/io/bilberryvalve/policy/overload/BacklogTests.java
+++ b/bilberryvalve-policy/src/test/java/io/bilberryvalve/policy/overload/BacklogTests.java
@@ -32,6 +32,16 @@
 		assertThat(this.backlog.millis()).isEqualTo(2);
 	}
 
+	@Example
+	void departuresMayBeHiddenBehindAShorterBacklog() {
+		this.backlog.record(250);
+		assertThat(this.backlog.mayHideDepartures()).isFalse();
+		this.backlog.record(250);
+		assertThat(this.backlog.mayHideDepartures()).isTrue();
+		this.backlog.record(249);
+		assertThat(this.backlog.mayHideDepartures()).isFalse();
+	}
+
 	@Example
 	void shorterBacklogRejectsNothing() {
 		this.backlog.record(999);
