Move the wait for a reservation out of RelayedRequest

Cause: the class holds admission, sending, retry and answer of a request, and must not grow.

Change: PendingReservation passes the outcome of a wait to the event loop of its request and releases slots that nobody takes. No behaviour changes.

--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/relay/RelayedRequest.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/relay/RelayedRequest.java
@@ -234,7 +234,38 @@
 		WaitQueue.WaitLimits waitLimits = this.response.isStarted()
 				? RelayTimeouts.resumedWaitLimits(this.context.clock().millis(), this.deadlineAt)
 				: RelayTimeouts.waitLimits(decision.route(), this.arrivedAt, this.deadlineAt);
-		new PendingReservation(decision, targetQueue).submit(waitLimits, false);
+		awaitReservation(decision, targetQueue, waitLimits, false);
+	}
+
+	// A caller that has received a part of its stream takes precedence over those that
+	// have received nothing.
+	private void awaitReservation(RoutingDecision.Allowed decision, ReservationQueue targetQueue,
+			WaitQueue.WaitLimits waitLimits, boolean elsewhereOnly) {
+		int priority = (this.response.lastEvent() != null) ? RESUMED_PRIORITY : decision.priority();
+		PendingReservation next = new PendingReservation(this.loop, targetQueue, new PendingReservation.Receiver() {
+
+			@Override
+			public boolean accepts(PendingReservation reservation) {
+				boolean current = RelayedRequest.this.pending == reservation && !RelayedRequest.this.done;
+				if (current) {
+					RelayedRequest.this.pending = null;
+				}
+				return current;
+			}
+
+			@Override
+			public void granted(Reservation reserved) {
+				runSafely(() -> RelayedRequest.this.granted(decision, targetQueue, reserved));
+			}
+
+			@Override
+			public void rejected(long retryMillis) {
+				runSafely(() -> RelayedRequest.this.rejected(targetQueue, retryMillis));
+			}
+
+		});
+		this.pending = next;
+		next.submit(decision.size(), priority, Set.copyOf(this.excluded), elsewhereOnly, waitLimits);
 	}
 
 	// With a backlog, the caller may have left while its request waited in the socket
@@ -640,8 +671,8 @@
 		ReservationQueue targetQueue = this.queue;
 		if (!this.done && this.pending == null && decision != null && targetQueue != null && mayRepeat(decision)) {
 			this.log.silent(attempt, null, silenceMillis, this.response.lastEvent());
-			new PendingReservation(decision, targetQueue)
-				.submit(RelayTimeouts.resumedWaitLimits(this.context.clock().millis(), this.deadlineAt), true);
+			awaitReservation(decision, targetQueue,
+					RelayTimeouts.resumedWaitLimits(this.context.clock().millis(), this.deadlineAt), true);
 		}
 	}
 
@@ -656,69 +687,4 @@
 		this.context.unregister(this);
 	}
 
-	/** A reservation that this request waits for, unless it was cancelled. */
-	private final class PendingReservation implements ReservationRequest.Receiver {
-
-		private final RoutingDecision.Allowed decision;
-
-		private final ReservationQueue targetQueue;
-
-		private @Nullable ReservationRequest submitted;
-
-		PendingReservation(RoutingDecision.Allowed decision, ReservationQueue targetQueue) {
-			this.decision = decision;
-			this.targetQueue = targetQueue;
-		}
-
-		void submit(WaitQueue.WaitLimits waitLimits, boolean elsewhereOnly) {
-			RelayedRequest.this.pending = this;
-			// A caller that has received a part of its stream takes precedence over those
-			// that have received nothing.
-			int priority = (RelayedRequest.this.response.lastEvent() != null) ? RESUMED_PRIORITY
-					: this.decision.priority();
-			this.submitted = new ReservationRequest(this.decision.size(), priority,
-					Set.copyOf(RelayedRequest.this.excluded), elsewhereOnly, waitLimits, this);
-			this.targetQueue.submit(this.submitted);
-		}
-
-		void cancel() {
-			ReservationRequest request = this.submitted;
-			if (request != null) {
-				this.targetQueue.cancel(request);
-			}
-		}
-
-		private boolean take() {
-			boolean current = RelayedRequest.this.pending == this && !RelayedRequest.this.done;
-			if (current) {
-				RelayedRequest.this.pending = null;
-			}
-			return current;
-		}
-
-		@Override
-		public void granted(Reservation reserved) {
-			if (!RelayedRequest.this.loop.inEventLoop()) {
-				RelayedRequest.this.loop.execute(() -> granted(reserved));
-			}
-			else if (take()) {
-				runSafely(() -> RelayedRequest.this.granted(this.decision, this.targetQueue, reserved));
-			}
-			else {
-				this.targetQueue.release(reserved, false);
-			}
-		}
-
-		@Override
-		public void rejected(long retryMillis) {
-			if (!RelayedRequest.this.loop.inEventLoop()) {
-				RelayedRequest.this.loop.execute(() -> rejected(retryMillis));
-			}
-			else if (take()) {
-				runSafely(() -> RelayedRequest.this.rejected(this.targetQueue, retryMillis));
-			}
-		}
-
-	}
-
 }
