--- a/review/kit/Kit.java
+++ b/review/kit/Kit.java
@@ -404,6 +404,9 @@
 
 		private long version;
 
+		/** Header that tells for how long idle connections stay open, empty for none. */
+		volatile String keepAlive = "";
+
 		private record Row(String table, String key, String value, long version, boolean removed) {
 
 		}
@@ -462,7 +465,8 @@
 					body = "{}";
 				}
 				byte[] bytes = body.getBytes(StandardCharsets.UTF_8);
-				out.write(("HTTP/1.1 " + status + " X\r\nContent-Type: application/json\r\nContent-Length: "
+				out.write(("HTTP/1.1 " + status + " X\r\n" + this.keepAlive
+						+ "Content-Type: application/json\r\nContent-Length: "
 						+ bytes.length + "\r\n\r\n")
 					.getBytes(StandardCharsets.ISO_8859_1));
 				out.write(bytes);
@@ -1218,9 +1222,13 @@
 					+ "\"usual\":{\"prompt\":772,\"answer\":172},\"Layers\":4,\"LayerMb\":100.0,\"ActBytes\":42268,"
 					+ "\"PipeMbps\":9000.0,\"Kinds\":[{\"Name\":\"h100\",\"Mb\":72000.0,\"pace\":1.4,\"ReadX\":1.0}]}}";
 		}
+		return document(version, routes, services, "[]");
+	}
+
+	static String document(long version, String routes, String services, String tenants) {
 		return "{\"Version\":" + version + ",\"Routes\":[" + routes + "],\"Services\":[" + services
 				+ "],\"Limits\":{\"HeaderBytes\":16384,\"BodyBytes\":4194304,\"HeaderTimeoutMs\":3000,"
-				+ "\"IdleTimeoutMs\":15000},\"Tenants\":[]}";
+				+ "\"IdleTimeoutMs\":15000},\"Tenants\":" + tenants + "}";
 	}
 
 }
