--- a/review/kit/Kit.java
+++ b/review/kit/Kit.java
@@ -798,13 +798,26 @@
 		synchronized void writeEntry() {
 			if (this.registered) {
 				this.lastBeat = now();
-				this.store.put("servers", this.id, "{\"Service\":\"" + this.service + "\",\"Address\":\"" + address()
-						+ "\",\"Zone\":\"" + this.zone + "\",\"Version\":\"v1\",\"Slots\":" + this.slots
-						+ ",\"State\":\"" + this.state + "\",\"ColdRemainingMs\":0,\"born\":" + this.born
-						+ this.entryFields + ",\"Seq\":" + ++this.beats + "}");
+				this.store.put("servers", this.id, nextEntry());
 			}
 		}
 
+		private String nextEntry() {
+			return "{\"Service\":\"" + this.service + "\",\"Address\":\"" + address() + "\",\"Zone\":\"" + this.zone
+					+ "\",\"Version\":\"v1\",\"Slots\":" + this.slots + ",\"State\":\"" + this.state
+					+ "\",\"ColdRemainingMs\":0,\"born\":" + this.born + this.entryFields + ",\"Seq\":" + ++this.beats
+					+ "}";
+		}
+
+		/** Makes the next heartbeat, which reaches the store now unless its call is lost. */
+		synchronized String loseHeartbeat(boolean lost) {
+			String entry = nextEntry();
+			if (!lost) {
+				this.store.put("servers", this.id, entry);
+			}
+			return entry;
+		}
+
 		/** Removes the entry, as a runner does that leaves without a notice. */
 		synchronized void unregister() {
 			this.registered = false;
