--- a/review/kit/Kit.java
+++ b/review/kit/Kit.java
@@ -72,6 +72,7 @@
 			ex.printStackTrace();
 		}
 		Daemon.killAll();
+		Daemon.deleteFolders();
 		record("exit code %d", verdict);
 		writeRecord();
 		Runtime.getRuntime().halt(verdict);
@@ -1131,6 +1132,26 @@
 			}
 		}
 
+		/** Returns the number of lines of the log that contain a text. */
+		long logLines(String text) throws IOException {
+			try (java.util.stream.Stream<String> lines = Files.lines(log())) {
+				return lines.filter((line) -> line.contains(text)).count();
+			}
+		}
+
+		/** Deletes settings and logs, unless the variable KEEP is set. */
+		static void deleteFolders() {
+			if (System.getenv("KEEP") == null) {
+				synchronized (ALL) {
+					for (Daemon daemon : ALL) {
+						daemon.log().toFile().delete();
+						daemon.folder.resolve("local.json").toFile().delete();
+						daemon.folder.toFile().delete();
+					}
+				}
+			}
+		}
+
 		static void killAll() {
 			synchronized (ALL) {
 				for (Daemon daemon : ALL) {
