--- a/review/kit/Kit.java
+++ b/review/kit/Kit.java
@@ -152,12 +152,19 @@
 		return String.format(Locale.ROOT, "%08x%08x", System.nanoTime() & 0xffffffffL, NAMES.incrementAndGet());
 	}
 
+	/** Ports that were given to daemons, none of which is given twice. */
+	private static final Set<Integer> GIVEN = ConcurrentHashMap.newKeySet();
+
 	static int freePort(String host) {
-		try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName(host))) {
-			return socket.getLocalPort();
-		}
-		catch (IOException ex) {
-			throw new UncheckedIOException(ex);
+		while (true) {
+			try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName(host))) {
+				if (GIVEN.add(socket.getLocalPort())) {
+					return socket.getLocalPort();
+				}
+			}
+			catch (IOException ex) {
+				throw new UncheckedIOException(ex);
+			}
 		}
 	}
 
@@ -1119,6 +1126,14 @@
 				}
 				sleep(50);
 			}
+			record("daemon %s is not ready, alive: %s; its log ends with:", this.name, isAlive());
+			try {
+				List<String> lines = Files.readAllLines(log());
+				lines.subList(Math.max(0, lines.size() - 20), lines.size()).forEach((line) -> record("%s", line));
+			}
+			catch (IOException ex) {
+				record("no log: %s", ex);
+			}
 			return false;
 		}
 
