Order entries of runners by start and heartbeat

Cause: the store may perform a write whose answer was lost seconds later, and the registry replaced an entry by whatever the store returned last. The log shows it: runner-listed with leaving=true, then with leaving=false when the store performs the lost heartbeat.

EntryHistory compares the start of the runner and the number of the heartbeat, also with a removed entry. An entry that comes back after its removal waits for the next heartbeat, since it may be the last write before the removal. Entries with an earlier start are taken once they have kept coming for 10 s, as after a clock that was set back.

--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/fleet/FleetRegistry.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/fleet/FleetRegistry.java
@@ -17,8 +17,8 @@
  * disappear during an outage or shortly after it are kept for a grace period, because
  * they may have expired in the outage and are written again by runners that are alive. A
  * runner that has told this daemon that it leaves stays leaving until it starts again,
- * whatever its entry says. Safe for use by several threads; {@link #snapshot()} never
- * blocks.
+ * whatever its entry says. An entry that is older than a known one is ignored. Safe for
+ * use by several threads; {@link #snapshot()} never blocks.
  */
 public final class FleetRegistry {
 
@@ -40,6 +40,8 @@
 
 	private final Map<RunnerId, ListedRunner> listed = new HashMap<>();
 
+	private final EntryHistory history;
+
 	private final Map<RunnerId, Instant> removalTimes = new HashMap<>();
 
 	/** Runners that have told this daemon that they leave. */
@@ -63,6 +65,7 @@
 	 */
 	public FleetRegistry(Clock clock) {
 		this.clock = clock;
+		this.history = new EntryHistory(clock);
 	}
 
 	/**
@@ -184,7 +187,7 @@
 			.with("started", runner.startedMillis())
 			.with("listed-as-leaving", (now != null) ? now.leaving() : null)
 			.log(LOGGER, System.Logger.Level.INFO);
-		publishIf(now != null && put(now));
+		publishIf(now != null && list(now));
 		return true;
 	}
 
@@ -194,8 +197,9 @@
 	}
 
 	/**
-	 * Removes runners whose grace period after an outage of the list has ended. Call it a
-	 * few times a second.
+	 * Removes runners whose grace period after an outage of the list has ended, and lists
+	 * those whose entries came back after a removal and have stayed. Call it a few times
+	 * a second.
 	 */
 	public synchronized void removeExpired() {
 		Instant now = this.clock.instant();
@@ -209,16 +213,23 @@
 			}
 			return gone;
 		});
+		for (ListedRunner runner : this.history.takeReturned()) {
+			changed |= list(runner);
+		}
 		publishIf(changed);
 	}
 
-	// Returns whether the entry differs from the previous one. Most heartbeats of runners
-	// change nothing.
+	// Returns whether the runners have changed.
 	private boolean put(ListedRunner entry) {
+		return this.history.judge(entry) == EntryHistory.Verdict.CURRENT && list(entry);
+	}
+
+	// Returns whether the entry differs from the previous one.
+	private boolean list(ListedRunner entry) {
 		ListedRunner runner = isAnnounced(entry) ? entry.asLeaving() : entry;
 		this.removalTimes.remove(runner.id());
 		ListedRunner before = this.listed.put(runner.id(), runner);
-		if (runner.equals(before)) {
+		if (before != null && runner.statesSameAs(before)) {
 			return false;
 		}
 		LogEvent.of("runner-listed")
@@ -242,6 +253,7 @@
 	}
 
 	private boolean remove(RunnerId id, String reason) {
+		this.history.recordRemoval(id);
 		boolean removed = this.listed.remove(id) != null;
 		if (removed) {
 			LogEvent.of("runner-gone").with("runner", id).with("reason", reason).log(LOGGER, System.Logger.Level.INFO);
--- a/bilberryvalve-gateway/src/test/java/io/bilberryvalve/gateway/GatewayTests.java
+++ b/bilberryvalve-gateway/src/test/java/io/bilberryvalve/gateway/GatewayTests.java
@@ -75,7 +75,7 @@
 		for (int i = 0; i < count; i++) {
 			RunnerId id = new RunnerId("r" + i);
 			cards.put(id, new ListedRunner(id, new Address("127.0.0.1", 1000 + i), "model", new DataCentreId("a"), 100,
-					false, "card", null, 1));
+					false, "card", null, 1, 0));
 		}
 		return cards;
 	}
--- a/bilberryvalve-gateway/src/test/java/io/bilberryvalve/gateway/fleet/FleetRegistryTests.java
+++ b/bilberryvalve-gateway/src/test/java/io/bilberryvalve/gateway/fleet/FleetRegistryTests.java
@@ -26,8 +26,12 @@
 	}
 
 	private static ListedRunner runner(boolean leaving, long started) {
+		return runner(leaving, started, 0);
+	}
+
+	private static ListedRunner runner(boolean leaving, long started, long heartbeats) {
 		return new ListedRunner(ID, new Address("10.0.0.1", 80), "app", new DataCentreId("a"), 4, leaving, null, null,
-				started);
+				started, heartbeats);
 	}
 
 	private boolean leaving() {
@@ -157,4 +161,110 @@
 		assertThat(listed()).isFalse();
 	}
 
+	// Guards against requests to a runner that leaves, when the store performs a lost
+	// write of an earlier heartbeat after the notice.
+	@Example
+	void lateHeartbeatDoesNotUndoTheNoticeThatARunnerLeaves() {
+		this.registry.replace(Map.of(ID, runner(false, 1, 8)));
+		this.registry.update(Map.of(ID, runner(true, 1, 12)));
+		this.registry.update(Map.of(ID, runner(false, 1, 9)));
+		assertThat(leaving()).isTrue();
+		this.registry.replace(Map.of(ID, runner(false, 1, 11)));
+		assertThat(leaving()).isTrue();
+	}
+
+	@Example
+	void laterHeartbeatIsApplied() {
+		this.registry.replace(Map.of(ID, runner(true, 1, 8)));
+		this.registry.update(Map.of(ID, runner(false, 1, 9)));
+		assertThat(leaving()).isFalse();
+	}
+
+	// Guards against requests to a runner that has left without a notice, when the store
+	// performs a lost write of its last heartbeats after the removal of its entry.
+	@Example
+	void lateHeartbeatsDoNotListARemovedRunner() {
+		this.registry.replace(Map.of(ID, runner(false, 1, 8)));
+		this.registry.update(Collections.singletonMap(ID, null));
+		this.registry.update(Map.of(ID, runner(false, 1, 7)));
+		this.registry.update(Map.of(ID, runner(false, 1, 8)));
+		assertThat(listed()).isFalse();
+		this.registry.update(Map.of(ID, runner(false, 1, 9)));
+		this.registry.replace(Map.of(ID, runner(false, 1, 9)));
+		assertThat(listed()).isFalse();
+		this.clock.advance(Duration.ofSeconds(3));
+		this.registry.removeExpired();
+		this.registry.update(Collections.singletonMap(ID, null));
+		this.clock.advance(Duration.ofSeconds(30));
+		this.registry.removeExpired();
+		assertThat(listed()).isFalse();
+	}
+
+	// Guards against a runner that stays idle after its connections were cut for a while.
+	@Example
+	void runnerThatComesBackIsListedWithItsSecondHeartbeat() {
+		this.registry.replace(Map.of(ID, runner(false, 1, 8)));
+		this.registry.update(Collections.singletonMap(ID, null));
+		this.registry.update(Map.of(ID, runner(false, 1, 20)));
+		assertThat(listed()).isFalse();
+		this.registry.update(Map.of(ID, runner(false, 1, 21)));
+		assertThat(listed()).isTrue();
+	}
+
+	@Example
+	void entryThatStaysAfterItCameBackIsListed() {
+		this.registry.replace(Map.of(ID, runner(false, 1, 8)));
+		this.registry.update(Collections.singletonMap(ID, null));
+		this.registry.update(Map.of(ID, runner(false, 1, 9)));
+		this.clock.advance(Duration.ofSeconds(4));
+		this.registry.removeExpired();
+		assertThat(listed()).isTrue();
+	}
+
+	// Guards against a late heartbeat that keeps a runner whose entry did not come back
+	// after an outage.
+	@Example
+	void lateHeartbeatDoesNotKeepARunnerThatIsMissingAfterAnOutage() {
+		this.registry.replace(Map.of(ID, runner(false, 1, 8)));
+		this.registry.markUnreachable();
+		this.registry.markReachable();
+		this.registry.replace(Map.of());
+		this.registry.update(Map.of(ID, runner(false, 1, 7)));
+		this.clock.advance(Duration.ofMillis(2000));
+		this.registry.removeExpired();
+		assertThat(listed()).isFalse();
+	}
+
+	// Guards against the layers and the address of a process that has ended, when its
+	// last heartbeat is written after the first one of its successor.
+	@Example
+	void lateHeartbeatOfAnEarlierStartIsIgnored() {
+		this.registry.replace(Map.of(ID, runner(false, 1000, 50)));
+		this.registry.update(Map.of(ID, runner(false, 2000, 1)));
+		this.registry.update(Map.of(ID, runner(true, 1000, 51)));
+		assertThat(leaving()).isFalse();
+		assertThat(this.registry.snapshot().find(ID).orElseThrow().startedMillis()).isEqualTo(2000);
+	}
+
+	// Guards against a runner that stays idle because its clock was set back before it
+	// started again.
+	@Example
+	void runnerWhoseClockWasSetBackIsListedAgain() {
+		this.registry.replace(Map.of(ID, runner(true, 2000, 50)));
+		for (int i = 1; i <= 10; i++) {
+			this.registry.update(Map.of(ID, runner(false, 1000, i)));
+			this.clock.advance(Duration.ofMillis(1200));
+		}
+		assertThat(leaving()).isFalse();
+	}
+
+	@Example
+	void entriesWithoutNumbersReplaceEachOther() {
+		this.registry.replace(Map.of(ID, runner(false, 1, 5)));
+		this.registry.update(Map.of(ID, runner(true, 1, 0)));
+		assertThat(leaving()).isTrue();
+		this.registry.update(Map.of(ID, runner(false, 1, 0)));
+		assertThat(leaving()).isFalse();
+	}
+
 }
--- a/bilberryvalve-gateway/src/test/java/io/bilberryvalve/gateway/fleet/RunnerAvailabilityTests.java
+++ b/bilberryvalve-gateway/src/test/java/io/bilberryvalve/gateway/fleet/RunnerAvailabilityTests.java
@@ -103,7 +103,7 @@
 
 	private static ListedRunner runner(long started) {
 		return new ListedRunner(ID, new Address("10.0.0.1", 1000), "model", new DataCentreId("a"), 4, false, "card",
-				null, started);
+				null, started, 0);
 	}
 
 	@Example
--- a/bilberryvalve-gateway/src/test/java/io/bilberryvalve/gateway/fleet/RunnerPausesTests.java
+++ b/bilberryvalve-gateway/src/test/java/io/bilberryvalve/gateway/fleet/RunnerPausesTests.java
@@ -18,7 +18,7 @@
 
 	private static ListedRunner runner(String name, long started) {
 		return new ListedRunner(new RunnerId(name), new Address("10.0.0.1", 80), "app", new DataCentreId("a"), 4, false,
-				null, null, started);
+				null, null, started, 0);
 	}
 
 	@Example
--- a/bilberryvalve-gateway/src/test/java/io/bilberryvalve/gateway/layers/LayerReconcilerTests.java
+++ b/bilberryvalve-gateway/src/test/java/io/bilberryvalve/gateway/layers/LayerReconcilerTests.java
@@ -78,7 +78,7 @@
 		List<ListedRunner> cards = new ArrayList<>();
 		for (int i = 0; i < count; i++) {
 			cards.add(new ListedRunner(new RunnerId("r" + i), new Address("10.0.0.1", 1000 + i), "model", HERE, 100,
-					false, "card", null, 1));
+					false, "card", null, 1, 0));
 		}
 		return cards;
 	}
@@ -157,7 +157,7 @@
 		replaced.removeIf(LayerReconcilerTests::holdsFirstLayer);
 		for (int i = replaced.size(); i < before; i++) {
 			replaced.add(new ListedRunner(new RunnerId("new" + i), new Address("10.0.0.1", 2000 + i), "model", HERE,
-					100, false, "card", null, 1));
+					100, false, "card", null, 1, 0));
 		}
 		this.runners.list(replaced);
 		assertThat(complete()).isFalse();
@@ -282,7 +282,7 @@
 	private static List<ListedRunner> withOdd(@Nullable String kind, @Nullable LayerRange layers) {
 		List<ListedRunner> all = cards(6);
 		all.add(new ListedRunner(new RunnerId("odd"), new Address("10.0.0.2", 1), "model", HERE, 100, false, kind,
-				layers, 1));
+				layers, 1, 0));
 		return all;
 	}
 
--- a/bilberryvalve-gateway/src/test/java/io/bilberryvalve/gateway/layers/SilentRunnerPlacementTests.java
+++ b/bilberryvalve-gateway/src/test/java/io/bilberryvalve/gateway/layers/SilentRunnerPlacementTests.java
@@ -93,7 +93,7 @@
 		List<ListedRunner> cards = new ArrayList<>();
 		for (int i = 0; i < count; i++) {
 			cards.add(new ListedRunner(new RunnerId("r" + i), new Address("10.0.0.1", 1000 + i), "model",
-					new DataCentreId("a"), 100, false, "card", null, 1));
+					new DataCentreId("a"), 100, false, "card", null, 1, 0));
 		}
 		this.runners.list(cards);
 	}
--- a/bilberryvalve-gateway/src/test/java/io/bilberryvalve/gateway/layers/SimulatedRunners.java
+++ b/bilberryvalve-gateway/src/test/java/io/bilberryvalve/gateway/layers/SimulatedRunners.java
@@ -122,7 +122,8 @@
 
 		ListedRunner listed() {
 			return new ListedRunner(this.base.id(), this.base.address(), this.base.service(), this.base.dataCentre(),
-					this.base.slots(), this.base.leaving(), this.base.card(), this.layers, this.base.startedMillis());
+					this.base.slots(), this.base.leaving(), this.base.card(), this.layers, this.base.startedMillis(),
+					this.base.heartbeats());
 		}
 
 	}
--- a/bilberryvalve-gateway/src/test/java/io/bilberryvalve/gateway/relay/RelayFixture.java
+++ b/bilberryvalve-gateway/src/test/java/io/bilberryvalve/gateway/relay/RelayFixture.java
@@ -103,12 +103,12 @@
 		Map<RunnerId, ListedRunner> listed = new HashMap<>();
 		for (int i = 0; i < runners.length; i++) {
 			RunnerId id = new RunnerId("runner-" + i);
-			listed.put(id, new ListedRunner(id, runners[i].address(), "app", HERE, 4, false, null, null, started));
+			listed.put(id, new ListedRunner(id, runners[i].address(), "app", HERE, 4, false, null, null, started, 0));
 		}
 		if (runners.length > 0) {
 			RunnerId id = new RunnerId("engine");
 			listed.put(id, new ListedRunner(id, runners[0].address(), "model", HERE, 100, false, "card",
-					new LayerRange(0, 4), started));
+					new LayerRange(0, 4), started, 0));
 		}
 		this.fleetRegistry.replace(listed);
 	}
@@ -144,7 +144,7 @@
 	void addEngine(String name, ScriptedRunner runner) {
 		RunnerId id = new RunnerId(name);
 		this.fleetRegistry.update(Map.of(id,
-				new ListedRunner(id, runner.address(), "model", HERE, 100, false, "card", new LayerRange(0, 4), 1)));
+				new ListedRunner(id, runner.address(), "model", HERE, 100, false, "card", new LayerRange(0, 4), 1, 0)));
 	}
 
 	// Starts to check all requests for stalls, every 25 ms as a gateway does.
--- a/bilberryvalve-gateway/src/test/java/io/bilberryvalve/gateway/relay/RunnerAttemptTests.java
+++ b/bilberryvalve-gateway/src/test/java/io/bilberryvalve/gateway/relay/RunnerAttemptTests.java
@@ -31,7 +31,7 @@
 	private static final DataCentreId HERE = new DataCentreId("a");
 
 	private static final ListedRunner RUNNER = new ListedRunner(new RunnerId("engine"), new Address("127.0.0.1", 1001),
-			"model", HERE, 4, false, "card", new LayerRange(0, 4), 1);
+			"model", HERE, 4, false, "card", new LayerRange(0, 4), 1, 0);
 
 	private final ManualClock clock = new ManualClock();
 
--- a/bilberryvalve-gateway/src/test/java/io/bilberryvalve/gateway/relay/StallDetectorTests.java
+++ b/bilberryvalve-gateway/src/test/java/io/bilberryvalve/gateway/relay/StallDetectorTests.java
@@ -58,7 +58,7 @@
 
 	private static ListedRunner runner(String name, int port, LayerRange layers) {
 		return new ListedRunner(new RunnerId(name), new Address("127.0.0.1", port), "s", HERE, 4, false, "card", layers,
-				1);
+				1, 0);
 	}
 
 	private final ListedRunner first = runner("first", 1001, new LayerRange(0, 2));
