--- a/bilberryvalve-platform/src/main/java/io/bilberryvalve/platform/watch/TableFeed.java
+++ b/bilberryvalve-platform/src/main/java/io/bilberryvalve/platform/watch/TableFeed.java
@@ -33,10 +33,11 @@
 	CompletionStage<ReadResult<Changes>> changes(String table, long after, Duration wait);
 
 	/**
-	 * All rows of a table at one version of the store.
+	 * All rows of a table.
 	 *
-	 * @param rows all rows of the table
-	 * @param version version of the store
+	 * @param rows all rows of the table; those of a table that was read in several parts
+	 * may be later than the version
+	 * @param version version of the store at which the first rows were read
 	 */
 	record Snapshot(List<Row> rows, long version) {
 
--- a/bilberryvalve-platform/src/main/java/io/bilberryvalve/platform/watch/TableWatcher.java
+++ b/bilberryvalve-platform/src/main/java/io/bilberryvalve/platform/watch/TableWatcher.java
@@ -1,6 +1,8 @@
 package io.bilberryvalve.platform.watch;
 
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.ScheduledExecutorService;
@@ -20,10 +22,11 @@
  * Keeps a listener informed of the rows of a table. The watcher reads a snapshot and then
  * the changes after it, and reads a new snapshot when the store no longer has the history
  * that it needs. A snapshot with an older version than one seen before is discarded and
- * read again, since a store that recovers may return old rows. Neither a read that throws
- * nor a listener that throws stops the watcher. State and listener are confined to the
- * timer, which must run one task at a time; {@link #start()} and {@link #refresh()} may
- * be called from other threads.
+ * read again, since a store that recovers may return old rows. A snapshot that was read
+ * in several parts may contain rows that are later than its version; older changes of
+ * them are left out. Neither a read that throws nor a listener that throws stops the
+ * watcher. State and listener are confined to the timer, which must run one task at a
+ * time; {@link #start()} and {@link #refresh()} may be called from other threads.
  */
 public final class TableWatcher {
 
@@ -50,6 +53,12 @@
 
 	private long version;
 
+	/**
+	 * Versions, by key, of rows in the last snapshot that are later than the snapshot
+	 * itself, until the changes up to them have been read.
+	 */
+	private final Map<String, Long> rowsAhead = new HashMap<>();
+
 	private boolean loaded;
 
 	private boolean unavailable;
@@ -164,10 +173,26 @@
 		}
 		recordAvailable();
 		this.version = found.value().version();
+		this.rowsAhead.clear();
+		found.value()
+			.rows()
+			.stream()
+			.filter((row) -> row.version() > this.version)
+			.forEach((row) -> this.rowsAhead.put(row.key(), row.version()));
 		notifyListener(() -> this.listener.onSnapshot(found.value().rows()));
 		readChanges();
 	}
 
+	// Leaves out changes that are older than the row in the snapshot.
+	private List<TableFeed.Change> newerChanges(TableFeed.Changes read) {
+		List<TableFeed.Change> newer = read.changes().stream().filter((change) -> {
+			Long known = this.rowsAhead.get(change.row().key());
+			return known == null || change.row().version() >= known;
+		}).toList();
+		this.rowsAhead.values().removeIf((known) -> known <= this.version);
+		return newer;
+	}
+
 	private void readChanges() {
 		this.nextRead = null;
 		read(() -> this.feed.changes(this.table, this.version, this.pace.longestWait()), this::handleChanges);
@@ -178,7 +203,10 @@
 			recordAvailable();
 			this.version = Math.max(this.version, found.value().version());
 			if (!found.value().changes().isEmpty()) {
-				notifyListener(() -> this.listener.onChanges(found.value().changes()));
+				List<TableFeed.Change> newer = newerChanges(found.value());
+				if (!newer.isEmpty()) {
+					notifyListener(() -> this.listener.onChanges(newer));
+				}
 				this.nextRead = this.timer.schedule(this::readChanges, this.pace.delayAfterChange().toMillis(),
 						TimeUnit.MILLISECONDS);
 			}
--- a/bilberryvalve-platform/src/test/java/io/bilberryvalve/platform/watch/TableWatcherTests.java
+++ b/bilberryvalve-platform/src/test/java/io/bilberryvalve/platform/watch/TableWatcherTests.java
@@ -175,6 +175,25 @@
 		assertThat(this.feed.after).containsExactly(5L, 7L);
 	}
 
+	// Guards against an older state of a row that replaces the one in a snapshot whose
+	// last part was read later than its first one.
+	@Example
+	void leavesOutChangesOlderThanTheRowInTheSnapshot() {
+		Row late = new Row("t", "k", 8, "three");
+		this.feed.snapshots.add(new ReadResult.Found<>(new TableFeed.Snapshot(List.of(late), 5)));
+		this.feed.changes.add(change(new Row("t", "k", 6, "two"), 6));
+		this.feed.changes.add(change(new Row("t", "k", 8, "three"), 8));
+		this.feed.changes.add(change(new Row("t", "k", 9, "four"), 9));
+		this.watch.start();
+		this.timer.runAll();
+		assertThat(this.events).containsExactly("available", "replaced three", "changed three", "changed four");
+		assertThat(this.feed.after).containsExactly(5L, 6L, 8L, 9L);
+	}
+
+	private static ReadResult<TableFeed.Changes> change(Row row, long version) {
+		return new ReadResult.Found<>(new TableFeed.Changes(List.of(new TableFeed.Change(row, false)), version));
+	}
+
 	private final class Recorder implements TableWatcher.Listener {
 
 		@Override
