Order states of daemons also after a silence

A daemon that was silent for 1.1 s could be replaced in the list for callers by an older datagram of its own or of its former process, since the order of states was checked only while it was heard.

PeerTable compares incarnation and sequence always. A lower incarnation is taken after a silence and a second state, as after a clock that was set back; datagrams that were held up arrive together.

--- /dev/null
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/peer/PeerTable.java
@@ -0,0 +1,78 @@
+package io.bilberryvalve.gateway.peer;
+
+import java.util.Collection;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Newest state of each other daemon. Datagrams may arrive late, so states are ordered by
+ * the start of the daemon and by their sequence number. One thread may add states while
+ * others read them.
+ */
+final class PeerTable {
+
+	/**
+	 * Least time between two states of an earlier incarnation until it replaces a later
+	 * one that is silent. Datagrams that were held up arrive together.
+	 */
+	private static final long CONFIRMATION_MILLIS = 100;
+
+	private final Map<String, PeerState> states = new ConcurrentHashMap<>();
+
+	/** First states of daemons that seem to have started with their clock set back. */
+	private final Map<String, PeerState> unconfirmed = new ConcurrentHashMap<>();
+
+	/**
+	 * Returns the newest state of a daemon.
+	 * @param vm name of the VM of the daemon
+	 * @return the state, or {@code null} if none has arrived
+	 */
+	@Nullable PeerState get(String vm) {
+		return this.states.get(vm);
+	}
+
+	/**
+	 * Returns the newest state of each daemon.
+	 * @return a view that follows all changes
+	 */
+	Collection<PeerState> all() {
+		return this.states.values();
+	}
+
+	/**
+	 * Adds a state if it is newer than the known one.
+	 * @param next state that has arrived
+	 * @param absentMillis silence after which a daemon is absent
+	 * @return whether the state was added
+	 */
+	boolean add(PeerState next, long absentMillis) {
+		PeerState known = this.states.get(next.vm());
+		boolean newer = known == null || next.incarnation() > known.incarnation()
+				|| (next.incarnation() == known.incarnation() && next.sequence() > known.sequence());
+		if (!newer && !replacesLaterIncarnation(next, known, absentMillis)) {
+			return false;
+		}
+		this.states.put(next.vm(), next);
+		this.unconfirmed.remove(next.vm());
+		return true;
+	}
+
+	// A daemon whose clock was set back before its start has a lower incarnation than the
+	// one that has ended. It keeps sending, unlike datagrams that were held up.
+	private boolean replacesLaterIncarnation(PeerState next, PeerState known, long absentMillis) {
+		if (next.incarnation() >= known.incarnation()
+				|| next.receivedMillis() - known.receivedMillis() < absentMillis) {
+			return false;
+		}
+		PeerState first = this.unconfirmed.get(next.vm());
+		if (first == null || first.incarnation() != next.incarnation()) {
+			this.unconfirmed.put(next.vm(), next);
+			return false;
+		}
+		return next.sequence() > first.sequence()
+				&& next.receivedMillis() - first.receivedMillis() >= CONFIRMATION_MILLIS;
+	}
+
+}
--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/peer/StateExchange.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/peer/StateExchange.java
@@ -109,7 +109,7 @@
 
 	private final Map<Address, Long> targets = new ConcurrentHashMap<>();
 
-	private final Map<String, PeerState> peers = new ConcurrentHashMap<>();
+	private final PeerTable peers = new PeerTable();
 
 	private LongConsumer onNewerConfiguration = (version) -> {
 	};
@@ -209,7 +209,7 @@
 	 */
 	public List<PeerState> presentPeers() {
 		long oldest = this.clock.millis() - absentMillis();
-		return this.peers.values().stream().filter((peer) -> peer.receivedMillis() >= oldest).toList();
+		return this.peers.all().stream().filter((peer) -> peer.receivedMillis() >= oldest).toList();
 	}
 
 	/**
@@ -310,7 +310,7 @@
 	}
 
 	private Set<Address> sameDataCentreAddresses() {
-		return this.peers.values()
+		return this.peers.all()
 			.stream()
 			.filter((peer) -> peer.dataCentre().equals(this.local.dataCentre()))
 			.map(PeerState::stateAddress)
@@ -382,13 +382,9 @@
 
 	private boolean accept(PeerState peer) {
 		PeerState previous = this.peers.get(peer.vm());
-		boolean outdated = previous != null && peer.receivedMillis() - previous.receivedMillis() < absentMillis()
-				&& (peer.incarnation() < previous.incarnation()
-						|| (peer.incarnation() == previous.incarnation() && peer.sequence() <= previous.sequence()));
-		if (outdated || peer.vm().equals(this.local.vm())) {
+		if (peer.vm().equals(this.local.vm()) || !this.peers.add(peer, absentMillis())) {
 			return false;
 		}
-		this.peers.put(peer.vm(), peer);
 		this.targets.put(peer.stateAddress(), peer.receivedMillis());
 		if (previous == null || previous.incarnation() != peer.incarnation() || previous.serving() != peer.serving()) {
 			LogEvent.of("peer-heard")
