Complete reports of demand with the latest full report only

A full report that was overtaken by a later one became the base of the reports without clubs that follow, so that shares were computed from an older demand.

DemandReportCodecTests.lateFullReportDoesNotReplaceALaterOne failed on the former code.

--- a/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/share/DemandReportCodec.java
+++ b/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/share/DemandReportCodec.java
@@ -110,7 +110,9 @@
 		DemandMessages.DecodedReport received = DemandMessages.decode(body);
 		EntryDemand demand = received.demand();
 		if (!received.unchanged()) {
-			this.lastFullReceived.put(demand.origin(), demand);
+			// A report that was overtaken by a later one must not complete the next ones.
+			this.lastFullReceived.merge(demand.origin(), demand,
+					(known, next) -> known.newerThan(next) ? known : next);
 			return Optional.of(demand);
 		}
 		EntryDemand base = this.lastFullReceived.get(demand.origin());
--- a/bilberryvalve-daemon/src/test/java/io/bilberryvalve/daemon/share/DemandReportCodecTests.java
+++ b/bilberryvalve-daemon/src/test/java/io/bilberryvalve/daemon/share/DemandReportCodecTests.java
@@ -82,6 +82,20 @@
 		assertThat(this.receiver.decode(restarted)).isEmpty();
 	}
 
+	// Guards against reports without clubs that are completed with an earlier full
+	// report,
+	// which arrived late.
+	@Example
+	void lateFullReportDoesNotReplaceALaterOne() {
+		byte[] late = send(demand(1, 1, 20));
+		this.receiver.decode(send(demand(1, 2, 40)));
+		this.receiver.decode(late);
+		send(demand(1, 3, 40));
+		send(demand(1, 4, 40));
+		EntryDemand restored = this.receiver.decode(send(demand(1, 5, 40))).orElseThrow();
+		assertThat(restored.clubs()).isEqualTo(demand(1, 2, 40).clubs());
+	}
+
 	private byte[] send(EntryDemand demand) {
 		return this.sender.encode(this.sender.nextReportedDemand(demand));
 	}
