Drop events of a stream once they have been handed on

Four endless event streams whose events were split across reads ended a daemon with "Java heap space" within seconds, and with it the requests of other callers.

Cause: EventSplitter reused its buffer only when a read ended with an event; otherwise it kept all events of the stream. It discards them before it adds bytes now, and gives the memory of a large event back.

--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/relay/EventSplitter.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/relay/EventSplitter.java
@@ -16,12 +16,17 @@
 	/** Largest event, 1 MiB. A larger one is treated as an error of the runner. */
 	private static final int MAX_EVENT_BYTES = 1 << 20;
 
+	private static final int INITIAL_BYTES = 512;
+
+	/** Size from which the memory of a buffer is given back once it is empty. */
+	private static final int LARGE_BYTES = 1 << 16;
+
 	private final ByteBuf buffer;
 
 	private int scanIndex;
 
 	EventSplitter(ByteBufAllocator allocator) {
-		this.buffer = allocator.heapBuffer(512);
+		this.buffer = allocator.heapBuffer(INITIAL_BYTES);
 	}
 
 	/**
@@ -31,6 +36,14 @@
 	 * exceed the largest event
 	 */
 	boolean add(ByteBuf content) {
+		// Events that were handed on would otherwise be kept until the end of the stream.
+		if (this.buffer.readerIndex() > 0) {
+			this.scanIndex -= this.buffer.readerIndex();
+			this.buffer.discardReadBytes();
+			if (!this.buffer.isReadable() && this.buffer.capacity() > LARGE_BYTES) {
+				this.buffer.capacity(INITIAL_BYTES);
+			}
+		}
 		this.buffer.writeBytes(content);
 		return this.buffer.readableBytes() <= MAX_EVENT_BYTES;
 	}
@@ -47,9 +60,6 @@
 			if (this.buffer.getByte(i) == '\n' && endsEvent(i, end)) {
 				int length = ((this.buffer.getByte(i + 1) == '\n') ? i + 2 : i + 3) - start;
 				ByteBuf bytes = this.buffer.readBytes(length);
-				if (!this.buffer.isReadable()) {
-					this.buffer.clear();
-				}
 				this.scanIndex = this.buffer.readerIndex();
 				return new Event(bytes, id(bytes));
 			}
@@ -82,11 +92,11 @@
 	}
 
 	/**
-	 * Discards the buffered bytes, so that the response of another attempt can follow.
+	 * Returns the memory that the buffer takes.
+	 * @return number of bytes
 	 */
-	void reset() {
-		this.buffer.clear();
-		this.scanIndex = 0;
+	int heldBytes() {
+		return this.buffer.capacity();
 	}
 
 	void release() {
