Limit how much an upstream can occupy an event loop

Cause: a turn of the loop read up to 1 MiB from one connection, and nothing but the caller slowed a runner down. At most 16 preliminary responses or responses to other attempts are skipped.

UpstreamConnectionTests.preliminaryResponsesWithoutEndAreAFailure failed before.

--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/http/Transport.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/http/Transport.java
@@ -6,6 +6,7 @@
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
@@ -52,6 +53,16 @@
 	 */
 	private static final int BACKLOG = 1024;
 
+	/**
+	 * Most bytes read from a connection to an upstream before the event loop turns to the
+	 * other connections.
+	 */
+	private static final int MAX_UPSTREAM_READ_BYTES = 16_384;
+
+	private static final int INITIAL_READ_BYTES = 2048;
+
+	private static final int MIN_READ_BYTES = 64;
+
 	/** Largest datagram; a longer one than the receive buffer would be cut off. */
 	private static final int MAX_DATAGRAM_BYTES = 65_536;
 
@@ -125,6 +136,9 @@
 			.channel(this.epoll ? EpollSocketChannel.class : NioSocketChannel.class)
 			.option(ChannelOption.TCP_NODELAY, true)
 			.option(ChannelOption.SO_KEEPALIVE, true)
+			.option(ChannelOption.RCVBUF_ALLOCATOR,
+					new AdaptiveRecvByteBufAllocator(MIN_READ_BYTES, INITIAL_READ_BYTES, MAX_UPSTREAM_READ_BYTES)
+						.maxMessagesPerRead(1))
 			.option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS);
 		if (this.epoll) {
 			bootstrap.option(EpollChannelOption.TCP_KEEPIDLE, KEEP_ALIVE_PROBE_SECONDS)
--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/http/UpstreamCall.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/http/UpstreamCall.java
@@ -26,6 +26,8 @@
 
 	private @Nullable Channel channel;
 
+	private @Nullable ReadControl reading;
+
 	private boolean ended;
 
 	private boolean paused;
@@ -102,11 +104,10 @@
 		return named != null && !named.equals(this.attemptId);
 	}
 
-	void attach(Channel connection) {
+	void attach(Channel connection, ReadControl control) {
 		this.channel = connection;
-		if (this.paused) {
-			connection.config().setAutoRead(false);
-		}
+		this.reading = control;
+		control.setPaused(this.paused);
 	}
 
 	boolean isEnded() {
@@ -152,9 +153,20 @@
 	 */
 	public void setPaused(boolean pause) {
 		this.paused = pause;
-		Channel connection = this.channel;
-		if (connection != null && !this.ended) {
-			connection.config().setAutoRead(!pause);
+		ReadControl control = this.reading;
+		if (control != null && !this.ended) {
+			control.setPaused(pause);
+		}
+	}
+
+	/**
+	 * Counts an event of the response, so that the upstream is slowed down if it sends
+	 * too many. Chunks of the response are counted by the connection.
+	 */
+	public void countEvent() {
+		ReadControl control = this.reading;
+		if (control != null) {
+			control.countPart();
 		}
 	}
 
--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/http/UpstreamConnection.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/http/UpstreamConnection.java
@@ -20,8 +20,9 @@
 /**
  * Handles one connection to a runner, with one request at a time. Bytes that arrive while
  * no request is in progress close the connection. A response to another attempt is
- * skipped. An error that names no attempt is accepted only on a connection that has
- * carried nothing else, since a runner may write an earlier refusal once more.
+ * skipped, as are preliminary responses, up to a limit. An error that names no attempt is
+ * accepted only on a connection that has carried nothing else, since a runner may write
+ * an earlier refusal once more.
  */
 final class UpstreamConnection extends ChannelInboundHandlerAdapter {
 
@@ -46,6 +47,12 @@
 	 */
 	private static final long MAX_SKIPPED_BYTES = 1 << 20;
 
+	/**
+	 * Largest number of responses that are skipped before the one to the request. Each
+	 * costs as much work as a response that is used.
+	 */
+	private static final int MAX_SKIPPED_RESPONSES = 16;
+
 	private static final String KEEP_ALIVE = "keep-alive";
 
 	private static final String KEEP_ALIVE_TIMEOUT = "timeout=";
@@ -58,6 +65,8 @@
 
 	private @Nullable ChannelHandlerContext context;
 
+	private @Nullable ReadControl reading;
+
 	private @Nullable UpstreamCall call;
 
 	private boolean written;
@@ -67,6 +76,9 @@
 	/** Bytes received since the request was sent, before the head of its response. */
 	private long skippedBytes;
 
+	/** Responses skipped since the request was sent. */
+	private int skippedResponses;
+
 	private boolean headReceived;
 
 	private boolean requestSent;
@@ -120,7 +132,8 @@
 	 */
 	void send(UpstreamCall next) {
 		ChannelHandlerContext ctx = this.context;
-		if (ctx == null) {
+		ReadControl control = this.reading;
+		if (ctx == null || control == null) {
 			throw new IllegalStateException("the connection is not open");
 		}
 		this.reused = this.requestSent;
@@ -129,7 +142,8 @@
 		this.written = false;
 		this.headReceived = false;
 		this.skippedBytes = 0;
-		next.attach(ctx.channel());
+		this.skippedResponses = 0;
+		next.attach(ctx.channel(), control);
 		ctx.writeAndFlush(next.request()).addListener((done) -> {
 			this.written = true;
 			if (!done.isSuccess()) {
@@ -141,6 +155,7 @@
 	@Override
 	public void handlerAdded(ChannelHandlerContext added) {
 		this.context = added;
+		this.reading = new ReadControl(added.channel(), this.pool::millis);
 	}
 
 	/**
@@ -189,6 +204,10 @@
 	@Override
 	public void channelRead(ChannelHandlerContext ctx, Object message) {
 		try {
+			ReadControl control = this.reading;
+			if (control != null) {
+				control.countPart();
+			}
 			UpstreamCall current = this.call;
 			if (current == null || current.isEnded()) {
 				ctx.close();
@@ -234,6 +253,10 @@
 		}
 		this.foreignReceived |= foreign;
 		this.skippingResponse = informational || foreign;
+		if (this.skippingResponse && ++this.skippedResponses > MAX_SKIPPED_RESPONSES) {
+			fail("no response to the request among " + this.skippedResponses);
+			return;
+		}
 		this.receivedBytes = 0;
 		this.expectedBytes = HttpUtil.isTransferEncodingChunked(head) ? -1 : HttpUtil.getContentLength(head, -1L);
 		boolean unframed = this.expectedBytes < 0 && !HttpUtil.isTransferEncodingChunked(head);
@@ -289,10 +312,10 @@
 		}
 		this.call = null;
 		current.finish();
-		ChannelHandlerContext ctx = this.context;
+		ReadControl control = this.reading;
 		boolean keep = this.reusable && this.written && !this.decoder.hasUnreadBytes() && !current.closesConnection();
-		if (keep && ctx != null) {
-			ctx.channel().config().setAutoRead(true);
+		if (keep && control != null && !control.isThrottled()) {
+			control.setPaused(false);
 			this.idleUntil = this.pool.millis() + this.idleMillis;
 			this.pool.release(this);
 		}
@@ -317,6 +340,10 @@
 		if (current != null && !current.isEnded()) {
 			current.listener().onReadComplete();
 		}
+		ReadControl control = this.reading;
+		if (control != null) {
+			control.readCompleted();
+		}
 	}
 
 	@Override
--- a/bilberryvalve-gateway/src/test/java/io/bilberryvalve/gateway/http/UpstreamConnectionTests.java
+++ b/bilberryvalve-gateway/src/test/java/io/bilberryvalve/gateway/http/UpstreamConnectionTests.java
@@ -95,6 +95,19 @@
 		}
 	}
 
+	// Guards against a runner that keeps an event loop busy with preliminary responses.
+	@Example
+	void preliminaryResponsesWithoutEndAreAFailure() {
+		Recorder few = send("first");
+		receive("HTTP/1.1 103 Early Hints\r\n\r\n".repeat(16) + response("200 OK", "first"));
+		assertThat(few.heard).containsExactly("200", "end");
+		reopen();
+		Recorder many = send("first");
+		receive("HTTP/1.1 103 Early Hints\r\n\r\n".repeat(17));
+		assertThat(many.heard).containsExactly("failure");
+		assertThat(this.channel.isOpen()).isFalse();
+	}
+
 	// Guards against a response without identifier that is taken for that to the second
 	// request of a connection.
 	@Example
