End attempts that repeat events, and limit the memory of all responses

A runner could repeat events that its caller had for ever: they were dropped, counted as progress, and nothing was written that would slow it down. And responses of many requests, each below its own limit, could fill the heap together.

Repeated events must lead on to the last one that the caller has, within 1 MiB; they and dropped bytes are no progress, so that a backup attempt is made. ResponseMemory limits the partial events and bodies of all requests to 24 MiB together and leaves small ones alone. Plain bodies are copied into one buffer, since each chunk that was kept pinned the buffer in which it was read. A runner whose response exceeds a limit is avoided for a while.

--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/relay/AttemptResponse.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/relay/AttemptResponse.java
@@ -4,7 +4,6 @@
 
 import io.bilberryvalve.gateway.http.HeaderNames;
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.CompositeByteBuf;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponse;
@@ -41,11 +40,13 @@
 
 	private final HeaderNames headerNames;
 
+	private final ResponseMemory memory;
+
 	private final Listener listener;
 
 	private @Nullable HttpResponse head;
 
-	private @Nullable CompositeByteBuf body;
+	private @Nullable ByteBuf body;
 
 	private @Nullable EventSplitter splitter;
 
@@ -65,15 +66,23 @@
 
 	private long droppedBytes;
 
+	private long heldBytes;
+
+	private boolean progressing;
+
+	private @Nullable ResponseDefect defect;
+
 	/**
 	 * Creates a response of which nothing has arrived.
 	 * @param caller response to the caller, to which this one contributes
 	 * @param headerNames header names
+	 * @param memory limits the memory for the parts that are held
 	 * @param listener notified of the progress of this response
 	 */
-	AttemptResponse(CallerResponse caller, HeaderNames headerNames, Listener listener) {
+	AttemptResponse(CallerResponse caller, HeaderNames headerNames, ResponseMemory memory, Listener listener) {
 		this.caller = caller;
 		this.headerNames = headerNames;
+		this.memory = memory;
 		this.listener = listener;
 	}
 
@@ -116,7 +125,7 @@
 		}
 		else {
 			this.mode = Mode.BUFFER;
-			this.body = this.caller.allocator().compositeBuffer();
+			this.body = this.caller.allocator().buffer();
 		}
 		return Verdict.ANSWER;
 	}
@@ -124,29 +133,31 @@
 	/**
 	 * Receives a part of the body.
 	 * @param content the bytes, valid during the call
-	 * @return whether to go on reading; {@code false} if an event or a body that is
-	 * dropped exceeds the size limit, or an event does not continue the stream
+	 * @return whether to go on reading; otherwise {@link #defect()} tells why not
 	 */
 	boolean content(ByteBuf content) {
 		HttpResponse response = this.head;
-		CompositeByteBuf buffered = this.body;
+		ByteBuf buffered = this.body;
 		EventSplitter events = this.splitter;
+		this.progressing = this.mode != Mode.DROP && this.mode != Mode.NONE;
 		if (this.mode == Mode.STREAM && response != null && events != null) {
+			this.progressing = false;
 			return relayEvents(response, events, content);
 		}
 		if (this.mode == Mode.DROP) {
-			this.droppedBytes += content.readableBytes();
-			return this.droppedBytes <= MAX_DROPPED_BYTES;
+			return drop(content.readableBytes());
 		}
 		if (this.mode == Mode.PASS && response != null) {
 			this.caller.sendPart(response, content.retainedSlice());
 		}
 		else if (this.mode == Mode.BUFFER && response != null && buffered != null) {
-			buffered.addComponent(true, content.retainedSlice());
-			if (buffered.readableBytes() > MAX_BUFFERED_BYTES) {
+			buffered.writeBytes(content);
+			boolean held = hold(buffered.capacity());
+			if (!held || buffered.readableBytes() > MAX_BUFFERED_BYTES) {
 				this.mode = Mode.PASS;
 				this.committed = true;
 				this.body = null;
+				hold(0);
 				this.listener.selected();
 				this.caller.sendPart(response, buffered);
 			}
@@ -154,31 +165,72 @@
 		return true;
 	}
 
+	private boolean drop(int bytes) {
+		this.droppedBytes += bytes;
+		return this.droppedBytes <= MAX_DROPPED_BYTES || fail(ResponseDefect.TOO_LONG);
+	}
+
+	private boolean hold(long bytes) {
+		boolean permitted = this.memory.resize(this.heldBytes, bytes);
+		this.heldBytes = bytes;
+		return permitted;
+	}
+
+	private boolean fail(ResponseDefect reason) {
+		this.defect = reason;
+		return false;
+	}
+
 	private boolean relayEvents(HttpResponse response, EventSplitter events, ByteBuf content) {
 		if (!events.add(content)) {
-			return false;
+			return fail(ResponseDefect.TOO_LONG);
+		}
+		if (!hold(events.heldBytes())) {
+			return fail(ResponseDefect.MEMORY);
 		}
 		for (EventSplitter.Event event = events.next(); event != null; event = events.next()) {
 			boolean repeated = this.caller.hasReceived(event);
 			if (!repeated && !continuesStream(event)) {
 				event.bytes().release();
-				return false;
+				return fail(ResponseDefect.GAP);
 			}
 			this.eventReceived = true;
 			this.listener.eventReceived();
-			if (repeated) {
-				this.repeatedEvent = event.id();
-				event.bytes().release();
-			}
-			else {
+			if (!repeated) {
+				this.progressing = true;
 				this.eventSent = true;
 				this.listener.selected();
 				this.caller.sendEvent(response, event);
 			}
+			else if (!dropRepeated(event)) {
+				return fail(ResponseDefect.REPEATS);
+			}
 		}
+		this.progressing |= events.hasPartialEvent();
 		return true;
 	}
 
+	// Returns whether the repeated events can still reach one that the caller lacks.
+	private boolean dropRepeated(EventSplitter.Event event) {
+		String previous = this.repeatedEvent;
+		this.repeatedEvent = event.id();
+		int bytes = event.bytes().readableBytes();
+		event.bytes().release();
+		return follows(event.id(), previous) && drop(bytes);
+	}
+
+	private static boolean follows(@Nullable String id, @Nullable String previous) {
+		if (id == null || previous == null) {
+			return true;
+		}
+		try {
+			return Long.parseLong(id) > Long.parseLong(previous);
+		}
+		catch (NumberFormatException ex) {
+			return !id.equals(previous);
+		}
+	}
+
 	// Bytes without an identifier may be anything. A runner that repeats events must
 	// repeat the last one that the caller received, or its events have other boundaries.
 	private boolean continuesStream(EventSplitter.Event event) {
@@ -205,7 +257,7 @@
 	 */
 	boolean end() {
 		HttpResponse response = this.head;
-		CompositeByteBuf buffered = this.body;
+		ByteBuf buffered = this.body;
 		if (response == null || this.mode == Mode.NONE || this.mode == Mode.DROP) {
 			return false;
 		}
@@ -235,6 +287,23 @@
 				&& !HttpUtil.isTransferEncodingChunked(response);
 	}
 
+	/**
+	 * Tells whether the last part of the body was of use: bytes that were dropped, and
+	 * events that the caller already had, are no progress.
+	 * @return whether the response has got further
+	 */
+	boolean isProgressing() {
+		return this.progressing;
+	}
+
+	/**
+	 * Returns why {@link #content} returned {@code false}.
+	 * @return the reason, or {@code null} if the response is usable so far
+	 */
+	@Nullable ResponseDefect defect() {
+		return this.defect;
+	}
+
 	/**
 	 * Tells whether a part of a plain response was sent to the caller, so that no other
 	 * attempt can replace it.
@@ -266,8 +335,9 @@
 	 */
 	void release() {
 		flush();
-		CompositeByteBuf buffered = this.body;
+		ByteBuf buffered = this.body;
 		EventSplitter events = this.splitter;
+		hold(0);
 		this.body = null;
 		this.splitter = null;
 		this.mode = Mode.DROP;
--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/relay/RelayContext.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/relay/RelayContext.java
@@ -76,6 +76,8 @@
 
 	private final Metrics metrics = new Metrics();
 
+	private final ResponseMemory responseMemory = new ResponseMemory();
+
 	private final Map<String, ServiceQueue> queues = new ConcurrentHashMap<>();
 
 	/** Requests in progress, with the check of each for stalls. */
@@ -260,6 +262,14 @@
 		return newer;
 	}
 
+	/**
+	 * Returns the limit of the memory for responses of runners.
+	 * @return the limit that all requests share
+	 */
+	ResponseMemory responseMemory() {
+		return this.responseMemory;
+	}
+
 	/**
 	 * Records what a runner said about itself in a response.
 	 * @param runner entry of the runner
--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/relay/RunnerAttempt.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/relay/RunnerAttempt.java
@@ -62,7 +62,7 @@
 		this.queue = queue;
 		this.reservation = reservation;
 		this.listener = listener;
-		this.response = new AttemptResponse(caller, context.headerNames(), this);
+		this.response = new AttemptResponse(caller, context.headerNames(), context.responseMemory(), this);
 		this.stallDetector = new StallDetector(context, loop, this);
 	}
 
@@ -201,17 +201,27 @@
 
 	@Override
 	public void onContent(ByteBuf content) {
-		this.stallDetector.recordProgress();
-		this.stallDetector.eventReceived();
-		if (this.ended || this.response.content(content)) {
+		if (this.ended) {
+			return;
+		}
+		boolean usable = this.response.content(content);
+		if (this.response.isProgressing()) {
+			this.stallDetector.recordProgress();
+			this.stallDetector.eventReceived();
+		}
+		ResponseDefect defect = this.response.defect();
+		if (usable || defect == null || this.ended) {
 			return;
 		}
+		if (defect.isFailure()) {
+			this.context.runnerAvailability().recordFailure(firstRunner().id(), defect.reason());
+		}
 		if (this.notRun) {
 			cancel();
 			this.listener.notRun(this, faultyRunner());
 		}
 		else {
-			abort("an event does not continue the stream, or a part is too long");
+			abort(defect.reason());
 		}
 	}
 
@@ -293,6 +303,10 @@
 	public void eventReceived() {
 		boolean first = !this.firstEventReceived;
 		this.firstEventReceived = true;
+		UpstreamCall current = this.call;
+		if (current != null) {
+			current.countEvent();
+		}
 		if (this.reservation.path() != null) {
 			this.stallDetector.trackStream(this.reservation, first);
 		}
