--- a/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/share/DemandReportCodec.java
+++ b/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/share/DemandReportCodec.java
@@ -111,8 +111,7 @@
 		EntryDemand demand = received.demand();
 		if (!received.unchanged()) {
 			// A report that was overtaken by a later one must not complete the next ones.
-			this.lastFullReceived.merge(demand.origin(), demand,
-					(known, next) -> known.newerThan(next) ? known : next);
+			this.lastFullReceived.merge(demand.origin(), demand, (known, next) -> known.newerThan(next) ? known : next);
 			return Optional.of(demand);
 		}
 		EntryDemand base = this.lastFullReceived.get(demand.origin());
--- a/bilberryvalve-policy/src/main/java/io/bilberryvalve/policy/share/EntryDemand.java
+++ b/bilberryvalve-policy/src/main/java/io/bilberryvalve/policy/share/EntryDemand.java
@@ -23,7 +23,12 @@
 		clubs = List.copyOf(clubs);
 	}
 
-	boolean newerThan(EntryDemand other) {
+	/**
+	 * Returns whether this demand was reported later than another one of its entry.
+	 * @param other another demand of the same entry
+	 * @return whether the incarnation, or within the same one the sequence, is higher
+	 */
+	public boolean newerThan(EntryDemand other) {
 		if (this.incarnation != other.incarnation) {
 			return this.incarnation > other.incarnation;
 		}
