--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/peer/StateExchange.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/peer/StateExchange.java
@@ -88,6 +88,9 @@
 	/** Number of daemons that read the store often; one of them may fail at any time. */
 	private static final int READERS = 2;
 
+	/** Least time between two log lines on datagrams that are no states. */
+	private static final long UNREADABLE_LOG_MILLIS = 1000;
+
 	/** Number of periods between two states to an absent daemon. */
 	private static final int ABSENT_PERIODS = 8;
 
@@ -129,6 +132,11 @@
 
 	private final VersionLag versionLag;
 
+	/** Number of datagrams that were no states; confined like {@link #knownRunners}. */
+	private long unreadableStates;
+
+	private long unreadableLoggedAt;
+
 	/**
 	 * Creates an exchange without peers.
 	 * @param transport event loops
@@ -153,6 +161,7 @@
 		this.clock = clock;
 		this.incarnation = incarnation;
 		this.startedAt = clock.millis();
+		this.unreadableLoggedAt = this.startedAt - UNREADABLE_LOG_MILLIS;
 		this.versionLag = new VersionLag(clock);
 	}
 
@@ -376,7 +385,19 @@
 			}
 		}
 		catch (InvalidProtocolBufferException | IllegalArgumentException ex) {
-			LogEvent.of("state-unreadable").with("cause", ex.getMessage()).log(LOGGER, System.Logger.Level.WARNING);
+			logUnreadable(ex);
+		}
+	}
+
+	private void logUnreadable(Exception cause) {
+		long now = this.clock.millis();
+		this.unreadableStates++;
+		if (now - this.unreadableLoggedAt >= UNREADABLE_LOG_MILLIS) {
+			this.unreadableLoggedAt = now;
+			LogEvent.of("state-unreadable")
+				.with("count", this.unreadableStates)
+				.with("cause", cause.getMessage())
+				.log(LOGGER, System.Logger.Level.WARNING);
 		}
 	}
 
