Limit the bodies that the clients of /v1 collect, and end streams without new tokens

An answer without end to a call, an order, a query of an engine or a call of the platform was kept in memory until its time limit. A stream that sent keep-alives or old tokens without end, or went on after its last token, was read for ever, and so was the text of an error.

ResponseLimit fails a body above 16 MiB (results of calls, platform), 4 MiB (reports and cache events) or 1 MiB (orders). HttpEngineStream closes a stream without a new token within 1 MiB, and after its end.

EngineAnswerTests and HttpApplicationClientTests on the former code with a heap of 512 MiB: the test process ended with OutOfMemoryError. With the limits they pass.

--- a/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/call/HttpApplicationClient.java
+++ b/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/call/HttpApplicationClient.java
@@ -12,6 +12,7 @@
 
 import io.bilberryvalve.model.Address;
 import io.bilberryvalve.model.ApplicationRunner;
+import io.bilberryvalve.platform.http.ResponseLimit;
 import io.servicetalk.client.api.NoActiveHostException;
 import io.servicetalk.client.api.NoAvailableHostException;
 import io.servicetalk.http.api.HttpClient;
@@ -33,6 +34,9 @@
 
 	private static final String OCTETS = "application/octet-stream";
 
+	/** Largest result of a call. */
+	private static final long MAX_RESULT_BYTES = 16 << 20;
+
 	private final Duration connectTimeout;
 
 	private final Map<Address, HttpClient> clients = new ConcurrentHashMap<>();
@@ -80,6 +84,7 @@
 		return HttpClients.forResolvedAddress(new InetSocketAddress(address.host(), address.port()))
 			.socketOption(ServiceTalkSocketOptions.CONNECT_TIMEOUT, (int) this.connectTimeout.toMillis())
 			.appendClientFilter(RetryingHttpRequesterFilter.disableAutoRetries())
+			.appendClientFilter(new ResponseLimit(MAX_RESULT_BYTES))
 			.build();
 	}
 
--- a/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/engine/HttpEngineClient.java
+++ b/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/engine/HttpEngineClient.java
@@ -16,6 +16,7 @@
 import io.bilberryvalve.model.ProblemKind;
 import io.bilberryvalve.model.RequestId;
 import io.bilberryvalve.model.Result;
+import io.bilberryvalve.platform.http.ResponseLimit;
 import io.bilberryvalve.policy.choice.LoadReport;
 import io.servicetalk.buffer.api.Buffer;
 import io.servicetalk.concurrent.api.Publisher;
@@ -43,6 +44,11 @@
 
 	private static final String APPLICATION_JSON = "application/json";
 
+	/**
+	 * Largest answer that is no stream. Cache events are the longest of them.
+	 */
+	private static final long MAX_ANSWER_BYTES = 4 << 20;
+
 	private final Map<Address, StreamingHttpClient> clients = new ConcurrentHashMap<>();
 
 	private final Duration connectTimeout;
@@ -163,14 +169,17 @@
 		boolean missing = response.status().code() == HttpResponseStatus.NOT_FOUND.code();
 		EngineException error = new EngineException(missing ? Kind.UNKNOWN_STREAM : Kind.REJECTED,
 				"the engine answered " + response.status());
-		return response.payloadBody().ignoreElements().concat(Publisher.failed(error));
+		return ResponseLimit.limit(response.payloadBody(), MAX_ANSWER_BYTES)
+			.ignoreElements()
+			.concat(Publisher.failed(error));
 	}
 
 	private <T> CompletionStage<Result<T>> call(Address address, Duration timeout,
 			Function<StreamingHttpClient, StreamingHttpRequest> request, Function<String, T> reader) {
 		StreamingHttpClient client = client(address);
 		Single<Result<T>> result = client.request(request.apply(client))
-			.flatMap(StreamingHttpResponse::toResponse)
+			.flatMap((response) -> response.transformPayloadBody((body) -> ResponseLimit.limit(body, MAX_ANSWER_BYTES))
+				.toResponse())
 			.map((response) -> parseResponse(address, response, reader));
 		return result.timeout(timeout).onErrorReturn((error) -> {
 			if (error instanceof TimeoutException) {
--- a/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/engine/HttpEngineStream.java
+++ b/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/engine/HttpEngineStream.java
@@ -3,18 +3,26 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import io.bilberryvalve.daemon.engine.EngineFailure.Kind;
 import io.bilberryvalve.model.RequestId;
+import io.bilberryvalve.policy.outcome.TokenEvent;
 import io.servicetalk.buffer.api.Buffer;
 import io.servicetalk.concurrent.PublisherSource;
 import org.jspecify.annotations.Nullable;
 
 /**
  * Parses the response body of one stream and passes its events to a listener. Events
- * after the end or a failure of the stream are ignored.
+ * after the end or a failure of the stream are ignored. A stream that goes on without new
+ * tokens, or after its last one, is closed.
  */
 final class HttpEngineStream implements EngineStream, PublisherSource.Subscriber<Buffer>, EventStreamParser.Handler {
 
 	private static final String DONE = "[DONE]";
 
+	/**
+	 * Largest number of bytes without a new token, such as keep-alives and tokens that
+	 * were sent before.
+	 */
+	private static final long MAX_UNUSED_BYTES = 1 << 20;
+
 	private final RequestId stream;
 
 	private final EngineListener listener;
@@ -25,6 +33,12 @@
 
 	private boolean finished;
 
+	private long unusedBytes;
+
+	private int lastIndex = -1;
+
+	private boolean lastTokenSeen;
+
 	HttpEngineStream(RequestId stream, EngineListener listener) {
 		this.stream = stream;
 		this.listener = listener;
@@ -53,11 +67,16 @@
 
 	@Override
 	public void onNext(@Nullable Buffer buffer) {
-		if (this.finished || buffer == null) {
+		if (this.finished) {
+			close();
+			return;
+		}
+		if (buffer == null) {
 			return;
 		}
 		byte[] bytes = new byte[buffer.readableBytes()];
 		buffer.readBytes(bytes);
+		this.unusedBytes += bytes.length;
 		try {
 			this.parser.feed(bytes);
 		}
@@ -65,6 +84,10 @@
 			fail(new EngineFailure(Kind.MALFORMED, null, String.valueOf(ex.getMessage())));
 			close();
 		}
+		if (this.unusedBytes > MAX_UNUSED_BYTES) {
+			fail(new EngineFailure(Kind.MALFORMED, null, "no new token within " + MAX_UNUSED_BYTES + " bytes"));
+			close();
+		}
 		if (!this.finished) {
 			this.listener.onReadComplete();
 		}
@@ -97,7 +120,17 @@
 					node.path("detail").asText("stage failed")));
 		}
 		else if (node.path("stream").asText().equals(this.stream.toString())) {
-			this.listener.onToken(EngineJson.parseToken(node));
+			TokenEvent token = EngineJson.parseToken(node);
+			recordToken(token);
+			this.listener.onToken(token);
+		}
+	}
+
+	private void recordToken(TokenEvent token) {
+		if (token.index() > this.lastIndex && !this.lastTokenSeen) {
+			this.lastIndex = token.index();
+			this.lastTokenSeen = token.last();
+			this.unusedBytes = 0;
 		}
 	}
 
--- a/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/order/HttpEngineOrderClient.java
+++ b/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/order/HttpEngineOrderClient.java
@@ -17,6 +17,7 @@
 import io.bilberryvalve.model.ModelId;
 import io.bilberryvalve.model.ModelVersion;
 import io.bilberryvalve.model.Runner;
+import io.bilberryvalve.platform.http.ResponseLimit;
 import io.bilberryvalve.policy.lease.FencingNumber;
 import io.servicetalk.http.api.HttpClient;
 import io.servicetalk.http.api.HttpRequest;
@@ -39,6 +40,11 @@
 
 	private static final int MIN_FAILURE_STATUS = 300;
 
+	/**
+	 * Largest answer of an engine to an order or a query; they are usually below 1 kB.
+	 */
+	private static final long MAX_ANSWER_BYTES = 1 << 20;
+
 	private final Duration connectTimeout;
 
 	private final Map<Address, HttpClient> clients = new ConcurrentHashMap<>();
@@ -112,6 +118,7 @@
 		return HttpClients.forResolvedAddress(new InetSocketAddress(address.host(), address.port()))
 			.socketOption(ServiceTalkSocketOptions.CONNECT_TIMEOUT, (int) this.connectTimeout.toMillis())
 			.appendClientFilter(RetryingHttpRequesterFilter.disableAutoRetries())
+			.appendClientFilter(new ResponseLimit(MAX_ANSWER_BYTES))
 			.build();
 	}
 
--- a/bilberryvalve-daemon/src/test/java/io/bilberryvalve/daemon/call/HttpApplicationClientTests.java
+++ b/bilberryvalve-daemon/src/test/java/io/bilberryvalve/daemon/call/HttpApplicationClientTests.java
@@ -72,6 +72,16 @@
 		}
 	}
 
+	// Guards against an answer without end that fills the memory until its time limit.
+	@Example
+	void reportsAnAnswerThatIsTooLongAsLost() throws Exception {
+		try (ServerSocket server = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+			serve(server, new CompletableFuture<>(), "HTTP/1.1 201 x\r\n\r\n" + "x".repeat(20 << 20));
+			ApplicationClient.Reply reply = send(server.getLocalPort(), Duration.ofSeconds(20));
+			assertThat(((ApplicationClient.Reply.Lost) reply).detail()).contains("exceeds");
+		}
+	}
+
 	@Example
 	void reportsTruncatedAnswerAsLost() throws Exception {
 		try (ServerSocket server = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
--- a/bilberryvalve-daemon/src/test/java/io/bilberryvalve/daemon/engine/EngineAnswerTests.java
+++ b/bilberryvalve-daemon/src/test/java/io/bilberryvalve/daemon/engine/EngineAnswerTests.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.io.InputStream;
+import java.io.OutputStream;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
@@ -21,12 +22,14 @@
 import io.bilberryvalve.model.ModelId;
 import io.bilberryvalve.model.ModelVersion;
 import io.bilberryvalve.model.RequestId;
+import io.bilberryvalve.model.Result;
 import io.bilberryvalve.model.Runner;
 import io.bilberryvalve.model.RunnerId;
 import io.bilberryvalve.model.VmId;
 import io.bilberryvalve.policy.chain.Chain;
 import io.bilberryvalve.policy.chain.PlanKey;
 import io.bilberryvalve.policy.chain.Stage;
+import io.bilberryvalve.policy.choice.LoadReport;
 import io.bilberryvalve.policy.outcome.TokenEvent;
 import net.jqwik.api.Example;
 
@@ -115,6 +118,77 @@
 		assertThat(listener.tokens).extracting(TokenEvent::index).containsExactly(1, 2);
 	}
 
+	// Guards against an engine that keeps a reply and its connection busy without end.
+	@Example
+	void endsAStreamWithoutNewTokens() throws Exception {
+		String last = TOKEN.replace("\"last\":false", "\"last\":true");
+		for (String repeated : List.of(": alive\n\n", "data: " + TOKEN + "\n\n",
+				"data: " + TOKEN.replace(REQUEST.toString(), "other") + "\n\n", "event: none\n\n")) {
+			for (String first : List.of(TOKEN, last)) {
+				Listener listener = new Listener();
+				withEndlessAnswer(200, "data: " + first + "\n\n", repeated, (client, port) -> {
+					listener.attach(client.openStream(request(port), () -> true, listener));
+					assertThat(listener.end.get(20, TimeUnit.SECONDS)).as(repeated).contains("no new token");
+				});
+			}
+		}
+	}
+
+	// Guards against the text of an error that does not end.
+	@Example
+	void endsAnErrorWithoutEnd() throws Exception {
+		Listener listener = new Listener();
+		withEndlessAnswer(500, "", "x".repeat(1024), (client, port) -> {
+			listener.attach(client.openStream(request(port), () -> true, listener));
+			assertThat(listener.end.get(20, TimeUnit.SECONDS)).contains("exceeds");
+		});
+	}
+
+	// Guards against a report that is kept in memory until its time limit, however long
+	// it is.
+	@Example
+	void failsAReportThatIsTooLong() throws Exception {
+		withEndlessAnswer(200, "", " ".repeat(1024), (client, port) -> {
+			Result<LoadReport> report = client.fetchLoad(new Address("127.0.0.1", port))
+				.toCompletableFuture()
+				.get(20, TimeUnit.SECONDS);
+			assertThat(((Result.Failed<LoadReport>) report).problem().toString()).contains("exceeds");
+		});
+	}
+
+	// Runs a check against an engine that writes a beginning and then the same text again
+	// and again, and waits until the client closes the connection.
+	private static void withEndlessAnswer(int status, String beginning, String repeated, Check check) throws Exception {
+		CompletableFuture<Void> closed = new CompletableFuture<>();
+		try (ServerSocket server = new ServerSocket(0, 4, InetAddress.getLoopbackAddress());
+				HttpEngineClient client = new HttpEngineClient(Duration.ofSeconds(20), Duration.ofSeconds(20),
+						Duration.ofSeconds(20))) {
+			Thread thread = new Thread(() -> {
+				try (Socket connection = server.accept()) {
+					OutputStream out = connection.getOutputStream();
+					out.write(("HTTP/1.1 " + status + " x\r\ncontent-type: text/event-stream\r\n"
+							+ "transfer-encoding: chunked\r\n\r\n" + (beginning.isEmpty() ? "" : chunk(beginning)))
+						.getBytes(StandardCharsets.UTF_8));
+					byte[] more = chunk(repeated.repeat(1 + 8192 / repeated.length())).getBytes(StandardCharsets.UTF_8);
+					while (true) {
+						out.write(more);
+					}
+				}
+				catch (IOException ex) {
+					closed.complete(null);
+				}
+			}, "endless-engine");
+			thread.setDaemon(true);
+			thread.start();
+			check.run(client, server.getLocalPort());
+			closed.get(20, TimeUnit.SECONDS);
+		}
+	}
+
+	private static String chunk(String text) {
+		return Integer.toHexString(text.length()) + "\r\n" + text + "\r\n";
+	}
+
 	private static String head(int status, String type) {
 		return "HTTP/1.1 " + status + " x\r\ncontent-type: " + type + "\r\nconnection: close\r\n\r\n";
 	}
@@ -209,4 +283,17 @@
 
 	}
 
+	/** Check that uses a client and an engine. */
+	private interface Check {
+
+		/**
+		 * Runs the check.
+		 * @param client the client
+		 * @param port port of the engine
+		 * @throws Exception if an answer is not in time
+		 */
+		void run(HttpEngineClient client, int port) throws Exception;
+
+	}
+
 }
--- a/bilberryvalve-platform/src/main/java/io/bilberryvalve/platform/http/FailoverHttpClient.java
+++ b/bilberryvalve-platform/src/main/java/io/bilberryvalve/platform/http/FailoverHttpClient.java
@@ -49,6 +49,9 @@
 
 	private final List<HttpClient> clients;
 
+	/** Largest answer; the platform divides longer lists into pages. */
+	private static final long MAX_ANSWER_BYTES = 16 << 20;
+
 	private final Duration timeout;
 
 	private final AtomicInteger preferredIndex = new AtomicInteger();
@@ -164,6 +167,7 @@
 		return HttpClients.forResolvedAddress(new InetSocketAddress(address.host(), address.port()))
 			.socketOption(ServiceTalkSocketOptions.CONNECT_TIMEOUT, (int) connectTimeout.toMillis())
 			.appendClientFilter(RetryingHttpRequesterFilter.disableAutoRetries())
+			.appendClientFilter(new ResponseLimit(MAX_ANSWER_BYTES))
 			.build();
 	}
 
