Count no part of a repeated event as progress, and log throttled connections

A runner that repeats events in two parts each got further with every second read, so that no backup attempt was made: the beginning of an event counted as progress. It counts only after a new event now. EndlessResponseTests.repeatedEventsAreNoProgress writes its events in halves and failed without that.

upstream-throttled is logged once for each connection. EntryHistory compares in a plainer order.

--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/fleet/EntryHistory.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/fleet/EntryHistory.java
@@ -57,11 +57,13 @@
 		if (entry.startedMillis() < latest.started) {
 			return judgeEarlierStart(latest, entry);
 		}
-		if (!latest.removed || entry.heartbeats() == 0 || entry.leaving()) {
-			return (entry.heartbeats() >= latest.heartbeats || entry.heartbeats() == 0) ? accept(entry)
-					: rejectOutdated(latest, entry);
+		if (entry.heartbeats() == 0) {
+			return accept(entry);
+		}
+		if (entry.heartbeats() < latest.heartbeats) {
+			return rejectOutdated(latest, entry);
 		}
-		return judgeReturn(latest, entry);
+		return (latest.removed && !entry.leaving()) ? judgeReturn(latest, entry) : accept(entry);
 	}
 
 	private Verdict accept(ListedRunner entry) {
@@ -103,7 +105,7 @@
 		if (returning != null && entry.heartbeats() == returning.heartbeats()) {
 			return Verdict.UNCONFIRMED;
 		}
-		if (entry.heartbeats() <= latest.heartbeats) {
+		if (entry.heartbeats() == latest.heartbeats) {
 			return rejectOutdated(latest, entry);
 		}
 		if (returning != null) {
--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/http/ReadControl.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/http/ReadControl.java
@@ -3,6 +3,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 
+import io.bilberryvalve.model.log.LogEvent;
 import io.netty.channel.Channel;
 
 /**
@@ -13,6 +14,8 @@
  */
 final class ReadControl {
 
+	private static final System.Logger LOGGER = System.getLogger(ReadControl.class.getName());
+
 	/**
 	 * Rate of parts, which are heads, chunks and events of a stream. The fastest engines
 	 * send about a thousand a second on a connection.
@@ -37,6 +40,8 @@
 
 	private boolean throttled;
 
+	private boolean logged;
+
 	/**
 	 * Creates a control that permits reading.
 	 * @param channel the connection
@@ -69,10 +74,21 @@
 			this.throttled = true;
 			apply();
 			long millis = -this.credit / PARTS_PER_SECOND + 1;
+			logOnce(millis);
 			this.channel.eventLoop().schedule(this::endThrottling, millis, TimeUnit.MILLISECONDS);
 		}
 	}
 
+	private void logOnce(long millis) {
+		if (!this.logged) {
+			this.logged = true;
+			LogEvent.of("upstream-throttled")
+				.with("upstream", this.channel.remoteAddress())
+				.with("millis", millis)
+				.log(LOGGER, System.Logger.Level.INFO);
+		}
+	}
+
 	private void endThrottling() {
 		this.throttled = false;
 		apply();
--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/relay/AttemptResponse.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/relay/AttemptResponse.java
@@ -64,6 +64,9 @@
 	/** The last event of this response that the caller had already received. */
 	private @Nullable String repeatedEvent;
 
+	/** Whether the last event was one that the caller had already received. */
+	private boolean repeating;
+
 	private long droppedBytes;
 
 	private long heldBytes;
@@ -198,6 +201,7 @@
 			this.listener.eventReceived();
 			if (!repeated) {
 				this.progressing = true;
+				this.repeating = false;
 				this.eventSent = true;
 				this.listener.selected();
 				this.caller.sendEvent(response, event);
@@ -206,7 +210,7 @@
 				return fail(ResponseDefect.REPEATS);
 			}
 		}
-		this.progressing |= events.hasPartialEvent();
+		this.progressing |= !this.repeating && events.hasPartialEvent();
 		return true;
 	}
 
@@ -214,6 +218,7 @@
 	private boolean dropRepeated(EventSplitter.Event event) {
 		String previous = this.repeatedEvent;
 		this.repeatedEvent = event.id();
+		this.repeating = true;
 		int bytes = event.bytes().readableBytes();
 		event.bytes().release();
 		return follows(event.id(), previous) && drop(bytes);
--- a/bilberryvalve-gateway/src/test/java/io/bilberryvalve/gateway/relay/EndlessResponseTests.java
+++ b/bilberryvalve-gateway/src/test/java/io/bilberryvalve/gateway/relay/EndlessResponseTests.java
@@ -164,8 +164,11 @@
 		ScriptedRunner.Script repeating = (request, count, socket, out) -> {
 			write(out, STREAM_HEAD + event(1));
 			for (long id = -1000; closed.getCount() > 0; id++) {
-				write(out, event(id));
-				awaitMillis(closed, 10);
+				String next = event(id);
+				write(out, next.substring(0, next.length() / 2));
+				awaitMillis(closed, 5);
+				write(out, next.substring(next.length() / 2));
+				awaitMillis(closed, 5);
 			}
 		};
 		ScriptedRunner.Script continuing = (request, count, socket, out) -> write(out,
