Poll the cache events of an engine once at a time

The answer to an earlier poll that arrived after that to a later one set the position back, so that events were read again from there. Found by looking for older states that replace newer ones.

--- a/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/runner/LoadMonitor.java
+++ b/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/runner/LoadMonitor.java
@@ -142,9 +142,13 @@
 			target.pollInFlight = false;
 			handleLoad(target, result);
 		});
-		if (target.pollCount++ % LOADS_PER_CACHE_POLL == 0) {
-			this.engines.fetchCacheEvents(target.runner.address(), target.lastCacheEvent)
-				.thenAccept((result) -> handleCacheEvents(target, result));
+		// The answer to an earlier poll must not replace the position of a later one.
+		if (target.pollCount++ % LOADS_PER_CACHE_POLL == 0 && !target.cachePollInFlight) {
+			target.cachePollInFlight = true;
+			this.engines.fetchCacheEvents(target.runner.address(), target.lastCacheEvent).thenAccept((result) -> {
+				handleCacheEvents(target, result);
+				target.cachePollInFlight = false;
+			});
 		}
 	}
 
@@ -178,6 +182,8 @@
 
 		private volatile boolean pollInFlight;
 
+		private volatile boolean cachePollInFlight;
+
 		private volatile long lastCacheEvent;
 
 		Target(Runner runner, Instant next) {
