Decide before the first report whether bytes follow it

RepeatedReplyTests.bytesBetweenTwoCallsCloseTheConnection failed once (load 20 on 8 cores). Its runner looked after it had written the report whether the report was received; if the client was faster, the bytes that the test is about were not written, and it waited for a close in vain. The runner looks before it writes now; what is checked is unchanged.

--- a/bilberryvalve-gateway/src/test/java/io/bilberryvalve/gateway/relay/RepeatedReplyTests.java
+++ b/bilberryvalve-gateway/src/test/java/io/bilberryvalve/gateway/relay/RepeatedReplyTests.java
@@ -87,8 +87,9 @@
 	void bytesBetweenTwoCallsCloseTheConnection() throws IOException {
 		CountDownLatch received = new CountDownLatch(1);
 		ScriptedRunner.Script script = (request, count, socket, out) -> {
+			boolean first = received.getCount() > 0;
 			write(out, reply("report"));
-			if (received.getCount() > 0) {
+			if (first) {
 				await(received);
 				write(out, "HTTP/1.1 20");
 			}
