Limit the number of daemons that are heard, and move repeated events out of AttemptResponse

A sender of states with ever new names could fill the memory: each name was kept for ever, and each address got states for a minute. At most 5,000 daemons are kept; those silent for a minute make room. Reports of other daemons that no longer count are removed.

PeerTableTests.numberOfDaemonsIsLimited does not end without the limit, as it expects 5,000. RepeatedEvents holds what AttemptResponse knew of repeated events, unchanged.

--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/fleet/RunnerAvailability.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/fleet/RunnerAvailability.java
@@ -102,6 +102,8 @@
 	 * @param changing runners that it ordered to drop layers
 	 */
 	public void applyReport(String daemon, Set<RunnerId> lost, Set<RunnerId> changing) {
+		long oldest = this.clock.millis() - REPORT_LIFETIME_MILLIS;
+		this.reports.values().removeIf((report) -> report.at < oldest);
 		if (lost.isEmpty() && changing.isEmpty()) {
 			this.reports.remove(daemon);
 		}
--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/peer/PeerTable.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/peer/PeerTable.java
@@ -8,8 +8,8 @@
 
 /**
  * Newest state of each other daemon. Datagrams may arrive late, so states are ordered by
- * the start of the daemon and by their sequence number. One thread may add states while
- * others read them.
+ * the start of the daemon and by their sequence number. The number of daemons is limited,
+ * since any sender can invent names. One thread may add states while others read them.
  */
 final class PeerTable {
 
@@ -19,6 +19,12 @@
 	 */
 	private static final long CONFIRMATION_MILLIS = 100;
 
+	/** Largest number of daemons; more than a federation has. */
+	static final int MAX_DAEMONS = 5000;
+
+	/** Silence after which a daemon makes room for another one. */
+	private static final long RETENTION_MILLIS = 60_000;
+
 	private final Map<String, PeerState> states = new ConcurrentHashMap<>();
 
 	/** First states of daemons that seem to have started with their clock set back. */
@@ -42,13 +48,17 @@
 	}
 
 	/**
-	 * Adds a state if it is newer than the known one.
+	 * Adds a state if it is newer than the known one, and if there is room for its
+	 * daemon.
 	 * @param next state that has arrived
 	 * @param absentMillis silence after which a daemon is absent
 	 * @return whether the state was added
 	 */
 	boolean add(PeerState next, long absentMillis) {
 		PeerState known = this.states.get(next.vm());
+		if (known == null && !hasRoom(next.receivedMillis())) {
+			return false;
+		}
 		boolean newer = known == null || next.incarnation() > known.incarnation()
 				|| (next.incarnation() == known.incarnation() && next.sequence() > known.sequence());
 		if (!newer && !replacesLaterIncarnation(next, known, absentMillis)) {
@@ -59,6 +69,14 @@
 		return true;
 	}
 
+	private boolean hasRoom(long now) {
+		if (this.states.size() >= MAX_DAEMONS) {
+			this.states.values().removeIf((state) -> now - state.receivedMillis() > RETENTION_MILLIS);
+			this.unconfirmed.keySet().retainAll(this.states.keySet());
+		}
+		return this.states.size() < MAX_DAEMONS;
+	}
+
 	// A daemon whose clock was set back before its start has a lower incarnation than the
 	// one that has ended. It keeps sending, unlike datagrams that were held up.
 	private boolean replacesLaterIncarnation(PeerState next, PeerState known, long absentMillis) {
--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/peer/StateExchange.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/peer/StateExchange.java
@@ -207,7 +207,7 @@
 	 * @param address address on which a daemon may receive states
 	 */
 	public void addTarget(Address address) {
-		if (!address.equals(this.local.stateAddress())) {
+		if (!address.equals(this.local.stateAddress()) && this.targets.size() < PeerTable.MAX_DAEMONS) {
 			this.targets.putIfAbsent(address, this.clock.millis());
 		}
 	}
@@ -406,7 +406,8 @@
 		if (peer.vm().equals(this.local.vm()) || !this.peers.add(peer, absentMillis())) {
 			return false;
 		}
-		this.targets.put(peer.stateAddress(), peer.receivedMillis());
+		addTarget(peer.stateAddress());
+		this.targets.replace(peer.stateAddress(), peer.receivedMillis());
 		if (previous == null || previous.incarnation() != peer.incarnation() || previous.serving() != peer.serving()) {
 			LogEvent.of("peer-heard")
 				.with("vm", peer.vm())
--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/relay/AttemptResponse.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/relay/AttemptResponse.java
@@ -44,6 +44,8 @@
 
 	private final Listener listener;
 
+	private final RepeatedEvents repeatedEvents = new RepeatedEvents();
+
 	private @Nullable HttpResponse head;
 
 	private @Nullable ByteBuf body;
@@ -61,12 +63,6 @@
 
 	private boolean eventSent;
 
-	/** The last event of this response that the caller had already received. */
-	private @Nullable String repeatedEvent;
-
-	/** Whether the last event was one that the caller had already received. */
-	private boolean repeating;
-
 	private long droppedBytes;
 
 	private long heldBytes;
@@ -201,7 +197,7 @@
 			this.listener.eventReceived();
 			if (!repeated) {
 				this.progressing = true;
-				this.repeating = false;
+				this.repeatedEvents.recordNew();
 				this.eventSent = true;
 				this.listener.selected();
 				this.caller.sendEvent(response, event);
@@ -210,30 +206,14 @@
 				return fail(ResponseDefect.REPEATS);
 			}
 		}
-		this.progressing |= !this.repeating && events.hasPartialEvent();
+		this.progressing |= !this.repeatedEvents.isRepeating() && events.hasPartialEvent();
 		return true;
 	}
 
-	// Returns whether the repeated events can still reach one that the caller lacks.
 	private boolean dropRepeated(EventSplitter.Event event) {
-		String previous = this.repeatedEvent;
-		this.repeatedEvent = event.id();
-		this.repeating = true;
 		int bytes = event.bytes().readableBytes();
 		event.bytes().release();
-		return follows(event.id(), previous) && drop(bytes);
-	}
-
-	private static boolean follows(@Nullable String id, @Nullable String previous) {
-		if (id == null || previous == null) {
-			return true;
-		}
-		try {
-			return Long.parseLong(id) > Long.parseLong(previous);
-		}
-		catch (NumberFormatException ex) {
-			return !id.equals(previous);
-		}
+		return this.repeatedEvents.recordRepeated(event.id()) && drop(bytes);
 	}
 
 	// Bytes without an identifier may be anything. A runner that repeats events must
@@ -242,8 +222,8 @@
 		if (!this.continuation) {
 			return true;
 		}
-		boolean seamless = this.eventSent || this.repeatedEvent == null
-				|| this.repeatedEvent.equals(this.caller.lastEvent());
+		String repeated = this.repeatedEvents.last();
+		boolean seamless = this.eventSent || repeated == null || repeated.equals(this.caller.lastEvent());
 		return event.id() != null && seamless;
 	}
 
--- a/bilberryvalve-gateway/src/test/java/io/bilberryvalve/gateway/peer/PeerTableTests.java
+++ b/bilberryvalve-gateway/src/test/java/io/bilberryvalve/gateway/peer/PeerTableTests.java
@@ -15,8 +15,12 @@
 	private final PeerTable peers = new PeerTable();
 
 	private boolean add(long incarnation, long sequence, long at) {
+		return add("vm", incarnation, sequence, at);
+	}
+
+	private boolean add(String vm, long incarnation, long sequence, long at) {
 		Address address = new Address("10.0.0.1", 80);
-		return this.peers.add(new PeerState("vm", incarnation, sequence, new DataCentreId("a"), address, address, true,
+		return this.peers.add(new PeerState(vm, incarnation, sequence, new DataCentreId("a"), address, address, true,
 				false, true, 1, Set.of(), Set.of(), at), ABSENT_MILLIS);
 	}
 
@@ -57,4 +61,19 @@
 		assertThat(this.peers.all()).hasSize(1);
 	}
 
+	// Guards against a sender of states with ever new names that fills the memory.
+	@Example
+	void numberOfDaemonsIsLimited() {
+		add(1, 1, 0);
+		for (int i = 0; i < 2 * PeerTable.MAX_DAEMONS; i++) {
+			add("invented-" + i, 1, 1, 1000);
+		}
+		assertThat(this.peers.all()).hasSize(PeerTable.MAX_DAEMONS);
+		assertThat(add(1, 2, 2000)).isTrue();
+		assertThat(add("late", 1, 1, 30_000)).isFalse();
+		add(1, 3, 30_000);
+		assertThat(add("late", 1, 1, 62_000)).isTrue();
+		assertThat(this.peers.all()).extracting(PeerState::vm).containsExactlyInAnyOrder("vm", "late");
+	}
+
 }
