--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/http/Transport.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/http/Transport.java
@@ -53,11 +53,15 @@
 	 */
 	private static final int BACKLOG = 1024;
 
+	/** Most bytes of one read from a connection to an upstream. */
+	private static final int MAX_UPSTREAM_READ_BYTES = 8192;
+
 	/**
-	 * Most bytes read from a connection to an upstream before the event loop turns to the
-	 * other connections.
+	 * Number of reads from a connection to an upstream before the event loop turns to the
+	 * other connections. The second one usually finds nothing, which ends the turn
+	 * without another task of the loop.
 	 */
-	private static final int MAX_UPSTREAM_READ_BYTES = 16_384;
+	private static final int UPSTREAM_READS = 2;
 
 	private static final int INITIAL_READ_BYTES = 2048;
 
@@ -138,7 +142,7 @@
 			.option(ChannelOption.SO_KEEPALIVE, true)
 			.option(ChannelOption.RCVBUF_ALLOCATOR,
 					new AdaptiveRecvByteBufAllocator(MIN_READ_BYTES, INITIAL_READ_BYTES, MAX_UPSTREAM_READ_BYTES)
-						.maxMessagesPerRead(1))
+						.maxMessagesPerRead(UPSTREAM_READS))
 			.option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS);
 		if (this.epoll) {
 			bootstrap.option(EpollChannelOption.TCP_KEEPIDLE, KEEP_ALIVE_PROBE_SECONDS)
