--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/Gateway.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/Gateway.java
@@ -14,7 +14,7 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
-import java.util.function.LongConsumer;
+import java.util.function.Consumer;
 import java.util.function.Predicate;
 
 import io.bilberryvalve.gateway.fleet.FleetRegistry;
@@ -47,6 +47,7 @@
 import io.bilberryvalve.platform.RowOperation;
 import io.bilberryvalve.platform.TableService;
 import io.bilberryvalve.platform.lease.LeaseManager;
+import io.bilberryvalve.platform.watch.StoreVersion;
 import io.bilberryvalve.policy.lease.LeaseCandidate;
 import io.bilberryvalve.policy.lease.LeaseTimes;
 import io.bilberryvalve.policy.membership.ShutdownSchedule;
@@ -165,7 +166,7 @@
 
 	private long progressCheckedAt;
 
-	private volatile long runnerListVersion;
+	private volatile StoreVersion runnerListVersion = StoreVersion.NONE;
 
 	private volatile boolean leaving;
 
@@ -204,8 +205,8 @@
 				this::connectionPool);
 		this.stateExchange = new StateExchange(transport,
 				new StateExchange.LocalState(settings.vm(), settings.dataCentre(), settings.callerAddress(),
-						settings.stateAddress(), this::isServing, () -> this.leaving, this.fleetRegistry::isReachable,
-						this::configurationVersion, () -> this.runnerListVersion),
+						settings.stateAddress(), settings.capacity(), this::isServing, () -> this.leaving,
+						this.fleetRegistry::isReachable, this::configurationVersion, () -> this.runnerListVersion),
 				this.loadTracker, this.runnerAvailability, partQuarantine, clock, incarnation);
 		this.loopMonitor = new LoopMonitor(clock);
 		this.relayContext.useBacklogs(this.loopMonitor::backlog);
@@ -284,7 +285,7 @@
 	 * @param action receives the version of the store with the change, on the event loop
 	 * that receives the report
 	 */
-	public void onNewerRunnerList(LongConsumer action) {
+	public void onNewerRunnerList(Consumer<StoreVersion> action) {
 		this.stateExchange.onNewerRunnerList(action);
 	}
 
@@ -293,8 +294,10 @@
 	 * read the store often, the others are told.
 	 * @param version version of the store with the change
 	 */
-	public void runnerListChanged(long version) {
-		this.runnerListVersion = Math.max(this.runnerListVersion, version);
+	public void runnerListChanged(StoreVersion version) {
+		if (this.runnerListVersion.isBefore(version)) {
+			this.runnerListVersion = version;
+		}
 		if (isReader()) {
 			this.stateExchange.sendNowToAll();
 		}
--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/GatewaySettings.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/GatewaySettings.java
@@ -19,8 +19,10 @@
  * @param retryWindow time window for which both limits hold
  * @param runnerHeartbeat interval at which runners renew their entries in the list of
  * runners
+ * @param capacity processor capacity of the VM in cores, 0 if unknown
  */
 public record GatewaySettings(String vm, DataCentreId dataCentre, Address callerAddress, Address stateAddress,
-		int eventLoopThreads, double retryRatio, int retrySlack, Duration retryWindow, Duration runnerHeartbeat) {
+		int eventLoopThreads, double retryRatio, int retrySlack, Duration retryWindow, Duration runnerHeartbeat,
+		double capacity) {
 
 }
--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/peer/PeerState.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/peer/PeerState.java
@@ -21,11 +21,12 @@
  * @param configurationVersion version of its configuration, 0 for none
  * @param lostRunners runners that it found dead or unreachable
  * @param changingRunners runners that it ordered to give up layers
+ * @param capacity processor capacity of its VM in cores, 0 if unknown
  * @param receivedMillis arrival time of the message in milliseconds, by the monotonic
  * clock of this daemon
  */
 public record PeerState(String vm, long incarnation, long sequence, DataCentreId dataCentre, Address callerAddress,
 		Address stateAddress, boolean serving, boolean leaving, boolean storeReachable, long configurationVersion,
-		Set<RunnerId> lostRunners, Set<RunnerId> changingRunners, long receivedMillis) {
+		Set<RunnerId> lostRunners, Set<RunnerId> changingRunners, double capacity, long receivedMillis) {
 
 }
--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/peer/StateExchange.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/peer/StateExchange.java
@@ -9,8 +9,10 @@
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
 import java.util.function.LongConsumer;
 import java.util.function.LongSupplier;
+import java.util.function.Supplier;
 import java.util.stream.Collectors;
 
 import com.google.protobuf.InvalidProtocolBufferException;
@@ -23,6 +25,7 @@
 import io.bilberryvalve.model.RunnerId;
 import io.bilberryvalve.model.log.LogEvent;
 import io.bilberryvalve.model.task.GuardedTask;
+import io.bilberryvalve.platform.watch.StoreVersion;
 import io.bilberryvalve.policy.path.RunnerLoad;
 import io.bilberryvalve.policy.quarantine.PartQuarantine;
 import io.bilberryvalve.wire.proto.LoadMessages.DaemonState;
@@ -117,7 +120,7 @@
 	private LongConsumer onNewerConfiguration = (version) -> {
 	};
 
-	private LongConsumer onNewerRunnerList = (version) -> {
+	private Consumer<StoreVersion> onNewerRunnerList = (version) -> {
 	};
 
 	private @Nullable Channel channel;
@@ -179,7 +182,7 @@
 	 * @param action receives the version of the store with the change, on the event loop
 	 * that receives states; it may run several times for one change
 	 */
-	public void onNewerRunnerList(LongConsumer action) {
+	public void onNewerRunnerList(Consumer<StoreVersion> action) {
 		this.onNewerRunnerList = action;
 	}
 
@@ -338,6 +341,7 @@
 	}
 
 	private DaemonState buildState() {
+		StoreVersion runnerList = this.local.runnerListVersion().get();
 		DaemonState.Builder builder = DaemonState.newBuilder()
 			.setVm(this.local.vm())
 			.setIncarnation(this.incarnation)
@@ -349,7 +353,9 @@
 			.setLeaving(this.local.leaving().getAsBoolean())
 			.setStoreReachable(this.local.storeReachable().getAsBoolean())
 			.setConfiguration(this.local.configurationVersion().getAsLong())
-			.setRunnerList(this.local.runnerListVersion().getAsLong());
+			.setCapacity(this.local.capacity())
+			.setStoreEra(runnerList.era())
+			.setRunnerList(runnerList.version());
 		this.runnerAvailability.lostRunners().forEach((runner) -> builder.addLostRunners(runner.value()));
 		this.runnerAvailability.changingRunners().forEach((runner) -> builder.addChangingRunners(runner.value()));
 		this.loadTracker.ownLoads()
@@ -371,10 +377,11 @@
 					new DataCentreId(state.getDataCentre()), IpAddresses.parse(state.getCallerAddress()),
 					IpAddresses.parse(state.getStateAddress()), state.getServing(), state.getLeaving(),
 					state.getStoreReachable(), state.getConfiguration(), runners(state.getLostRunnersList()),
-					runners(state.getChangingRunnersList()), this.clock.millis());
+					runners(state.getChangingRunnersList()), state.getCapacity(), this.clock.millis());
 			if (accept(peer)) {
-				if (state.getRunnerList() > this.local.runnerListVersion().getAsLong()) {
-					this.onNewerRunnerList.accept(state.getRunnerList());
+				StoreVersion runnerList = new StoreVersion(state.getStoreEra(), state.getRunnerList());
+				if (this.local.runnerListVersion().get().isBefore(runnerList)) {
+					this.onNewerRunnerList.accept(runnerList);
 				}
 				if (!state.getWithoutUsage()) {
 					this.loadTracker.applyReport(peer.vm(), usage(state));
@@ -447,6 +454,7 @@
 	 * @param dataCentre data centre of its VM
 	 * @param callerAddress address on which callers connect
 	 * @param stateAddress address on which it receives states
+	 * @param capacity processor capacity of its VM in cores, 0 if unknown
 	 * @param serving whether callers should use it
 	 * @param leaving whether it is stopping
 	 * @param storeReachable whether it can reach the store
@@ -455,8 +463,8 @@
 	 * runners that it knows, 0 for none
 	 */
 	public record LocalState(String vm, DataCentreId dataCentre, Address callerAddress, Address stateAddress,
-			BooleanSupplier serving, BooleanSupplier leaving, BooleanSupplier storeReachable,
-			LongSupplier configurationVersion, LongSupplier runnerListVersion) {
+			double capacity, BooleanSupplier serving, BooleanSupplier leaving, BooleanSupplier storeReachable,
+			LongSupplier configurationVersion, Supplier<StoreVersion> runnerListVersion) {
 
 	}
 
--- a/bilberryvalve-gateway/src/test/java/io/bilberryvalve/gateway/GatewayTests.java
+++ b/bilberryvalve-gateway/src/test/java/io/bilberryvalve/gateway/GatewayTests.java
@@ -59,7 +59,7 @@
 
 	private static Gateway gateway(Transport transport, LayerOrders orders, TableService tables) throws IOException {
 		GatewaySettings settings = new GatewaySettings("vm", new DataCentreId("a"), freeAddress(), freeAddress(), 1,
-				0.1, 10, Duration.ofSeconds(10), Duration.ofMillis(100));
+				0.1, 10, Duration.ofSeconds(10), Duration.ofMillis(100), 1);
 		StallProbe probe = (first) -> CompletableFuture.completedFuture(new StallProbe.ProbeResult(false, List.of()));
 		return new Gateway(settings, HEADER_NAMES, transport, tables, probe, orders, new MonotonicClock(), 1);
 	}
--- a/bilberryvalve-gateway/src/test/java/io/bilberryvalve/gateway/peer/PeerTableTests.java
+++ b/bilberryvalve-gateway/src/test/java/io/bilberryvalve/gateway/peer/PeerTableTests.java
@@ -21,7 +21,7 @@
 	private boolean add(String vm, long incarnation, long sequence, long at) {
 		Address address = new Address("10.0.0.1", 80);
 		return this.peers.add(new PeerState(vm, incarnation, sequence, new DataCentreId("a"), address, address, true,
-				false, true, 1, Set.of(), Set.of(), at), ABSENT_MILLIS);
+				false, true, 1, Set.of(), Set.of(), 1, at), ABSENT_MILLIS);
 	}
 
 	// Guards against a daemon that is taken to serve again because of a datagram that was
--- a/bilberryvalve-gateway/src/test/java/io/bilberryvalve/gateway/peer/StateExchangeTests.java
+++ b/bilberryvalve-gateway/src/test/java/io/bilberryvalve/gateway/peer/StateExchangeTests.java
@@ -19,6 +19,7 @@
 import io.bilberryvalve.model.DataCentreId;
 import io.bilberryvalve.model.RunnerId;
 import io.bilberryvalve.model.clock.MonotonicClock;
+import io.bilberryvalve.platform.watch.StoreVersion;
 import io.bilberryvalve.policy.quarantine.PartQuarantine;
 import io.bilberryvalve.wire.proto.LoadMessages.DaemonState;
 import io.bilberryvalve.wire.proto.LoadMessages.PromptCrash;
@@ -41,7 +42,7 @@
 
 	private final LoadTracker loadTracker = new LoadTracker(this.clock);
 
-	private final BlockingQueue<Long> newerRunnerLists = new LinkedBlockingQueue<>();
+	private final BlockingQueue<StoreVersion> newerRunnerLists = new LinkedBlockingQueue<>();
 
 	private StateExchange exchange;
 
@@ -53,8 +54,8 @@
 			peer.setSoTimeout(ANSWER_MILLIS);
 			Address address = freeAddress();
 			this.exchange = new StateExchange(transport,
-					new StateExchange.LocalState("self", HERE, address, address, () -> true, () -> false, () -> true,
-							() -> 1, () -> 40),
+					new StateExchange.LocalState("self", HERE, address, address, 1, () -> true, () -> false, () -> true,
+							() -> 1, () -> new StoreVersion(0, 40)),
 					this.loadTracker, new RunnerAvailability(this.clock), new PartQuarantine(this.clock), this.clock,
 					1);
 			this.exchange.onNewerRunnerList(this.newerRunnerLists::add);
@@ -195,7 +196,7 @@
 			assertThat(isHeard(peer, (state) -> {
 			})).isTrue();
 		});
-		assertThat(this.newerRunnerLists).containsExactly(41L);
+		assertThat(this.newerRunnerLists).containsExactly(new StoreVersion(0, 41));
 	}
 
 	// Guards against fleets in which all daemons read the store often, or none does.
--- a/bilberryvalve-platform/src/main/java/io/bilberryvalve/platform/watch/TableFeed.java
+++ b/bilberryvalve-platform/src/main/java/io/bilberryvalve/platform/watch/TableFeed.java
@@ -9,8 +9,8 @@
 
 /**
  * Store that returns snapshots of its tables and, by long polling, their changes. Methods
- * do not block, and their stages never complete exceptionally. The version of the store
- * rises with its changes.
+ * do not block, and their stages never complete exceptionally. Versions are those of the
+ * store, with the era in which the answer was given.
  */
 public interface TableFeed {
 
@@ -25,12 +25,13 @@
 	 * Reads the changes of a table after a version of the store, and waits for one if
 	 * there are none yet.
 	 * @param table name of the table
-	 * @param after version of the store up to which the changes are known
+	 * @param after version of the store up to which the changes are known; only its
+	 * number is sent, so that the answer may be from a later era
 	 * @param wait longest time to wait for a change
 	 * @return the changes; {@link ReadResult.Missing} if the store no longer has the
 	 * history since that version
 	 */
-	CompletionStage<ReadResult<Changes>> changes(String table, long after, Duration wait);
+	CompletionStage<ReadResult<Changes>> changes(String table, StoreVersion after, Duration wait);
 
 	/**
 	 * All rows of a table.
@@ -39,7 +40,7 @@
 	 * may be later than the version
 	 * @param version version of the store at which the first rows were read
 	 */
-	record Snapshot(List<Row> rows, long version) {
+	record Snapshot(List<Row> rows, StoreVersion version) {
 
 		/**
 		 * Copies the rows.
@@ -58,7 +59,7 @@
 	 * @param changes the changes, empty if there were none before the wait ended
 	 * @param version version of the store after them
 	 */
-	record Changes(List<Change> changes, long version) {
+	record Changes(List<Change> changes, StoreVersion version) {
 
 		/**
 		 * Copies the changes.
--- a/bilberryvalve-platform/src/main/java/io/bilberryvalve/platform/watch/TableWatcher.java
+++ b/bilberryvalve-platform/src/main/java/io/bilberryvalve/platform/watch/TableWatcher.java
@@ -51,7 +51,7 @@
 
 	private final Listener listener;
 
-	private long version;
+	private StoreVersion version = StoreVersion.NONE;
 
 	/**
 	 * Versions, by key, of rows in the last snapshot that are later than the snapshot
@@ -64,7 +64,7 @@
 	private boolean unavailable;
 
 	/** Latest version for which changes were read early. */
-	private long caughtUp;
+	private StoreVersion caughtUp = StoreVersion.NONE;
 
 	/** The read of changes that is scheduled, unless one is in progress. */
 	private @Nullable ScheduledFuture<?> nextRead;
@@ -111,7 +111,7 @@
 		this.nextRefreshNanos = now + TimeUnit.MILLISECONDS.toNanos(MAX_BACKOFF_MILLIS);
 		read(() -> this.feed.snapshot(this.table), (result) -> {
 			if (result instanceof ReadResult.Found<TableFeed.Snapshot> found
-					&& found.value().version() >= this.version) {
+					&& !found.value().version().isBefore(this.version)) {
 				notifyListener(() -> this.listener.onRefresh(found.value().rows()));
 			}
 		});
@@ -123,10 +123,11 @@
 	 * effect once, so that a wrong one does not cause many reads.
 	 * @param known version of the change
 	 */
-	public void catchUp(long known) {
+	public void catchUp(StoreVersion known) {
 		this.timer.execute(() -> {
 			ScheduledFuture<?> scheduled = this.nextRead;
-			if (known > Math.max(this.version, this.caughtUp) && scheduled != null && scheduled.cancel(false)) {
+			if (this.version.isBefore(known) && this.caughtUp.isBefore(known) && scheduled != null
+					&& scheduled.cancel(false)) {
 				this.caughtUp = known;
 				readChanges();
 			}
@@ -162,7 +163,7 @@
 			handleFailure(result, this::readSnapshot);
 			return;
 		}
-		if (found.value().version() < this.version) {
+		if (found.value().version().isBefore(this.version)) {
 			LogEvent.of("store-answered-old-rows")
 				.with("table", this.table)
 				.with("version", found.value().version())
@@ -177,9 +178,9 @@
 		found.value()
 			.rows()
 			.stream()
-			.filter((row) -> row.version() > this.version)
+			.filter((row) -> row.version() > this.version.version())
 			.forEach((row) -> this.rowsAhead.put(row.key(), row.version()));
-		notifyListener(() -> this.listener.onSnapshot(found.value().rows()));
+		notifyListener(() -> this.listener.onSnapshot(found.value().rows(), found.value().version()));
 		readChanges();
 	}
 
@@ -189,7 +190,7 @@
 			Long known = this.rowsAhead.get(change.row().key());
 			return known == null || change.row().version() >= known;
 		}).toList();
-		this.rowsAhead.values().removeIf((known) -> known <= this.version);
+		this.rowsAhead.values().removeIf((known) -> known <= this.version.version());
 		return newer;
 	}
 
@@ -201,11 +202,13 @@
 	private void handleChanges(ReadResult<TableFeed.Changes> result) {
 		if (result instanceof ReadResult.Found<TableFeed.Changes> found) {
 			recordAvailable();
-			this.version = Math.max(this.version, found.value().version());
+			if (this.version.isBefore(found.value().version())) {
+				this.version = found.value().version();
+			}
 			if (!found.value().changes().isEmpty()) {
 				List<TableFeed.Change> newer = newerChanges(found.value());
 				if (!newer.isEmpty()) {
-					notifyListener(() -> this.listener.onChanges(newer));
+					notifyListener(() -> this.listener.onChanges(newer, found.value().version()));
 				}
 				this.nextRead = this.timer.schedule(this::readChanges, this.pace.delayAfterChange().toMillis(),
 						TimeUnit.MILLISECONDS);
@@ -266,15 +269,17 @@
 		/**
 		 * Called with a new snapshot, which replaces all rows received before.
 		 * @param rows all rows of the table
+		 * @param version version of the store at which they were read
 		 */
-		void onSnapshot(List<Row> rows);
+		void onSnapshot(List<Row> rows, StoreVersion version);
 
 		/**
 		 * Called when rows were written or removed.
 		 * @param changes the changes, at least one, in the order in which they took
 		 * effect
+		 * @param version version of the store after them
 		 */
-		void onChanges(List<TableFeed.Change> changes);
+		void onChanges(List<TableFeed.Change> changes, StoreVersion version);
 
 		/**
 		 * Called with the snapshot that {@link TableWatcher#refresh()} requested. It may
--- a/bilberryvalve-platform/src/test/java/io/bilberryvalve/platform/watch/TableWatcherTests.java
+++ b/bilberryvalve-platform/src/test/java/io/bilberryvalve/platform/watch/TableWatcherTests.java
@@ -42,11 +42,12 @@
 	}
 
 	private static ReadResult<TableFeed.Snapshot> snapshot(long version, String value) {
-		return new ReadResult.Found<>(new TableFeed.Snapshot(List.of(row(value)), version));
+		return new ReadResult.Found<>(new TableFeed.Snapshot(List.of(row(value)), new StoreVersion(0, version)));
 	}
 
 	private static ReadResult<TableFeed.Changes> change(long version, String value) {
-		return new ReadResult.Found<>(new TableFeed.Changes(List.of(new TableFeed.Change(row(value), false)), version));
+		return new ReadResult.Found<>(
+				new TableFeed.Changes(List.of(new TableFeed.Change(row(value), false)), new StoreVersion(0, version)));
 	}
 
 	@Example
@@ -149,10 +150,10 @@
 		this.watch.start();
 		this.timer.runUndelayed();
 		assertThat(this.feed.after).containsExactly(5L);
-		this.watch.catchUp(7);
+		this.watch.catchUp(new StoreVersion(0, 7));
 		this.timer.runUndelayed();
 		assertThat(this.feed.after).as("a known version").containsExactly(5L);
-		this.watch.catchUp(8);
+		this.watch.catchUp(new StoreVersion(0, 8));
 		this.timer.runUndelayed();
 		assertThat(this.feed.after).containsExactly(5L, 7L);
 		assertThat(this.events).endsWith("changed two", "changed three");
@@ -169,7 +170,7 @@
 		this.watch.start();
 		this.timer.runUndelayed();
 		for (int i = 0; i < 3; i++) {
-			this.watch.catchUp(Long.MAX_VALUE);
+			this.watch.catchUp(new StoreVersion(0, Long.MAX_VALUE));
 			this.timer.runUndelayed();
 		}
 		assertThat(this.feed.after).containsExactly(5L, 7L);
@@ -180,7 +181,7 @@
 	@Example
 	void leavesOutChangesOlderThanTheRowInTheSnapshot() {
 		Row late = new Row("t", "k", 8, "three");
-		this.feed.snapshots.add(new ReadResult.Found<>(new TableFeed.Snapshot(List.of(late), 5)));
+		this.feed.snapshots.add(new ReadResult.Found<>(new TableFeed.Snapshot(List.of(late), new StoreVersion(0, 5))));
 		this.feed.changes.add(change(new Row("t", "k", 6, "two"), 6));
 		this.feed.changes.add(change(new Row("t", "k", 8, "three"), 8));
 		this.feed.changes.add(change(new Row("t", "k", 9, "four"), 9));
@@ -191,19 +192,20 @@
 	}
 
 	private static ReadResult<TableFeed.Changes> change(Row row, long version) {
-		return new ReadResult.Found<>(new TableFeed.Changes(List.of(new TableFeed.Change(row, false)), version));
+		return new ReadResult.Found<>(
+				new TableFeed.Changes(List.of(new TableFeed.Change(row, false)), new StoreVersion(0, version)));
 	}
 
 	private final class Recorder implements TableWatcher.Listener {
 
 		@Override
-		public void onSnapshot(List<Row> rows) {
+		public void onSnapshot(List<Row> rows, StoreVersion version) {
 			check(rows.get(0));
 			TableWatcherTests.this.events.add("replaced " + rows.get(0).value());
 		}
 
 		@Override
-		public void onChanges(List<TableFeed.Change> changes) {
+		public void onChanges(List<TableFeed.Change> changes, StoreVersion version) {
 			check(changes.get(0).row());
 			TableWatcherTests.this.events.add("changed " + changes.get(0).row().value());
 		}
@@ -260,8 +262,8 @@
 		}
 
 		@Override
-		public CompletionStage<ReadResult<Changes>> changes(String table, long version, Duration wait) {
-			this.after.add(version);
+		public CompletionStage<ReadResult<Changes>> changes(String table, StoreVersion version, Duration wait) {
+			this.after.add(version.version());
 			return next(this.changes);
 		}
 
--- a/bilberryvalve-wire/src/main/java/io/bilberryvalve/wire/proto/LoadMessages.java
+++ b/bilberryvalve-wire/src/main/java/io/bilberryvalve/wire/proto/LoadMessages.java
@@ -351,6 +351,26 @@
      * @return The withoutUsage.
      */
     boolean getWithoutUsage();
+
+    /**
+     * <pre>
+     * Era of the store in which runner_list was read; 0 if the store states none.
+     * </pre>
+     *
+     * <code>int64 store_era = 17;</code>
+     * @return The storeEra.
+     */
+    long getStoreEra();
+
+    /**
+     * <pre>
+     * Processor capacity of the VM in cores, 0 if unknown.
+     * </pre>
+     *
+     * <code>double capacity = 18;</code>
+     * @return The capacity.
+     */
+    double getCapacity();
   }
   /**
    * <pre>
@@ -931,6 +951,36 @@
       return withoutUsage_;
     }
 
+    public static final int STORE_ERA_FIELD_NUMBER = 17;
+    private long storeEra_ = 0L;
+    /**
+     * <pre>
+     * Era of the store in which runner_list was read; 0 if the store states none.
+     * </pre>
+     *
+     * <code>int64 store_era = 17;</code>
+     * @return The storeEra.
+     */
+    @java.lang.Override
+    public long getStoreEra() {
+      return storeEra_;
+    }
+
+    public static final int CAPACITY_FIELD_NUMBER = 18;
+    private double capacity_ = 0D;
+    /**
+     * <pre>
+     * Processor capacity of the VM in cores, 0 if unknown.
+     * </pre>
+     *
+     * <code>double capacity = 18;</code>
+     * @return The capacity.
+     */
+    @java.lang.Override
+    public double getCapacity() {
+      return capacity_;
+    }
+
     private byte memoizedIsInitialized = -1;
     @java.lang.Override
     public final boolean isInitialized() {
@@ -993,6 +1043,12 @@
       if (withoutUsage_ != false) {
         output.writeBool(16, withoutUsage_);
       }
+      if (storeEra_ != 0L) {
+        output.writeInt64(17, storeEra_);
+      }
+      if (java.lang.Double.doubleToRawLongBits(capacity_) != 0) {
+        output.writeDouble(18, capacity_);
+      }
       getUnknownFields().writeTo(output);
     }
 
@@ -1070,6 +1126,14 @@
         size += com.google.protobuf.CodedOutputStream
           .computeBoolSize(16, withoutUsage_);
       }
+      if (storeEra_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeInt64Size(17, storeEra_);
+      }
+      if (java.lang.Double.doubleToRawLongBits(capacity_) != 0) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeDoubleSize(18, capacity_);
+      }
       size += getUnknownFields().getSerializedSize();
       memoizedSize = size;
       return size;
@@ -1117,6 +1181,11 @@
           != other.getRunnerList()) return false;
       if (getWithoutUsage()
           != other.getWithoutUsage()) return false;
+      if (getStoreEra()
+          != other.getStoreEra()) return false;
+      if (java.lang.Double.doubleToLongBits(getCapacity())
+          != java.lang.Double.doubleToLongBits(
+              other.getCapacity())) return false;
       if (!getUnknownFields().equals(other.getUnknownFields())) return false;
       return true;
     }
@@ -1176,6 +1245,12 @@
       hash = (37 * hash) + WITHOUT_USAGE_FIELD_NUMBER;
       hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
           getWithoutUsage());
+      hash = (37 * hash) + STORE_ERA_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getStoreEra());
+      hash = (37 * hash) + CAPACITY_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          java.lang.Double.doubleToLongBits(getCapacity()));
       hash = (29 * hash) + getUnknownFields().hashCode();
       memoizedHashCode = hash;
       return hash;
@@ -1341,6 +1416,8 @@
         bitField0_ = (bitField0_ & ~0x00002000);
         runnerList_ = 0L;
         withoutUsage_ = false;
+        storeEra_ = 0L;
+        capacity_ = 0D;
         return this;
       }
 
@@ -1440,6 +1517,12 @@
         if (((from_bitField0_ & 0x00008000) != 0)) {
           result.withoutUsage_ = withoutUsage_;
         }
+        if (((from_bitField0_ & 0x00010000) != 0)) {
+          result.storeEra_ = storeEra_;
+        }
+        if (((from_bitField0_ & 0x00020000) != 0)) {
+          result.capacity_ = capacity_;
+        }
       }
 
       @java.lang.Override
@@ -1570,6 +1653,12 @@
         if (other.getWithoutUsage() != false) {
           setWithoutUsage(other.getWithoutUsage());
         }
+        if (other.getStoreEra() != 0L) {
+          setStoreEra(other.getStoreEra());
+        }
+        if (java.lang.Double.doubleToRawLongBits(other.getCapacity()) != 0) {
+          setCapacity(other.getCapacity());
+        }
         this.mergeUnknownFields(other.getUnknownFields());
         onChanged();
         return this;
@@ -1694,6 +1783,16 @@
                 bitField0_ |= 0x00008000;
                 break;
               } // case 128
+              case 136: {
+                storeEra_ = input.readInt64();
+                bitField0_ |= 0x00010000;
+                break;
+              } // case 136
+              case 145: {
+                capacity_ = input.readDouble();
+                bitField0_ |= 0x00020000;
+                break;
+              } // case 145
               default: {
                 if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                   done = true; // was an endgroup tag
@@ -3329,6 +3428,94 @@
         return this;
       }
 
+      private long storeEra_ ;
+      /**
+       * <pre>
+       * Era of the store in which runner_list was read; 0 if the store states none.
+       * </pre>
+       *
+       * <code>int64 store_era = 17;</code>
+       * @return The storeEra.
+       */
+      @java.lang.Override
+      public long getStoreEra() {
+        return storeEra_;
+      }
+      /**
+       * <pre>
+       * Era of the store in which runner_list was read; 0 if the store states none.
+       * </pre>
+       *
+       * <code>int64 store_era = 17;</code>
+       * @param value The storeEra to set.
+       * @return This builder for chaining.
+       */
+      public Builder setStoreEra(long value) {
+
+        storeEra_ = value;
+        bitField0_ |= 0x00010000;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * Era of the store in which runner_list was read; 0 if the store states none.
+       * </pre>
+       *
+       * <code>int64 store_era = 17;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearStoreEra() {
+        bitField0_ = (bitField0_ & ~0x00010000);
+        storeEra_ = 0L;
+        onChanged();
+        return this;
+      }
+
+      private double capacity_ ;
+      /**
+       * <pre>
+       * Processor capacity of the VM in cores, 0 if unknown.
+       * </pre>
+       *
+       * <code>double capacity = 18;</code>
+       * @return The capacity.
+       */
+      @java.lang.Override
+      public double getCapacity() {
+        return capacity_;
+      }
+      /**
+       * <pre>
+       * Processor capacity of the VM in cores, 0 if unknown.
+       * </pre>
+       *
+       * <code>double capacity = 18;</code>
+       * @param value The capacity to set.
+       * @return This builder for chaining.
+       */
+      public Builder setCapacity(double value) {
+
+        capacity_ = value;
+        bitField0_ |= 0x00020000;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * Processor capacity of the VM in cores, 0 if unknown.
+       * </pre>
+       *
+       * <code>double capacity = 18;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearCapacity() {
+        bitField0_ = (bitField0_ & ~0x00020000);
+        capacity_ = 0D;
+        onChanged();
+        return this;
+      }
+
       // @@protoc_insertion_point(builder_scope:bilberryvalve.load.DaemonState)
     }
 
@@ -3380,76 +3567,54 @@
 
   }
 
-  public interface PromptPartOrBuilder extends
-      // @@protoc_insertion_point(interface_extends:bilberryvalve.load.PromptPart)
+  public interface FleetMessageOrBuilder extends
+      // @@protoc_insertion_point(interface_extends:bilberryvalve.load.FleetMessage)
       com.google.protobuf.MessageOrBuilder {
 
     /**
-     * <code>string part = 1;</code>
-     * @return The part.
-     */
-    java.lang.String getPart();
-    /**
-     * <code>string part = 1;</code>
-     * @return The bytes for part.
+     * <code>.bilberryvalve.load.StateDigest digest = 101;</code>
+     * @return Whether the digest field is set.
      */
-    com.google.protobuf.ByteString
-        getPartBytes();
-
+    boolean hasDigest();
     /**
-     * <code>repeated .bilberryvalve.load.PromptCrash crashes = 2;</code>
+     * <code>.bilberryvalve.load.StateDigest digest = 101;</code>
+     * @return The digest.
      */
-    java.util.List<io.bilberryvalve.wire.proto.LoadMessages.PromptCrash> 
-        getCrashesList();
+    io.bilberryvalve.wire.proto.LoadMessages.StateDigest getDigest();
     /**
-     * <code>repeated .bilberryvalve.load.PromptCrash crashes = 2;</code>
+     * <code>.bilberryvalve.load.StateDigest digest = 101;</code>
      */
-    io.bilberryvalve.wire.proto.LoadMessages.PromptCrash getCrashes(int index);
+    io.bilberryvalve.wire.proto.LoadMessages.StateDigestOrBuilder getDigestOrBuilder();
+
     /**
-     * <code>repeated .bilberryvalve.load.PromptCrash crashes = 2;</code>
+     * <code>.bilberryvalve.load.Roster roster = 102;</code>
+     * @return Whether the roster field is set.
      */
-    int getCrashesCount();
+    boolean hasRoster();
     /**
-     * <code>repeated .bilberryvalve.load.PromptCrash crashes = 2;</code>
+     * <code>.bilberryvalve.load.Roster roster = 102;</code>
+     * @return The roster.
      */
-    java.util.List<? extends io.bilberryvalve.wire.proto.LoadMessages.PromptCrashOrBuilder> 
-        getCrashesOrBuilderList();
+    io.bilberryvalve.wire.proto.LoadMessages.Roster getRoster();
     /**
-     * <code>repeated .bilberryvalve.load.PromptCrash crashes = 2;</code>
+     * <code>.bilberryvalve.load.Roster roster = 102;</code>
      */
-    io.bilberryvalve.wire.proto.LoadMessages.PromptCrashOrBuilder getCrashesOrBuilder(
-        int index);
+    io.bilberryvalve.wire.proto.LoadMessages.RosterOrBuilder getRosterOrBuilder();
 
-    /**
-     * <pre>
-     * Age of the last answer to a prompt with the part; absent if there was none.
-     * </pre>
-     *
-     * <code>optional int64 answered_age = 3;</code>
-     * @return Whether the answeredAge field is set.
-     */
-    boolean hasAnsweredAge();
-    /**
-     * <pre>
-     * Age of the last answer to a prompt with the part; absent if there was none.
-     * </pre>
-     *
-     * <code>optional int64 answered_age = 3;</code>
-     * @return The answeredAge.
-     */
-    long getAnsweredAge();
+    io.bilberryvalve.wire.proto.LoadMessages.FleetMessage.ContentCase getContentCase();
   }
   /**
    * <pre>
-   * What one daemon has seen of a prompt part. Ages are in milliseconds before the message.
+   * A datagram between daemons of a fleet that has delegates. DaemonState is sent without this envelope; the field numbers
+   * of both do not overlap, so that a receiver can tell them apart.
    * </pre>
    *
-   * Protobuf type {@code bilberryvalve.load.PromptPart}
+   * Protobuf type {@code bilberryvalve.load.FleetMessage}
    */
-  public static final class PromptPart extends
+  public static final class FleetMessage extends
       com.google.protobuf.GeneratedMessage implements
-      // @@protoc_insertion_point(message_implements:bilberryvalve.load.PromptPart)
-      PromptPartOrBuilder {
+      // @@protoc_insertion_point(message_implements:bilberryvalve.load.FleetMessage)
+      FleetMessageOrBuilder {
   private static final long serialVersionUID = 0L;
     static {
       com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
@@ -3458,136 +3623,130 @@
         /* minor= */ 33,
         /* patch= */ 4,
         /* suffix= */ "",
-        "PromptPart");
+        "FleetMessage");
     }
-    // Use PromptPart.newBuilder() to construct.
-    private PromptPart(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+    // Use FleetMessage.newBuilder() to construct.
+    private FleetMessage(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
       super(builder);
     }
-    private PromptPart() {
-      part_ = "";
-      crashes_ = java.util.Collections.emptyList();
+    private FleetMessage() {
     }
 
     public static final com.google.protobuf.Descriptors.Descriptor
         getDescriptor() {
-      return io.bilberryvalve.wire.proto.LoadMessages.internal_static_bilberryvalve_load_PromptPart_descriptor;
+      return io.bilberryvalve.wire.proto.LoadMessages.internal_static_bilberryvalve_load_FleetMessage_descriptor;
     }
 
     @java.lang.Override
     protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
         internalGetFieldAccessorTable() {
-      return io.bilberryvalve.wire.proto.LoadMessages.internal_static_bilberryvalve_load_PromptPart_fieldAccessorTable
+      return io.bilberryvalve.wire.proto.LoadMessages.internal_static_bilberryvalve_load_FleetMessage_fieldAccessorTable
           .ensureFieldAccessorsInitialized(
-              io.bilberryvalve.wire.proto.LoadMessages.PromptPart.class, io.bilberryvalve.wire.proto.LoadMessages.PromptPart.Builder.class);
+              io.bilberryvalve.wire.proto.LoadMessages.FleetMessage.class, io.bilberryvalve.wire.proto.LoadMessages.FleetMessage.Builder.class);
     }
 
-    private int bitField0_;
-    public static final int PART_FIELD_NUMBER = 1;
+    private int contentCase_ = 0;
     @SuppressWarnings("serial")
-    private volatile java.lang.Object part_ = "";
-    /**
-     * <code>string part = 1;</code>
-     * @return The part.
-     */
-    @java.lang.Override
-    public java.lang.String getPart() {
-      java.lang.Object ref = part_;
-      if (ref instanceof java.lang.String) {
-        return (java.lang.String) ref;
-      } else {
-        com.google.protobuf.ByteString bs = 
-            (com.google.protobuf.ByteString) ref;
-        java.lang.String s = bs.toStringUtf8();
-        part_ = s;
-        return s;
+    private java.lang.Object content_;
+    public enum ContentCase
+        implements com.google.protobuf.Internal.EnumLite,
+            com.google.protobuf.AbstractMessage.InternalOneOfEnum {
+      DIGEST(101),
+      ROSTER(102),
+      CONTENT_NOT_SET(0);
+      private final int value;
+      private ContentCase(int value) {
+        this.value = value;
       }
-    }
-    /**
-     * <code>string part = 1;</code>
-     * @return The bytes for part.
-     */
-    @java.lang.Override
-    public com.google.protobuf.ByteString
-        getPartBytes() {
-      java.lang.Object ref = part_;
-      if (ref instanceof java.lang.String) {
-        com.google.protobuf.ByteString b = 
-            com.google.protobuf.ByteString.copyFromUtf8(
-                (java.lang.String) ref);
-        part_ = b;
-        return b;
-      } else {
-        return (com.google.protobuf.ByteString) ref;
+      /**
+       * @param value The number of the enum to look for.
+       * @return The enum associated with the given number.
+       * @deprecated Use {@link #forNumber(int)} instead.
+       */
+      @java.lang.Deprecated
+      public static ContentCase valueOf(int value) {
+        return forNumber(value);
       }
-    }
 
-    public static final int CRASHES_FIELD_NUMBER = 2;
-    @SuppressWarnings("serial")
-    private java.util.List<io.bilberryvalve.wire.proto.LoadMessages.PromptCrash> crashes_;
-    /**
-     * <code>repeated .bilberryvalve.load.PromptCrash crashes = 2;</code>
-     */
-    @java.lang.Override
-    public java.util.List<io.bilberryvalve.wire.proto.LoadMessages.PromptCrash> getCrashesList() {
-      return crashes_;
+      public static ContentCase forNumber(int value) {
+        switch (value) {
+          case 101: return DIGEST;
+          case 102: return ROSTER;
+          case 0: return CONTENT_NOT_SET;
+          default: return null;
+        }
+      }
+      public int getNumber() {
+        return this.value;
+      }
+    };
+
+    public ContentCase
+    getContentCase() {
+      return ContentCase.forNumber(
+          contentCase_);
     }
+
+    public static final int DIGEST_FIELD_NUMBER = 101;
     /**
-     * <code>repeated .bilberryvalve.load.PromptCrash crashes = 2;</code>
+     * <code>.bilberryvalve.load.StateDigest digest = 101;</code>
+     * @return Whether the digest field is set.
      */
     @java.lang.Override
-    public java.util.List<? extends io.bilberryvalve.wire.proto.LoadMessages.PromptCrashOrBuilder> 
-        getCrashesOrBuilderList() {
-      return crashes_;
+    public boolean hasDigest() {
+      return contentCase_ == 101;
     }
     /**
-     * <code>repeated .bilberryvalve.load.PromptCrash crashes = 2;</code>
+     * <code>.bilberryvalve.load.StateDigest digest = 101;</code>
+     * @return The digest.
      */
     @java.lang.Override
-    public int getCrashesCount() {
-      return crashes_.size();
+    public io.bilberryvalve.wire.proto.LoadMessages.StateDigest getDigest() {
+      if (contentCase_ == 101) {
+         return (io.bilberryvalve.wire.proto.LoadMessages.StateDigest) content_;
+      }
+      return io.bilberryvalve.wire.proto.LoadMessages.StateDigest.getDefaultInstance();
     }
     /**
-     * <code>repeated .bilberryvalve.load.PromptCrash crashes = 2;</code>
+     * <code>.bilberryvalve.load.StateDigest digest = 101;</code>
      */
     @java.lang.Override
-    public io.bilberryvalve.wire.proto.LoadMessages.PromptCrash getCrashes(int index) {
-      return crashes_.get(index);
+    public io.bilberryvalve.wire.proto.LoadMessages.StateDigestOrBuilder getDigestOrBuilder() {
+      if (contentCase_ == 101) {
+         return (io.bilberryvalve.wire.proto.LoadMessages.StateDigest) content_;
+      }
+      return io.bilberryvalve.wire.proto.LoadMessages.StateDigest.getDefaultInstance();
     }
+
+    public static final int ROSTER_FIELD_NUMBER = 102;
     /**
-     * <code>repeated .bilberryvalve.load.PromptCrash crashes = 2;</code>
+     * <code>.bilberryvalve.load.Roster roster = 102;</code>
+     * @return Whether the roster field is set.
      */
     @java.lang.Override
-    public io.bilberryvalve.wire.proto.LoadMessages.PromptCrashOrBuilder getCrashesOrBuilder(
-        int index) {
-      return crashes_.get(index);
+    public boolean hasRoster() {
+      return contentCase_ == 102;
     }
-
-    public static final int ANSWERED_AGE_FIELD_NUMBER = 3;
-    private long answeredAge_ = 0L;
     /**
-     * <pre>
-     * Age of the last answer to a prompt with the part; absent if there was none.
-     * </pre>
-     *
-     * <code>optional int64 answered_age = 3;</code>
-     * @return Whether the answeredAge field is set.
+     * <code>.bilberryvalve.load.Roster roster = 102;</code>
+     * @return The roster.
      */
     @java.lang.Override
-    public boolean hasAnsweredAge() {
-      return ((bitField0_ & 0x00000001) != 0);
+    public io.bilberryvalve.wire.proto.LoadMessages.Roster getRoster() {
+      if (contentCase_ == 102) {
+         return (io.bilberryvalve.wire.proto.LoadMessages.Roster) content_;
+      }
+      return io.bilberryvalve.wire.proto.LoadMessages.Roster.getDefaultInstance();
     }
     /**
-     * <pre>
-     * Age of the last answer to a prompt with the part; absent if there was none.
-     * </pre>
-     *
-     * <code>optional int64 answered_age = 3;</code>
-     * @return The answeredAge.
+     * <code>.bilberryvalve.load.Roster roster = 102;</code>
      */
     @java.lang.Override
-    public long getAnsweredAge() {
-      return answeredAge_;
+    public io.bilberryvalve.wire.proto.LoadMessages.RosterOrBuilder getRosterOrBuilder() {
+      if (contentCase_ == 102) {
+         return (io.bilberryvalve.wire.proto.LoadMessages.Roster) content_;
+      }
+      return io.bilberryvalve.wire.proto.LoadMessages.Roster.getDefaultInstance();
     }
 
     private byte memoizedIsInitialized = -1;
@@ -3604,14 +3763,11 @@
     @java.lang.Override
     public void writeTo(com.google.protobuf.CodedOutputStream output)
                         throws java.io.IOException {
-      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(part_)) {
-        com.google.protobuf.GeneratedMessage.writeString(output, 1, part_);
-      }
-      for (int i = 0; i < crashes_.size(); i++) {
-        output.writeMessage(2, crashes_.get(i));
+      if (contentCase_ == 101) {
+        output.writeMessage(101, (io.bilberryvalve.wire.proto.LoadMessages.StateDigest) content_);
       }
-      if (((bitField0_ & 0x00000001) != 0)) {
-        output.writeInt64(3, answeredAge_);
+      if (contentCase_ == 102) {
+        output.writeMessage(102, (io.bilberryvalve.wire.proto.LoadMessages.Roster) content_);
       }
       getUnknownFields().writeTo(output);
     }
@@ -3622,10 +3778,7998 @@
       if (size != -1) return size;
 
       size = 0;
-      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(part_)) {
-        size += com.google.protobuf.GeneratedMessage.computeStringSize(1, part_);
+      if (contentCase_ == 101) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeMessageSize(101, (io.bilberryvalve.wire.proto.LoadMessages.StateDigest) content_);
       }
-      for (int i = 0; i < crashes_.size(); i++) {
+      if (contentCase_ == 102) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeMessageSize(102, (io.bilberryvalve.wire.proto.LoadMessages.Roster) content_);
+      }
+      size += getUnknownFields().getSerializedSize();
+      memoizedSize = size;
+      return size;
+    }
+
+    @java.lang.Override
+    public boolean equals(final java.lang.Object obj) {
+      if (obj == this) {
+       return true;
+      }
+      if (!(obj instanceof io.bilberryvalve.wire.proto.LoadMessages.FleetMessage)) {
+        return super.equals(obj);
+      }
+      io.bilberryvalve.wire.proto.LoadMessages.FleetMessage other = (io.bilberryvalve.wire.proto.LoadMessages.FleetMessage) obj;
+
+      if (!getContentCase().equals(other.getContentCase())) return false;
+      switch (contentCase_) {
+        case 101:
+          if (!getDigest()
+              .equals(other.getDigest())) return false;
+          break;
+        case 102:
+          if (!getRoster()
+              .equals(other.getRoster())) return false;
+          break;
+        case 0:
+        default:
+      }
+      if (!getUnknownFields().equals(other.getUnknownFields())) return false;
+      return true;
+    }
+
+    @java.lang.Override
+    public int hashCode() {
+      if (memoizedHashCode != 0) {
+        return memoizedHashCode;
+      }
+      int hash = 41;
+      hash = (19 * hash) + getDescriptor().hashCode();
+      switch (contentCase_) {
+        case 101:
+          hash = (37 * hash) + DIGEST_FIELD_NUMBER;
+          hash = (53 * hash) + getDigest().hashCode();
+          break;
+        case 102:
+          hash = (37 * hash) + ROSTER_FIELD_NUMBER;
+          hash = (53 * hash) + getRoster().hashCode();
+          break;
+        case 0:
+        default:
+      }
+      hash = (29 * hash) + getUnknownFields().hashCode();
+      memoizedHashCode = hash;
+      return hash;
+    }
+
+    public static io.bilberryvalve.wire.proto.LoadMessages.FleetMessage parseFrom(
+        java.nio.ByteBuffer data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static io.bilberryvalve.wire.proto.LoadMessages.FleetMessage parseFrom(
+        java.nio.ByteBuffer data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static io.bilberryvalve.wire.proto.LoadMessages.FleetMessage parseFrom(
+        com.google.protobuf.ByteString data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static io.bilberryvalve.wire.proto.LoadMessages.FleetMessage parseFrom(
+        com.google.protobuf.ByteString data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static io.bilberryvalve.wire.proto.LoadMessages.FleetMessage parseFrom(byte[] data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static io.bilberryvalve.wire.proto.LoadMessages.FleetMessage parseFrom(
+        byte[] data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static io.bilberryvalve.wire.proto.LoadMessages.FleetMessage parseFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static io.bilberryvalve.wire.proto.LoadMessages.FleetMessage parseFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    public static io.bilberryvalve.wire.proto.LoadMessages.FleetMessage parseDelimitedFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input);
+    }
+
+    public static io.bilberryvalve.wire.proto.LoadMessages.FleetMessage parseDelimitedFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
+    }
+    public static io.bilberryvalve.wire.proto.LoadMessages.FleetMessage parseFrom(
+        com.google.protobuf.CodedInputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static io.bilberryvalve.wire.proto.LoadMessages.FleetMessage parseFrom(
+        com.google.protobuf.CodedInputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    @java.lang.Override
+    public Builder newBuilderForType() { return newBuilder(); }
+    public static Builder newBuilder() {
+      return DEFAULT_INSTANCE.toBuilder();
+    }
+    public static Builder newBuilder(io.bilberryvalve.wire.proto.LoadMessages.FleetMessage prototype) {
+      return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
+    }
+    @java.lang.Override
+    public Builder toBuilder() {
+      return this == DEFAULT_INSTANCE
+          ? new Builder() : new Builder().mergeFrom(this);
+    }
+
+    @java.lang.Override
+    protected Builder newBuilderForType(
+        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+      Builder builder = new Builder(parent);
+      return builder;
+    }
+    /**
+     * <pre>
+     * A datagram between daemons of a fleet that has delegates. DaemonState is sent without this envelope; the field numbers
+     * of both do not overlap, so that a receiver can tell them apart.
+     * </pre>
+     *
+     * Protobuf type {@code bilberryvalve.load.FleetMessage}
+     */
+    public static final class Builder extends
+        com.google.protobuf.GeneratedMessage.Builder<Builder> implements
+        // @@protoc_insertion_point(builder_implements:bilberryvalve.load.FleetMessage)
+        io.bilberryvalve.wire.proto.LoadMessages.FleetMessageOrBuilder {
+      public static final com.google.protobuf.Descriptors.Descriptor
+          getDescriptor() {
+        return io.bilberryvalve.wire.proto.LoadMessages.internal_static_bilberryvalve_load_FleetMessage_descriptor;
+      }
+
+      @java.lang.Override
+      protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+          internalGetFieldAccessorTable() {
+        return io.bilberryvalve.wire.proto.LoadMessages.internal_static_bilberryvalve_load_FleetMessage_fieldAccessorTable
+            .ensureFieldAccessorsInitialized(
+                io.bilberryvalve.wire.proto.LoadMessages.FleetMessage.class, io.bilberryvalve.wire.proto.LoadMessages.FleetMessage.Builder.class);
+      }
+
+      // Construct using io.bilberryvalve.wire.proto.LoadMessages.FleetMessage.newBuilder()
+      private Builder() {
+
+      }
+
+      private Builder(
+          com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+        super(parent);
+
+      }
+      @java.lang.Override
+      public Builder clear() {
+        super.clear();
+        bitField0_ = 0;
+        if (digestBuilder_ != null) {
+          digestBuilder_.clear();
+        }
+        if (rosterBuilder_ != null) {
+          rosterBuilder_.clear();
+        }
+        contentCase_ = 0;
+        content_ = null;
+        return this;
+      }
+
+      @java.lang.Override
+      public com.google.protobuf.Descriptors.Descriptor
+          getDescriptorForType() {
+        return io.bilberryvalve.wire.proto.LoadMessages.internal_static_bilberryvalve_load_FleetMessage_descriptor;
+      }
+
+      @java.lang.Override
+      public io.bilberryvalve.wire.proto.LoadMessages.FleetMessage getDefaultInstanceForType() {
+        return io.bilberryvalve.wire.proto.LoadMessages.FleetMessage.getDefaultInstance();
+      }
+
+      @java.lang.Override
+      public io.bilberryvalve.wire.proto.LoadMessages.FleetMessage build() {
+        io.bilberryvalve.wire.proto.LoadMessages.FleetMessage result = buildPartial();
+        if (!result.isInitialized()) {
+          throw newUninitializedMessageException(result);
+        }
+        return result;
+      }
+
+      @java.lang.Override
+      public io.bilberryvalve.wire.proto.LoadMessages.FleetMessage buildPartial() {
+        io.bilberryvalve.wire.proto.LoadMessages.FleetMessage result = new io.bilberryvalve.wire.proto.LoadMessages.FleetMessage(this);
+        if (bitField0_ != 0) { buildPartial0(result); }
+        buildPartialOneofs(result);
+        onBuilt();
+        return result;
+      }
+
+      private void buildPartial0(io.bilberryvalve.wire.proto.LoadMessages.FleetMessage result) {
+        int from_bitField0_ = bitField0_;
+      }
+
+      private void buildPartialOneofs(io.bilberryvalve.wire.proto.LoadMessages.FleetMessage result) {
+        result.contentCase_ = contentCase_;
+        result.content_ = this.content_;
+        if (contentCase_ == 101 &&
+            digestBuilder_ != null) {
+          result.content_ = digestBuilder_.build();
+        }
+        if (contentCase_ == 102 &&
+            rosterBuilder_ != null) {
+          result.content_ = rosterBuilder_.build();
+        }
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(com.google.protobuf.Message other) {
+        if (other instanceof io.bilberryvalve.wire.proto.LoadMessages.FleetMessage) {
+          return mergeFrom((io.bilberryvalve.wire.proto.LoadMessages.FleetMessage)other);
+        } else {
+          super.mergeFrom(other);
+          return this;
+        }
+      }
+
+      public Builder mergeFrom(io.bilberryvalve.wire.proto.LoadMessages.FleetMessage other) {
+        if (other == io.bilberryvalve.wire.proto.LoadMessages.FleetMessage.getDefaultInstance()) return this;
+        switch (other.getContentCase()) {
+          case DIGEST: {
+            mergeDigest(other.getDigest());
+            break;
+          }
+          case ROSTER: {
+            mergeRoster(other.getRoster());
+            break;
+          }
+          case CONTENT_NOT_SET: {
+            break;
+          }
+        }
+        this.mergeUnknownFields(other.getUnknownFields());
+        onChanged();
+        return this;
+      }
+
+      @java.lang.Override
+      public final boolean isInitialized() {
+        return true;
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws java.io.IOException {
+        if (extensionRegistry == null) {
+          throw new java.lang.NullPointerException();
+        }
+        try {
+          boolean done = false;
+          while (!done) {
+            int tag = input.readTag();
+            switch (tag) {
+              case 0:
+                done = true;
+                break;
+              case 810: {
+                input.readMessage(
+                    internalGetDigestFieldBuilder().getBuilder(),
+                    extensionRegistry);
+                contentCase_ = 101;
+                break;
+              } // case 810
+              case 818: {
+                input.readMessage(
+                    internalGetRosterFieldBuilder().getBuilder(),
+                    extensionRegistry);
+                contentCase_ = 102;
+                break;
+              } // case 818
+              default: {
+                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                  done = true; // was an endgroup tag
+                }
+                break;
+              } // default:
+            } // switch (tag)
+          } // while (!done)
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.unwrapIOException();
+        } finally {
+          onChanged();
+        } // finally
+        return this;
+      }
+      private int contentCase_ = 0;
+      private java.lang.Object content_;
+      public ContentCase
+          getContentCase() {
+        return ContentCase.forNumber(
+            contentCase_);
+      }
+
+      public Builder clearContent() {
+        contentCase_ = 0;
+        content_ = null;
+        onChanged();
+        return this;
+      }
+
+      private int bitField0_;
+
+      private com.google.protobuf.SingleFieldBuilder<
+          io.bilberryvalve.wire.proto.LoadMessages.StateDigest, io.bilberryvalve.wire.proto.LoadMessages.StateDigest.Builder, io.bilberryvalve.wire.proto.LoadMessages.StateDigestOrBuilder> digestBuilder_;
+      /**
+       * <code>.bilberryvalve.load.StateDigest digest = 101;</code>
+       * @return Whether the digest field is set.
+       */
+      @java.lang.Override
+      public boolean hasDigest() {
+        return contentCase_ == 101;
+      }
+      /**
+       * <code>.bilberryvalve.load.StateDigest digest = 101;</code>
+       * @return The digest.
+       */
+      @java.lang.Override
+      public io.bilberryvalve.wire.proto.LoadMessages.StateDigest getDigest() {
+        if (digestBuilder_ == null) {
+          if (contentCase_ == 101) {
+            return (io.bilberryvalve.wire.proto.LoadMessages.StateDigest) content_;
+          }
+          return io.bilberryvalve.wire.proto.LoadMessages.StateDigest.getDefaultInstance();
+        } else {
+          if (contentCase_ == 101) {
+            return digestBuilder_.getMessage();
+          }
+          return io.bilberryvalve.wire.proto.LoadMessages.StateDigest.getDefaultInstance();
+        }
+      }
+      /**
+       * <code>.bilberryvalve.load.StateDigest digest = 101;</code>
+       */
+      public Builder setDigest(io.bilberryvalve.wire.proto.LoadMessages.StateDigest value) {
+        if (digestBuilder_ == null) {
+          if (value == null) {
+            throw new NullPointerException();
+          }
+          content_ = value;
+          onChanged();
+        } else {
+          digestBuilder_.setMessage(value);
+        }
+        contentCase_ = 101;
+        return this;
+      }
+      /**
+       * <code>.bilberryvalve.load.StateDigest digest = 101;</code>
+       */
+      public Builder setDigest(
+          io.bilberryvalve.wire.proto.LoadMessages.StateDigest.Builder builderForValue) {
+        if (digestBuilder_ == null) {
+          content_ = builderForValue.build();
+          onChanged();
+        } else {
+          digestBuilder_.setMessage(builderForValue.build());
+        }
+        contentCase_ = 101;
+        return this;
+      }
+      /**
+       * <code>.bilberryvalve.load.StateDigest digest = 101;</code>
+       */
+      public Builder mergeDigest(io.bilberryvalve.wire.proto.LoadMessages.StateDigest value) {
+        if (digestBuilder_ == null) {
+          if (contentCase_ == 101 &&
+              content_ != io.bilberryvalve.wire.proto.LoadMessages.StateDigest.getDefaultInstance()) {
+            content_ = io.bilberryvalve.wire.proto.LoadMessages.StateDigest.newBuilder((io.bilberryvalve.wire.proto.LoadMessages.StateDigest) content_)
+                .mergeFrom(value).buildPartial();
+          } else {
+            content_ = value;
+          }
+          onChanged();
+        } else {
+          if (contentCase_ == 101) {
+            digestBuilder_.mergeFrom(value);
+          } else {
+            digestBuilder_.setMessage(value);
+          }
+        }
+        contentCase_ = 101;
+        return this;
+      }
+      /**
+       * <code>.bilberryvalve.load.StateDigest digest = 101;</code>
+       */
+      public Builder clearDigest() {
+        if (digestBuilder_ == null) {
+          if (contentCase_ == 101) {
+            contentCase_ = 0;
+            content_ = null;
+            onChanged();
+          }
+        } else {
+          if (contentCase_ == 101) {
+            contentCase_ = 0;
+            content_ = null;
+          }
+          digestBuilder_.clear();
+        }
+        return this;
+      }
+      /**
+       * <code>.bilberryvalve.load.StateDigest digest = 101;</code>
+       */
+      public io.bilberryvalve.wire.proto.LoadMessages.StateDigest.Builder getDigestBuilder() {
+        return internalGetDigestFieldBuilder().getBuilder();
+      }
+      /**
+       * <code>.bilberryvalve.load.StateDigest digest = 101;</code>
+       */
+      @java.lang.Override
+      public io.bilberryvalve.wire.proto.LoadMessages.StateDigestOrBuilder getDigestOrBuilder() {
+        if ((contentCase_ == 101) && (digestBuilder_ != null)) {
+          return digestBuilder_.getMessageOrBuilder();
+        } else {
+          if (contentCase_ == 101) {
+            return (io.bilberryvalve.wire.proto.LoadMessages.StateDigest) content_;
+          }
+          return io.bilberryvalve.wire.proto.LoadMessages.StateDigest.getDefaultInstance();
+        }
+      }
+      /**
+       * <code>.bilberryvalve.load.StateDigest digest = 101;</code>
+       */
+      private com.google.protobuf.SingleFieldBuilder<
+          io.bilberryvalve.wire.proto.LoadMessages.StateDigest, io.bilberryvalve.wire.proto.LoadMessages.StateDigest.Builder, io.bilberryvalve.wire.proto.LoadMessages.StateDigestOrBuilder> 
+          internalGetDigestFieldBuilder() {
+        if (digestBuilder_ == null) {
+          if (!(contentCase_ == 101)) {
+            content_ = io.bilberryvalve.wire.proto.LoadMessages.StateDigest.getDefaultInstance();
+          }
+          digestBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+              io.bilberryvalve.wire.proto.LoadMessages.StateDigest, io.bilberryvalve.wire.proto.LoadMessages.StateDigest.Builder, io.bilberryvalve.wire.proto.LoadMessages.StateDigestOrBuilder>(
+                  (io.bilberryvalve.wire.proto.LoadMessages.StateDigest) content_,
+                  getParentForChildren(),
+                  isClean());
+          content_ = null;
+        }
+        contentCase_ = 101;
+        onChanged();
+        return digestBuilder_;
+      }
+
+      private com.google.protobuf.SingleFieldBuilder<
+          io.bilberryvalve.wire.proto.LoadMessages.Roster, io.bilberryvalve.wire.proto.LoadMessages.Roster.Builder, io.bilberryvalve.wire.proto.LoadMessages.RosterOrBuilder> rosterBuilder_;
+      /**
+       * <code>.bilberryvalve.load.Roster roster = 102;</code>
+       * @return Whether the roster field is set.
+       */
+      @java.lang.Override
+      public boolean hasRoster() {
+        return contentCase_ == 102;
+      }
+      /**
+       * <code>.bilberryvalve.load.Roster roster = 102;</code>
+       * @return The roster.
+       */
+      @java.lang.Override
+      public io.bilberryvalve.wire.proto.LoadMessages.Roster getRoster() {
+        if (rosterBuilder_ == null) {
+          if (contentCase_ == 102) {
+            return (io.bilberryvalve.wire.proto.LoadMessages.Roster) content_;
+          }
+          return io.bilberryvalve.wire.proto.LoadMessages.Roster.getDefaultInstance();
+        } else {
+          if (contentCase_ == 102) {
+            return rosterBuilder_.getMessage();
+          }
+          return io.bilberryvalve.wire.proto.LoadMessages.Roster.getDefaultInstance();
+        }
+      }
+      /**
+       * <code>.bilberryvalve.load.Roster roster = 102;</code>
+       */
+      public Builder setRoster(io.bilberryvalve.wire.proto.LoadMessages.Roster value) {
+        if (rosterBuilder_ == null) {
+          if (value == null) {
+            throw new NullPointerException();
+          }
+          content_ = value;
+          onChanged();
+        } else {
+          rosterBuilder_.setMessage(value);
+        }
+        contentCase_ = 102;
+        return this;
+      }
+      /**
+       * <code>.bilberryvalve.load.Roster roster = 102;</code>
+       */
+      public Builder setRoster(
+          io.bilberryvalve.wire.proto.LoadMessages.Roster.Builder builderForValue) {
+        if (rosterBuilder_ == null) {
+          content_ = builderForValue.build();
+          onChanged();
+        } else {
+          rosterBuilder_.setMessage(builderForValue.build());
+        }
+        contentCase_ = 102;
+        return this;
+      }
+      /**
+       * <code>.bilberryvalve.load.Roster roster = 102;</code>
+       */
+      public Builder mergeRoster(io.bilberryvalve.wire.proto.LoadMessages.Roster value) {
+        if (rosterBuilder_ == null) {
+          if (contentCase_ == 102 &&
+              content_ != io.bilberryvalve.wire.proto.LoadMessages.Roster.getDefaultInstance()) {
+            content_ = io.bilberryvalve.wire.proto.LoadMessages.Roster.newBuilder((io.bilberryvalve.wire.proto.LoadMessages.Roster) content_)
+                .mergeFrom(value).buildPartial();
+          } else {
+            content_ = value;
+          }
+          onChanged();
+        } else {
+          if (contentCase_ == 102) {
+            rosterBuilder_.mergeFrom(value);
+          } else {
+            rosterBuilder_.setMessage(value);
+          }
+        }
+        contentCase_ = 102;
+        return this;
+      }
+      /**
+       * <code>.bilberryvalve.load.Roster roster = 102;</code>
+       */
+      public Builder clearRoster() {
+        if (rosterBuilder_ == null) {
+          if (contentCase_ == 102) {
+            contentCase_ = 0;
+            content_ = null;
+            onChanged();
+          }
+        } else {
+          if (contentCase_ == 102) {
+            contentCase_ = 0;
+            content_ = null;
+          }
+          rosterBuilder_.clear();
+        }
+        return this;
+      }
+      /**
+       * <code>.bilberryvalve.load.Roster roster = 102;</code>
+       */
+      public io.bilberryvalve.wire.proto.LoadMessages.Roster.Builder getRosterBuilder() {
+        return internalGetRosterFieldBuilder().getBuilder();
+      }
+      /**
+       * <code>.bilberryvalve.load.Roster roster = 102;</code>
+       */
+      @java.lang.Override
+      public io.bilberryvalve.wire.proto.LoadMessages.RosterOrBuilder getRosterOrBuilder() {
+        if ((contentCase_ == 102) && (rosterBuilder_ != null)) {
+          return rosterBuilder_.getMessageOrBuilder();
+        } else {
+          if (contentCase_ == 102) {
+            return (io.bilberryvalve.wire.proto.LoadMessages.Roster) content_;
+          }
+          return io.bilberryvalve.wire.proto.LoadMessages.Roster.getDefaultInstance();
+        }
+      }
+      /**
+       * <code>.bilberryvalve.load.Roster roster = 102;</code>
+       */
+      private com.google.protobuf.SingleFieldBuilder<
+          io.bilberryvalve.wire.proto.LoadMessages.Roster, io.bilberryvalve.wire.proto.LoadMessages.Roster.Builder, io.bilberryvalve.wire.proto.LoadMessages.RosterOrBuilder> 
+          internalGetRosterFieldBuilder() {
+        if (rosterBuilder_ == null) {
+          if (!(contentCase_ == 102)) {
+            content_ = io.bilberryvalve.wire.proto.LoadMessages.Roster.getDefaultInstance();
+          }
+          rosterBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+              io.bilberryvalve.wire.proto.LoadMessages.Roster, io.bilberryvalve.wire.proto.LoadMessages.Roster.Builder, io.bilberryvalve.wire.proto.LoadMessages.RosterOrBuilder>(
+                  (io.bilberryvalve.wire.proto.LoadMessages.Roster) content_,
+                  getParentForChildren(),
+                  isClean());
+          content_ = null;
+        }
+        contentCase_ = 102;
+        onChanged();
+        return rosterBuilder_;
+      }
+
+      // @@protoc_insertion_point(builder_scope:bilberryvalve.load.FleetMessage)
+    }
+
+    // @@protoc_insertion_point(class_scope:bilberryvalve.load.FleetMessage)
+    private static final io.bilberryvalve.wire.proto.LoadMessages.FleetMessage DEFAULT_INSTANCE;
+    static {
+      DEFAULT_INSTANCE = new io.bilberryvalve.wire.proto.LoadMessages.FleetMessage();
+    }
+
+    public static io.bilberryvalve.wire.proto.LoadMessages.FleetMessage getDefaultInstance() {
+      return DEFAULT_INSTANCE;
+    }
+
+    private static final com.google.protobuf.Parser<FleetMessage>
+        PARSER = new com.google.protobuf.AbstractParser<FleetMessage>() {
+      @java.lang.Override
+      public FleetMessage parsePartialFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws com.google.protobuf.InvalidProtocolBufferException {
+        Builder builder = newBuilder();
+        try {
+          builder.mergeFrom(input, extensionRegistry);
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.setUnfinishedMessage(builder.buildPartial());
+        } catch (com.google.protobuf.UninitializedMessageException e) {
+          throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+        } catch (java.io.IOException e) {
+          throw new com.google.protobuf.InvalidProtocolBufferException(e)
+              .setUnfinishedMessage(builder.buildPartial());
+        }
+        return builder.buildPartial();
+      }
+    };
+
+    public static com.google.protobuf.Parser<FleetMessage> parser() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Parser<FleetMessage> getParserForType() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public io.bilberryvalve.wire.proto.LoadMessages.FleetMessage getDefaultInstanceForType() {
+      return DEFAULT_INSTANCE;
+    }
+
+  }
+
+  public interface StateDigestOrBuilder extends
+      // @@protoc_insertion_point(interface_extends:bilberryvalve.load.StateDigest)
+      com.google.protobuf.MessageOrBuilder {
+
+    /**
+     * <pre>
+     * Name of the VM of the delegate.
+     * </pre>
+     *
+     * <code>string vm = 1;</code>
+     * @return The vm.
+     */
+    java.lang.String getVm();
+    /**
+     * <pre>
+     * Name of the VM of the delegate.
+     * </pre>
+     *
+     * <code>string vm = 1;</code>
+     * @return The bytes for vm.
+     */
+    com.google.protobuf.ByteString
+        getVmBytes();
+
+    /**
+     * <code>int64 incarnation = 2;</code>
+     * @return The incarnation.
+     */
+    long getIncarnation();
+
+    /**
+     * <code>int64 sequence = 3;</code>
+     * @return The sequence.
+     */
+    long getSequence();
+
+    /**
+     * <pre>
+     * Data centre of the delegate.
+     * </pre>
+     *
+     * <code>string data_centre = 4;</code>
+     * @return The dataCentre.
+     */
+    java.lang.String getDataCentre();
+    /**
+     * <pre>
+     * Data centre of the delegate.
+     * </pre>
+     *
+     * <code>string data_centre = 4;</code>
+     * @return The bytes for dataCentre.
+     */
+    com.google.protobuf.ByteString
+        getDataCentreBytes();
+
+    /**
+     * <pre>
+     * Whether only daemons of this data centre are contained; otherwise those of all data centres.
+     * </pre>
+     *
+     * <code>bool own_data_centre_only = 5;</code>
+     * @return The ownDataCentreOnly.
+     */
+    boolean getOwnDataCentreOnly();
+
+    /**
+     * <pre>
+     * Sum over all contained daemons, the receiver included.
+     * </pre>
+     *
+     * <code>repeated .bilberryvalve.load.RunnerUsage usage = 6;</code>
+     */
+    java.util.List<io.bilberryvalve.wire.proto.LoadMessages.RunnerUsage> 
+        getUsageList();
+    /**
+     * <pre>
+     * Sum over all contained daemons, the receiver included.
+     * </pre>
+     *
+     * <code>repeated .bilberryvalve.load.RunnerUsage usage = 6;</code>
+     */
+    io.bilberryvalve.wire.proto.LoadMessages.RunnerUsage getUsage(int index);
+    /**
+     * <pre>
+     * Sum over all contained daemons, the receiver included.
+     * </pre>
+     *
+     * <code>repeated .bilberryvalve.load.RunnerUsage usage = 6;</code>
+     */
+    int getUsageCount();
+    /**
+     * <pre>
+     * Sum over all contained daemons, the receiver included.
+     * </pre>
+     *
+     * <code>repeated .bilberryvalve.load.RunnerUsage usage = 6;</code>
+     */
+    java.util.List<? extends io.bilberryvalve.wire.proto.LoadMessages.RunnerUsageOrBuilder> 
+        getUsageOrBuilderList();
+    /**
+     * <pre>
+     * Sum over all contained daemons, the receiver included.
+     * </pre>
+     *
+     * <code>repeated .bilberryvalve.load.RunnerUsage usage = 6;</code>
+     */
+    io.bilberryvalve.wire.proto.LoadMessages.RunnerUsageOrBuilder getUsageOrBuilder(
+        int index);
+
+    /**
+     * <code>repeated string lost_runners = 7;</code>
+     * @return A list containing the lostRunners.
+     */
+    java.util.List<java.lang.String>
+        getLostRunnersList();
+    /**
+     * <code>repeated string lost_runners = 7;</code>
+     * @return The count of lostRunners.
+     */
+    int getLostRunnersCount();
+    /**
+     * <code>repeated string lost_runners = 7;</code>
+     * @param index The index of the element to return.
+     * @return The lostRunners at the given index.
+     */
+    java.lang.String getLostRunners(int index);
+    /**
+     * <code>repeated string lost_runners = 7;</code>
+     * @param index The index of the value to return.
+     * @return The bytes of the lostRunners at the given index.
+     */
+    com.google.protobuf.ByteString
+        getLostRunnersBytes(int index);
+
+    /**
+     * <code>repeated string changing_runners = 8;</code>
+     * @return A list containing the changingRunners.
+     */
+    java.util.List<java.lang.String>
+        getChangingRunnersList();
+    /**
+     * <code>repeated string changing_runners = 8;</code>
+     * @return The count of changingRunners.
+     */
+    int getChangingRunnersCount();
+    /**
+     * <code>repeated string changing_runners = 8;</code>
+     * @param index The index of the element to return.
+     * @return The changingRunners at the given index.
+     */
+    java.lang.String getChangingRunners(int index);
+    /**
+     * <code>repeated string changing_runners = 8;</code>
+     * @param index The index of the value to return.
+     * @return The bytes of the changingRunners at the given index.
+     */
+    com.google.protobuf.ByteString
+        getChangingRunnersBytes(int index);
+
+    /**
+     * <code>repeated .bilberryvalve.load.PromptPart prompt_parts = 9;</code>
+     */
+    java.util.List<io.bilberryvalve.wire.proto.LoadMessages.PromptPart> 
+        getPromptPartsList();
+    /**
+     * <code>repeated .bilberryvalve.load.PromptPart prompt_parts = 9;</code>
+     */
+    io.bilberryvalve.wire.proto.LoadMessages.PromptPart getPromptParts(int index);
+    /**
+     * <code>repeated .bilberryvalve.load.PromptPart prompt_parts = 9;</code>
+     */
+    int getPromptPartsCount();
+    /**
+     * <code>repeated .bilberryvalve.load.PromptPart prompt_parts = 9;</code>
+     */
+    java.util.List<? extends io.bilberryvalve.wire.proto.LoadMessages.PromptPartOrBuilder> 
+        getPromptPartsOrBuilderList();
+    /**
+     * <code>repeated .bilberryvalve.load.PromptPart prompt_parts = 9;</code>
+     */
+    io.bilberryvalve.wire.proto.LoadMessages.PromptPartOrBuilder getPromptPartsOrBuilder(
+        int index);
+
+    /**
+     * <pre>
+     * Newest configuration of any contained daemon, 0 for none.
+     * </pre>
+     *
+     * <code>int64 configuration = 10;</code>
+     * @return The configuration.
+     */
+    long getConfiguration();
+
+    /**
+     * <pre>
+     * Latest change of the list of runners that any contained daemon knows.
+     * </pre>
+     *
+     * <code>int64 store_era = 11;</code>
+     * @return The storeEra.
+     */
+    long getStoreEra();
+
+    /**
+     * <code>int64 runner_list = 12;</code>
+     * @return The runnerList.
+     */
+    long getRunnerList();
+
+    /**
+     * <pre>
+     * States of daemons of the delegate's data centre that are contained.
+     * </pre>
+     *
+     * <code>repeated .bilberryvalve.load.ContainedState contained = 13;</code>
+     */
+    java.util.List<io.bilberryvalve.wire.proto.LoadMessages.ContainedState> 
+        getContainedList();
+    /**
+     * <pre>
+     * States of daemons of the delegate's data centre that are contained.
+     * </pre>
+     *
+     * <code>repeated .bilberryvalve.load.ContainedState contained = 13;</code>
+     */
+    io.bilberryvalve.wire.proto.LoadMessages.ContainedState getContained(int index);
+    /**
+     * <pre>
+     * States of daemons of the delegate's data centre that are contained.
+     * </pre>
+     *
+     * <code>repeated .bilberryvalve.load.ContainedState contained = 13;</code>
+     */
+    int getContainedCount();
+    /**
+     * <pre>
+     * States of daemons of the delegate's data centre that are contained.
+     * </pre>
+     *
+     * <code>repeated .bilberryvalve.load.ContainedState contained = 13;</code>
+     */
+    java.util.List<? extends io.bilberryvalve.wire.proto.LoadMessages.ContainedStateOrBuilder> 
+        getContainedOrBuilderList();
+    /**
+     * <pre>
+     * States of daemons of the delegate's data centre that are contained.
+     * </pre>
+     *
+     * <code>repeated .bilberryvalve.load.ContainedState contained = 13;</code>
+     */
+    io.bilberryvalve.wire.proto.LoadMessages.ContainedStateOrBuilder getContainedOrBuilder(
+        int index);
+
+    /**
+     * <pre>
+     * Age in milliseconds of what is contained of each other data centre.
+     * </pre>
+     *
+     * <code>repeated .bilberryvalve.load.DataCentreAge data_centres = 14;</code>
+     */
+    java.util.List<io.bilberryvalve.wire.proto.LoadMessages.DataCentreAge> 
+        getDataCentresList();
+    /**
+     * <pre>
+     * Age in milliseconds of what is contained of each other data centre.
+     * </pre>
+     *
+     * <code>repeated .bilberryvalve.load.DataCentreAge data_centres = 14;</code>
+     */
+    io.bilberryvalve.wire.proto.LoadMessages.DataCentreAge getDataCentres(int index);
+    /**
+     * <pre>
+     * Age in milliseconds of what is contained of each other data centre.
+     * </pre>
+     *
+     * <code>repeated .bilberryvalve.load.DataCentreAge data_centres = 14;</code>
+     */
+    int getDataCentresCount();
+    /**
+     * <pre>
+     * Age in milliseconds of what is contained of each other data centre.
+     * </pre>
+     *
+     * <code>repeated .bilberryvalve.load.DataCentreAge data_centres = 14;</code>
+     */
+    java.util.List<? extends io.bilberryvalve.wire.proto.LoadMessages.DataCentreAgeOrBuilder> 
+        getDataCentresOrBuilderList();
+    /**
+     * <pre>
+     * Age in milliseconds of what is contained of each other data centre.
+     * </pre>
+     *
+     * <code>repeated .bilberryvalve.load.DataCentreAge data_centres = 14;</code>
+     */
+    io.bilberryvalve.wire.proto.LoadMessages.DataCentreAgeOrBuilder getDataCentresOrBuilder(
+        int index);
+  }
+  /**
+   * <pre>
+   * What a delegate knows of many daemons, without a list of them.
+   * </pre>
+   *
+   * Protobuf type {@code bilberryvalve.load.StateDigest}
+   */
+  public static final class StateDigest extends
+      com.google.protobuf.GeneratedMessage implements
+      // @@protoc_insertion_point(message_implements:bilberryvalve.load.StateDigest)
+      StateDigestOrBuilder {
+  private static final long serialVersionUID = 0L;
+    static {
+      com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+        /* major= */ 4,
+        /* minor= */ 33,
+        /* patch= */ 4,
+        /* suffix= */ "",
+        "StateDigest");
+    }
+    // Use StateDigest.newBuilder() to construct.
+    private StateDigest(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+      super(builder);
+    }
+    private StateDigest() {
+      vm_ = "";
+      dataCentre_ = "";
+      usage_ = java.util.Collections.emptyList();
+      lostRunners_ =
+          com.google.protobuf.LazyStringArrayList.emptyList();
+      changingRunners_ =
+          com.google.protobuf.LazyStringArrayList.emptyList();
+      promptParts_ = java.util.Collections.emptyList();
+      contained_ = java.util.Collections.emptyList();
+      dataCentres_ = java.util.Collections.emptyList();
+    }
+
+    public static final com.google.protobuf.Descriptors.Descriptor
+        getDescriptor() {
+      return io.bilberryvalve.wire.proto.LoadMessages.internal_static_bilberryvalve_load_StateDigest_descriptor;
+    }
+
+    @java.lang.Override
+    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+        internalGetFieldAccessorTable() {
+      return io.bilberryvalve.wire.proto.LoadMessages.internal_static_bilberryvalve_load_StateDigest_fieldAccessorTable
+          .ensureFieldAccessorsInitialized(
+              io.bilberryvalve.wire.proto.LoadMessages.StateDigest.class, io.bilberryvalve.wire.proto.LoadMessages.StateDigest.Builder.class);
+    }
+
+    public static final int VM_FIELD_NUMBER = 1;
+    @SuppressWarnings("serial")
+    private volatile java.lang.Object vm_ = "";
+    /**
+     * <pre>
+     * Name of the VM of the delegate.
+     * </pre>
+     *
+     * <code>string vm = 1;</code>
+     * @return The vm.
+     */
+    @java.lang.Override
+    public java.lang.String getVm() {
+      java.lang.Object ref = vm_;
+      if (ref instanceof java.lang.String) {
+        return (java.lang.String) ref;
+      } else {
+        com.google.protobuf.ByteString bs = 
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        vm_ = s;
+        return s;
+      }
+    }
+    /**
+     * <pre>
+     * Name of the VM of the delegate.
+     * </pre>
+     *
+     * <code>string vm = 1;</code>
+     * @return The bytes for vm.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString
+        getVmBytes() {
+      java.lang.Object ref = vm_;
+      if (ref instanceof java.lang.String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        vm_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+
+    public static final int INCARNATION_FIELD_NUMBER = 2;
+    private long incarnation_ = 0L;
+    /**
+     * <code>int64 incarnation = 2;</code>
+     * @return The incarnation.
+     */
+    @java.lang.Override
+    public long getIncarnation() {
+      return incarnation_;
+    }
+
+    public static final int SEQUENCE_FIELD_NUMBER = 3;
+    private long sequence_ = 0L;
+    /**
+     * <code>int64 sequence = 3;</code>
+     * @return The sequence.
+     */
+    @java.lang.Override
+    public long getSequence() {
+      return sequence_;
+    }
+
+    public static final int DATA_CENTRE_FIELD_NUMBER = 4;
+    @SuppressWarnings("serial")
+    private volatile java.lang.Object dataCentre_ = "";
+    /**
+     * <pre>
+     * Data centre of the delegate.
+     * </pre>
+     *
+     * <code>string data_centre = 4;</code>
+     * @return The dataCentre.
+     */
+    @java.lang.Override
+    public java.lang.String getDataCentre() {
+      java.lang.Object ref = dataCentre_;
+      if (ref instanceof java.lang.String) {
+        return (java.lang.String) ref;
+      } else {
+        com.google.protobuf.ByteString bs = 
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        dataCentre_ = s;
+        return s;
+      }
+    }
+    /**
+     * <pre>
+     * Data centre of the delegate.
+     * </pre>
+     *
+     * <code>string data_centre = 4;</code>
+     * @return The bytes for dataCentre.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString
+        getDataCentreBytes() {
+      java.lang.Object ref = dataCentre_;
+      if (ref instanceof java.lang.String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        dataCentre_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+
+    public static final int OWN_DATA_CENTRE_ONLY_FIELD_NUMBER = 5;
+    private boolean ownDataCentreOnly_ = false;
+    /**
+     * <pre>
+     * Whether only daemons of this data centre are contained; otherwise those of all data centres.
+     * </pre>
+     *
+     * <code>bool own_data_centre_only = 5;</code>
+     * @return The ownDataCentreOnly.
+     */
+    @java.lang.Override
+    public boolean getOwnDataCentreOnly() {
+      return ownDataCentreOnly_;
+    }
+
+    public static final int USAGE_FIELD_NUMBER = 6;
+    @SuppressWarnings("serial")
+    private java.util.List<io.bilberryvalve.wire.proto.LoadMessages.RunnerUsage> usage_;
+    /**
+     * <pre>
+     * Sum over all contained daemons, the receiver included.
+     * </pre>
+     *
+     * <code>repeated .bilberryvalve.load.RunnerUsage usage = 6;</code>
+     */
+    @java.lang.Override
+    public java.util.List<io.bilberryvalve.wire.proto.LoadMessages.RunnerUsage> getUsageList() {
+      return usage_;
+    }
+    /**
+     * <pre>
+     * Sum over all contained daemons, the receiver included.
+     * </pre>
+     *
+     * <code>repeated .bilberryvalve.load.RunnerUsage usage = 6;</code>
+     */
+    @java.lang.Override
+    public java.util.List<? extends io.bilberryvalve.wire.proto.LoadMessages.RunnerUsageOrBuilder> 
+        getUsageOrBuilderList() {
+      return usage_;
+    }
+    /**
+     * <pre>
+     * Sum over all contained daemons, the receiver included.
+     * </pre>
+     *
+     * <code>repeated .bilberryvalve.load.RunnerUsage usage = 6;</code>
+     */
+    @java.lang.Override
+    public int getUsageCount() {
+      return usage_.size();
+    }
+    /**
+     * <pre>
+     * Sum over all contained daemons, the receiver included.
+     * </pre>
+     *
+     * <code>repeated .bilberryvalve.load.RunnerUsage usage = 6;</code>
+     */
+    @java.lang.Override
+    public io.bilberryvalve.wire.proto.LoadMessages.RunnerUsage getUsage(int index) {
+      return usage_.get(index);
+    }
+    /**
+     * <pre>
+     * Sum over all contained daemons, the receiver included.
+     * </pre>
+     *
+     * <code>repeated .bilberryvalve.load.RunnerUsage usage = 6;</code>
+     */
+    @java.lang.Override
+    public io.bilberryvalve.wire.proto.LoadMessages.RunnerUsageOrBuilder getUsageOrBuilder(
+        int index) {
+      return usage_.get(index);
+    }
+
+    public static final int LOST_RUNNERS_FIELD_NUMBER = 7;
+    @SuppressWarnings("serial")
+    private com.google.protobuf.LazyStringArrayList lostRunners_ =
+        com.google.protobuf.LazyStringArrayList.emptyList();
+    /**
+     * <code>repeated string lost_runners = 7;</code>
+     * @return A list containing the lostRunners.
+     */
+    public com.google.protobuf.ProtocolStringList
+        getLostRunnersList() {
+      return lostRunners_;
+    }
+    /**
+     * <code>repeated string lost_runners = 7;</code>
+     * @return The count of lostRunners.
+     */
+    public int getLostRunnersCount() {
+      return lostRunners_.size();
+    }
+    /**
+     * <code>repeated string lost_runners = 7;</code>
+     * @param index The index of the element to return.
+     * @return The lostRunners at the given index.
+     */
+    public java.lang.String getLostRunners(int index) {
+      return lostRunners_.get(index);
+    }
+    /**
+     * <code>repeated string lost_runners = 7;</code>
+     * @param index The index of the value to return.
+     * @return The bytes of the lostRunners at the given index.
+     */
+    public com.google.protobuf.ByteString
+        getLostRunnersBytes(int index) {
+      return lostRunners_.getByteString(index);
+    }
+
+    public static final int CHANGING_RUNNERS_FIELD_NUMBER = 8;
+    @SuppressWarnings("serial")
+    private com.google.protobuf.LazyStringArrayList changingRunners_ =
+        com.google.protobuf.LazyStringArrayList.emptyList();
+    /**
+     * <code>repeated string changing_runners = 8;</code>
+     * @return A list containing the changingRunners.
+     */
+    public com.google.protobuf.ProtocolStringList
+        getChangingRunnersList() {
+      return changingRunners_;
+    }
+    /**
+     * <code>repeated string changing_runners = 8;</code>
+     * @return The count of changingRunners.
+     */
+    public int getChangingRunnersCount() {
+      return changingRunners_.size();
+    }
+    /**
+     * <code>repeated string changing_runners = 8;</code>
+     * @param index The index of the element to return.
+     * @return The changingRunners at the given index.
+     */
+    public java.lang.String getChangingRunners(int index) {
+      return changingRunners_.get(index);
+    }
+    /**
+     * <code>repeated string changing_runners = 8;</code>
+     * @param index The index of the value to return.
+     * @return The bytes of the changingRunners at the given index.
+     */
+    public com.google.protobuf.ByteString
+        getChangingRunnersBytes(int index) {
+      return changingRunners_.getByteString(index);
+    }
+
+    public static final int PROMPT_PARTS_FIELD_NUMBER = 9;
+    @SuppressWarnings("serial")
+    private java.util.List<io.bilberryvalve.wire.proto.LoadMessages.PromptPart> promptParts_;
+    /**
+     * <code>repeated .bilberryvalve.load.PromptPart prompt_parts = 9;</code>
+     */
+    @java.lang.Override
+    public java.util.List<io.bilberryvalve.wire.proto.LoadMessages.PromptPart> getPromptPartsList() {
+      return promptParts_;
+    }
+    /**
+     * <code>repeated .bilberryvalve.load.PromptPart prompt_parts = 9;</code>
+     */
+    @java.lang.Override
+    public java.util.List<? extends io.bilberryvalve.wire.proto.LoadMessages.PromptPartOrBuilder> 
+        getPromptPartsOrBuilderList() {
+      return promptParts_;
+    }
+    /**
+     * <code>repeated .bilberryvalve.load.PromptPart prompt_parts = 9;</code>
+     */
+    @java.lang.Override
+    public int getPromptPartsCount() {
+      return promptParts_.size();
+    }
+    /**
+     * <code>repeated .bilberryvalve.load.PromptPart prompt_parts = 9;</code>
+     */
+    @java.lang.Override
+    public io.bilberryvalve.wire.proto.LoadMessages.PromptPart getPromptParts(int index) {
+      return promptParts_.get(index);
+    }
+    /**
+     * <code>repeated .bilberryvalve.load.PromptPart prompt_parts = 9;</code>
+     */
+    @java.lang.Override
+    public io.bilberryvalve.wire.proto.LoadMessages.PromptPartOrBuilder getPromptPartsOrBuilder(
+        int index) {
+      return promptParts_.get(index);
+    }
+
+    public static final int CONFIGURATION_FIELD_NUMBER = 10;
+    private long configuration_ = 0L;
+    /**
+     * <pre>
+     * Newest configuration of any contained daemon, 0 for none.
+     * </pre>
+     *
+     * <code>int64 configuration = 10;</code>
+     * @return The configuration.
+     */
+    @java.lang.Override
+    public long getConfiguration() {
+      return configuration_;
+    }
+
+    public static final int STORE_ERA_FIELD_NUMBER = 11;
+    private long storeEra_ = 0L;
+    /**
+     * <pre>
+     * Latest change of the list of runners that any contained daemon knows.
+     * </pre>
+     *
+     * <code>int64 store_era = 11;</code>
+     * @return The storeEra.
+     */
+    @java.lang.Override
+    public long getStoreEra() {
+      return storeEra_;
+    }
+
+    public static final int RUNNER_LIST_FIELD_NUMBER = 12;
+    private long runnerList_ = 0L;
+    /**
+     * <code>int64 runner_list = 12;</code>
+     * @return The runnerList.
+     */
+    @java.lang.Override
+    public long getRunnerList() {
+      return runnerList_;
+    }
+
+    public static final int CONTAINED_FIELD_NUMBER = 13;
+    @SuppressWarnings("serial")
+    private java.util.List<io.bilberryvalve.wire.proto.LoadMessages.ContainedState> contained_;
+    /**
+     * <pre>
+     * States of daemons of the delegate's data centre that are contained.
+     * </pre>
+     *
+     * <code>repeated .bilberryvalve.load.ContainedState contained = 13;</code>
+     */
+    @java.lang.Override
+    public java.util.List<io.bilberryvalve.wire.proto.LoadMessages.ContainedState> getContainedList() {
+      return contained_;
+    }
+    /**
+     * <pre>
+     * States of daemons of the delegate's data centre that are contained.
+     * </pre>
+     *
+     * <code>repeated .bilberryvalve.load.ContainedState contained = 13;</code>
+     */
+    @java.lang.Override
+    public java.util.List<? extends io.bilberryvalve.wire.proto.LoadMessages.ContainedStateOrBuilder> 
+        getContainedOrBuilderList() {
+      return contained_;
+    }
+    /**
+     * <pre>
+     * States of daemons of the delegate's data centre that are contained.
+     * </pre>
+     *
+     * <code>repeated .bilberryvalve.load.ContainedState contained = 13;</code>
+     */
+    @java.lang.Override
+    public int getContainedCount() {
+      return contained_.size();
+    }
+    /**
+     * <pre>
+     * States of daemons of the delegate's data centre that are contained.
+     * </pre>
+     *
+     * <code>repeated .bilberryvalve.load.ContainedState contained = 13;</code>
+     */
+    @java.lang.Override
+    public io.bilberryvalve.wire.proto.LoadMessages.ContainedState getContained(int index) {
+      return contained_.get(index);
+    }
+    /**
+     * <pre>
+     * States of daemons of the delegate's data centre that are contained.
+     * </pre>
+     *
+     * <code>repeated .bilberryvalve.load.ContainedState contained = 13;</code>
+     */
+    @java.lang.Override
+    public io.bilberryvalve.wire.proto.LoadMessages.ContainedStateOrBuilder getContainedOrBuilder(
+        int index) {
+      return contained_.get(index);
+    }
+
+    public static final int DATA_CENTRES_FIELD_NUMBER = 14;
+    @SuppressWarnings("serial")
+    private java.util.List<io.bilberryvalve.wire.proto.LoadMessages.DataCentreAge> dataCentres_;
+    /**
+     * <pre>
+     * Age in milliseconds of what is contained of each other data centre.
+     * </pre>
+     *
+     * <code>repeated .bilberryvalve.load.DataCentreAge data_centres = 14;</code>
+     */
+    @java.lang.Override
+    public java.util.List<io.bilberryvalve.wire.proto.LoadMessages.DataCentreAge> getDataCentresList() {
+      return dataCentres_;
+    }
+    /**
+     * <pre>
+     * Age in milliseconds of what is contained of each other data centre.
+     * </pre>
+     *
+     * <code>repeated .bilberryvalve.load.DataCentreAge data_centres = 14;</code>
+     */
+    @java.lang.Override
+    public java.util.List<? extends io.bilberryvalve.wire.proto.LoadMessages.DataCentreAgeOrBuilder> 
+        getDataCentresOrBuilderList() {
+      return dataCentres_;
+    }
+    /**
+     * <pre>
+     * Age in milliseconds of what is contained of each other data centre.
+     * </pre>
+     *
+     * <code>repeated .bilberryvalve.load.DataCentreAge data_centres = 14;</code>
+     */
+    @java.lang.Override
+    public int getDataCentresCount() {
+      return dataCentres_.size();
+    }
+    /**
+     * <pre>
+     * Age in milliseconds of what is contained of each other data centre.
+     * </pre>
+     *
+     * <code>repeated .bilberryvalve.load.DataCentreAge data_centres = 14;</code>
+     */
+    @java.lang.Override
+    public io.bilberryvalve.wire.proto.LoadMessages.DataCentreAge getDataCentres(int index) {
+      return dataCentres_.get(index);
+    }
+    /**
+     * <pre>
+     * Age in milliseconds of what is contained of each other data centre.
+     * </pre>
+     *
+     * <code>repeated .bilberryvalve.load.DataCentreAge data_centres = 14;</code>
+     */
+    @java.lang.Override
+    public io.bilberryvalve.wire.proto.LoadMessages.DataCentreAgeOrBuilder getDataCentresOrBuilder(
+        int index) {
+      return dataCentres_.get(index);
+    }
+
+    private byte memoizedIsInitialized = -1;
+    @java.lang.Override
+    public final boolean isInitialized() {
+      byte isInitialized = memoizedIsInitialized;
+      if (isInitialized == 1) return true;
+      if (isInitialized == 0) return false;
+
+      memoizedIsInitialized = 1;
+      return true;
+    }
+
+    @java.lang.Override
+    public void writeTo(com.google.protobuf.CodedOutputStream output)
+                        throws java.io.IOException {
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(vm_)) {
+        com.google.protobuf.GeneratedMessage.writeString(output, 1, vm_);
+      }
+      if (incarnation_ != 0L) {
+        output.writeInt64(2, incarnation_);
+      }
+      if (sequence_ != 0L) {
+        output.writeInt64(3, sequence_);
+      }
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(dataCentre_)) {
+        com.google.protobuf.GeneratedMessage.writeString(output, 4, dataCentre_);
+      }
+      if (ownDataCentreOnly_ != false) {
+        output.writeBool(5, ownDataCentreOnly_);
+      }
+      for (int i = 0; i < usage_.size(); i++) {
+        output.writeMessage(6, usage_.get(i));
+      }
+      for (int i = 0; i < lostRunners_.size(); i++) {
+        com.google.protobuf.GeneratedMessage.writeString(output, 7, lostRunners_.getRaw(i));
+      }
+      for (int i = 0; i < changingRunners_.size(); i++) {
+        com.google.protobuf.GeneratedMessage.writeString(output, 8, changingRunners_.getRaw(i));
+      }
+      for (int i = 0; i < promptParts_.size(); i++) {
+        output.writeMessage(9, promptParts_.get(i));
+      }
+      if (configuration_ != 0L) {
+        output.writeInt64(10, configuration_);
+      }
+      if (storeEra_ != 0L) {
+        output.writeInt64(11, storeEra_);
+      }
+      if (runnerList_ != 0L) {
+        output.writeInt64(12, runnerList_);
+      }
+      for (int i = 0; i < contained_.size(); i++) {
+        output.writeMessage(13, contained_.get(i));
+      }
+      for (int i = 0; i < dataCentres_.size(); i++) {
+        output.writeMessage(14, dataCentres_.get(i));
+      }
+      getUnknownFields().writeTo(output);
+    }
+
+    @java.lang.Override
+    public int getSerializedSize() {
+      int size = memoizedSize;
+      if (size != -1) return size;
+
+      size = 0;
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(vm_)) {
+        size += com.google.protobuf.GeneratedMessage.computeStringSize(1, vm_);
+      }
+      if (incarnation_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeInt64Size(2, incarnation_);
+      }
+      if (sequence_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeInt64Size(3, sequence_);
+      }
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(dataCentre_)) {
+        size += com.google.protobuf.GeneratedMessage.computeStringSize(4, dataCentre_);
+      }
+      if (ownDataCentreOnly_ != false) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeBoolSize(5, ownDataCentreOnly_);
+      }
+      for (int i = 0; i < usage_.size(); i++) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeMessageSize(6, usage_.get(i));
+      }
+      {
+        int dataSize = 0;
+        for (int i = 0; i < lostRunners_.size(); i++) {
+          dataSize += computeStringSizeNoTag(lostRunners_.getRaw(i));
+        }
+        size += dataSize;
+        size += 1 * getLostRunnersList().size();
+      }
+      {
+        int dataSize = 0;
+        for (int i = 0; i < changingRunners_.size(); i++) {
+          dataSize += computeStringSizeNoTag(changingRunners_.getRaw(i));
+        }
+        size += dataSize;
+        size += 1 * getChangingRunnersList().size();
+      }
+      for (int i = 0; i < promptParts_.size(); i++) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeMessageSize(9, promptParts_.get(i));
+      }
+      if (configuration_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeInt64Size(10, configuration_);
+      }
+      if (storeEra_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeInt64Size(11, storeEra_);
+      }
+      if (runnerList_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeInt64Size(12, runnerList_);
+      }
+      for (int i = 0; i < contained_.size(); i++) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeMessageSize(13, contained_.get(i));
+      }
+      for (int i = 0; i < dataCentres_.size(); i++) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeMessageSize(14, dataCentres_.get(i));
+      }
+      size += getUnknownFields().getSerializedSize();
+      memoizedSize = size;
+      return size;
+    }
+
+    @java.lang.Override
+    public boolean equals(final java.lang.Object obj) {
+      if (obj == this) {
+       return true;
+      }
+      if (!(obj instanceof io.bilberryvalve.wire.proto.LoadMessages.StateDigest)) {
+        return super.equals(obj);
+      }
+      io.bilberryvalve.wire.proto.LoadMessages.StateDigest other = (io.bilberryvalve.wire.proto.LoadMessages.StateDigest) obj;
+
+      if (!getVm()
+          .equals(other.getVm())) return false;
+      if (getIncarnation()
+          != other.getIncarnation()) return false;
+      if (getSequence()
+          != other.getSequence()) return false;
+      if (!getDataCentre()
+          .equals(other.getDataCentre())) return false;
+      if (getOwnDataCentreOnly()
+          != other.getOwnDataCentreOnly()) return false;
+      if (!getUsageList()
+          .equals(other.getUsageList())) return false;
+      if (!getLostRunnersList()
+          .equals(other.getLostRunnersList())) return false;
+      if (!getChangingRunnersList()
+          .equals(other.getChangingRunnersList())) return false;
+      if (!getPromptPartsList()
+          .equals(other.getPromptPartsList())) return false;
+      if (getConfiguration()
+          != other.getConfiguration()) return false;
+      if (getStoreEra()
+          != other.getStoreEra()) return false;
+      if (getRunnerList()
+          != other.getRunnerList()) return false;
+      if (!getContainedList()
+          .equals(other.getContainedList())) return false;
+      if (!getDataCentresList()
+          .equals(other.getDataCentresList())) return false;
+      if (!getUnknownFields().equals(other.getUnknownFields())) return false;
+      return true;
+    }
+
+    @java.lang.Override
+    public int hashCode() {
+      if (memoizedHashCode != 0) {
+        return memoizedHashCode;
+      }
+      int hash = 41;
+      hash = (19 * hash) + getDescriptor().hashCode();
+      hash = (37 * hash) + VM_FIELD_NUMBER;
+      hash = (53 * hash) + getVm().hashCode();
+      hash = (37 * hash) + INCARNATION_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getIncarnation());
+      hash = (37 * hash) + SEQUENCE_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getSequence());
+      hash = (37 * hash) + DATA_CENTRE_FIELD_NUMBER;
+      hash = (53 * hash) + getDataCentre().hashCode();
+      hash = (37 * hash) + OWN_DATA_CENTRE_ONLY_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+          getOwnDataCentreOnly());
+      if (getUsageCount() > 0) {
+        hash = (37 * hash) + USAGE_FIELD_NUMBER;
+        hash = (53 * hash) + getUsageList().hashCode();
+      }
+      if (getLostRunnersCount() > 0) {
+        hash = (37 * hash) + LOST_RUNNERS_FIELD_NUMBER;
+        hash = (53 * hash) + getLostRunnersList().hashCode();
+      }
+      if (getChangingRunnersCount() > 0) {
+        hash = (37 * hash) + CHANGING_RUNNERS_FIELD_NUMBER;
+        hash = (53 * hash) + getChangingRunnersList().hashCode();
+      }
+      if (getPromptPartsCount() > 0) {
+        hash = (37 * hash) + PROMPT_PARTS_FIELD_NUMBER;
+        hash = (53 * hash) + getPromptPartsList().hashCode();
+      }
+      hash = (37 * hash) + CONFIGURATION_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getConfiguration());
+      hash = (37 * hash) + STORE_ERA_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getStoreEra());
+      hash = (37 * hash) + RUNNER_LIST_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getRunnerList());
+      if (getContainedCount() > 0) {
+        hash = (37 * hash) + CONTAINED_FIELD_NUMBER;
+        hash = (53 * hash) + getContainedList().hashCode();
+      }
+      if (getDataCentresCount() > 0) {
+        hash = (37 * hash) + DATA_CENTRES_FIELD_NUMBER;
+        hash = (53 * hash) + getDataCentresList().hashCode();
+      }
+      hash = (29 * hash) + getUnknownFields().hashCode();
+      memoizedHashCode = hash;
+      return hash;
+    }
+
+    public static io.bilberryvalve.wire.proto.LoadMessages.StateDigest parseFrom(
+        java.nio.ByteBuffer data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static io.bilberryvalve.wire.proto.LoadMessages.StateDigest parseFrom(
+        java.nio.ByteBuffer data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static io.bilberryvalve.wire.proto.LoadMessages.StateDigest parseFrom(
+        com.google.protobuf.ByteString data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static io.bilberryvalve.wire.proto.LoadMessages.StateDigest parseFrom(
+        com.google.protobuf.ByteString data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static io.bilberryvalve.wire.proto.LoadMessages.StateDigest parseFrom(byte[] data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static io.bilberryvalve.wire.proto.LoadMessages.StateDigest parseFrom(
+        byte[] data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static io.bilberryvalve.wire.proto.LoadMessages.StateDigest parseFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static io.bilberryvalve.wire.proto.LoadMessages.StateDigest parseFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    public static io.bilberryvalve.wire.proto.LoadMessages.StateDigest parseDelimitedFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input);
+    }
+
+    public static io.bilberryvalve.wire.proto.LoadMessages.StateDigest parseDelimitedFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
+    }
+    public static io.bilberryvalve.wire.proto.LoadMessages.StateDigest parseFrom(
+        com.google.protobuf.CodedInputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static io.bilberryvalve.wire.proto.LoadMessages.StateDigest parseFrom(
+        com.google.protobuf.CodedInputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    @java.lang.Override
+    public Builder newBuilderForType() { return newBuilder(); }
+    public static Builder newBuilder() {
+      return DEFAULT_INSTANCE.toBuilder();
+    }
+    public static Builder newBuilder(io.bilberryvalve.wire.proto.LoadMessages.StateDigest prototype) {
+      return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
+    }
+    @java.lang.Override
+    public Builder toBuilder() {
+      return this == DEFAULT_INSTANCE
+          ? new Builder() : new Builder().mergeFrom(this);
+    }
+
+    @java.lang.Override
+    protected Builder newBuilderForType(
+        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+      Builder builder = new Builder(parent);
+      return builder;
+    }
+    /**
+     * <pre>
+     * What a delegate knows of many daemons, without a list of them.
+     * </pre>
+     *
+     * Protobuf type {@code bilberryvalve.load.StateDigest}
+     */
+    public static final class Builder extends
+        com.google.protobuf.GeneratedMessage.Builder<Builder> implements
+        // @@protoc_insertion_point(builder_implements:bilberryvalve.load.StateDigest)
+        io.bilberryvalve.wire.proto.LoadMessages.StateDigestOrBuilder {
+      public static final com.google.protobuf.Descriptors.Descriptor
+          getDescriptor() {
+        return io.bilberryvalve.wire.proto.LoadMessages.internal_static_bilberryvalve_load_StateDigest_descriptor;
+      }
+
+      @java.lang.Override
+      protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+          internalGetFieldAccessorTable() {
+        return io.bilberryvalve.wire.proto.LoadMessages.internal_static_bilberryvalve_load_StateDigest_fieldAccessorTable
+            .ensureFieldAccessorsInitialized(
+                io.bilberryvalve.wire.proto.LoadMessages.StateDigest.class, io.bilberryvalve.wire.proto.LoadMessages.StateDigest.Builder.class);
+      }
+
+      // Construct using io.bilberryvalve.wire.proto.LoadMessages.StateDigest.newBuilder()
+      private Builder() {
+
+      }
+
+      private Builder(
+          com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+        super(parent);
+
+      }
+      @java.lang.Override
+      public Builder clear() {
+        super.clear();
+        bitField0_ = 0;
+        vm_ = "";
+        incarnation_ = 0L;
+        sequence_ = 0L;
+        dataCentre_ = "";
+        ownDataCentreOnly_ = false;
+        if (usageBuilder_ == null) {
+          usage_ = java.util.Collections.emptyList();
+        } else {
+          usage_ = null;
+          usageBuilder_.clear();
+        }
+        bitField0_ = (bitField0_ & ~0x00000020);
+        lostRunners_ =
+            com.google.protobuf.LazyStringArrayList.emptyList();
+        changingRunners_ =
+            com.google.protobuf.LazyStringArrayList.emptyList();
+        if (promptPartsBuilder_ == null) {
+          promptParts_ = java.util.Collections.emptyList();
+        } else {
+          promptParts_ = null;
+          promptPartsBuilder_.clear();
+        }
+        bitField0_ = (bitField0_ & ~0x00000100);
+        configuration_ = 0L;
+        storeEra_ = 0L;
+        runnerList_ = 0L;
+        if (containedBuilder_ == null) {
+          contained_ = java.util.Collections.emptyList();
+        } else {
+          contained_ = null;
+          containedBuilder_.clear();
+        }
+        bitField0_ = (bitField0_ & ~0x00001000);
+        if (dataCentresBuilder_ == null) {
+          dataCentres_ = java.util.Collections.emptyList();
+        } else {
+          dataCentres_ = null;
+          dataCentresBuilder_.clear();
+        }
+        bitField0_ = (bitField0_ & ~0x00002000);
+        return this;
+      }
+
+      @java.lang.Override
+      public com.google.protobuf.Descriptors.Descriptor
+          getDescriptorForType() {
+        return io.bilberryvalve.wire.proto.LoadMessages.internal_static_bilberryvalve_load_StateDigest_descriptor;
+      }
+
+      @java.lang.Override
+      public io.bilberryvalve.wire.proto.LoadMessages.StateDigest getDefaultInstanceForType() {
+        return io.bilberryvalve.wire.proto.LoadMessages.StateDigest.getDefaultInstance();
+      }
+
+      @java.lang.Override
+      public io.bilberryvalve.wire.proto.LoadMessages.StateDigest build() {
+        io.bilberryvalve.wire.proto.LoadMessages.StateDigest result = buildPartial();
+        if (!result.isInitialized()) {
+          throw newUninitializedMessageException(result);
+        }
+        return result;
+      }
+
+      @java.lang.Override
+      public io.bilberryvalve.wire.proto.LoadMessages.StateDigest buildPartial() {
+        io.bilberryvalve.wire.proto.LoadMessages.StateDigest result = new io.bilberryvalve.wire.proto.LoadMessages.StateDigest(this);
+        buildPartialRepeatedFields(result);
+        if (bitField0_ != 0) { buildPartial0(result); }
+        onBuilt();
+        return result;
+      }
+
+      private void buildPartialRepeatedFields(io.bilberryvalve.wire.proto.LoadMessages.StateDigest result) {
+        if (usageBuilder_ == null) {
+          if (((bitField0_ & 0x00000020) != 0)) {
+            usage_ = java.util.Collections.unmodifiableList(usage_);
+            bitField0_ = (bitField0_ & ~0x00000020);
+          }
+          result.usage_ = usage_;
+        } else {
+          result.usage_ = usageBuilder_.build();
+        }
+        if (promptPartsBuilder_ == null) {
+          if (((bitField0_ & 0x00000100) != 0)) {
+            promptParts_ = java.util.Collections.unmodifiableList(promptParts_);
+            bitField0_ = (bitField0_ & ~0x00000100);
+          }
+          result.promptParts_ = promptParts_;
+        } else {
+          result.promptParts_ = promptPartsBuilder_.build();
+        }
+        if (containedBuilder_ == null) {
+          if (((bitField0_ & 0x00001000) != 0)) {
+            contained_ = java.util.Collections.unmodifiableList(contained_);
+            bitField0_ = (bitField0_ & ~0x00001000);
+          }
+          result.contained_ = contained_;
+        } else {
+          result.contained_ = containedBuilder_.build();
+        }
+        if (dataCentresBuilder_ == null) {
+          if (((bitField0_ & 0x00002000) != 0)) {
+            dataCentres_ = java.util.Collections.unmodifiableList(dataCentres_);
+            bitField0_ = (bitField0_ & ~0x00002000);
+          }
+          result.dataCentres_ = dataCentres_;
+        } else {
+          result.dataCentres_ = dataCentresBuilder_.build();
+        }
+      }
+
+      private void buildPartial0(io.bilberryvalve.wire.proto.LoadMessages.StateDigest result) {
+        int from_bitField0_ = bitField0_;
+        if (((from_bitField0_ & 0x00000001) != 0)) {
+          result.vm_ = vm_;
+        }
+        if (((from_bitField0_ & 0x00000002) != 0)) {
+          result.incarnation_ = incarnation_;
+        }
+        if (((from_bitField0_ & 0x00000004) != 0)) {
+          result.sequence_ = sequence_;
+        }
+        if (((from_bitField0_ & 0x00000008) != 0)) {
+          result.dataCentre_ = dataCentre_;
+        }
+        if (((from_bitField0_ & 0x00000010) != 0)) {
+          result.ownDataCentreOnly_ = ownDataCentreOnly_;
+        }
+        if (((from_bitField0_ & 0x00000040) != 0)) {
+          lostRunners_.makeImmutable();
+          result.lostRunners_ = lostRunners_;
+        }
+        if (((from_bitField0_ & 0x00000080) != 0)) {
+          changingRunners_.makeImmutable();
+          result.changingRunners_ = changingRunners_;
+        }
+        if (((from_bitField0_ & 0x00000200) != 0)) {
+          result.configuration_ = configuration_;
+        }
+        if (((from_bitField0_ & 0x00000400) != 0)) {
+          result.storeEra_ = storeEra_;
+        }
+        if (((from_bitField0_ & 0x00000800) != 0)) {
+          result.runnerList_ = runnerList_;
+        }
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(com.google.protobuf.Message other) {
+        if (other instanceof io.bilberryvalve.wire.proto.LoadMessages.StateDigest) {
+          return mergeFrom((io.bilberryvalve.wire.proto.LoadMessages.StateDigest)other);
+        } else {
+          super.mergeFrom(other);
+          return this;
+        }
+      }
+
+      public Builder mergeFrom(io.bilberryvalve.wire.proto.LoadMessages.StateDigest other) {
+        if (other == io.bilberryvalve.wire.proto.LoadMessages.StateDigest.getDefaultInstance()) return this;
+        if (!other.getVm().isEmpty()) {
+          vm_ = other.vm_;
+          bitField0_ |= 0x00000001;
+          onChanged();
+        }
+        if (other.getIncarnation() != 0L) {
+          setIncarnation(other.getIncarnation());
+        }
+        if (other.getSequence() != 0L) {
+          setSequence(other.getSequence());
+        }
+        if (!other.getDataCentre().isEmpty()) {
+          dataCentre_ = other.dataCentre_;
+          bitField0_ |= 0x00000008;
+          onChanged();
+        }
+        if (other.getOwnDataCentreOnly() != false) {
+          setOwnDataCentreOnly(other.getOwnDataCentreOnly());
+        }
+        if (usageBuilder_ == null) {
+          if (!other.usage_.isEmpty()) {
+            if (usage_.isEmpty()) {
+              usage_ = other.usage_;
+              bitField0_ = (bitField0_ & ~0x00000020);
+            } else {
+              ensureUsageIsMutable();
+              usage_.addAll(other.usage_);
+            }
+            onChanged();
+          }
+        } else {
+          if (!other.usage_.isEmpty()) {
+            if (usageBuilder_.isEmpty()) {
+              usageBuilder_.dispose();
+              usageBuilder_ = null;
+              usage_ = other.usage_;
+              bitField0_ = (bitField0_ & ~0x00000020);
+              usageBuilder_ = 
+                com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                   internalGetUsageFieldBuilder() : null;
+            } else {
+              usageBuilder_.addAllMessages(other.usage_);
+            }
+          }
+        }
+        if (!other.lostRunners_.isEmpty()) {
+          if (lostRunners_.isEmpty()) {
+            lostRunners_ = other.lostRunners_;
+            bitField0_ |= 0x00000040;
+          } else {
+            ensureLostRunnersIsMutable();
+            lostRunners_.addAll(other.lostRunners_);
+          }
+          onChanged();
+        }
+        if (!other.changingRunners_.isEmpty()) {
+          if (changingRunners_.isEmpty()) {
+            changingRunners_ = other.changingRunners_;
+            bitField0_ |= 0x00000080;
+          } else {
+            ensureChangingRunnersIsMutable();
+            changingRunners_.addAll(other.changingRunners_);
+          }
+          onChanged();
+        }
+        if (promptPartsBuilder_ == null) {
+          if (!other.promptParts_.isEmpty()) {
+            if (promptParts_.isEmpty()) {
+              promptParts_ = other.promptParts_;
+              bitField0_ = (bitField0_ & ~0x00000100);
+            } else {
+              ensurePromptPartsIsMutable();
+              promptParts_.addAll(other.promptParts_);
+            }
+            onChanged();
+          }
+        } else {
+          if (!other.promptParts_.isEmpty()) {
+            if (promptPartsBuilder_.isEmpty()) {
+              promptPartsBuilder_.dispose();
+              promptPartsBuilder_ = null;
+              promptParts_ = other.promptParts_;
+              bitField0_ = (bitField0_ & ~0x00000100);
+              promptPartsBuilder_ = 
+                com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                   internalGetPromptPartsFieldBuilder() : null;
+            } else {
+              promptPartsBuilder_.addAllMessages(other.promptParts_);
+            }
+          }
+        }
+        if (other.getConfiguration() != 0L) {
+          setConfiguration(other.getConfiguration());
+        }
+        if (other.getStoreEra() != 0L) {
+          setStoreEra(other.getStoreEra());
+        }
+        if (other.getRunnerList() != 0L) {
+          setRunnerList(other.getRunnerList());
+        }
+        if (containedBuilder_ == null) {
+          if (!other.contained_.isEmpty()) {
+            if (contained_.isEmpty()) {
+              contained_ = other.contained_;
+              bitField0_ = (bitField0_ & ~0x00001000);
+            } else {
+              ensureContainedIsMutable();
+              contained_.addAll(other.contained_);
+            }
+            onChanged();
+          }
+        } else {
+          if (!other.contained_.isEmpty()) {
+            if (containedBuilder_.isEmpty()) {
+              containedBuilder_.dispose();
+              containedBuilder_ = null;
+              contained_ = other.contained_;
+              bitField0_ = (bitField0_ & ~0x00001000);
+              containedBuilder_ = 
+                com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                   internalGetContainedFieldBuilder() : null;
+            } else {
+              containedBuilder_.addAllMessages(other.contained_);
+            }
+          }
+        }
+        if (dataCentresBuilder_ == null) {
+          if (!other.dataCentres_.isEmpty()) {
+            if (dataCentres_.isEmpty()) {
+              dataCentres_ = other.dataCentres_;
+              bitField0_ = (bitField0_ & ~0x00002000);
+            } else {
+              ensureDataCentresIsMutable();
+              dataCentres_.addAll(other.dataCentres_);
+            }
+            onChanged();
+          }
+        } else {
+          if (!other.dataCentres_.isEmpty()) {
+            if (dataCentresBuilder_.isEmpty()) {
+              dataCentresBuilder_.dispose();
+              dataCentresBuilder_ = null;
+              dataCentres_ = other.dataCentres_;
+              bitField0_ = (bitField0_ & ~0x00002000);
+              dataCentresBuilder_ = 
+                com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                   internalGetDataCentresFieldBuilder() : null;
+            } else {
+              dataCentresBuilder_.addAllMessages(other.dataCentres_);
+            }
+          }
+        }
+        this.mergeUnknownFields(other.getUnknownFields());
+        onChanged();
+        return this;
+      }
+
+      @java.lang.Override
+      public final boolean isInitialized() {
+        return true;
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws java.io.IOException {
+        if (extensionRegistry == null) {
+          throw new java.lang.NullPointerException();
+        }
+        try {
+          boolean done = false;
+          while (!done) {
+            int tag = input.readTag();
+            switch (tag) {
+              case 0:
+                done = true;
+                break;
+              case 10: {
+                vm_ = input.readStringRequireUtf8();
+                bitField0_ |= 0x00000001;
+                break;
+              } // case 10
+              case 16: {
+                incarnation_ = input.readInt64();
+                bitField0_ |= 0x00000002;
+                break;
+              } // case 16
+              case 24: {
+                sequence_ = input.readInt64();
+                bitField0_ |= 0x00000004;
+                break;
+              } // case 24
+              case 34: {
+                dataCentre_ = input.readStringRequireUtf8();
+                bitField0_ |= 0x00000008;
+                break;
+              } // case 34
+              case 40: {
+                ownDataCentreOnly_ = input.readBool();
+                bitField0_ |= 0x00000010;
+                break;
+              } // case 40
+              case 50: {
+                io.bilberryvalve.wire.proto.LoadMessages.RunnerUsage m =
+                    input.readMessage(
+                        io.bilberryvalve.wire.proto.LoadMessages.RunnerUsage.parser(),
+                        extensionRegistry);
+                if (usageBuilder_ == null) {
+                  ensureUsageIsMutable();
+                  usage_.add(m);
+                } else {
+                  usageBuilder_.addMessage(m);
+                }
+                break;
+              } // case 50
+              case 58: {
+                java.lang.String s = input.readStringRequireUtf8();
+                ensureLostRunnersIsMutable();
+                lostRunners_.add(s);
+                break;
+              } // case 58
+              case 66: {
+                java.lang.String s = input.readStringRequireUtf8();
+                ensureChangingRunnersIsMutable();
+                changingRunners_.add(s);
+                break;
+              } // case 66
+              case 74: {
+                io.bilberryvalve.wire.proto.LoadMessages.PromptPart m =
+                    input.readMessage(
+                        io.bilberryvalve.wire.proto.LoadMessages.PromptPart.parser(),
+                        extensionRegistry);
+                if (promptPartsBuilder_ == null) {
+                  ensurePromptPartsIsMutable();
+                  promptParts_.add(m);
+                } else {
+                  promptPartsBuilder_.addMessage(m);
+                }
+                break;
+              } // case 74
+              case 80: {
+                configuration_ = input.readInt64();
+                bitField0_ |= 0x00000200;
+                break;
+              } // case 80
+              case 88: {
+                storeEra_ = input.readInt64();
+                bitField0_ |= 0x00000400;
+                break;
+              } // case 88
+              case 96: {
+                runnerList_ = input.readInt64();
+                bitField0_ |= 0x00000800;
+                break;
+              } // case 96
+              case 106: {
+                io.bilberryvalve.wire.proto.LoadMessages.ContainedState m =
+                    input.readMessage(
+                        io.bilberryvalve.wire.proto.LoadMessages.ContainedState.parser(),
+                        extensionRegistry);
+                if (containedBuilder_ == null) {
+                  ensureContainedIsMutable();
+                  contained_.add(m);
+                } else {
+                  containedBuilder_.addMessage(m);
+                }
+                break;
+              } // case 106
+              case 114: {
+                io.bilberryvalve.wire.proto.LoadMessages.DataCentreAge m =
+                    input.readMessage(
+                        io.bilberryvalve.wire.proto.LoadMessages.DataCentreAge.parser(),
+                        extensionRegistry);
+                if (dataCentresBuilder_ == null) {
+                  ensureDataCentresIsMutable();
+                  dataCentres_.add(m);
+                } else {
+                  dataCentresBuilder_.addMessage(m);
+                }
+                break;
+              } // case 114
+              default: {
+                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                  done = true; // was an endgroup tag
+                }
+                break;
+              } // default:
+            } // switch (tag)
+          } // while (!done)
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.unwrapIOException();
+        } finally {
+          onChanged();
+        } // finally
+        return this;
+      }
+      private int bitField0_;
+
+      private java.lang.Object vm_ = "";
+      /**
+       * <pre>
+       * Name of the VM of the delegate.
+       * </pre>
+       *
+       * <code>string vm = 1;</code>
+       * @return The vm.
+       */
+      public java.lang.String getVm() {
+        java.lang.Object ref = vm_;
+        if (!(ref instanceof java.lang.String)) {
+          com.google.protobuf.ByteString bs =
+              (com.google.protobuf.ByteString) ref;
+          java.lang.String s = bs.toStringUtf8();
+          vm_ = s;
+          return s;
+        } else {
+          return (java.lang.String) ref;
+        }
+      }
+      /**
+       * <pre>
+       * Name of the VM of the delegate.
+       * </pre>
+       *
+       * <code>string vm = 1;</code>
+       * @return The bytes for vm.
+       */
+      public com.google.protobuf.ByteString
+          getVmBytes() {
+        java.lang.Object ref = vm_;
+        if (ref instanceof String) {
+          com.google.protobuf.ByteString b = 
+              com.google.protobuf.ByteString.copyFromUtf8(
+                  (java.lang.String) ref);
+          vm_ = b;
+          return b;
+        } else {
+          return (com.google.protobuf.ByteString) ref;
+        }
+      }
+      /**
+       * <pre>
+       * Name of the VM of the delegate.
+       * </pre>
+       *
+       * <code>string vm = 1;</code>
+       * @param value The vm to set.
+       * @return This builder for chaining.
+       */
+      public Builder setVm(
+          java.lang.String value) {
+        if (value == null) { throw new NullPointerException(); }
+        vm_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * Name of the VM of the delegate.
+       * </pre>
+       *
+       * <code>string vm = 1;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearVm() {
+        vm_ = getDefaultInstance().getVm();
+        bitField0_ = (bitField0_ & ~0x00000001);
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * Name of the VM of the delegate.
+       * </pre>
+       *
+       * <code>string vm = 1;</code>
+       * @param value The bytes for vm to set.
+       * @return This builder for chaining.
+       */
+      public Builder setVmBytes(
+          com.google.protobuf.ByteString value) {
+        if (value == null) { throw new NullPointerException(); }
+        checkByteStringIsUtf8(value);
+        vm_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+
+      private long incarnation_ ;
+      /**
+       * <code>int64 incarnation = 2;</code>
+       * @return The incarnation.
+       */
+      @java.lang.Override
+      public long getIncarnation() {
+        return incarnation_;
+      }
+      /**
+       * <code>int64 incarnation = 2;</code>
+       * @param value The incarnation to set.
+       * @return This builder for chaining.
+       */
+      public Builder setIncarnation(long value) {
+
+        incarnation_ = value;
+        bitField0_ |= 0x00000002;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>int64 incarnation = 2;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearIncarnation() {
+        bitField0_ = (bitField0_ & ~0x00000002);
+        incarnation_ = 0L;
+        onChanged();
+        return this;
+      }
+
+      private long sequence_ ;
+      /**
+       * <code>int64 sequence = 3;</code>
+       * @return The sequence.
+       */
+      @java.lang.Override
+      public long getSequence() {
+        return sequence_;
+      }
+      /**
+       * <code>int64 sequence = 3;</code>
+       * @param value The sequence to set.
+       * @return This builder for chaining.
+       */
+      public Builder setSequence(long value) {
+
+        sequence_ = value;
+        bitField0_ |= 0x00000004;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>int64 sequence = 3;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearSequence() {
+        bitField0_ = (bitField0_ & ~0x00000004);
+        sequence_ = 0L;
+        onChanged();
+        return this;
+      }
+
+      private java.lang.Object dataCentre_ = "";
+      /**
+       * <pre>
+       * Data centre of the delegate.
+       * </pre>
+       *
+       * <code>string data_centre = 4;</code>
+       * @return The dataCentre.
+       */
+      public java.lang.String getDataCentre() {
+        java.lang.Object ref = dataCentre_;
+        if (!(ref instanceof java.lang.String)) {
+          com.google.protobuf.ByteString bs =
+              (com.google.protobuf.ByteString) ref;
+          java.lang.String s = bs.toStringUtf8();
+          dataCentre_ = s;
+          return s;
+        } else {
+          return (java.lang.String) ref;
+        }
+      }
+      /**
+       * <pre>
+       * Data centre of the delegate.
+       * </pre>
+       *
+       * <code>string data_centre = 4;</code>
+       * @return The bytes for dataCentre.
+       */
+      public com.google.protobuf.ByteString
+          getDataCentreBytes() {
+        java.lang.Object ref = dataCentre_;
+        if (ref instanceof String) {
+          com.google.protobuf.ByteString b = 
+              com.google.protobuf.ByteString.copyFromUtf8(
+                  (java.lang.String) ref);
+          dataCentre_ = b;
+          return b;
+        } else {
+          return (com.google.protobuf.ByteString) ref;
+        }
+      }
+      /**
+       * <pre>
+       * Data centre of the delegate.
+       * </pre>
+       *
+       * <code>string data_centre = 4;</code>
+       * @param value The dataCentre to set.
+       * @return This builder for chaining.
+       */
+      public Builder setDataCentre(
+          java.lang.String value) {
+        if (value == null) { throw new NullPointerException(); }
+        dataCentre_ = value;
+        bitField0_ |= 0x00000008;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * Data centre of the delegate.
+       * </pre>
+       *
+       * <code>string data_centre = 4;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearDataCentre() {
+        dataCentre_ = getDefaultInstance().getDataCentre();
+        bitField0_ = (bitField0_ & ~0x00000008);
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * Data centre of the delegate.
+       * </pre>
+       *
+       * <code>string data_centre = 4;</code>
+       * @param value The bytes for dataCentre to set.
+       * @return This builder for chaining.
+       */
+      public Builder setDataCentreBytes(
+          com.google.protobuf.ByteString value) {
+        if (value == null) { throw new NullPointerException(); }
+        checkByteStringIsUtf8(value);
+        dataCentre_ = value;
+        bitField0_ |= 0x00000008;
+        onChanged();
+        return this;
+      }
+
+      private boolean ownDataCentreOnly_ ;
+      /**
+       * <pre>
+       * Whether only daemons of this data centre are contained; otherwise those of all data centres.
+       * </pre>
+       *
+       * <code>bool own_data_centre_only = 5;</code>
+       * @return The ownDataCentreOnly.
+       */
+      @java.lang.Override
+      public boolean getOwnDataCentreOnly() {
+        return ownDataCentreOnly_;
+      }
+      /**
+       * <pre>
+       * Whether only daemons of this data centre are contained; otherwise those of all data centres.
+       * </pre>
+       *
+       * <code>bool own_data_centre_only = 5;</code>
+       * @param value The ownDataCentreOnly to set.
+       * @return This builder for chaining.
+       */
+      public Builder setOwnDataCentreOnly(boolean value) {
+
+        ownDataCentreOnly_ = value;
+        bitField0_ |= 0x00000010;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * Whether only daemons of this data centre are contained; otherwise those of all data centres.
+       * </pre>
+       *
+       * <code>bool own_data_centre_only = 5;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearOwnDataCentreOnly() {
+        bitField0_ = (bitField0_ & ~0x00000010);
+        ownDataCentreOnly_ = false;
+        onChanged();
+        return this;
+      }
+
+      private java.util.List<io.bilberryvalve.wire.proto.LoadMessages.RunnerUsage> usage_ =
+        java.util.Collections.emptyList();
+      private void ensureUsageIsMutable() {
+        if (!((bitField0_ & 0x00000020) != 0)) {
+          usage_ = new java.util.ArrayList<io.bilberryvalve.wire.proto.LoadMessages.RunnerUsage>(usage_);
+          bitField0_ |= 0x00000020;
+         }
+      }
+
+      private com.google.protobuf.RepeatedFieldBuilder<
+          io.bilberryvalve.wire.proto.LoadMessages.RunnerUsage, io.bilberryvalve.wire.proto.LoadMessages.RunnerUsage.Builder, io.bilberryvalve.wire.proto.LoadMessages.RunnerUsageOrBuilder> usageBuilder_;
+
+      /**
+       * <pre>
+       * Sum over all contained daemons, the receiver included.
+       * </pre>
+       *
+       * <code>repeated .bilberryvalve.load.RunnerUsage usage = 6;</code>
+       */
+      public java.util.List<io.bilberryvalve.wire.proto.LoadMessages.RunnerUsage> getUsageList() {
+        if (usageBuilder_ == null) {
+          return java.util.Collections.unmodifiableList(usage_);
+        } else {
+          return usageBuilder_.getMessageList();
+        }
+      }
+      /**
+       * <pre>
+       * Sum over all contained daemons, the receiver included.
+       * </pre>
+       *
+       * <code>repeated .bilberryvalve.load.RunnerUsage usage = 6;</code>
+       */
+      public int getUsageCount() {
+        if (usageBuilder_ == null) {
+          return usage_.size();
+        } else {
+          return usageBuilder_.getCount();
+        }
+      }
+      /**
+       * <pre>
+       * Sum over all contained daemons, the receiver included.
+       * </pre>
+       *
+       * <code>repeated .bilberryvalve.load.RunnerUsage usage = 6;</code>
+       */
+      public io.bilberryvalve.wire.proto.LoadMessages.RunnerUsage getUsage(int index) {
+        if (usageBuilder_ == null) {
+          return usage_.get(index);
+        } else {
+          return usageBuilder_.getMessage(index);
+        }
+      }
+      /**
+       * <pre>
+       * Sum over all contained daemons, the receiver included.
+       * </pre>
+       *
+       * <code>repeated .bilberryvalve.load.RunnerUsage usage = 6;</code>
+       */
+      public Builder setUsage(
+          int index, io.bilberryvalve.wire.proto.LoadMessages.RunnerUsage value) {
+        if (usageBuilder_ == null) {
+          if (value == null) {
+            throw new NullPointerException();
+          }
+          ensureUsageIsMutable();
+          usage_.set(index, value);
+          onChanged();
+        } else {
+          usageBuilder_.setMessage(index, value);
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * Sum over all contained daemons, the receiver included.
+       * </pre>
+       *
+       * <code>repeated .bilberryvalve.load.RunnerUsage usage = 6;</code>
+       */
+      public Builder setUsage(
+          int index, io.bilberryvalve.wire.proto.LoadMessages.RunnerUsage.Builder builderForValue) {
+        if (usageBuilder_ == null) {
+          ensureUsageIsMutable();
+          usage_.set(index, builderForValue.build());
+          onChanged();
+        } else {
+          usageBuilder_.setMessage(index, builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * Sum over all contained daemons, the receiver included.
+       * </pre>
+       *
+       * <code>repeated .bilberryvalve.load.RunnerUsage usage = 6;</code>
+       */
+      public Builder addUsage(io.bilberryvalve.wire.proto.LoadMessages.RunnerUsage value) {
+        if (usageBuilder_ == null) {
+          if (value == null) {
+            throw new NullPointerException();
+          }
+          ensureUsageIsMutable();
+          usage_.add(value);
+          onChanged();
+        } else {
+          usageBuilder_.addMessage(value);
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * Sum over all contained daemons, the receiver included.
+       * </pre>
+       *
+       * <code>repeated .bilberryvalve.load.RunnerUsage usage = 6;</code>
+       */
+      public Builder addUsage(
+          int index, io.bilberryvalve.wire.proto.LoadMessages.RunnerUsage value) {
+        if (usageBuilder_ == null) {
+          if (value == null) {
+            throw new NullPointerException();
+          }
+          ensureUsageIsMutable();
+          usage_.add(index, value);
+          onChanged();
+        } else {
+          usageBuilder_.addMessage(index, value);
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * Sum over all contained daemons, the receiver included.
+       * </pre>
+       *
+       * <code>repeated .bilberryvalve.load.RunnerUsage usage = 6;</code>
+       */
+      public Builder addUsage(
+          io.bilberryvalve.wire.proto.LoadMessages.RunnerUsage.Builder builderForValue) {
+        if (usageBuilder_ == null) {
+          ensureUsageIsMutable();
+          usage_.add(builderForValue.build());
+          onChanged();
+        } else {
+          usageBuilder_.addMessage(builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * Sum over all contained daemons, the receiver included.
+       * </pre>
+       *
+       * <code>repeated .bilberryvalve.load.RunnerUsage usage = 6;</code>
+       */
+      public Builder addUsage(
+          int index, io.bilberryvalve.wire.proto.LoadMessages.RunnerUsage.Builder builderForValue) {
+        if (usageBuilder_ == null) {
+          ensureUsageIsMutable();
+          usage_.add(index, builderForValue.build());
+          onChanged();
+        } else {
+          usageBuilder_.addMessage(index, builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * Sum over all contained daemons, the receiver included.
+       * </pre>
+       *
+       * <code>repeated .bilberryvalve.load.RunnerUsage usage = 6;</code>
+       */
+      public Builder addAllUsage(
+          java.lang.Iterable<? extends io.bilberryvalve.wire.proto.LoadMessages.RunnerUsage> values) {
+        if (usageBuilder_ == null) {
+          ensureUsageIsMutable();
+          com.google.protobuf.AbstractMessageLite.Builder.addAll(
+              values, usage_);
+          onChanged();
+        } else {
+          usageBuilder_.addAllMessages(values);
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * Sum over all contained daemons, the receiver included.
+       * </pre>
+       *
+       * <code>repeated .bilberryvalve.load.RunnerUsage usage = 6;</code>
+       */
+      public Builder clearUsage() {
+        if (usageBuilder_ == null) {
+          usage_ = java.util.Collections.emptyList();
+          bitField0_ = (bitField0_ & ~0x00000020);
+          onChanged();
+        } else {
+          usageBuilder_.clear();
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * Sum over all contained daemons, the receiver included.
+       * </pre>
+       *
+       * <code>repeated .bilberryvalve.load.RunnerUsage usage = 6;</code>
+       */
+      public Builder removeUsage(int index) {
+        if (usageBuilder_ == null) {
+          ensureUsageIsMutable();
+          usage_.remove(index);
+          onChanged();
+        } else {
+          usageBuilder_.remove(index);
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * Sum over all contained daemons, the receiver included.
+       * </pre>
+       *
+       * <code>repeated .bilberryvalve.load.RunnerUsage usage = 6;</code>
+       */
+      public io.bilberryvalve.wire.proto.LoadMessages.RunnerUsage.Builder getUsageBuilder(
+          int index) {
+        return internalGetUsageFieldBuilder().getBuilder(index);
+      }
+      /**
+       * <pre>
+       * Sum over all contained daemons, the receiver included.
+       * </pre>
+       *
+       * <code>repeated .bilberryvalve.load.RunnerUsage usage = 6;</code>
+       */
+      public io.bilberryvalve.wire.proto.LoadMessages.RunnerUsageOrBuilder getUsageOrBuilder(
+          int index) {
+        if (usageBuilder_ == null) {
+          return usage_.get(index);  } else {
+          return usageBuilder_.getMessageOrBuilder(index);
+        }
+      }
+      /**
+       * <pre>
+       * Sum over all contained daemons, the receiver included.
+       * </pre>
+       *
+       * <code>repeated .bilberryvalve.load.RunnerUsage usage = 6;</code>
+       */
+      public java.util.List<? extends io.bilberryvalve.wire.proto.LoadMessages.RunnerUsageOrBuilder> 
+           getUsageOrBuilderList() {
+        if (usageBuilder_ != null) {
+          return usageBuilder_.getMessageOrBuilderList();
+        } else {
+          return java.util.Collections.unmodifiableList(usage_);
+        }
+      }
+      /**
+       * <pre>
+       * Sum over all contained daemons, the receiver included.
+       * </pre>
+       *
+       * <code>repeated .bilberryvalve.load.RunnerUsage usage = 6;</code>
+       */
+      public io.bilberryvalve.wire.proto.LoadMessages.RunnerUsage.Builder addUsageBuilder() {
+        return internalGetUsageFieldBuilder().addBuilder(
+            io.bilberryvalve.wire.proto.LoadMessages.RunnerUsage.getDefaultInstance());
+      }
+      /**
+       * <pre>
+       * Sum over all contained daemons, the receiver included.
+       * </pre>
+       *
+       * <code>repeated .bilberryvalve.load.RunnerUsage usage = 6;</code>
+       */
+      public io.bilberryvalve.wire.proto.LoadMessages.RunnerUsage.Builder addUsageBuilder(
+          int index) {
+        return internalGetUsageFieldBuilder().addBuilder(
+            index, io.bilberryvalve.wire.proto.LoadMessages.RunnerUsage.getDefaultInstance());
+      }
+      /**
+       * <pre>
+       * Sum over all contained daemons, the receiver included.
+       * </pre>
+       *
+       * <code>repeated .bilberryvalve.load.RunnerUsage usage = 6;</code>
+       */
+      public java.util.List<io.bilberryvalve.wire.proto.LoadMessages.RunnerUsage.Builder> 
+           getUsageBuilderList() {
+        return internalGetUsageFieldBuilder().getBuilderList();
+      }
+      private com.google.protobuf.RepeatedFieldBuilder<
+          io.bilberryvalve.wire.proto.LoadMessages.RunnerUsage, io.bilberryvalve.wire.proto.LoadMessages.RunnerUsage.Builder, io.bilberryvalve.wire.proto.LoadMessages.RunnerUsageOrBuilder> 
+          internalGetUsageFieldBuilder() {
+        if (usageBuilder_ == null) {
+          usageBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+              io.bilberryvalve.wire.proto.LoadMessages.RunnerUsage, io.bilberryvalve.wire.proto.LoadMessages.RunnerUsage.Builder, io.bilberryvalve.wire.proto.LoadMessages.RunnerUsageOrBuilder>(
+                  usage_,
+                  ((bitField0_ & 0x00000020) != 0),
+                  getParentForChildren(),
+                  isClean());
+          usage_ = null;
+        }
+        return usageBuilder_;
+      }
+
+      private com.google.protobuf.LazyStringArrayList lostRunners_ =
+          com.google.protobuf.LazyStringArrayList.emptyList();
+      private void ensureLostRunnersIsMutable() {
+        if (!lostRunners_.isModifiable()) {
+          lostRunners_ = new com.google.protobuf.LazyStringArrayList(lostRunners_);
+        }
+        bitField0_ |= 0x00000040;
+      }
+      /**
+       * <code>repeated string lost_runners = 7;</code>
+       * @return A list containing the lostRunners.
+       */
+      public com.google.protobuf.ProtocolStringList
+          getLostRunnersList() {
+        lostRunners_.makeImmutable();
+        return lostRunners_;
+      }
+      /**
+       * <code>repeated string lost_runners = 7;</code>
+       * @return The count of lostRunners.
+       */
+      public int getLostRunnersCount() {
+        return lostRunners_.size();
+      }
+      /**
+       * <code>repeated string lost_runners = 7;</code>
+       * @param index The index of the element to return.
+       * @return The lostRunners at the given index.
+       */
+      public java.lang.String getLostRunners(int index) {
+        return lostRunners_.get(index);
+      }
+      /**
+       * <code>repeated string lost_runners = 7;</code>
+       * @param index The index of the value to return.
+       * @return The bytes of the lostRunners at the given index.
+       */
+      public com.google.protobuf.ByteString
+          getLostRunnersBytes(int index) {
+        return lostRunners_.getByteString(index);
+      }
+      /**
+       * <code>repeated string lost_runners = 7;</code>
+       * @param index The index to set the value at.
+       * @param value The lostRunners to set.
+       * @return This builder for chaining.
+       */
+      public Builder setLostRunners(
+          int index, java.lang.String value) {
+        if (value == null) { throw new NullPointerException(); }
+        ensureLostRunnersIsMutable();
+        lostRunners_.set(index, value);
+        bitField0_ |= 0x00000040;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>repeated string lost_runners = 7;</code>
+       * @param value The lostRunners to add.
+       * @return This builder for chaining.
+       */
+      public Builder addLostRunners(
+          java.lang.String value) {
+        if (value == null) { throw new NullPointerException(); }
+        ensureLostRunnersIsMutable();
+        lostRunners_.add(value);
+        bitField0_ |= 0x00000040;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>repeated string lost_runners = 7;</code>
+       * @param values The lostRunners to add.
+       * @return This builder for chaining.
+       */
+      public Builder addAllLostRunners(
+          java.lang.Iterable<java.lang.String> values) {
+        ensureLostRunnersIsMutable();
+        com.google.protobuf.AbstractMessageLite.Builder.addAll(
+            values, lostRunners_);
+        bitField0_ |= 0x00000040;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>repeated string lost_runners = 7;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearLostRunners() {
+        lostRunners_ =
+          com.google.protobuf.LazyStringArrayList.emptyList();
+        bitField0_ = (bitField0_ & ~0x00000040);;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>repeated string lost_runners = 7;</code>
+       * @param value The bytes of the lostRunners to add.
+       * @return This builder for chaining.
+       */
+      public Builder addLostRunnersBytes(
+          com.google.protobuf.ByteString value) {
+        if (value == null) { throw new NullPointerException(); }
+        checkByteStringIsUtf8(value);
+        ensureLostRunnersIsMutable();
+        lostRunners_.add(value);
+        bitField0_ |= 0x00000040;
+        onChanged();
+        return this;
+      }
+
+      private com.google.protobuf.LazyStringArrayList changingRunners_ =
+          com.google.protobuf.LazyStringArrayList.emptyList();
+      private void ensureChangingRunnersIsMutable() {
+        if (!changingRunners_.isModifiable()) {
+          changingRunners_ = new com.google.protobuf.LazyStringArrayList(changingRunners_);
+        }
+        bitField0_ |= 0x00000080;
+      }
+      /**
+       * <code>repeated string changing_runners = 8;</code>
+       * @return A list containing the changingRunners.
+       */
+      public com.google.protobuf.ProtocolStringList
+          getChangingRunnersList() {
+        changingRunners_.makeImmutable();
+        return changingRunners_;
+      }
+      /**
+       * <code>repeated string changing_runners = 8;</code>
+       * @return The count of changingRunners.
+       */
+      public int getChangingRunnersCount() {
+        return changingRunners_.size();
+      }
+      /**
+       * <code>repeated string changing_runners = 8;</code>
+       * @param index The index of the element to return.
+       * @return The changingRunners at the given index.
+       */
+      public java.lang.String getChangingRunners(int index) {
+        return changingRunners_.get(index);
+      }
+      /**
+       * <code>repeated string changing_runners = 8;</code>
+       * @param index The index of the value to return.
+       * @return The bytes of the changingRunners at the given index.
+       */
+      public com.google.protobuf.ByteString
+          getChangingRunnersBytes(int index) {
+        return changingRunners_.getByteString(index);
+      }
+      /**
+       * <code>repeated string changing_runners = 8;</code>
+       * @param index The index to set the value at.
+       * @param value The changingRunners to set.
+       * @return This builder for chaining.
+       */
+      public Builder setChangingRunners(
+          int index, java.lang.String value) {
+        if (value == null) { throw new NullPointerException(); }
+        ensureChangingRunnersIsMutable();
+        changingRunners_.set(index, value);
+        bitField0_ |= 0x00000080;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>repeated string changing_runners = 8;</code>
+       * @param value The changingRunners to add.
+       * @return This builder for chaining.
+       */
+      public Builder addChangingRunners(
+          java.lang.String value) {
+        if (value == null) { throw new NullPointerException(); }
+        ensureChangingRunnersIsMutable();
+        changingRunners_.add(value);
+        bitField0_ |= 0x00000080;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>repeated string changing_runners = 8;</code>
+       * @param values The changingRunners to add.
+       * @return This builder for chaining.
+       */
+      public Builder addAllChangingRunners(
+          java.lang.Iterable<java.lang.String> values) {
+        ensureChangingRunnersIsMutable();
+        com.google.protobuf.AbstractMessageLite.Builder.addAll(
+            values, changingRunners_);
+        bitField0_ |= 0x00000080;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>repeated string changing_runners = 8;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearChangingRunners() {
+        changingRunners_ =
+          com.google.protobuf.LazyStringArrayList.emptyList();
+        bitField0_ = (bitField0_ & ~0x00000080);;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>repeated string changing_runners = 8;</code>
+       * @param value The bytes of the changingRunners to add.
+       * @return This builder for chaining.
+       */
+      public Builder addChangingRunnersBytes(
+          com.google.protobuf.ByteString value) {
+        if (value == null) { throw new NullPointerException(); }
+        checkByteStringIsUtf8(value);
+        ensureChangingRunnersIsMutable();
+        changingRunners_.add(value);
+        bitField0_ |= 0x00000080;
+        onChanged();
+        return this;
+      }
+
+      private java.util.List<io.bilberryvalve.wire.proto.LoadMessages.PromptPart> promptParts_ =
+        java.util.Collections.emptyList();
+      private void ensurePromptPartsIsMutable() {
+        if (!((bitField0_ & 0x00000100) != 0)) {
+          promptParts_ = new java.util.ArrayList<io.bilberryvalve.wire.proto.LoadMessages.PromptPart>(promptParts_);
+          bitField0_ |= 0x00000100;
+         }
+      }
+
+      private com.google.protobuf.RepeatedFieldBuilder<
+          io.bilberryvalve.wire.proto.LoadMessages.PromptPart, io.bilberryvalve.wire.proto.LoadMessages.PromptPart.Builder, io.bilberryvalve.wire.proto.LoadMessages.PromptPartOrBuilder> promptPartsBuilder_;
+
+      /**
+       * <code>repeated .bilberryvalve.load.PromptPart prompt_parts = 9;</code>
+       */
+      public java.util.List<io.bilberryvalve.wire.proto.LoadMessages.PromptPart> getPromptPartsList() {
+        if (promptPartsBuilder_ == null) {
+          return java.util.Collections.unmodifiableList(promptParts_);
+        } else {
+          return promptPartsBuilder_.getMessageList();
+        }
+      }
+      /**
+       * <code>repeated .bilberryvalve.load.PromptPart prompt_parts = 9;</code>
+       */
+      public int getPromptPartsCount() {
+        if (promptPartsBuilder_ == null) {
+          return promptParts_.size();
+        } else {
+          return promptPartsBuilder_.getCount();
+        }
+      }
+      /**
+       * <code>repeated .bilberryvalve.load.PromptPart prompt_parts = 9;</code>
+       */
+      public io.bilberryvalve.wire.proto.LoadMessages.PromptPart getPromptParts(int index) {
+        if (promptPartsBuilder_ == null) {
+          return promptParts_.get(index);
+        } else {
+          return promptPartsBuilder_.getMessage(index);
+        }
+      }
+      /**
+       * <code>repeated .bilberryvalve.load.PromptPart prompt_parts = 9;</code>
+       */
+      public Builder setPromptParts(
+          int index, io.bilberryvalve.wire.proto.LoadMessages.PromptPart value) {
+        if (promptPartsBuilder_ == null) {
+          if (value == null) {
+            throw new NullPointerException();
+          }
+          ensurePromptPartsIsMutable();
+          promptParts_.set(index, value);
+          onChanged();
+        } else {
+          promptPartsBuilder_.setMessage(index, value);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .bilberryvalve.load.PromptPart prompt_parts = 9;</code>
+       */
+      public Builder setPromptParts(
+          int index, io.bilberryvalve.wire.proto.LoadMessages.PromptPart.Builder builderForValue) {
+        if (promptPartsBuilder_ == null) {
+          ensurePromptPartsIsMutable();
+          promptParts_.set(index, builderForValue.build());
+          onChanged();
+        } else {
+          promptPartsBuilder_.setMessage(index, builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .bilberryvalve.load.PromptPart prompt_parts = 9;</code>
+       */
+      public Builder addPromptParts(io.bilberryvalve.wire.proto.LoadMessages.PromptPart value) {
+        if (promptPartsBuilder_ == null) {
+          if (value == null) {
+            throw new NullPointerException();
+          }
+          ensurePromptPartsIsMutable();
+          promptParts_.add(value);
+          onChanged();
+        } else {
+          promptPartsBuilder_.addMessage(value);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .bilberryvalve.load.PromptPart prompt_parts = 9;</code>
+       */
+      public Builder addPromptParts(
+          int index, io.bilberryvalve.wire.proto.LoadMessages.PromptPart value) {
+        if (promptPartsBuilder_ == null) {
+          if (value == null) {
+            throw new NullPointerException();
+          }
+          ensurePromptPartsIsMutable();
+          promptParts_.add(index, value);
+          onChanged();
+        } else {
+          promptPartsBuilder_.addMessage(index, value);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .bilberryvalve.load.PromptPart prompt_parts = 9;</code>
+       */
+      public Builder addPromptParts(
+          io.bilberryvalve.wire.proto.LoadMessages.PromptPart.Builder builderForValue) {
+        if (promptPartsBuilder_ == null) {
+          ensurePromptPartsIsMutable();
+          promptParts_.add(builderForValue.build());
+          onChanged();
+        } else {
+          promptPartsBuilder_.addMessage(builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .bilberryvalve.load.PromptPart prompt_parts = 9;</code>
+       */
+      public Builder addPromptParts(
+          int index, io.bilberryvalve.wire.proto.LoadMessages.PromptPart.Builder builderForValue) {
+        if (promptPartsBuilder_ == null) {
+          ensurePromptPartsIsMutable();
+          promptParts_.add(index, builderForValue.build());
+          onChanged();
+        } else {
+          promptPartsBuilder_.addMessage(index, builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .bilberryvalve.load.PromptPart prompt_parts = 9;</code>
+       */
+      public Builder addAllPromptParts(
+          java.lang.Iterable<? extends io.bilberryvalve.wire.proto.LoadMessages.PromptPart> values) {
+        if (promptPartsBuilder_ == null) {
+          ensurePromptPartsIsMutable();
+          com.google.protobuf.AbstractMessageLite.Builder.addAll(
+              values, promptParts_);
+          onChanged();
+        } else {
+          promptPartsBuilder_.addAllMessages(values);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .bilberryvalve.load.PromptPart prompt_parts = 9;</code>
+       */
+      public Builder clearPromptParts() {
+        if (promptPartsBuilder_ == null) {
+          promptParts_ = java.util.Collections.emptyList();
+          bitField0_ = (bitField0_ & ~0x00000100);
+          onChanged();
+        } else {
+          promptPartsBuilder_.clear();
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .bilberryvalve.load.PromptPart prompt_parts = 9;</code>
+       */
+      public Builder removePromptParts(int index) {
+        if (promptPartsBuilder_ == null) {
+          ensurePromptPartsIsMutable();
+          promptParts_.remove(index);
+          onChanged();
+        } else {
+          promptPartsBuilder_.remove(index);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .bilberryvalve.load.PromptPart prompt_parts = 9;</code>
+       */
+      public io.bilberryvalve.wire.proto.LoadMessages.PromptPart.Builder getPromptPartsBuilder(
+          int index) {
+        return internalGetPromptPartsFieldBuilder().getBuilder(index);
+      }
+      /**
+       * <code>repeated .bilberryvalve.load.PromptPart prompt_parts = 9;</code>
+       */
+      public io.bilberryvalve.wire.proto.LoadMessages.PromptPartOrBuilder getPromptPartsOrBuilder(
+          int index) {
+        if (promptPartsBuilder_ == null) {
+          return promptParts_.get(index);  } else {
+          return promptPartsBuilder_.getMessageOrBuilder(index);
+        }
+      }
+      /**
+       * <code>repeated .bilberryvalve.load.PromptPart prompt_parts = 9;</code>
+       */
+      public java.util.List<? extends io.bilberryvalve.wire.proto.LoadMessages.PromptPartOrBuilder> 
+           getPromptPartsOrBuilderList() {
+        if (promptPartsBuilder_ != null) {
+          return promptPartsBuilder_.getMessageOrBuilderList();
+        } else {
+          return java.util.Collections.unmodifiableList(promptParts_);
+        }
+      }
+      /**
+       * <code>repeated .bilberryvalve.load.PromptPart prompt_parts = 9;</code>
+       */
+      public io.bilberryvalve.wire.proto.LoadMessages.PromptPart.Builder addPromptPartsBuilder() {
+        return internalGetPromptPartsFieldBuilder().addBuilder(
+            io.bilberryvalve.wire.proto.LoadMessages.PromptPart.getDefaultInstance());
+      }
+      /**
+       * <code>repeated .bilberryvalve.load.PromptPart prompt_parts = 9;</code>
+       */
+      public io.bilberryvalve.wire.proto.LoadMessages.PromptPart.Builder addPromptPartsBuilder(
+          int index) {
+        return internalGetPromptPartsFieldBuilder().addBuilder(
+            index, io.bilberryvalve.wire.proto.LoadMessages.PromptPart.getDefaultInstance());
+      }
+      /**
+       * <code>repeated .bilberryvalve.load.PromptPart prompt_parts = 9;</code>
+       */
+      public java.util.List<io.bilberryvalve.wire.proto.LoadMessages.PromptPart.Builder> 
+           getPromptPartsBuilderList() {
+        return internalGetPromptPartsFieldBuilder().getBuilderList();
+      }
+      private com.google.protobuf.RepeatedFieldBuilder<
+          io.bilberryvalve.wire.proto.LoadMessages.PromptPart, io.bilberryvalve.wire.proto.LoadMessages.PromptPart.Builder, io.bilberryvalve.wire.proto.LoadMessages.PromptPartOrBuilder> 
+          internalGetPromptPartsFieldBuilder() {
+        if (promptPartsBuilder_ == null) {
+          promptPartsBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+              io.bilberryvalve.wire.proto.LoadMessages.PromptPart, io.bilberryvalve.wire.proto.LoadMessages.PromptPart.Builder, io.bilberryvalve.wire.proto.LoadMessages.PromptPartOrBuilder>(
+                  promptParts_,
+                  ((bitField0_ & 0x00000100) != 0),
+                  getParentForChildren(),
+                  isClean());
+          promptParts_ = null;
+        }
+        return promptPartsBuilder_;
+      }
+
+      private long configuration_ ;
+      /**
+       * <pre>
+       * Newest configuration of any contained daemon, 0 for none.
+       * </pre>
+       *
+       * <code>int64 configuration = 10;</code>
+       * @return The configuration.
+       */
+      @java.lang.Override
+      public long getConfiguration() {
+        return configuration_;
+      }
+      /**
+       * <pre>
+       * Newest configuration of any contained daemon, 0 for none.
+       * </pre>
+       *
+       * <code>int64 configuration = 10;</code>
+       * @param value The configuration to set.
+       * @return This builder for chaining.
+       */
+      public Builder setConfiguration(long value) {
+
+        configuration_ = value;
+        bitField0_ |= 0x00000200;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * Newest configuration of any contained daemon, 0 for none.
+       * </pre>
+       *
+       * <code>int64 configuration = 10;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearConfiguration() {
+        bitField0_ = (bitField0_ & ~0x00000200);
+        configuration_ = 0L;
+        onChanged();
+        return this;
+      }
+
+      private long storeEra_ ;
+      /**
+       * <pre>
+       * Latest change of the list of runners that any contained daemon knows.
+       * </pre>
+       *
+       * <code>int64 store_era = 11;</code>
+       * @return The storeEra.
+       */
+      @java.lang.Override
+      public long getStoreEra() {
+        return storeEra_;
+      }
+      /**
+       * <pre>
+       * Latest change of the list of runners that any contained daemon knows.
+       * </pre>
+       *
+       * <code>int64 store_era = 11;</code>
+       * @param value The storeEra to set.
+       * @return This builder for chaining.
+       */
+      public Builder setStoreEra(long value) {
+
+        storeEra_ = value;
+        bitField0_ |= 0x00000400;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * Latest change of the list of runners that any contained daemon knows.
+       * </pre>
+       *
+       * <code>int64 store_era = 11;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearStoreEra() {
+        bitField0_ = (bitField0_ & ~0x00000400);
+        storeEra_ = 0L;
+        onChanged();
+        return this;
+      }
+
+      private long runnerList_ ;
+      /**
+       * <code>int64 runner_list = 12;</code>
+       * @return The runnerList.
+       */
+      @java.lang.Override
+      public long getRunnerList() {
+        return runnerList_;
+      }
+      /**
+       * <code>int64 runner_list = 12;</code>
+       * @param value The runnerList to set.
+       * @return This builder for chaining.
+       */
+      public Builder setRunnerList(long value) {
+
+        runnerList_ = value;
+        bitField0_ |= 0x00000800;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>int64 runner_list = 12;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearRunnerList() {
+        bitField0_ = (bitField0_ & ~0x00000800);
+        runnerList_ = 0L;
+        onChanged();
+        return this;
+      }
+
+      private java.util.List<io.bilberryvalve.wire.proto.LoadMessages.ContainedState> contained_ =
+        java.util.Collections.emptyList();
+      private void ensureContainedIsMutable() {
+        if (!((bitField0_ & 0x00001000) != 0)) {
+          contained_ = new java.util.ArrayList<io.bilberryvalve.wire.proto.LoadMessages.ContainedState>(contained_);
+          bitField0_ |= 0x00001000;
+         }
+      }
+
+      private com.google.protobuf.RepeatedFieldBuilder<
+          io.bilberryvalve.wire.proto.LoadMessages.ContainedState, io.bilberryvalve.wire.proto.LoadMessages.ContainedState.Builder, io.bilberryvalve.wire.proto.LoadMessages.ContainedStateOrBuilder> containedBuilder_;
+
+      /**
+       * <pre>
+       * States of daemons of the delegate's data centre that are contained.
+       * </pre>
+       *
+       * <code>repeated .bilberryvalve.load.ContainedState contained = 13;</code>
+       */
+      public java.util.List<io.bilberryvalve.wire.proto.LoadMessages.ContainedState> getContainedList() {
+        if (containedBuilder_ == null) {
+          return java.util.Collections.unmodifiableList(contained_);
+        } else {
+          return containedBuilder_.getMessageList();
+        }
+      }
+      /**
+       * <pre>
+       * States of daemons of the delegate's data centre that are contained.
+       * </pre>
+       *
+       * <code>repeated .bilberryvalve.load.ContainedState contained = 13;</code>
+       */
+      public int getContainedCount() {
+        if (containedBuilder_ == null) {
+          return contained_.size();
+        } else {
+          return containedBuilder_.getCount();
+        }
+      }
+      /**
+       * <pre>
+       * States of daemons of the delegate's data centre that are contained.
+       * </pre>
+       *
+       * <code>repeated .bilberryvalve.load.ContainedState contained = 13;</code>
+       */
+      public io.bilberryvalve.wire.proto.LoadMessages.ContainedState getContained(int index) {
+        if (containedBuilder_ == null) {
+          return contained_.get(index);
+        } else {
+          return containedBuilder_.getMessage(index);
+        }
+      }
+      /**
+       * <pre>
+       * States of daemons of the delegate's data centre that are contained.
+       * </pre>
+       *
+       * <code>repeated .bilberryvalve.load.ContainedState contained = 13;</code>
+       */
+      public Builder setContained(
+          int index, io.bilberryvalve.wire.proto.LoadMessages.ContainedState value) {
+        if (containedBuilder_ == null) {
+          if (value == null) {
+            throw new NullPointerException();
+          }
+          ensureContainedIsMutable();
+          contained_.set(index, value);
+          onChanged();
+        } else {
+          containedBuilder_.setMessage(index, value);
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * States of daemons of the delegate's data centre that are contained.
+       * </pre>
+       *
+       * <code>repeated .bilberryvalve.load.ContainedState contained = 13;</code>
+       */
+      public Builder setContained(
+          int index, io.bilberryvalve.wire.proto.LoadMessages.ContainedState.Builder builderForValue) {
+        if (containedBuilder_ == null) {
+          ensureContainedIsMutable();
+          contained_.set(index, builderForValue.build());
+          onChanged();
+        } else {
+          containedBuilder_.setMessage(index, builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * States of daemons of the delegate's data centre that are contained.
+       * </pre>
+       *
+       * <code>repeated .bilberryvalve.load.ContainedState contained = 13;</code>
+       */
+      public Builder addContained(io.bilberryvalve.wire.proto.LoadMessages.ContainedState value) {
+        if (containedBuilder_ == null) {
+          if (value == null) {
+            throw new NullPointerException();
+          }
+          ensureContainedIsMutable();
+          contained_.add(value);
+          onChanged();
+        } else {
+          containedBuilder_.addMessage(value);
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * States of daemons of the delegate's data centre that are contained.
+       * </pre>
+       *
+       * <code>repeated .bilberryvalve.load.ContainedState contained = 13;</code>
+       */
+      public Builder addContained(
+          int index, io.bilberryvalve.wire.proto.LoadMessages.ContainedState value) {
+        if (containedBuilder_ == null) {
+          if (value == null) {
+            throw new NullPointerException();
+          }
+          ensureContainedIsMutable();
+          contained_.add(index, value);
+          onChanged();
+        } else {
+          containedBuilder_.addMessage(index, value);
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * States of daemons of the delegate's data centre that are contained.
+       * </pre>
+       *
+       * <code>repeated .bilberryvalve.load.ContainedState contained = 13;</code>
+       */
+      public Builder addContained(
+          io.bilberryvalve.wire.proto.LoadMessages.ContainedState.Builder builderForValue) {
+        if (containedBuilder_ == null) {
+          ensureContainedIsMutable();
+          contained_.add(builderForValue.build());
+          onChanged();
+        } else {
+          containedBuilder_.addMessage(builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * States of daemons of the delegate's data centre that are contained.
+       * </pre>
+       *
+       * <code>repeated .bilberryvalve.load.ContainedState contained = 13;</code>
+       */
+      public Builder addContained(
+          int index, io.bilberryvalve.wire.proto.LoadMessages.ContainedState.Builder builderForValue) {
+        if (containedBuilder_ == null) {
+          ensureContainedIsMutable();
+          contained_.add(index, builderForValue.build());
+          onChanged();
+        } else {
+          containedBuilder_.addMessage(index, builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * States of daemons of the delegate's data centre that are contained.
+       * </pre>
+       *
+       * <code>repeated .bilberryvalve.load.ContainedState contained = 13;</code>
+       */
+      public Builder addAllContained(
+          java.lang.Iterable<? extends io.bilberryvalve.wire.proto.LoadMessages.ContainedState> values) {
+        if (containedBuilder_ == null) {
+          ensureContainedIsMutable();
+          com.google.protobuf.AbstractMessageLite.Builder.addAll(
+              values, contained_);
+          onChanged();
+        } else {
+          containedBuilder_.addAllMessages(values);
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * States of daemons of the delegate's data centre that are contained.
+       * </pre>
+       *
+       * <code>repeated .bilberryvalve.load.ContainedState contained = 13;</code>
+       */
+      public Builder clearContained() {
+        if (containedBuilder_ == null) {
+          contained_ = java.util.Collections.emptyList();
+          bitField0_ = (bitField0_ & ~0x00001000);
+          onChanged();
+        } else {
+          containedBuilder_.clear();
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * States of daemons of the delegate's data centre that are contained.
+       * </pre>
+       *
+       * <code>repeated .bilberryvalve.load.ContainedState contained = 13;</code>
+       */
+      public Builder removeContained(int index) {
+        if (containedBuilder_ == null) {
+          ensureContainedIsMutable();
+          contained_.remove(index);
+          onChanged();
+        } else {
+          containedBuilder_.remove(index);
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * States of daemons of the delegate's data centre that are contained.
+       * </pre>
+       *
+       * <code>repeated .bilberryvalve.load.ContainedState contained = 13;</code>
+       */
+      public io.bilberryvalve.wire.proto.LoadMessages.ContainedState.Builder getContainedBuilder(
+          int index) {
+        return internalGetContainedFieldBuilder().getBuilder(index);
+      }
+      /**
+       * <pre>
+       * States of daemons of the delegate's data centre that are contained.
+       * </pre>
+       *
+       * <code>repeated .bilberryvalve.load.ContainedState contained = 13;</code>
+       */
+      public io.bilberryvalve.wire.proto.LoadMessages.ContainedStateOrBuilder getContainedOrBuilder(
+          int index) {
+        if (containedBuilder_ == null) {
+          return contained_.get(index);  } else {
+          return containedBuilder_.getMessageOrBuilder(index);
+        }
+      }
+      /**
+       * <pre>
+       * States of daemons of the delegate's data centre that are contained.
+       * </pre>
+       *
+       * <code>repeated .bilberryvalve.load.ContainedState contained = 13;</code>
+       */
+      public java.util.List<? extends io.bilberryvalve.wire.proto.LoadMessages.ContainedStateOrBuilder> 
+           getContainedOrBuilderList() {
+        if (containedBuilder_ != null) {
+          return containedBuilder_.getMessageOrBuilderList();
+        } else {
+          return java.util.Collections.unmodifiableList(contained_);
+        }
+      }
+      /**
+       * <pre>
+       * States of daemons of the delegate's data centre that are contained.
+       * </pre>
+       *
+       * <code>repeated .bilberryvalve.load.ContainedState contained = 13;</code>
+       */
+      public io.bilberryvalve.wire.proto.LoadMessages.ContainedState.Builder addContainedBuilder() {
+        return internalGetContainedFieldBuilder().addBuilder(
+            io.bilberryvalve.wire.proto.LoadMessages.ContainedState.getDefaultInstance());
+      }
+      /**
+       * <pre>
+       * States of daemons of the delegate's data centre that are contained.
+       * </pre>
+       *
+       * <code>repeated .bilberryvalve.load.ContainedState contained = 13;</code>
+       */
+      public io.bilberryvalve.wire.proto.LoadMessages.ContainedState.Builder addContainedBuilder(
+          int index) {
+        return internalGetContainedFieldBuilder().addBuilder(
+            index, io.bilberryvalve.wire.proto.LoadMessages.ContainedState.getDefaultInstance());
+      }
+      /**
+       * <pre>
+       * States of daemons of the delegate's data centre that are contained.
+       * </pre>
+       *
+       * <code>repeated .bilberryvalve.load.ContainedState contained = 13;</code>
+       */
+      public java.util.List<io.bilberryvalve.wire.proto.LoadMessages.ContainedState.Builder> 
+           getContainedBuilderList() {
+        return internalGetContainedFieldBuilder().getBuilderList();
+      }
+      private com.google.protobuf.RepeatedFieldBuilder<
+          io.bilberryvalve.wire.proto.LoadMessages.ContainedState, io.bilberryvalve.wire.proto.LoadMessages.ContainedState.Builder, io.bilberryvalve.wire.proto.LoadMessages.ContainedStateOrBuilder> 
+          internalGetContainedFieldBuilder() {
+        if (containedBuilder_ == null) {
+          containedBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+              io.bilberryvalve.wire.proto.LoadMessages.ContainedState, io.bilberryvalve.wire.proto.LoadMessages.ContainedState.Builder, io.bilberryvalve.wire.proto.LoadMessages.ContainedStateOrBuilder>(
+                  contained_,
+                  ((bitField0_ & 0x00001000) != 0),
+                  getParentForChildren(),
+                  isClean());
+          contained_ = null;
+        }
+        return containedBuilder_;
+      }
+
+      private java.util.List<io.bilberryvalve.wire.proto.LoadMessages.DataCentreAge> dataCentres_ =
+        java.util.Collections.emptyList();
+      private void ensureDataCentresIsMutable() {
+        if (!((bitField0_ & 0x00002000) != 0)) {
+          dataCentres_ = new java.util.ArrayList<io.bilberryvalve.wire.proto.LoadMessages.DataCentreAge>(dataCentres_);
+          bitField0_ |= 0x00002000;
+         }
+      }
+
+      private com.google.protobuf.RepeatedFieldBuilder<
+          io.bilberryvalve.wire.proto.LoadMessages.DataCentreAge, io.bilberryvalve.wire.proto.LoadMessages.DataCentreAge.Builder, io.bilberryvalve.wire.proto.LoadMessages.DataCentreAgeOrBuilder> dataCentresBuilder_;
+
+      /**
+       * <pre>
+       * Age in milliseconds of what is contained of each other data centre.
+       * </pre>
+       *
+       * <code>repeated .bilberryvalve.load.DataCentreAge data_centres = 14;</code>
+       */
+      public java.util.List<io.bilberryvalve.wire.proto.LoadMessages.DataCentreAge> getDataCentresList() {
+        if (dataCentresBuilder_ == null) {
+          return java.util.Collections.unmodifiableList(dataCentres_);
+        } else {
+          return dataCentresBuilder_.getMessageList();
+        }
+      }
+      /**
+       * <pre>
+       * Age in milliseconds of what is contained of each other data centre.
+       * </pre>
+       *
+       * <code>repeated .bilberryvalve.load.DataCentreAge data_centres = 14;</code>
+       */
+      public int getDataCentresCount() {
+        if (dataCentresBuilder_ == null) {
+          return dataCentres_.size();
+        } else {
+          return dataCentresBuilder_.getCount();
+        }
+      }
+      /**
+       * <pre>
+       * Age in milliseconds of what is contained of each other data centre.
+       * </pre>
+       *
+       * <code>repeated .bilberryvalve.load.DataCentreAge data_centres = 14;</code>
+       */
+      public io.bilberryvalve.wire.proto.LoadMessages.DataCentreAge getDataCentres(int index) {
+        if (dataCentresBuilder_ == null) {
+          return dataCentres_.get(index);
+        } else {
+          return dataCentresBuilder_.getMessage(index);
+        }
+      }
+      /**
+       * <pre>
+       * Age in milliseconds of what is contained of each other data centre.
+       * </pre>
+       *
+       * <code>repeated .bilberryvalve.load.DataCentreAge data_centres = 14;</code>
+       */
+      public Builder setDataCentres(
+          int index, io.bilberryvalve.wire.proto.LoadMessages.DataCentreAge value) {
+        if (dataCentresBuilder_ == null) {
+          if (value == null) {
+            throw new NullPointerException();
+          }
+          ensureDataCentresIsMutable();
+          dataCentres_.set(index, value);
+          onChanged();
+        } else {
+          dataCentresBuilder_.setMessage(index, value);
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * Age in milliseconds of what is contained of each other data centre.
+       * </pre>
+       *
+       * <code>repeated .bilberryvalve.load.DataCentreAge data_centres = 14;</code>
+       */
+      public Builder setDataCentres(
+          int index, io.bilberryvalve.wire.proto.LoadMessages.DataCentreAge.Builder builderForValue) {
+        if (dataCentresBuilder_ == null) {
+          ensureDataCentresIsMutable();
+          dataCentres_.set(index, builderForValue.build());
+          onChanged();
+        } else {
+          dataCentresBuilder_.setMessage(index, builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * Age in milliseconds of what is contained of each other data centre.
+       * </pre>
+       *
+       * <code>repeated .bilberryvalve.load.DataCentreAge data_centres = 14;</code>
+       */
+      public Builder addDataCentres(io.bilberryvalve.wire.proto.LoadMessages.DataCentreAge value) {
+        if (dataCentresBuilder_ == null) {
+          if (value == null) {
+            throw new NullPointerException();
+          }
+          ensureDataCentresIsMutable();
+          dataCentres_.add(value);
+          onChanged();
+        } else {
+          dataCentresBuilder_.addMessage(value);
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * Age in milliseconds of what is contained of each other data centre.
+       * </pre>
+       *
+       * <code>repeated .bilberryvalve.load.DataCentreAge data_centres = 14;</code>
+       */
+      public Builder addDataCentres(
+          int index, io.bilberryvalve.wire.proto.LoadMessages.DataCentreAge value) {
+        if (dataCentresBuilder_ == null) {
+          if (value == null) {
+            throw new NullPointerException();
+          }
+          ensureDataCentresIsMutable();
+          dataCentres_.add(index, value);
+          onChanged();
+        } else {
+          dataCentresBuilder_.addMessage(index, value);
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * Age in milliseconds of what is contained of each other data centre.
+       * </pre>
+       *
+       * <code>repeated .bilberryvalve.load.DataCentreAge data_centres = 14;</code>
+       */
+      public Builder addDataCentres(
+          io.bilberryvalve.wire.proto.LoadMessages.DataCentreAge.Builder builderForValue) {
+        if (dataCentresBuilder_ == null) {
+          ensureDataCentresIsMutable();
+          dataCentres_.add(builderForValue.build());
+          onChanged();
+        } else {
+          dataCentresBuilder_.addMessage(builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * Age in milliseconds of what is contained of each other data centre.
+       * </pre>
+       *
+       * <code>repeated .bilberryvalve.load.DataCentreAge data_centres = 14;</code>
+       */
+      public Builder addDataCentres(
+          int index, io.bilberryvalve.wire.proto.LoadMessages.DataCentreAge.Builder builderForValue) {
+        if (dataCentresBuilder_ == null) {
+          ensureDataCentresIsMutable();
+          dataCentres_.add(index, builderForValue.build());
+          onChanged();
+        } else {
+          dataCentresBuilder_.addMessage(index, builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * Age in milliseconds of what is contained of each other data centre.
+       * </pre>
+       *
+       * <code>repeated .bilberryvalve.load.DataCentreAge data_centres = 14;</code>
+       */
+      public Builder addAllDataCentres(
+          java.lang.Iterable<? extends io.bilberryvalve.wire.proto.LoadMessages.DataCentreAge> values) {
+        if (dataCentresBuilder_ == null) {
+          ensureDataCentresIsMutable();
+          com.google.protobuf.AbstractMessageLite.Builder.addAll(
+              values, dataCentres_);
+          onChanged();
+        } else {
+          dataCentresBuilder_.addAllMessages(values);
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * Age in milliseconds of what is contained of each other data centre.
+       * </pre>
+       *
+       * <code>repeated .bilberryvalve.load.DataCentreAge data_centres = 14;</code>
+       */
+      public Builder clearDataCentres() {
+        if (dataCentresBuilder_ == null) {
+          dataCentres_ = java.util.Collections.emptyList();
+          bitField0_ = (bitField0_ & ~0x00002000);
+          onChanged();
+        } else {
+          dataCentresBuilder_.clear();
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * Age in milliseconds of what is contained of each other data centre.
+       * </pre>
+       *
+       * <code>repeated .bilberryvalve.load.DataCentreAge data_centres = 14;</code>
+       */
+      public Builder removeDataCentres(int index) {
+        if (dataCentresBuilder_ == null) {
+          ensureDataCentresIsMutable();
+          dataCentres_.remove(index);
+          onChanged();
+        } else {
+          dataCentresBuilder_.remove(index);
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * Age in milliseconds of what is contained of each other data centre.
+       * </pre>
+       *
+       * <code>repeated .bilberryvalve.load.DataCentreAge data_centres = 14;</code>
+       */
+      public io.bilberryvalve.wire.proto.LoadMessages.DataCentreAge.Builder getDataCentresBuilder(
+          int index) {
+        return internalGetDataCentresFieldBuilder().getBuilder(index);
+      }
+      /**
+       * <pre>
+       * Age in milliseconds of what is contained of each other data centre.
+       * </pre>
+       *
+       * <code>repeated .bilberryvalve.load.DataCentreAge data_centres = 14;</code>
+       */
+      public io.bilberryvalve.wire.proto.LoadMessages.DataCentreAgeOrBuilder getDataCentresOrBuilder(
+          int index) {
+        if (dataCentresBuilder_ == null) {
+          return dataCentres_.get(index);  } else {
+          return dataCentresBuilder_.getMessageOrBuilder(index);
+        }
+      }
+      /**
+       * <pre>
+       * Age in milliseconds of what is contained of each other data centre.
+       * </pre>
+       *
+       * <code>repeated .bilberryvalve.load.DataCentreAge data_centres = 14;</code>
+       */
+      public java.util.List<? extends io.bilberryvalve.wire.proto.LoadMessages.DataCentreAgeOrBuilder> 
+           getDataCentresOrBuilderList() {
+        if (dataCentresBuilder_ != null) {
+          return dataCentresBuilder_.getMessageOrBuilderList();
+        } else {
+          return java.util.Collections.unmodifiableList(dataCentres_);
+        }
+      }
+      /**
+       * <pre>
+       * Age in milliseconds of what is contained of each other data centre.
+       * </pre>
+       *
+       * <code>repeated .bilberryvalve.load.DataCentreAge data_centres = 14;</code>
+       */
+      public io.bilberryvalve.wire.proto.LoadMessages.DataCentreAge.Builder addDataCentresBuilder() {
+        return internalGetDataCentresFieldBuilder().addBuilder(
+            io.bilberryvalve.wire.proto.LoadMessages.DataCentreAge.getDefaultInstance());
+      }
+      /**
+       * <pre>
+       * Age in milliseconds of what is contained of each other data centre.
+       * </pre>
+       *
+       * <code>repeated .bilberryvalve.load.DataCentreAge data_centres = 14;</code>
+       */
+      public io.bilberryvalve.wire.proto.LoadMessages.DataCentreAge.Builder addDataCentresBuilder(
+          int index) {
+        return internalGetDataCentresFieldBuilder().addBuilder(
+            index, io.bilberryvalve.wire.proto.LoadMessages.DataCentreAge.getDefaultInstance());
+      }
+      /**
+       * <pre>
+       * Age in milliseconds of what is contained of each other data centre.
+       * </pre>
+       *
+       * <code>repeated .bilberryvalve.load.DataCentreAge data_centres = 14;</code>
+       */
+      public java.util.List<io.bilberryvalve.wire.proto.LoadMessages.DataCentreAge.Builder> 
+           getDataCentresBuilderList() {
+        return internalGetDataCentresFieldBuilder().getBuilderList();
+      }
+      private com.google.protobuf.RepeatedFieldBuilder<
+          io.bilberryvalve.wire.proto.LoadMessages.DataCentreAge, io.bilberryvalve.wire.proto.LoadMessages.DataCentreAge.Builder, io.bilberryvalve.wire.proto.LoadMessages.DataCentreAgeOrBuilder> 
+          internalGetDataCentresFieldBuilder() {
+        if (dataCentresBuilder_ == null) {
+          dataCentresBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+              io.bilberryvalve.wire.proto.LoadMessages.DataCentreAge, io.bilberryvalve.wire.proto.LoadMessages.DataCentreAge.Builder, io.bilberryvalve.wire.proto.LoadMessages.DataCentreAgeOrBuilder>(
+                  dataCentres_,
+                  ((bitField0_ & 0x00002000) != 0),
+                  getParentForChildren(),
+                  isClean());
+          dataCentres_ = null;
+        }
+        return dataCentresBuilder_;
+      }
+
+      // @@protoc_insertion_point(builder_scope:bilberryvalve.load.StateDigest)
+    }
+
+    // @@protoc_insertion_point(class_scope:bilberryvalve.load.StateDigest)
+    private static final io.bilberryvalve.wire.proto.LoadMessages.StateDigest DEFAULT_INSTANCE;
+    static {
+      DEFAULT_INSTANCE = new io.bilberryvalve.wire.proto.LoadMessages.StateDigest();
+    }
+
+    public static io.bilberryvalve.wire.proto.LoadMessages.StateDigest getDefaultInstance() {
+      return DEFAULT_INSTANCE;
+    }
+
+    private static final com.google.protobuf.Parser<StateDigest>
+        PARSER = new com.google.protobuf.AbstractParser<StateDigest>() {
+      @java.lang.Override
+      public StateDigest parsePartialFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws com.google.protobuf.InvalidProtocolBufferException {
+        Builder builder = newBuilder();
+        try {
+          builder.mergeFrom(input, extensionRegistry);
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.setUnfinishedMessage(builder.buildPartial());
+        } catch (com.google.protobuf.UninitializedMessageException e) {
+          throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+        } catch (java.io.IOException e) {
+          throw new com.google.protobuf.InvalidProtocolBufferException(e)
+              .setUnfinishedMessage(builder.buildPartial());
+        }
+        return builder.buildPartial();
+      }
+    };
+
+    public static com.google.protobuf.Parser<StateDigest> parser() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Parser<StateDigest> getParserForType() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public io.bilberryvalve.wire.proto.LoadMessages.StateDigest getDefaultInstanceForType() {
+      return DEFAULT_INSTANCE;
+    }
+
+  }
+
+  public interface ContainedStateOrBuilder extends
+      // @@protoc_insertion_point(interface_extends:bilberryvalve.load.ContainedState)
+      com.google.protobuf.MessageOrBuilder {
+
+    /**
+     * <code>string vm = 1;</code>
+     * @return The vm.
+     */
+    java.lang.String getVm();
+    /**
+     * <code>string vm = 1;</code>
+     * @return The bytes for vm.
+     */
+    com.google.protobuf.ByteString
+        getVmBytes();
+
+    /**
+     * <code>int64 incarnation = 2;</code>
+     * @return The incarnation.
+     */
+    long getIncarnation();
+
+    /**
+     * <code>int64 sequence = 3;</code>
+     * @return The sequence.
+     */
+    long getSequence();
+  }
+  /**
+   * <pre>
+   * A state whose usage is part of a digest.
+   * </pre>
+   *
+   * Protobuf type {@code bilberryvalve.load.ContainedState}
+   */
+  public static final class ContainedState extends
+      com.google.protobuf.GeneratedMessage implements
+      // @@protoc_insertion_point(message_implements:bilberryvalve.load.ContainedState)
+      ContainedStateOrBuilder {
+  private static final long serialVersionUID = 0L;
+    static {
+      com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+        /* major= */ 4,
+        /* minor= */ 33,
+        /* patch= */ 4,
+        /* suffix= */ "",
+        "ContainedState");
+    }
+    // Use ContainedState.newBuilder() to construct.
+    private ContainedState(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+      super(builder);
+    }
+    private ContainedState() {
+      vm_ = "";
+    }
+
+    public static final com.google.protobuf.Descriptors.Descriptor
+        getDescriptor() {
+      return io.bilberryvalve.wire.proto.LoadMessages.internal_static_bilberryvalve_load_ContainedState_descriptor;
+    }
+
+    @java.lang.Override
+    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+        internalGetFieldAccessorTable() {
+      return io.bilberryvalve.wire.proto.LoadMessages.internal_static_bilberryvalve_load_ContainedState_fieldAccessorTable
+          .ensureFieldAccessorsInitialized(
+              io.bilberryvalve.wire.proto.LoadMessages.ContainedState.class, io.bilberryvalve.wire.proto.LoadMessages.ContainedState.Builder.class);
+    }
+
+    public static final int VM_FIELD_NUMBER = 1;
+    @SuppressWarnings("serial")
+    private volatile java.lang.Object vm_ = "";
+    /**
+     * <code>string vm = 1;</code>
+     * @return The vm.
+     */
+    @java.lang.Override
+    public java.lang.String getVm() {
+      java.lang.Object ref = vm_;
+      if (ref instanceof java.lang.String) {
+        return (java.lang.String) ref;
+      } else {
+        com.google.protobuf.ByteString bs = 
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        vm_ = s;
+        return s;
+      }
+    }
+    /**
+     * <code>string vm = 1;</code>
+     * @return The bytes for vm.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString
+        getVmBytes() {
+      java.lang.Object ref = vm_;
+      if (ref instanceof java.lang.String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        vm_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+
+    public static final int INCARNATION_FIELD_NUMBER = 2;
+    private long incarnation_ = 0L;
+    /**
+     * <code>int64 incarnation = 2;</code>
+     * @return The incarnation.
+     */
+    @java.lang.Override
+    public long getIncarnation() {
+      return incarnation_;
+    }
+
+    public static final int SEQUENCE_FIELD_NUMBER = 3;
+    private long sequence_ = 0L;
+    /**
+     * <code>int64 sequence = 3;</code>
+     * @return The sequence.
+     */
+    @java.lang.Override
+    public long getSequence() {
+      return sequence_;
+    }
+
+    private byte memoizedIsInitialized = -1;
+    @java.lang.Override
+    public final boolean isInitialized() {
+      byte isInitialized = memoizedIsInitialized;
+      if (isInitialized == 1) return true;
+      if (isInitialized == 0) return false;
+
+      memoizedIsInitialized = 1;
+      return true;
+    }
+
+    @java.lang.Override
+    public void writeTo(com.google.protobuf.CodedOutputStream output)
+                        throws java.io.IOException {
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(vm_)) {
+        com.google.protobuf.GeneratedMessage.writeString(output, 1, vm_);
+      }
+      if (incarnation_ != 0L) {
+        output.writeInt64(2, incarnation_);
+      }
+      if (sequence_ != 0L) {
+        output.writeInt64(3, sequence_);
+      }
+      getUnknownFields().writeTo(output);
+    }
+
+    @java.lang.Override
+    public int getSerializedSize() {
+      int size = memoizedSize;
+      if (size != -1) return size;
+
+      size = 0;
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(vm_)) {
+        size += com.google.protobuf.GeneratedMessage.computeStringSize(1, vm_);
+      }
+      if (incarnation_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeInt64Size(2, incarnation_);
+      }
+      if (sequence_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeInt64Size(3, sequence_);
+      }
+      size += getUnknownFields().getSerializedSize();
+      memoizedSize = size;
