+      return size;
+    }
+
+    @java.lang.Override
+    public boolean equals(final java.lang.Object obj) {
+      if (obj == this) {
+       return true;
+      }
+      if (!(obj instanceof io.bilberryvalve.wire.proto.LoadMessages.ContainedState)) {
+        return super.equals(obj);
+      }
+      io.bilberryvalve.wire.proto.LoadMessages.ContainedState other = (io.bilberryvalve.wire.proto.LoadMessages.ContainedState) obj;
+
+      if (!getVm()
+          .equals(other.getVm())) return false;
+      if (getIncarnation()
+          != other.getIncarnation()) return false;
+      if (getSequence()
+          != other.getSequence()) return false;
+      if (!getUnknownFields().equals(other.getUnknownFields())) return false;
+      return true;
+    }
+
+    @java.lang.Override
+    public int hashCode() {
+      if (memoizedHashCode != 0) {
+        return memoizedHashCode;
+      }
+      int hash = 41;
+      hash = (19 * hash) + getDescriptor().hashCode();
+      hash = (37 * hash) + VM_FIELD_NUMBER;
+      hash = (53 * hash) + getVm().hashCode();
+      hash = (37 * hash) + INCARNATION_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getIncarnation());
+      hash = (37 * hash) + SEQUENCE_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getSequence());
+      hash = (29 * hash) + getUnknownFields().hashCode();
+      memoizedHashCode = hash;
+      return hash;
+    }
+
+    public static io.bilberryvalve.wire.proto.LoadMessages.ContainedState parseFrom(
+        java.nio.ByteBuffer data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static io.bilberryvalve.wire.proto.LoadMessages.ContainedState parseFrom(
+        java.nio.ByteBuffer data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static io.bilberryvalve.wire.proto.LoadMessages.ContainedState parseFrom(
+        com.google.protobuf.ByteString data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static io.bilberryvalve.wire.proto.LoadMessages.ContainedState parseFrom(
+        com.google.protobuf.ByteString data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static io.bilberryvalve.wire.proto.LoadMessages.ContainedState parseFrom(byte[] data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static io.bilberryvalve.wire.proto.LoadMessages.ContainedState parseFrom(
+        byte[] data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static io.bilberryvalve.wire.proto.LoadMessages.ContainedState parseFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static io.bilberryvalve.wire.proto.LoadMessages.ContainedState parseFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    public static io.bilberryvalve.wire.proto.LoadMessages.ContainedState parseDelimitedFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input);
+    }
+
+    public static io.bilberryvalve.wire.proto.LoadMessages.ContainedState parseDelimitedFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
+    }
+    public static io.bilberryvalve.wire.proto.LoadMessages.ContainedState parseFrom(
+        com.google.protobuf.CodedInputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static io.bilberryvalve.wire.proto.LoadMessages.ContainedState parseFrom(
+        com.google.protobuf.CodedInputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    @java.lang.Override
+    public Builder newBuilderForType() { return newBuilder(); }
+    public static Builder newBuilder() {
+      return DEFAULT_INSTANCE.toBuilder();
+    }
+    public static Builder newBuilder(io.bilberryvalve.wire.proto.LoadMessages.ContainedState prototype) {
+      return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
+    }
+    @java.lang.Override
+    public Builder toBuilder() {
+      return this == DEFAULT_INSTANCE
+          ? new Builder() : new Builder().mergeFrom(this);
+    }
+
+    @java.lang.Override
+    protected Builder newBuilderForType(
+        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+      Builder builder = new Builder(parent);
+      return builder;
+    }
+    /**
+     * <pre>
+     * A state whose usage is part of a digest.
+     * </pre>
+     *
+     * Protobuf type {@code bilberryvalve.load.ContainedState}
+     */
+    public static final class Builder extends
+        com.google.protobuf.GeneratedMessage.Builder<Builder> implements
+        // @@protoc_insertion_point(builder_implements:bilberryvalve.load.ContainedState)
+        io.bilberryvalve.wire.proto.LoadMessages.ContainedStateOrBuilder {
+      public static final com.google.protobuf.Descriptors.Descriptor
+          getDescriptor() {
+        return io.bilberryvalve.wire.proto.LoadMessages.internal_static_bilberryvalve_load_ContainedState_descriptor;
+      }
+
+      @java.lang.Override
+      protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+          internalGetFieldAccessorTable() {
+        return io.bilberryvalve.wire.proto.LoadMessages.internal_static_bilberryvalve_load_ContainedState_fieldAccessorTable
+            .ensureFieldAccessorsInitialized(
+                io.bilberryvalve.wire.proto.LoadMessages.ContainedState.class, io.bilberryvalve.wire.proto.LoadMessages.ContainedState.Builder.class);
+      }
+
+      // Construct using io.bilberryvalve.wire.proto.LoadMessages.ContainedState.newBuilder()
+      private Builder() {
+
+      }
+
+      private Builder(
+          com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+        super(parent);
+
+      }
+      @java.lang.Override
+      public Builder clear() {
+        super.clear();
+        bitField0_ = 0;
+        vm_ = "";
+        incarnation_ = 0L;
+        sequence_ = 0L;
+        return this;
+      }
+
+      @java.lang.Override
+      public com.google.protobuf.Descriptors.Descriptor
+          getDescriptorForType() {
+        return io.bilberryvalve.wire.proto.LoadMessages.internal_static_bilberryvalve_load_ContainedState_descriptor;
+      }
+
+      @java.lang.Override
+      public io.bilberryvalve.wire.proto.LoadMessages.ContainedState getDefaultInstanceForType() {
+        return io.bilberryvalve.wire.proto.LoadMessages.ContainedState.getDefaultInstance();
+      }
+
+      @java.lang.Override
+      public io.bilberryvalve.wire.proto.LoadMessages.ContainedState build() {
+        io.bilberryvalve.wire.proto.LoadMessages.ContainedState result = buildPartial();
+        if (!result.isInitialized()) {
+          throw newUninitializedMessageException(result);
+        }
+        return result;
+      }
+
+      @java.lang.Override
+      public io.bilberryvalve.wire.proto.LoadMessages.ContainedState buildPartial() {
+        io.bilberryvalve.wire.proto.LoadMessages.ContainedState result = new io.bilberryvalve.wire.proto.LoadMessages.ContainedState(this);
+        if (bitField0_ != 0) { buildPartial0(result); }
+        onBuilt();
+        return result;
+      }
+
+      private void buildPartial0(io.bilberryvalve.wire.proto.LoadMessages.ContainedState result) {
+        int from_bitField0_ = bitField0_;
+        if (((from_bitField0_ & 0x00000001) != 0)) {
+          result.vm_ = vm_;
+        }
+        if (((from_bitField0_ & 0x00000002) != 0)) {
+          result.incarnation_ = incarnation_;
+        }
+        if (((from_bitField0_ & 0x00000004) != 0)) {
+          result.sequence_ = sequence_;
+        }
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(com.google.protobuf.Message other) {
+        if (other instanceof io.bilberryvalve.wire.proto.LoadMessages.ContainedState) {
+          return mergeFrom((io.bilberryvalve.wire.proto.LoadMessages.ContainedState)other);
+        } else {
+          super.mergeFrom(other);
+          return this;
+        }
+      }
+
+      public Builder mergeFrom(io.bilberryvalve.wire.proto.LoadMessages.ContainedState other) {
+        if (other == io.bilberryvalve.wire.proto.LoadMessages.ContainedState.getDefaultInstance()) return this;
+        if (!other.getVm().isEmpty()) {
+          vm_ = other.vm_;
+          bitField0_ |= 0x00000001;
+          onChanged();
+        }
+        if (other.getIncarnation() != 0L) {
+          setIncarnation(other.getIncarnation());
+        }
+        if (other.getSequence() != 0L) {
+          setSequence(other.getSequence());
+        }
+        this.mergeUnknownFields(other.getUnknownFields());
+        onChanged();
+        return this;
+      }
+
+      @java.lang.Override
+      public final boolean isInitialized() {
+        return true;
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws java.io.IOException {
+        if (extensionRegistry == null) {
+          throw new java.lang.NullPointerException();
+        }
+        try {
+          boolean done = false;
+          while (!done) {
+            int tag = input.readTag();
+            switch (tag) {
+              case 0:
+                done = true;
+                break;
+              case 10: {
+                vm_ = input.readStringRequireUtf8();
+                bitField0_ |= 0x00000001;
+                break;
+              } // case 10
+              case 16: {
+                incarnation_ = input.readInt64();
+                bitField0_ |= 0x00000002;
+                break;
+              } // case 16
+              case 24: {
+                sequence_ = input.readInt64();
+                bitField0_ |= 0x00000004;
+                break;
+              } // case 24
+              default: {
+                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                  done = true; // was an endgroup tag
+                }
+                break;
+              } // default:
+            } // switch (tag)
+          } // while (!done)
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.unwrapIOException();
+        } finally {
+          onChanged();
+        } // finally
+        return this;
+      }
+      private int bitField0_;
+
+      private java.lang.Object vm_ = "";
+      /**
+       * <code>string vm = 1;</code>
+       * @return The vm.
+       */
+      public java.lang.String getVm() {
+        java.lang.Object ref = vm_;
+        if (!(ref instanceof java.lang.String)) {
+          com.google.protobuf.ByteString bs =
+              (com.google.protobuf.ByteString) ref;
+          java.lang.String s = bs.toStringUtf8();
+          vm_ = s;
+          return s;
+        } else {
+          return (java.lang.String) ref;
+        }
+      }
+      /**
+       * <code>string vm = 1;</code>
+       * @return The bytes for vm.
+       */
+      public com.google.protobuf.ByteString
+          getVmBytes() {
+        java.lang.Object ref = vm_;
+        if (ref instanceof String) {
+          com.google.protobuf.ByteString b = 
+              com.google.protobuf.ByteString.copyFromUtf8(
+                  (java.lang.String) ref);
+          vm_ = b;
+          return b;
+        } else {
+          return (com.google.protobuf.ByteString) ref;
+        }
+      }
+      /**
+       * <code>string vm = 1;</code>
+       * @param value The vm to set.
+       * @return This builder for chaining.
+       */
+      public Builder setVm(
+          java.lang.String value) {
+        if (value == null) { throw new NullPointerException(); }
+        vm_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string vm = 1;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearVm() {
+        vm_ = getDefaultInstance().getVm();
+        bitField0_ = (bitField0_ & ~0x00000001);
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string vm = 1;</code>
+       * @param value The bytes for vm to set.
+       * @return This builder for chaining.
+       */
+      public Builder setVmBytes(
+          com.google.protobuf.ByteString value) {
+        if (value == null) { throw new NullPointerException(); }
+        checkByteStringIsUtf8(value);
+        vm_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+
+      private long incarnation_ ;
+      /**
+       * <code>int64 incarnation = 2;</code>
+       * @return The incarnation.
+       */
+      @java.lang.Override
+      public long getIncarnation() {
+        return incarnation_;
+      }
+      /**
+       * <code>int64 incarnation = 2;</code>
+       * @param value The incarnation to set.
+       * @return This builder for chaining.
+       */
+      public Builder setIncarnation(long value) {
+
+        incarnation_ = value;
+        bitField0_ |= 0x00000002;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>int64 incarnation = 2;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearIncarnation() {
+        bitField0_ = (bitField0_ & ~0x00000002);
+        incarnation_ = 0L;
+        onChanged();
+        return this;
+      }
+
+      private long sequence_ ;
+      /**
+       * <code>int64 sequence = 3;</code>
+       * @return The sequence.
+       */
+      @java.lang.Override
+      public long getSequence() {
+        return sequence_;
+      }
+      /**
+       * <code>int64 sequence = 3;</code>
+       * @param value The sequence to set.
+       * @return This builder for chaining.
+       */
+      public Builder setSequence(long value) {
+
+        sequence_ = value;
+        bitField0_ |= 0x00000004;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>int64 sequence = 3;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearSequence() {
+        bitField0_ = (bitField0_ & ~0x00000004);
+        sequence_ = 0L;
+        onChanged();
+        return this;
+      }
+
+      // @@protoc_insertion_point(builder_scope:bilberryvalve.load.ContainedState)
+    }
+
+    // @@protoc_insertion_point(class_scope:bilberryvalve.load.ContainedState)
+    private static final io.bilberryvalve.wire.proto.LoadMessages.ContainedState DEFAULT_INSTANCE;
+    static {
+      DEFAULT_INSTANCE = new io.bilberryvalve.wire.proto.LoadMessages.ContainedState();
+    }
+
+    public static io.bilberryvalve.wire.proto.LoadMessages.ContainedState getDefaultInstance() {
+      return DEFAULT_INSTANCE;
+    }
+
+    private static final com.google.protobuf.Parser<ContainedState>
+        PARSER = new com.google.protobuf.AbstractParser<ContainedState>() {
+      @java.lang.Override
+      public ContainedState parsePartialFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws com.google.protobuf.InvalidProtocolBufferException {
+        Builder builder = newBuilder();
+        try {
+          builder.mergeFrom(input, extensionRegistry);
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.setUnfinishedMessage(builder.buildPartial());
+        } catch (com.google.protobuf.UninitializedMessageException e) {
+          throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+        } catch (java.io.IOException e) {
+          throw new com.google.protobuf.InvalidProtocolBufferException(e)
+              .setUnfinishedMessage(builder.buildPartial());
+        }
+        return builder.buildPartial();
+      }
+    };
+
+    public static com.google.protobuf.Parser<ContainedState> parser() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Parser<ContainedState> getParserForType() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public io.bilberryvalve.wire.proto.LoadMessages.ContainedState getDefaultInstanceForType() {
+      return DEFAULT_INSTANCE;
+    }
+
+  }
+
+  public interface DataCentreAgeOrBuilder extends
+      // @@protoc_insertion_point(interface_extends:bilberryvalve.load.DataCentreAge)
+      com.google.protobuf.MessageOrBuilder {
+
+    /**
+     * <code>string data_centre = 1;</code>
+     * @return The dataCentre.
+     */
+    java.lang.String getDataCentre();
+    /**
+     * <code>string data_centre = 1;</code>
+     * @return The bytes for dataCentre.
+     */
+    com.google.protobuf.ByteString
+        getDataCentreBytes();
+
+    /**
+     * <code>int64 age = 2;</code>
+     * @return The age.
+     */
+    long getAge();
+  }
+  /**
+   * Protobuf type {@code bilberryvalve.load.DataCentreAge}
+   */
+  public static final class DataCentreAge extends
+      com.google.protobuf.GeneratedMessage implements
+      // @@protoc_insertion_point(message_implements:bilberryvalve.load.DataCentreAge)
+      DataCentreAgeOrBuilder {
+  private static final long serialVersionUID = 0L;
+    static {
+      com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+        /* major= */ 4,
+        /* minor= */ 33,
+        /* patch= */ 4,
+        /* suffix= */ "",
+        "DataCentreAge");
+    }
+    // Use DataCentreAge.newBuilder() to construct.
+    private DataCentreAge(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+      super(builder);
+    }
+    private DataCentreAge() {
+      dataCentre_ = "";
+    }
+
+    public static final com.google.protobuf.Descriptors.Descriptor
+        getDescriptor() {
+      return io.bilberryvalve.wire.proto.LoadMessages.internal_static_bilberryvalve_load_DataCentreAge_descriptor;
+    }
+
+    @java.lang.Override
+    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+        internalGetFieldAccessorTable() {
+      return io.bilberryvalve.wire.proto.LoadMessages.internal_static_bilberryvalve_load_DataCentreAge_fieldAccessorTable
+          .ensureFieldAccessorsInitialized(
+              io.bilberryvalve.wire.proto.LoadMessages.DataCentreAge.class, io.bilberryvalve.wire.proto.LoadMessages.DataCentreAge.Builder.class);
+    }
+
+    public static final int DATA_CENTRE_FIELD_NUMBER = 1;
+    @SuppressWarnings("serial")
+    private volatile java.lang.Object dataCentre_ = "";
+    /**
+     * <code>string data_centre = 1;</code>
+     * @return The dataCentre.
+     */
+    @java.lang.Override
+    public java.lang.String getDataCentre() {
+      java.lang.Object ref = dataCentre_;
+      if (ref instanceof java.lang.String) {
+        return (java.lang.String) ref;
+      } else {
+        com.google.protobuf.ByteString bs = 
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        dataCentre_ = s;
+        return s;
+      }
+    }
+    /**
+     * <code>string data_centre = 1;</code>
+     * @return The bytes for dataCentre.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString
+        getDataCentreBytes() {
+      java.lang.Object ref = dataCentre_;
+      if (ref instanceof java.lang.String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        dataCentre_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+
+    public static final int AGE_FIELD_NUMBER = 2;
+    private long age_ = 0L;
+    /**
+     * <code>int64 age = 2;</code>
+     * @return The age.
+     */
+    @java.lang.Override
+    public long getAge() {
+      return age_;
+    }
+
+    private byte memoizedIsInitialized = -1;
+    @java.lang.Override
+    public final boolean isInitialized() {
+      byte isInitialized = memoizedIsInitialized;
+      if (isInitialized == 1) return true;
+      if (isInitialized == 0) return false;
+
+      memoizedIsInitialized = 1;
+      return true;
+    }
+
+    @java.lang.Override
+    public void writeTo(com.google.protobuf.CodedOutputStream output)
+                        throws java.io.IOException {
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(dataCentre_)) {
+        com.google.protobuf.GeneratedMessage.writeString(output, 1, dataCentre_);
+      }
+      if (age_ != 0L) {
+        output.writeInt64(2, age_);
+      }
+      getUnknownFields().writeTo(output);
+    }
+
+    @java.lang.Override
+    public int getSerializedSize() {
+      int size = memoizedSize;
+      if (size != -1) return size;
+
+      size = 0;
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(dataCentre_)) {
+        size += com.google.protobuf.GeneratedMessage.computeStringSize(1, dataCentre_);
+      }
+      if (age_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeInt64Size(2, age_);
+      }
+      size += getUnknownFields().getSerializedSize();
+      memoizedSize = size;
+      return size;
+    }
+
+    @java.lang.Override
+    public boolean equals(final java.lang.Object obj) {
+      if (obj == this) {
+       return true;
+      }
+      if (!(obj instanceof io.bilberryvalve.wire.proto.LoadMessages.DataCentreAge)) {
+        return super.equals(obj);
+      }
+      io.bilberryvalve.wire.proto.LoadMessages.DataCentreAge other = (io.bilberryvalve.wire.proto.LoadMessages.DataCentreAge) obj;
+
+      if (!getDataCentre()
+          .equals(other.getDataCentre())) return false;
+      if (getAge()
+          != other.getAge()) return false;
+      if (!getUnknownFields().equals(other.getUnknownFields())) return false;
+      return true;
+    }
+
+    @java.lang.Override
+    public int hashCode() {
+      if (memoizedHashCode != 0) {
+        return memoizedHashCode;
+      }
+      int hash = 41;
+      hash = (19 * hash) + getDescriptor().hashCode();
+      hash = (37 * hash) + DATA_CENTRE_FIELD_NUMBER;
+      hash = (53 * hash) + getDataCentre().hashCode();
+      hash = (37 * hash) + AGE_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getAge());
+      hash = (29 * hash) + getUnknownFields().hashCode();
+      memoizedHashCode = hash;
+      return hash;
+    }
+
+    public static io.bilberryvalve.wire.proto.LoadMessages.DataCentreAge parseFrom(
+        java.nio.ByteBuffer data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static io.bilberryvalve.wire.proto.LoadMessages.DataCentreAge parseFrom(
+        java.nio.ByteBuffer data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static io.bilberryvalve.wire.proto.LoadMessages.DataCentreAge parseFrom(
+        com.google.protobuf.ByteString data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static io.bilberryvalve.wire.proto.LoadMessages.DataCentreAge parseFrom(
+        com.google.protobuf.ByteString data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static io.bilberryvalve.wire.proto.LoadMessages.DataCentreAge parseFrom(byte[] data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static io.bilberryvalve.wire.proto.LoadMessages.DataCentreAge parseFrom(
+        byte[] data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static io.bilberryvalve.wire.proto.LoadMessages.DataCentreAge parseFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static io.bilberryvalve.wire.proto.LoadMessages.DataCentreAge parseFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    public static io.bilberryvalve.wire.proto.LoadMessages.DataCentreAge parseDelimitedFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input);
+    }
+
+    public static io.bilberryvalve.wire.proto.LoadMessages.DataCentreAge parseDelimitedFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
+    }
+    public static io.bilberryvalve.wire.proto.LoadMessages.DataCentreAge parseFrom(
+        com.google.protobuf.CodedInputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static io.bilberryvalve.wire.proto.LoadMessages.DataCentreAge parseFrom(
+        com.google.protobuf.CodedInputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    @java.lang.Override
+    public Builder newBuilderForType() { return newBuilder(); }
+    public static Builder newBuilder() {
+      return DEFAULT_INSTANCE.toBuilder();
+    }
+    public static Builder newBuilder(io.bilberryvalve.wire.proto.LoadMessages.DataCentreAge prototype) {
+      return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
+    }
+    @java.lang.Override
+    public Builder toBuilder() {
+      return this == DEFAULT_INSTANCE
+          ? new Builder() : new Builder().mergeFrom(this);
+    }
+
+    @java.lang.Override
+    protected Builder newBuilderForType(
+        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+      Builder builder = new Builder(parent);
+      return builder;
+    }
+    /**
+     * Protobuf type {@code bilberryvalve.load.DataCentreAge}
+     */
+    public static final class Builder extends
+        com.google.protobuf.GeneratedMessage.Builder<Builder> implements
+        // @@protoc_insertion_point(builder_implements:bilberryvalve.load.DataCentreAge)
+        io.bilberryvalve.wire.proto.LoadMessages.DataCentreAgeOrBuilder {
+      public static final com.google.protobuf.Descriptors.Descriptor
+          getDescriptor() {
+        return io.bilberryvalve.wire.proto.LoadMessages.internal_static_bilberryvalve_load_DataCentreAge_descriptor;
+      }
+
+      @java.lang.Override
+      protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+          internalGetFieldAccessorTable() {
+        return io.bilberryvalve.wire.proto.LoadMessages.internal_static_bilberryvalve_load_DataCentreAge_fieldAccessorTable
+            .ensureFieldAccessorsInitialized(
+                io.bilberryvalve.wire.proto.LoadMessages.DataCentreAge.class, io.bilberryvalve.wire.proto.LoadMessages.DataCentreAge.Builder.class);
+      }
+
+      // Construct using io.bilberryvalve.wire.proto.LoadMessages.DataCentreAge.newBuilder()
+      private Builder() {
+
+      }
+
+      private Builder(
+          com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+        super(parent);
+
+      }
+      @java.lang.Override
+      public Builder clear() {
+        super.clear();
+        bitField0_ = 0;
+        dataCentre_ = "";
+        age_ = 0L;
+        return this;
+      }
+
+      @java.lang.Override
+      public com.google.protobuf.Descriptors.Descriptor
+          getDescriptorForType() {
+        return io.bilberryvalve.wire.proto.LoadMessages.internal_static_bilberryvalve_load_DataCentreAge_descriptor;
+      }
+
+      @java.lang.Override
+      public io.bilberryvalve.wire.proto.LoadMessages.DataCentreAge getDefaultInstanceForType() {
+        return io.bilberryvalve.wire.proto.LoadMessages.DataCentreAge.getDefaultInstance();
+      }
+
+      @java.lang.Override
+      public io.bilberryvalve.wire.proto.LoadMessages.DataCentreAge build() {
+        io.bilberryvalve.wire.proto.LoadMessages.DataCentreAge result = buildPartial();
+        if (!result.isInitialized()) {
+          throw newUninitializedMessageException(result);
+        }
+        return result;
+      }
+
+      @java.lang.Override
+      public io.bilberryvalve.wire.proto.LoadMessages.DataCentreAge buildPartial() {
+        io.bilberryvalve.wire.proto.LoadMessages.DataCentreAge result = new io.bilberryvalve.wire.proto.LoadMessages.DataCentreAge(this);
+        if (bitField0_ != 0) { buildPartial0(result); }
+        onBuilt();
+        return result;
+      }
+
+      private void buildPartial0(io.bilberryvalve.wire.proto.LoadMessages.DataCentreAge result) {
+        int from_bitField0_ = bitField0_;
+        if (((from_bitField0_ & 0x00000001) != 0)) {
+          result.dataCentre_ = dataCentre_;
+        }
+        if (((from_bitField0_ & 0x00000002) != 0)) {
+          result.age_ = age_;
+        }
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(com.google.protobuf.Message other) {
+        if (other instanceof io.bilberryvalve.wire.proto.LoadMessages.DataCentreAge) {
+          return mergeFrom((io.bilberryvalve.wire.proto.LoadMessages.DataCentreAge)other);
+        } else {
+          super.mergeFrom(other);
+          return this;
+        }
+      }
+
+      public Builder mergeFrom(io.bilberryvalve.wire.proto.LoadMessages.DataCentreAge other) {
+        if (other == io.bilberryvalve.wire.proto.LoadMessages.DataCentreAge.getDefaultInstance()) return this;
+        if (!other.getDataCentre().isEmpty()) {
+          dataCentre_ = other.dataCentre_;
+          bitField0_ |= 0x00000001;
+          onChanged();
+        }
+        if (other.getAge() != 0L) {
+          setAge(other.getAge());
+        }
+        this.mergeUnknownFields(other.getUnknownFields());
+        onChanged();
+        return this;
+      }
+
+      @java.lang.Override
+      public final boolean isInitialized() {
+        return true;
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws java.io.IOException {
+        if (extensionRegistry == null) {
+          throw new java.lang.NullPointerException();
+        }
+        try {
+          boolean done = false;
+          while (!done) {
+            int tag = input.readTag();
+            switch (tag) {
+              case 0:
+                done = true;
+                break;
+              case 10: {
+                dataCentre_ = input.readStringRequireUtf8();
+                bitField0_ |= 0x00000001;
+                break;
+              } // case 10
+              case 16: {
+                age_ = input.readInt64();
+                bitField0_ |= 0x00000002;
+                break;
+              } // case 16
+              default: {
+                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                  done = true; // was an endgroup tag
+                }
+                break;
+              } // default:
+            } // switch (tag)
+          } // while (!done)
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.unwrapIOException();
+        } finally {
+          onChanged();
+        } // finally
+        return this;
+      }
+      private int bitField0_;
+
+      private java.lang.Object dataCentre_ = "";
+      /**
+       * <code>string data_centre = 1;</code>
+       * @return The dataCentre.
+       */
+      public java.lang.String getDataCentre() {
+        java.lang.Object ref = dataCentre_;
+        if (!(ref instanceof java.lang.String)) {
+          com.google.protobuf.ByteString bs =
+              (com.google.protobuf.ByteString) ref;
+          java.lang.String s = bs.toStringUtf8();
+          dataCentre_ = s;
+          return s;
+        } else {
+          return (java.lang.String) ref;
+        }
+      }
+      /**
+       * <code>string data_centre = 1;</code>
+       * @return The bytes for dataCentre.
+       */
+      public com.google.protobuf.ByteString
+          getDataCentreBytes() {
+        java.lang.Object ref = dataCentre_;
+        if (ref instanceof String) {
+          com.google.protobuf.ByteString b = 
+              com.google.protobuf.ByteString.copyFromUtf8(
+                  (java.lang.String) ref);
+          dataCentre_ = b;
+          return b;
+        } else {
+          return (com.google.protobuf.ByteString) ref;
+        }
+      }
+      /**
+       * <code>string data_centre = 1;</code>
+       * @param value The dataCentre to set.
+       * @return This builder for chaining.
+       */
+      public Builder setDataCentre(
+          java.lang.String value) {
+        if (value == null) { throw new NullPointerException(); }
+        dataCentre_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string data_centre = 1;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearDataCentre() {
+        dataCentre_ = getDefaultInstance().getDataCentre();
+        bitField0_ = (bitField0_ & ~0x00000001);
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string data_centre = 1;</code>
+       * @param value The bytes for dataCentre to set.
+       * @return This builder for chaining.
+       */
+      public Builder setDataCentreBytes(
+          com.google.protobuf.ByteString value) {
+        if (value == null) { throw new NullPointerException(); }
+        checkByteStringIsUtf8(value);
+        dataCentre_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+
+      private long age_ ;
+      /**
+       * <code>int64 age = 2;</code>
+       * @return The age.
+       */
+      @java.lang.Override
+      public long getAge() {
+        return age_;
+      }
+      /**
+       * <code>int64 age = 2;</code>
+       * @param value The age to set.
+       * @return This builder for chaining.
+       */
+      public Builder setAge(long value) {
+
+        age_ = value;
+        bitField0_ |= 0x00000002;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>int64 age = 2;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearAge() {
+        bitField0_ = (bitField0_ & ~0x00000002);
+        age_ = 0L;
+        onChanged();
+        return this;
+      }
+
+      // @@protoc_insertion_point(builder_scope:bilberryvalve.load.DataCentreAge)
+    }
+
+    // @@protoc_insertion_point(class_scope:bilberryvalve.load.DataCentreAge)
+    private static final io.bilberryvalve.wire.proto.LoadMessages.DataCentreAge DEFAULT_INSTANCE;
+    static {
+      DEFAULT_INSTANCE = new io.bilberryvalve.wire.proto.LoadMessages.DataCentreAge();
+    }
+
+    public static io.bilberryvalve.wire.proto.LoadMessages.DataCentreAge getDefaultInstance() {
+      return DEFAULT_INSTANCE;
+    }
+
+    private static final com.google.protobuf.Parser<DataCentreAge>
+        PARSER = new com.google.protobuf.AbstractParser<DataCentreAge>() {
+      @java.lang.Override
+      public DataCentreAge parsePartialFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws com.google.protobuf.InvalidProtocolBufferException {
+        Builder builder = newBuilder();
+        try {
+          builder.mergeFrom(input, extensionRegistry);
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.setUnfinishedMessage(builder.buildPartial());
+        } catch (com.google.protobuf.UninitializedMessageException e) {
+          throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+        } catch (java.io.IOException e) {
+          throw new com.google.protobuf.InvalidProtocolBufferException(e)
+              .setUnfinishedMessage(builder.buildPartial());
+        }
+        return builder.buildPartial();
+      }
+    };
+
+    public static com.google.protobuf.Parser<DataCentreAge> parser() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Parser<DataCentreAge> getParserForType() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public io.bilberryvalve.wire.proto.LoadMessages.DataCentreAge getDefaultInstanceForType() {
+      return DEFAULT_INSTANCE;
+    }
+
+  }
+
+  public interface RosterOrBuilder extends
+      // @@protoc_insertion_point(interface_extends:bilberryvalve.load.Roster)
+      com.google.protobuf.MessageOrBuilder {
+
+    /**
+     * <code>repeated .bilberryvalve.load.DaemonPresence daemons = 1;</code>
+     */
+    java.util.List<io.bilberryvalve.wire.proto.LoadMessages.DaemonPresence> 
+        getDaemonsList();
+    /**
+     * <code>repeated .bilberryvalve.load.DaemonPresence daemons = 1;</code>
+     */
+    io.bilberryvalve.wire.proto.LoadMessages.DaemonPresence getDaemons(int index);
+    /**
+     * <code>repeated .bilberryvalve.load.DaemonPresence daemons = 1;</code>
+     */
+    int getDaemonsCount();
+    /**
+     * <code>repeated .bilberryvalve.load.DaemonPresence daemons = 1;</code>
+     */
+    java.util.List<? extends io.bilberryvalve.wire.proto.LoadMessages.DaemonPresenceOrBuilder> 
+        getDaemonsOrBuilderList();
+    /**
+     * <code>repeated .bilberryvalve.load.DaemonPresence daemons = 1;</code>
+     */
+    io.bilberryvalve.wire.proto.LoadMessages.DaemonPresenceOrBuilder getDaemonsOrBuilder(
+        int index);
+  }
+  /**
+   * <pre>
+   * Daemons that a delegate knows. A roster may be split over several datagrams.
+   * </pre>
+   *
+   * Protobuf type {@code bilberryvalve.load.Roster}
+   */
+  public static final class Roster extends
+      com.google.protobuf.GeneratedMessage implements
+      // @@protoc_insertion_point(message_implements:bilberryvalve.load.Roster)
+      RosterOrBuilder {
+  private static final long serialVersionUID = 0L;
+    static {
+      com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+        /* major= */ 4,
+        /* minor= */ 33,
+        /* patch= */ 4,
+        /* suffix= */ "",
+        "Roster");
+    }
+    // Use Roster.newBuilder() to construct.
+    private Roster(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+      super(builder);
+    }
+    private Roster() {
+      daemons_ = java.util.Collections.emptyList();
+    }
+
+    public static final com.google.protobuf.Descriptors.Descriptor
+        getDescriptor() {
+      return io.bilberryvalve.wire.proto.LoadMessages.internal_static_bilberryvalve_load_Roster_descriptor;
+    }
+
+    @java.lang.Override
+    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+        internalGetFieldAccessorTable() {
+      return io.bilberryvalve.wire.proto.LoadMessages.internal_static_bilberryvalve_load_Roster_fieldAccessorTable
+          .ensureFieldAccessorsInitialized(
+              io.bilberryvalve.wire.proto.LoadMessages.Roster.class, io.bilberryvalve.wire.proto.LoadMessages.Roster.Builder.class);
+    }
+
+    public static final int DAEMONS_FIELD_NUMBER = 1;
+    @SuppressWarnings("serial")
+    private java.util.List<io.bilberryvalve.wire.proto.LoadMessages.DaemonPresence> daemons_;
+    /**
+     * <code>repeated .bilberryvalve.load.DaemonPresence daemons = 1;</code>
+     */
+    @java.lang.Override
+    public java.util.List<io.bilberryvalve.wire.proto.LoadMessages.DaemonPresence> getDaemonsList() {
+      return daemons_;
+    }
+    /**
+     * <code>repeated .bilberryvalve.load.DaemonPresence daemons = 1;</code>
+     */
+    @java.lang.Override
+    public java.util.List<? extends io.bilberryvalve.wire.proto.LoadMessages.DaemonPresenceOrBuilder> 
+        getDaemonsOrBuilderList() {
+      return daemons_;
+    }
+    /**
+     * <code>repeated .bilberryvalve.load.DaemonPresence daemons = 1;</code>
+     */
+    @java.lang.Override
+    public int getDaemonsCount() {
+      return daemons_.size();
+    }
+    /**
+     * <code>repeated .bilberryvalve.load.DaemonPresence daemons = 1;</code>
+     */
+    @java.lang.Override
+    public io.bilberryvalve.wire.proto.LoadMessages.DaemonPresence getDaemons(int index) {
+      return daemons_.get(index);
+    }
+    /**
+     * <code>repeated .bilberryvalve.load.DaemonPresence daemons = 1;</code>
+     */
+    @java.lang.Override
+    public io.bilberryvalve.wire.proto.LoadMessages.DaemonPresenceOrBuilder getDaemonsOrBuilder(
+        int index) {
+      return daemons_.get(index);
+    }
+
+    private byte memoizedIsInitialized = -1;
+    @java.lang.Override
+    public final boolean isInitialized() {
+      byte isInitialized = memoizedIsInitialized;
+      if (isInitialized == 1) return true;
+      if (isInitialized == 0) return false;
+
+      memoizedIsInitialized = 1;
+      return true;
+    }
+
+    @java.lang.Override
+    public void writeTo(com.google.protobuf.CodedOutputStream output)
+                        throws java.io.IOException {
+      for (int i = 0; i < daemons_.size(); i++) {
+        output.writeMessage(1, daemons_.get(i));
+      }
+      getUnknownFields().writeTo(output);
+    }
+
+    @java.lang.Override
+    public int getSerializedSize() {
+      int size = memoizedSize;
+      if (size != -1) return size;
+
+      size = 0;
+      for (int i = 0; i < daemons_.size(); i++) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeMessageSize(1, daemons_.get(i));
+      }
+      size += getUnknownFields().getSerializedSize();
+      memoizedSize = size;
+      return size;
+    }
+
+    @java.lang.Override
+    public boolean equals(final java.lang.Object obj) {
+      if (obj == this) {
+       return true;
+      }
+      if (!(obj instanceof io.bilberryvalve.wire.proto.LoadMessages.Roster)) {
+        return super.equals(obj);
+      }
+      io.bilberryvalve.wire.proto.LoadMessages.Roster other = (io.bilberryvalve.wire.proto.LoadMessages.Roster) obj;
+
+      if (!getDaemonsList()
+          .equals(other.getDaemonsList())) return false;
+      if (!getUnknownFields().equals(other.getUnknownFields())) return false;
+      return true;
+    }
+
+    @java.lang.Override
+    public int hashCode() {
+      if (memoizedHashCode != 0) {
+        return memoizedHashCode;
+      }
+      int hash = 41;
+      hash = (19 * hash) + getDescriptor().hashCode();
+      if (getDaemonsCount() > 0) {
+        hash = (37 * hash) + DAEMONS_FIELD_NUMBER;
+        hash = (53 * hash) + getDaemonsList().hashCode();
+      }
+      hash = (29 * hash) + getUnknownFields().hashCode();
+      memoizedHashCode = hash;
+      return hash;
+    }
+
+    public static io.bilberryvalve.wire.proto.LoadMessages.Roster parseFrom(
+        java.nio.ByteBuffer data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static io.bilberryvalve.wire.proto.LoadMessages.Roster parseFrom(
+        java.nio.ByteBuffer data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static io.bilberryvalve.wire.proto.LoadMessages.Roster parseFrom(
+        com.google.protobuf.ByteString data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static io.bilberryvalve.wire.proto.LoadMessages.Roster parseFrom(
+        com.google.protobuf.ByteString data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static io.bilberryvalve.wire.proto.LoadMessages.Roster parseFrom(byte[] data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static io.bilberryvalve.wire.proto.LoadMessages.Roster parseFrom(
+        byte[] data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static io.bilberryvalve.wire.proto.LoadMessages.Roster parseFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static io.bilberryvalve.wire.proto.LoadMessages.Roster parseFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    public static io.bilberryvalve.wire.proto.LoadMessages.Roster parseDelimitedFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input);
+    }
+
+    public static io.bilberryvalve.wire.proto.LoadMessages.Roster parseDelimitedFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
+    }
+    public static io.bilberryvalve.wire.proto.LoadMessages.Roster parseFrom(
+        com.google.protobuf.CodedInputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static io.bilberryvalve.wire.proto.LoadMessages.Roster parseFrom(
+        com.google.protobuf.CodedInputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    @java.lang.Override
+    public Builder newBuilderForType() { return newBuilder(); }
+    public static Builder newBuilder() {
+      return DEFAULT_INSTANCE.toBuilder();
+    }
+    public static Builder newBuilder(io.bilberryvalve.wire.proto.LoadMessages.Roster prototype) {
+      return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
+    }
+    @java.lang.Override
+    public Builder toBuilder() {
+      return this == DEFAULT_INSTANCE
+          ? new Builder() : new Builder().mergeFrom(this);
+    }
+
+    @java.lang.Override
+    protected Builder newBuilderForType(
+        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+      Builder builder = new Builder(parent);
+      return builder;
+    }
+    /**
+     * <pre>
+     * Daemons that a delegate knows. A roster may be split over several datagrams.
+     * </pre>
+     *
+     * Protobuf type {@code bilberryvalve.load.Roster}
+     */
+    public static final class Builder extends
+        com.google.protobuf.GeneratedMessage.Builder<Builder> implements
+        // @@protoc_insertion_point(builder_implements:bilberryvalve.load.Roster)
+        io.bilberryvalve.wire.proto.LoadMessages.RosterOrBuilder {
+      public static final com.google.protobuf.Descriptors.Descriptor
+          getDescriptor() {
+        return io.bilberryvalve.wire.proto.LoadMessages.internal_static_bilberryvalve_load_Roster_descriptor;
+      }
+
+      @java.lang.Override
+      protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+          internalGetFieldAccessorTable() {
+        return io.bilberryvalve.wire.proto.LoadMessages.internal_static_bilberryvalve_load_Roster_fieldAccessorTable
+            .ensureFieldAccessorsInitialized(
+                io.bilberryvalve.wire.proto.LoadMessages.Roster.class, io.bilberryvalve.wire.proto.LoadMessages.Roster.Builder.class);
+      }
+
+      // Construct using io.bilberryvalve.wire.proto.LoadMessages.Roster.newBuilder()
+      private Builder() {
+
+      }
+
+      private Builder(
+          com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+        super(parent);
+
+      }
+      @java.lang.Override
+      public Builder clear() {
+        super.clear();
+        bitField0_ = 0;
+        if (daemonsBuilder_ == null) {
+          daemons_ = java.util.Collections.emptyList();
+        } else {
+          daemons_ = null;
+          daemonsBuilder_.clear();
+        }
+        bitField0_ = (bitField0_ & ~0x00000001);
+        return this;
+      }
+
+      @java.lang.Override
+      public com.google.protobuf.Descriptors.Descriptor
+          getDescriptorForType() {
+        return io.bilberryvalve.wire.proto.LoadMessages.internal_static_bilberryvalve_load_Roster_descriptor;
+      }
+
+      @java.lang.Override
+      public io.bilberryvalve.wire.proto.LoadMessages.Roster getDefaultInstanceForType() {
+        return io.bilberryvalve.wire.proto.LoadMessages.Roster.getDefaultInstance();
+      }
+
+      @java.lang.Override
+      public io.bilberryvalve.wire.proto.LoadMessages.Roster build() {
+        io.bilberryvalve.wire.proto.LoadMessages.Roster result = buildPartial();
+        if (!result.isInitialized()) {
+          throw newUninitializedMessageException(result);
+        }
+        return result;
+      }
+
+      @java.lang.Override
+      public io.bilberryvalve.wire.proto.LoadMessages.Roster buildPartial() {
+        io.bilberryvalve.wire.proto.LoadMessages.Roster result = new io.bilberryvalve.wire.proto.LoadMessages.Roster(this);
+        buildPartialRepeatedFields(result);
+        if (bitField0_ != 0) { buildPartial0(result); }
+        onBuilt();
+        return result;
+      }
+
+      private void buildPartialRepeatedFields(io.bilberryvalve.wire.proto.LoadMessages.Roster result) {
+        if (daemonsBuilder_ == null) {
+          if (((bitField0_ & 0x00000001) != 0)) {
+            daemons_ = java.util.Collections.unmodifiableList(daemons_);
+            bitField0_ = (bitField0_ & ~0x00000001);
+          }
+          result.daemons_ = daemons_;
+        } else {
+          result.daemons_ = daemonsBuilder_.build();
+        }
+      }
+
+      private void buildPartial0(io.bilberryvalve.wire.proto.LoadMessages.Roster result) {
+        int from_bitField0_ = bitField0_;
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(com.google.protobuf.Message other) {
+        if (other instanceof io.bilberryvalve.wire.proto.LoadMessages.Roster) {
+          return mergeFrom((io.bilberryvalve.wire.proto.LoadMessages.Roster)other);
+        } else {
+          super.mergeFrom(other);
+          return this;
+        }
+      }
+
+      public Builder mergeFrom(io.bilberryvalve.wire.proto.LoadMessages.Roster other) {
+        if (other == io.bilberryvalve.wire.proto.LoadMessages.Roster.getDefaultInstance()) return this;
+        if (daemonsBuilder_ == null) {
+          if (!other.daemons_.isEmpty()) {
+            if (daemons_.isEmpty()) {
+              daemons_ = other.daemons_;
+              bitField0_ = (bitField0_ & ~0x00000001);
+            } else {
+              ensureDaemonsIsMutable();
+              daemons_.addAll(other.daemons_);
+            }
+            onChanged();
+          }
+        } else {
+          if (!other.daemons_.isEmpty()) {
+            if (daemonsBuilder_.isEmpty()) {
+              daemonsBuilder_.dispose();
+              daemonsBuilder_ = null;
+              daemons_ = other.daemons_;
+              bitField0_ = (bitField0_ & ~0x00000001);
+              daemonsBuilder_ = 
+                com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                   internalGetDaemonsFieldBuilder() : null;
+            } else {
+              daemonsBuilder_.addAllMessages(other.daemons_);
+            }
+          }
+        }
+        this.mergeUnknownFields(other.getUnknownFields());
+        onChanged();
+        return this;
+      }
+
+      @java.lang.Override
+      public final boolean isInitialized() {
+        return true;
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws java.io.IOException {
+        if (extensionRegistry == null) {
+          throw new java.lang.NullPointerException();
+        }
+        try {
+          boolean done = false;
+          while (!done) {
+            int tag = input.readTag();
+            switch (tag) {
+              case 0:
+                done = true;
+                break;
+              case 10: {
+                io.bilberryvalve.wire.proto.LoadMessages.DaemonPresence m =
+                    input.readMessage(
+                        io.bilberryvalve.wire.proto.LoadMessages.DaemonPresence.parser(),
+                        extensionRegistry);
+                if (daemonsBuilder_ == null) {
+                  ensureDaemonsIsMutable();
+                  daemons_.add(m);
+                } else {
+                  daemonsBuilder_.addMessage(m);
+                }
+                break;
+              } // case 10
+              default: {
+                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                  done = true; // was an endgroup tag
+                }
+                break;
+              } // default:
+            } // switch (tag)
+          } // while (!done)
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.unwrapIOException();
+        } finally {
+          onChanged();
+        } // finally
+        return this;
+      }
+      private int bitField0_;
+
+      private java.util.List<io.bilberryvalve.wire.proto.LoadMessages.DaemonPresence> daemons_ =
+        java.util.Collections.emptyList();
+      private void ensureDaemonsIsMutable() {
+        if (!((bitField0_ & 0x00000001) != 0)) {
+          daemons_ = new java.util.ArrayList<io.bilberryvalve.wire.proto.LoadMessages.DaemonPresence>(daemons_);
+          bitField0_ |= 0x00000001;
+         }
+      }
+
+      private com.google.protobuf.RepeatedFieldBuilder<
+          io.bilberryvalve.wire.proto.LoadMessages.DaemonPresence, io.bilberryvalve.wire.proto.LoadMessages.DaemonPresence.Builder, io.bilberryvalve.wire.proto.LoadMessages.DaemonPresenceOrBuilder> daemonsBuilder_;
+
+      /**
+       * <code>repeated .bilberryvalve.load.DaemonPresence daemons = 1;</code>
+       */
+      public java.util.List<io.bilberryvalve.wire.proto.LoadMessages.DaemonPresence> getDaemonsList() {
+        if (daemonsBuilder_ == null) {
+          return java.util.Collections.unmodifiableList(daemons_);
+        } else {
+          return daemonsBuilder_.getMessageList();
+        }
+      }
+      /**
+       * <code>repeated .bilberryvalve.load.DaemonPresence daemons = 1;</code>
+       */
+      public int getDaemonsCount() {
+        if (daemonsBuilder_ == null) {
+          return daemons_.size();
+        } else {
+          return daemonsBuilder_.getCount();
+        }
+      }
+      /**
+       * <code>repeated .bilberryvalve.load.DaemonPresence daemons = 1;</code>
+       */
+      public io.bilberryvalve.wire.proto.LoadMessages.DaemonPresence getDaemons(int index) {
+        if (daemonsBuilder_ == null) {
+          return daemons_.get(index);
+        } else {
+          return daemonsBuilder_.getMessage(index);
+        }
+      }
+      /**
+       * <code>repeated .bilberryvalve.load.DaemonPresence daemons = 1;</code>
+       */
+      public Builder setDaemons(
+          int index, io.bilberryvalve.wire.proto.LoadMessages.DaemonPresence value) {
+        if (daemonsBuilder_ == null) {
+          if (value == null) {
+            throw new NullPointerException();
+          }
+          ensureDaemonsIsMutable();
+          daemons_.set(index, value);
+          onChanged();
+        } else {
+          daemonsBuilder_.setMessage(index, value);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .bilberryvalve.load.DaemonPresence daemons = 1;</code>
+       */
+      public Builder setDaemons(
+          int index, io.bilberryvalve.wire.proto.LoadMessages.DaemonPresence.Builder builderForValue) {
+        if (daemonsBuilder_ == null) {
+          ensureDaemonsIsMutable();
+          daemons_.set(index, builderForValue.build());
+          onChanged();
+        } else {
+          daemonsBuilder_.setMessage(index, builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .bilberryvalve.load.DaemonPresence daemons = 1;</code>
+       */
+      public Builder addDaemons(io.bilberryvalve.wire.proto.LoadMessages.DaemonPresence value) {
+        if (daemonsBuilder_ == null) {
+          if (value == null) {
+            throw new NullPointerException();
+          }
+          ensureDaemonsIsMutable();
+          daemons_.add(value);
+          onChanged();
+        } else {
+          daemonsBuilder_.addMessage(value);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .bilberryvalve.load.DaemonPresence daemons = 1;</code>
+       */
+      public Builder addDaemons(
+          int index, io.bilberryvalve.wire.proto.LoadMessages.DaemonPresence value) {
+        if (daemonsBuilder_ == null) {
+          if (value == null) {
+            throw new NullPointerException();
+          }
+          ensureDaemonsIsMutable();
+          daemons_.add(index, value);
+          onChanged();
+        } else {
+          daemonsBuilder_.addMessage(index, value);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .bilberryvalve.load.DaemonPresence daemons = 1;</code>
+       */
+      public Builder addDaemons(
+          io.bilberryvalve.wire.proto.LoadMessages.DaemonPresence.Builder builderForValue) {
+        if (daemonsBuilder_ == null) {
+          ensureDaemonsIsMutable();
+          daemons_.add(builderForValue.build());
+          onChanged();
+        } else {
+          daemonsBuilder_.addMessage(builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .bilberryvalve.load.DaemonPresence daemons = 1;</code>
+       */
+      public Builder addDaemons(
+          int index, io.bilberryvalve.wire.proto.LoadMessages.DaemonPresence.Builder builderForValue) {
+        if (daemonsBuilder_ == null) {
+          ensureDaemonsIsMutable();
+          daemons_.add(index, builderForValue.build());
+          onChanged();
+        } else {
+          daemonsBuilder_.addMessage(index, builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .bilberryvalve.load.DaemonPresence daemons = 1;</code>
+       */
+      public Builder addAllDaemons(
+          java.lang.Iterable<? extends io.bilberryvalve.wire.proto.LoadMessages.DaemonPresence> values) {
+        if (daemonsBuilder_ == null) {
+          ensureDaemonsIsMutable();
+          com.google.protobuf.AbstractMessageLite.Builder.addAll(
+              values, daemons_);
+          onChanged();
+        } else {
+          daemonsBuilder_.addAllMessages(values);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .bilberryvalve.load.DaemonPresence daemons = 1;</code>
+       */
+      public Builder clearDaemons() {
+        if (daemonsBuilder_ == null) {
+          daemons_ = java.util.Collections.emptyList();
+          bitField0_ = (bitField0_ & ~0x00000001);
+          onChanged();
+        } else {
+          daemonsBuilder_.clear();
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .bilberryvalve.load.DaemonPresence daemons = 1;</code>
+       */
+      public Builder removeDaemons(int index) {
+        if (daemonsBuilder_ == null) {
+          ensureDaemonsIsMutable();
+          daemons_.remove(index);
+          onChanged();
+        } else {
+          daemonsBuilder_.remove(index);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .bilberryvalve.load.DaemonPresence daemons = 1;</code>
+       */
+      public io.bilberryvalve.wire.proto.LoadMessages.DaemonPresence.Builder getDaemonsBuilder(
+          int index) {
+        return internalGetDaemonsFieldBuilder().getBuilder(index);
+      }
+      /**
+       * <code>repeated .bilberryvalve.load.DaemonPresence daemons = 1;</code>
+       */
+      public io.bilberryvalve.wire.proto.LoadMessages.DaemonPresenceOrBuilder getDaemonsOrBuilder(
+          int index) {
+        if (daemonsBuilder_ == null) {
+          return daemons_.get(index);  } else {
+          return daemonsBuilder_.getMessageOrBuilder(index);
+        }
+      }
+      /**
+       * <code>repeated .bilberryvalve.load.DaemonPresence daemons = 1;</code>
+       */
+      public java.util.List<? extends io.bilberryvalve.wire.proto.LoadMessages.DaemonPresenceOrBuilder> 
+           getDaemonsOrBuilderList() {
+        if (daemonsBuilder_ != null) {
+          return daemonsBuilder_.getMessageOrBuilderList();
+        } else {
+          return java.util.Collections.unmodifiableList(daemons_);
+        }
+      }
+      /**
+       * <code>repeated .bilberryvalve.load.DaemonPresence daemons = 1;</code>
+       */
+      public io.bilberryvalve.wire.proto.LoadMessages.DaemonPresence.Builder addDaemonsBuilder() {
+        return internalGetDaemonsFieldBuilder().addBuilder(
+            io.bilberryvalve.wire.proto.LoadMessages.DaemonPresence.getDefaultInstance());
+      }
+      /**
+       * <code>repeated .bilberryvalve.load.DaemonPresence daemons = 1;</code>
+       */
+      public io.bilberryvalve.wire.proto.LoadMessages.DaemonPresence.Builder addDaemonsBuilder(
+          int index) {
+        return internalGetDaemonsFieldBuilder().addBuilder(
+            index, io.bilberryvalve.wire.proto.LoadMessages.DaemonPresence.getDefaultInstance());
+      }
+      /**
+       * <code>repeated .bilberryvalve.load.DaemonPresence daemons = 1;</code>
+       */
+      public java.util.List<io.bilberryvalve.wire.proto.LoadMessages.DaemonPresence.Builder> 
+           getDaemonsBuilderList() {
+        return internalGetDaemonsFieldBuilder().getBuilderList();
+      }
+      private com.google.protobuf.RepeatedFieldBuilder<
+          io.bilberryvalve.wire.proto.LoadMessages.DaemonPresence, io.bilberryvalve.wire.proto.LoadMessages.DaemonPresence.Builder, io.bilberryvalve.wire.proto.LoadMessages.DaemonPresenceOrBuilder> 
+          internalGetDaemonsFieldBuilder() {
+        if (daemonsBuilder_ == null) {
+          daemonsBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+              io.bilberryvalve.wire.proto.LoadMessages.DaemonPresence, io.bilberryvalve.wire.proto.LoadMessages.DaemonPresence.Builder, io.bilberryvalve.wire.proto.LoadMessages.DaemonPresenceOrBuilder>(
+                  daemons_,
+                  ((bitField0_ & 0x00000001) != 0),
+                  getParentForChildren(),
+                  isClean());
+          daemons_ = null;
+        }
+        return daemonsBuilder_;
+      }
+
+      // @@protoc_insertion_point(builder_scope:bilberryvalve.load.Roster)
+    }
+
+    // @@protoc_insertion_point(class_scope:bilberryvalve.load.Roster)
+    private static final io.bilberryvalve.wire.proto.LoadMessages.Roster DEFAULT_INSTANCE;
+    static {
+      DEFAULT_INSTANCE = new io.bilberryvalve.wire.proto.LoadMessages.Roster();
+    }
+
+    public static io.bilberryvalve.wire.proto.LoadMessages.Roster getDefaultInstance() {
+      return DEFAULT_INSTANCE;
+    }
+
+    private static final com.google.protobuf.Parser<Roster>
+        PARSER = new com.google.protobuf.AbstractParser<Roster>() {
+      @java.lang.Override
+      public Roster parsePartialFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws com.google.protobuf.InvalidProtocolBufferException {
+        Builder builder = newBuilder();
+        try {
+          builder.mergeFrom(input, extensionRegistry);
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.setUnfinishedMessage(builder.buildPartial());
+        } catch (com.google.protobuf.UninitializedMessageException e) {
+          throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+        } catch (java.io.IOException e) {
+          throw new com.google.protobuf.InvalidProtocolBufferException(e)
+              .setUnfinishedMessage(builder.buildPartial());
+        }
+        return builder.buildPartial();
+      }
+    };
+
+    public static com.google.protobuf.Parser<Roster> parser() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Parser<Roster> getParserForType() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public io.bilberryvalve.wire.proto.LoadMessages.Roster getDefaultInstanceForType() {
+      return DEFAULT_INSTANCE;
+    }
+
+  }
+
+  public interface DaemonPresenceOrBuilder extends
+      // @@protoc_insertion_point(interface_extends:bilberryvalve.load.DaemonPresence)
+      com.google.protobuf.MessageOrBuilder {
+
+    /**
+     * <code>string vm = 1;</code>
+     * @return The vm.
+     */
+    java.lang.String getVm();
+    /**
+     * <code>string vm = 1;</code>
+     * @return The bytes for vm.
+     */
+    com.google.protobuf.ByteString
+        getVmBytes();
+
+    /**
+     * <code>int64 incarnation = 2;</code>
+     * @return The incarnation.
+     */
+    long getIncarnation();
+
+    /**
+     * <code>int64 sequence = 3;</code>
+     * @return The sequence.
+     */
+    long getSequence();
+
+    /**
+     * <code>string data_centre = 4;</code>
+     * @return The dataCentre.
+     */
+    java.lang.String getDataCentre();
+    /**
+     * <code>string data_centre = 4;</code>
+     * @return The bytes for dataCentre.
+     */
+    com.google.protobuf.ByteString
+        getDataCentreBytes();
+
+    /**
+     * <code>string caller_address = 5;</code>
+     * @return The callerAddress.
+     */
+    java.lang.String getCallerAddress();
+    /**
+     * <code>string caller_address = 5;</code>
+     * @return The bytes for callerAddress.
+     */
+    com.google.protobuf.ByteString
+        getCallerAddressBytes();
+
+    /**
+     * <code>string state_address = 6;</code>
+     * @return The stateAddress.
+     */
+    java.lang.String getStateAddress();
+    /**
+     * <code>string state_address = 6;</code>
+     * @return The bytes for stateAddress.
+     */
+    com.google.protobuf.ByteString
+        getStateAddressBytes();
+
+    /**
+     * <code>bool serving = 7;</code>
+     * @return The serving.
+     */
+    boolean getServing();
+
+    /**
+     * <code>bool leaving = 8;</code>
+     * @return The leaving.
+     */
+    boolean getLeaving();
+
+    /**
+     * <code>bool store_reachable = 9;</code>
+     * @return The storeReachable.
+     */
+    boolean getStoreReachable();
+
+    /**
+     * <code>int64 configuration = 10;</code>
+     * @return The configuration.
+     */
+    long getConfiguration();
+
+    /**
+     * <code>double capacity = 11;</code>
+     * @return The capacity.
+     */
+    double getCapacity();
+
+    /**
+     * <pre>
+     * Milliseconds since its state arrived at the delegate that received it directly.
+     * </pre>
+     *
+     * <code>int64 age = 12;</code>
+     * @return The age.
+     */
+    long getAge();
+  }
+  /**
+   * <pre>
+   * A daemon as a delegate knows it.
+   * </pre>
+   *
+   * Protobuf type {@code bilberryvalve.load.DaemonPresence}
+   */
+  public static final class DaemonPresence extends
+      com.google.protobuf.GeneratedMessage implements
+      // @@protoc_insertion_point(message_implements:bilberryvalve.load.DaemonPresence)
+      DaemonPresenceOrBuilder {
+  private static final long serialVersionUID = 0L;
+    static {
+      com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+        /* major= */ 4,
+        /* minor= */ 33,
+        /* patch= */ 4,
+        /* suffix= */ "",
+        "DaemonPresence");
+    }
+    // Use DaemonPresence.newBuilder() to construct.
+    private DaemonPresence(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+      super(builder);
+    }
+    private DaemonPresence() {
+      vm_ = "";
+      dataCentre_ = "";
+      callerAddress_ = "";
+      stateAddress_ = "";
+    }
+
+    public static final com.google.protobuf.Descriptors.Descriptor
+        getDescriptor() {
+      return io.bilberryvalve.wire.proto.LoadMessages.internal_static_bilberryvalve_load_DaemonPresence_descriptor;
+    }
+
+    @java.lang.Override
+    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+        internalGetFieldAccessorTable() {
+      return io.bilberryvalve.wire.proto.LoadMessages.internal_static_bilberryvalve_load_DaemonPresence_fieldAccessorTable
+          .ensureFieldAccessorsInitialized(
+              io.bilberryvalve.wire.proto.LoadMessages.DaemonPresence.class, io.bilberryvalve.wire.proto.LoadMessages.DaemonPresence.Builder.class);
+    }
+
+    public static final int VM_FIELD_NUMBER = 1;
+    @SuppressWarnings("serial")
+    private volatile java.lang.Object vm_ = "";
+    /**
+     * <code>string vm = 1;</code>
+     * @return The vm.
+     */
+    @java.lang.Override
+    public java.lang.String getVm() {
+      java.lang.Object ref = vm_;
+      if (ref instanceof java.lang.String) {
+        return (java.lang.String) ref;
+      } else {
+        com.google.protobuf.ByteString bs = 
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        vm_ = s;
+        return s;
+      }
+    }
+    /**
+     * <code>string vm = 1;</code>
+     * @return The bytes for vm.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString
+        getVmBytes() {
+      java.lang.Object ref = vm_;
+      if (ref instanceof java.lang.String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        vm_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+
+    public static final int INCARNATION_FIELD_NUMBER = 2;
+    private long incarnation_ = 0L;
+    /**
+     * <code>int64 incarnation = 2;</code>
+     * @return The incarnation.
+     */
+    @java.lang.Override
+    public long getIncarnation() {
+      return incarnation_;
+    }
+
+    public static final int SEQUENCE_FIELD_NUMBER = 3;
+    private long sequence_ = 0L;
+    /**
+     * <code>int64 sequence = 3;</code>
+     * @return The sequence.
+     */
+    @java.lang.Override
+    public long getSequence() {
+      return sequence_;
+    }
+
+    public static final int DATA_CENTRE_FIELD_NUMBER = 4;
+    @SuppressWarnings("serial")
+    private volatile java.lang.Object dataCentre_ = "";
+    /**
+     * <code>string data_centre = 4;</code>
+     * @return The dataCentre.
+     */
+    @java.lang.Override
+    public java.lang.String getDataCentre() {
+      java.lang.Object ref = dataCentre_;
+      if (ref instanceof java.lang.String) {
+        return (java.lang.String) ref;
+      } else {
+        com.google.protobuf.ByteString bs = 
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        dataCentre_ = s;
+        return s;
+      }
+    }
+    /**
+     * <code>string data_centre = 4;</code>
+     * @return The bytes for dataCentre.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString
+        getDataCentreBytes() {
+      java.lang.Object ref = dataCentre_;
+      if (ref instanceof java.lang.String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        dataCentre_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+
+    public static final int CALLER_ADDRESS_FIELD_NUMBER = 5;
+    @SuppressWarnings("serial")
+    private volatile java.lang.Object callerAddress_ = "";
+    /**
+     * <code>string caller_address = 5;</code>
+     * @return The callerAddress.
+     */
+    @java.lang.Override
+    public java.lang.String getCallerAddress() {
+      java.lang.Object ref = callerAddress_;
+      if (ref instanceof java.lang.String) {
+        return (java.lang.String) ref;
+      } else {
+        com.google.protobuf.ByteString bs = 
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        callerAddress_ = s;
+        return s;
+      }
+    }
+    /**
+     * <code>string caller_address = 5;</code>
+     * @return The bytes for callerAddress.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString
+        getCallerAddressBytes() {
+      java.lang.Object ref = callerAddress_;
+      if (ref instanceof java.lang.String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        callerAddress_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+
+    public static final int STATE_ADDRESS_FIELD_NUMBER = 6;
+    @SuppressWarnings("serial")
+    private volatile java.lang.Object stateAddress_ = "";
+    /**
+     * <code>string state_address = 6;</code>
+     * @return The stateAddress.
+     */
+    @java.lang.Override
+    public java.lang.String getStateAddress() {
+      java.lang.Object ref = stateAddress_;
+      if (ref instanceof java.lang.String) {
+        return (java.lang.String) ref;
+      } else {
+        com.google.protobuf.ByteString bs = 
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        stateAddress_ = s;
+        return s;
+      }
+    }
+    /**
+     * <code>string state_address = 6;</code>
+     * @return The bytes for stateAddress.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString
+        getStateAddressBytes() {
+      java.lang.Object ref = stateAddress_;
+      if (ref instanceof java.lang.String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        stateAddress_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+
+    public static final int SERVING_FIELD_NUMBER = 7;
+    private boolean serving_ = false;
+    /**
+     * <code>bool serving = 7;</code>
+     * @return The serving.
+     */
+    @java.lang.Override
+    public boolean getServing() {
+      return serving_;
+    }
+
+    public static final int LEAVING_FIELD_NUMBER = 8;
+    private boolean leaving_ = false;
+    /**
+     * <code>bool leaving = 8;</code>
+     * @return The leaving.
+     */
+    @java.lang.Override
+    public boolean getLeaving() {
+      return leaving_;
+    }
+
+    public static final int STORE_REACHABLE_FIELD_NUMBER = 9;
+    private boolean storeReachable_ = false;
+    /**
+     * <code>bool store_reachable = 9;</code>
+     * @return The storeReachable.
+     */
+    @java.lang.Override
+    public boolean getStoreReachable() {
+      return storeReachable_;
+    }
+
+    public static final int CONFIGURATION_FIELD_NUMBER = 10;
+    private long configuration_ = 0L;
+    /**
+     * <code>int64 configuration = 10;</code>
+     * @return The configuration.
+     */
+    @java.lang.Override
+    public long getConfiguration() {
+      return configuration_;
+    }
+
+    public static final int CAPACITY_FIELD_NUMBER = 11;
+    private double capacity_ = 0D;
+    /**
+     * <code>double capacity = 11;</code>
+     * @return The capacity.
+     */
+    @java.lang.Override
+    public double getCapacity() {
+      return capacity_;
+    }
+
+    public static final int AGE_FIELD_NUMBER = 12;
+    private long age_ = 0L;
+    /**
+     * <pre>
+     * Milliseconds since its state arrived at the delegate that received it directly.
+     * </pre>
+     *
+     * <code>int64 age = 12;</code>
+     * @return The age.
+     */
+    @java.lang.Override
+    public long getAge() {
+      return age_;
+    }
+
+    private byte memoizedIsInitialized = -1;
+    @java.lang.Override
+    public final boolean isInitialized() {
+      byte isInitialized = memoizedIsInitialized;
+      if (isInitialized == 1) return true;
+      if (isInitialized == 0) return false;
+
+      memoizedIsInitialized = 1;
+      return true;
+    }
+
+    @java.lang.Override
+    public void writeTo(com.google.protobuf.CodedOutputStream output)
+                        throws java.io.IOException {
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(vm_)) {
+        com.google.protobuf.GeneratedMessage.writeString(output, 1, vm_);
+      }
+      if (incarnation_ != 0L) {
+        output.writeInt64(2, incarnation_);
+      }
+      if (sequence_ != 0L) {
+        output.writeInt64(3, sequence_);
+      }
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(dataCentre_)) {
+        com.google.protobuf.GeneratedMessage.writeString(output, 4, dataCentre_);
+      }
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(callerAddress_)) {
+        com.google.protobuf.GeneratedMessage.writeString(output, 5, callerAddress_);
+      }
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(stateAddress_)) {
+        com.google.protobuf.GeneratedMessage.writeString(output, 6, stateAddress_);
+      }
+      if (serving_ != false) {
+        output.writeBool(7, serving_);
+      }
+      if (leaving_ != false) {
+        output.writeBool(8, leaving_);
+      }
+      if (storeReachable_ != false) {
+        output.writeBool(9, storeReachable_);
+      }
+      if (configuration_ != 0L) {
+        output.writeInt64(10, configuration_);
+      }
+      if (java.lang.Double.doubleToRawLongBits(capacity_) != 0) {
+        output.writeDouble(11, capacity_);
+      }
+      if (age_ != 0L) {
+        output.writeInt64(12, age_);
+      }
+      getUnknownFields().writeTo(output);
+    }
+
+    @java.lang.Override
+    public int getSerializedSize() {
+      int size = memoizedSize;
+      if (size != -1) return size;
+
+      size = 0;
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(vm_)) {
+        size += com.google.protobuf.GeneratedMessage.computeStringSize(1, vm_);
+      }
+      if (incarnation_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeInt64Size(2, incarnation_);
+      }
+      if (sequence_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeInt64Size(3, sequence_);
+      }
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(dataCentre_)) {
+        size += com.google.protobuf.GeneratedMessage.computeStringSize(4, dataCentre_);
+      }
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(callerAddress_)) {
+        size += com.google.protobuf.GeneratedMessage.computeStringSize(5, callerAddress_);
+      }
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(stateAddress_)) {
+        size += com.google.protobuf.GeneratedMessage.computeStringSize(6, stateAddress_);
+      }
+      if (serving_ != false) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeBoolSize(7, serving_);
+      }
+      if (leaving_ != false) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeBoolSize(8, leaving_);
+      }
+      if (storeReachable_ != false) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeBoolSize(9, storeReachable_);
+      }
+      if (configuration_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeInt64Size(10, configuration_);
+      }
+      if (java.lang.Double.doubleToRawLongBits(capacity_) != 0) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeDoubleSize(11, capacity_);
+      }
+      if (age_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeInt64Size(12, age_);
+      }
+      size += getUnknownFields().getSerializedSize();
+      memoizedSize = size;
+      return size;
+    }
+
+    @java.lang.Override
+    public boolean equals(final java.lang.Object obj) {
+      if (obj == this) {
+       return true;
+      }
+      if (!(obj instanceof io.bilberryvalve.wire.proto.LoadMessages.DaemonPresence)) {
+        return super.equals(obj);
+      }
+      io.bilberryvalve.wire.proto.LoadMessages.DaemonPresence other = (io.bilberryvalve.wire.proto.LoadMessages.DaemonPresence) obj;
+
+      if (!getVm()
+          .equals(other.getVm())) return false;
+      if (getIncarnation()
+          != other.getIncarnation()) return false;
+      if (getSequence()
+          != other.getSequence()) return false;
+      if (!getDataCentre()
+          .equals(other.getDataCentre())) return false;
+      if (!getCallerAddress()
+          .equals(other.getCallerAddress())) return false;
+      if (!getStateAddress()
+          .equals(other.getStateAddress())) return false;
+      if (getServing()
+          != other.getServing()) return false;
+      if (getLeaving()
+          != other.getLeaving()) return false;
+      if (getStoreReachable()
+          != other.getStoreReachable()) return false;
+      if (getConfiguration()
+          != other.getConfiguration()) return false;
+      if (java.lang.Double.doubleToLongBits(getCapacity())
+          != java.lang.Double.doubleToLongBits(
+              other.getCapacity())) return false;
+      if (getAge()
+          != other.getAge()) return false;
+      if (!getUnknownFields().equals(other.getUnknownFields())) return false;
+      return true;
+    }
+
+    @java.lang.Override
+    public int hashCode() {
+      if (memoizedHashCode != 0) {
+        return memoizedHashCode;
+      }
+      int hash = 41;
+      hash = (19 * hash) + getDescriptor().hashCode();
+      hash = (37 * hash) + VM_FIELD_NUMBER;
+      hash = (53 * hash) + getVm().hashCode();
+      hash = (37 * hash) + INCARNATION_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getIncarnation());
+      hash = (37 * hash) + SEQUENCE_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getSequence());
+      hash = (37 * hash) + DATA_CENTRE_FIELD_NUMBER;
+      hash = (53 * hash) + getDataCentre().hashCode();
+      hash = (37 * hash) + CALLER_ADDRESS_FIELD_NUMBER;
+      hash = (53 * hash) + getCallerAddress().hashCode();
+      hash = (37 * hash) + STATE_ADDRESS_FIELD_NUMBER;
+      hash = (53 * hash) + getStateAddress().hashCode();
+      hash = (37 * hash) + SERVING_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+          getServing());
+      hash = (37 * hash) + LEAVING_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+          getLeaving());
+      hash = (37 * hash) + STORE_REACHABLE_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+          getStoreReachable());
+      hash = (37 * hash) + CONFIGURATION_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getConfiguration());
+      hash = (37 * hash) + CAPACITY_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          java.lang.Double.doubleToLongBits(getCapacity()));
+      hash = (37 * hash) + AGE_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getAge());
+      hash = (29 * hash) + getUnknownFields().hashCode();
+      memoizedHashCode = hash;
+      return hash;
+    }
+
+    public static io.bilberryvalve.wire.proto.LoadMessages.DaemonPresence parseFrom(
+        java.nio.ByteBuffer data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static io.bilberryvalve.wire.proto.LoadMessages.DaemonPresence parseFrom(
+        java.nio.ByteBuffer data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static io.bilberryvalve.wire.proto.LoadMessages.DaemonPresence parseFrom(
+        com.google.protobuf.ByteString data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static io.bilberryvalve.wire.proto.LoadMessages.DaemonPresence parseFrom(
+        com.google.protobuf.ByteString data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static io.bilberryvalve.wire.proto.LoadMessages.DaemonPresence parseFrom(byte[] data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static io.bilberryvalve.wire.proto.LoadMessages.DaemonPresence parseFrom(
+        byte[] data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static io.bilberryvalve.wire.proto.LoadMessages.DaemonPresence parseFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static io.bilberryvalve.wire.proto.LoadMessages.DaemonPresence parseFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    public static io.bilberryvalve.wire.proto.LoadMessages.DaemonPresence parseDelimitedFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input);
+    }
+
+    public static io.bilberryvalve.wire.proto.LoadMessages.DaemonPresence parseDelimitedFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
+    }
+    public static io.bilberryvalve.wire.proto.LoadMessages.DaemonPresence parseFrom(
+        com.google.protobuf.CodedInputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static io.bilberryvalve.wire.proto.LoadMessages.DaemonPresence parseFrom(
+        com.google.protobuf.CodedInputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    @java.lang.Override
+    public Builder newBuilderForType() { return newBuilder(); }
+    public static Builder newBuilder() {
+      return DEFAULT_INSTANCE.toBuilder();
+    }
+    public static Builder newBuilder(io.bilberryvalve.wire.proto.LoadMessages.DaemonPresence prototype) {
+      return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
+    }
+    @java.lang.Override
+    public Builder toBuilder() {
+      return this == DEFAULT_INSTANCE
+          ? new Builder() : new Builder().mergeFrom(this);
+    }
+
+    @java.lang.Override
+    protected Builder newBuilderForType(
+        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+      Builder builder = new Builder(parent);
+      return builder;
+    }
+    /**
+     * <pre>
+     * A daemon as a delegate knows it.
+     * </pre>
+     *
+     * Protobuf type {@code bilberryvalve.load.DaemonPresence}
+     */
+    public static final class Builder extends
+        com.google.protobuf.GeneratedMessage.Builder<Builder> implements
+        // @@protoc_insertion_point(builder_implements:bilberryvalve.load.DaemonPresence)
+        io.bilberryvalve.wire.proto.LoadMessages.DaemonPresenceOrBuilder {
+      public static final com.google.protobuf.Descriptors.Descriptor
+          getDescriptor() {
+        return io.bilberryvalve.wire.proto.LoadMessages.internal_static_bilberryvalve_load_DaemonPresence_descriptor;
+      }
+
+      @java.lang.Override
+      protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+          internalGetFieldAccessorTable() {
+        return io.bilberryvalve.wire.proto.LoadMessages.internal_static_bilberryvalve_load_DaemonPresence_fieldAccessorTable
+            .ensureFieldAccessorsInitialized(
+                io.bilberryvalve.wire.proto.LoadMessages.DaemonPresence.class, io.bilberryvalve.wire.proto.LoadMessages.DaemonPresence.Builder.class);
+      }
+
+      // Construct using io.bilberryvalve.wire.proto.LoadMessages.DaemonPresence.newBuilder()
+      private Builder() {
+
+      }
+
+      private Builder(
+          com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+        super(parent);
+
+      }
+      @java.lang.Override
+      public Builder clear() {
+        super.clear();
+        bitField0_ = 0;
+        vm_ = "";
+        incarnation_ = 0L;
+        sequence_ = 0L;
+        dataCentre_ = "";
+        callerAddress_ = "";
+        stateAddress_ = "";
+        serving_ = false;
+        leaving_ = false;
+        storeReachable_ = false;
+        configuration_ = 0L;
+        capacity_ = 0D;
+        age_ = 0L;
+        return this;
+      }
+
+      @java.lang.Override
+      public com.google.protobuf.Descriptors.Descriptor
+          getDescriptorForType() {
+        return io.bilberryvalve.wire.proto.LoadMessages.internal_static_bilberryvalve_load_DaemonPresence_descriptor;
+      }
+
+      @java.lang.Override
+      public io.bilberryvalve.wire.proto.LoadMessages.DaemonPresence getDefaultInstanceForType() {
+        return io.bilberryvalve.wire.proto.LoadMessages.DaemonPresence.getDefaultInstance();
+      }
+
+      @java.lang.Override
+      public io.bilberryvalve.wire.proto.LoadMessages.DaemonPresence build() {
+        io.bilberryvalve.wire.proto.LoadMessages.DaemonPresence result = buildPartial();
+        if (!result.isInitialized()) {
+          throw newUninitializedMessageException(result);
+        }
+        return result;
+      }
+
+      @java.lang.Override
+      public io.bilberryvalve.wire.proto.LoadMessages.DaemonPresence buildPartial() {
+        io.bilberryvalve.wire.proto.LoadMessages.DaemonPresence result = new io.bilberryvalve.wire.proto.LoadMessages.DaemonPresence(this);
+        if (bitField0_ != 0) { buildPartial0(result); }
+        onBuilt();
+        return result;
+      }
+
+      private void buildPartial0(io.bilberryvalve.wire.proto.LoadMessages.DaemonPresence result) {
+        int from_bitField0_ = bitField0_;
+        if (((from_bitField0_ & 0x00000001) != 0)) {
+          result.vm_ = vm_;
+        }
+        if (((from_bitField0_ & 0x00000002) != 0)) {
+          result.incarnation_ = incarnation_;
+        }
+        if (((from_bitField0_ & 0x00000004) != 0)) {
+          result.sequence_ = sequence_;
+        }
+        if (((from_bitField0_ & 0x00000008) != 0)) {
+          result.dataCentre_ = dataCentre_;
+        }
+        if (((from_bitField0_ & 0x00000010) != 0)) {
+          result.callerAddress_ = callerAddress_;
+        }
+        if (((from_bitField0_ & 0x00000020) != 0)) {
+          result.stateAddress_ = stateAddress_;
+        }
+        if (((from_bitField0_ & 0x00000040) != 0)) {
+          result.serving_ = serving_;
+        }
+        if (((from_bitField0_ & 0x00000080) != 0)) {
+          result.leaving_ = leaving_;
+        }
+        if (((from_bitField0_ & 0x00000100) != 0)) {
+          result.storeReachable_ = storeReachable_;
+        }
+        if (((from_bitField0_ & 0x00000200) != 0)) {
+          result.configuration_ = configuration_;
+        }
+        if (((from_bitField0_ & 0x00000400) != 0)) {
+          result.capacity_ = capacity_;
+        }
+        if (((from_bitField0_ & 0x00000800) != 0)) {
+          result.age_ = age_;
+        }
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(com.google.protobuf.Message other) {
+        if (other instanceof io.bilberryvalve.wire.proto.LoadMessages.DaemonPresence) {
+          return mergeFrom((io.bilberryvalve.wire.proto.LoadMessages.DaemonPresence)other);
+        } else {
+          super.mergeFrom(other);
+          return this;
+        }
+      }
+
+      public Builder mergeFrom(io.bilberryvalve.wire.proto.LoadMessages.DaemonPresence other) {
+        if (other == io.bilberryvalve.wire.proto.LoadMessages.DaemonPresence.getDefaultInstance()) return this;
+        if (!other.getVm().isEmpty()) {
+          vm_ = other.vm_;
+          bitField0_ |= 0x00000001;
+          onChanged();
+        }
+        if (other.getIncarnation() != 0L) {
+          setIncarnation(other.getIncarnation());
+        }
+        if (other.getSequence() != 0L) {
+          setSequence(other.getSequence());
+        }
+        if (!other.getDataCentre().isEmpty()) {
+          dataCentre_ = other.dataCentre_;
+          bitField0_ |= 0x00000008;
+          onChanged();
+        }
+        if (!other.getCallerAddress().isEmpty()) {
+          callerAddress_ = other.callerAddress_;
+          bitField0_ |= 0x00000010;
+          onChanged();
+        }
+        if (!other.getStateAddress().isEmpty()) {
+          stateAddress_ = other.stateAddress_;
+          bitField0_ |= 0x00000020;
+          onChanged();
+        }
+        if (other.getServing() != false) {
+          setServing(other.getServing());
+        }
+        if (other.getLeaving() != false) {
+          setLeaving(other.getLeaving());
+        }
+        if (other.getStoreReachable() != false) {
+          setStoreReachable(other.getStoreReachable());
+        }
+        if (other.getConfiguration() != 0L) {
+          setConfiguration(other.getConfiguration());
+        }
+        if (java.lang.Double.doubleToRawLongBits(other.getCapacity()) != 0) {
+          setCapacity(other.getCapacity());
+        }
+        if (other.getAge() != 0L) {
+          setAge(other.getAge());
+        }
+        this.mergeUnknownFields(other.getUnknownFields());
+        onChanged();
+        return this;
+      }
+
+      @java.lang.Override
+      public final boolean isInitialized() {
+        return true;
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws java.io.IOException {
+        if (extensionRegistry == null) {
+          throw new java.lang.NullPointerException();
+        }
+        try {
+          boolean done = false;
+          while (!done) {
+            int tag = input.readTag();
+            switch (tag) {
+              case 0:
+                done = true;
+                break;
+              case 10: {
+                vm_ = input.readStringRequireUtf8();
+                bitField0_ |= 0x00000001;
+                break;
+              } // case 10
+              case 16: {
+                incarnation_ = input.readInt64();
+                bitField0_ |= 0x00000002;
+                break;
+              } // case 16
+              case 24: {
+                sequence_ = input.readInt64();
+                bitField0_ |= 0x00000004;
+                break;
+              } // case 24
+              case 34: {
+                dataCentre_ = input.readStringRequireUtf8();
+                bitField0_ |= 0x00000008;
+                break;
+              } // case 34
+              case 42: {
+                callerAddress_ = input.readStringRequireUtf8();
+                bitField0_ |= 0x00000010;
+                break;
+              } // case 42
+              case 50: {
+                stateAddress_ = input.readStringRequireUtf8();
+                bitField0_ |= 0x00000020;
+                break;
+              } // case 50
+              case 56: {
+                serving_ = input.readBool();
+                bitField0_ |= 0x00000040;
+                break;
+              } // case 56
+              case 64: {
+                leaving_ = input.readBool();
+                bitField0_ |= 0x00000080;
+                break;
+              } // case 64
+              case 72: {
+                storeReachable_ = input.readBool();
+                bitField0_ |= 0x00000100;
+                break;
+              } // case 72
+              case 80: {
+                configuration_ = input.readInt64();
+                bitField0_ |= 0x00000200;
+                break;
+              } // case 80
+              case 89: {
+                capacity_ = input.readDouble();
+                bitField0_ |= 0x00000400;
+                break;
+              } // case 89
+              case 96: {
+                age_ = input.readInt64();
+                bitField0_ |= 0x00000800;
+                break;
+              } // case 96
+              default: {
+                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                  done = true; // was an endgroup tag
+                }
+                break;
+              } // default:
+            } // switch (tag)
+          } // while (!done)
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.unwrapIOException();
+        } finally {
+          onChanged();
+        } // finally
+        return this;
+      }
+      private int bitField0_;
+
+      private java.lang.Object vm_ = "";
+      /**
+       * <code>string vm = 1;</code>
+       * @return The vm.
+       */
+      public java.lang.String getVm() {
+        java.lang.Object ref = vm_;
+        if (!(ref instanceof java.lang.String)) {
+          com.google.protobuf.ByteString bs =
+              (com.google.protobuf.ByteString) ref;
+          java.lang.String s = bs.toStringUtf8();
+          vm_ = s;
+          return s;
+        } else {
+          return (java.lang.String) ref;
+        }
+      }
+      /**
+       * <code>string vm = 1;</code>
+       * @return The bytes for vm.
+       */
+      public com.google.protobuf.ByteString
+          getVmBytes() {
+        java.lang.Object ref = vm_;
+        if (ref instanceof String) {
+          com.google.protobuf.ByteString b = 
+              com.google.protobuf.ByteString.copyFromUtf8(
+                  (java.lang.String) ref);
+          vm_ = b;
+          return b;
+        } else {
+          return (com.google.protobuf.ByteString) ref;
+        }
+      }
+      /**
+       * <code>string vm = 1;</code>
+       * @param value The vm to set.
+       * @return This builder for chaining.
+       */
+      public Builder setVm(
+          java.lang.String value) {
+        if (value == null) { throw new NullPointerException(); }
+        vm_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string vm = 1;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearVm() {
+        vm_ = getDefaultInstance().getVm();
+        bitField0_ = (bitField0_ & ~0x00000001);
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string vm = 1;</code>
+       * @param value The bytes for vm to set.
+       * @return This builder for chaining.
+       */
+      public Builder setVmBytes(
+          com.google.protobuf.ByteString value) {
+        if (value == null) { throw new NullPointerException(); }
+        checkByteStringIsUtf8(value);
+        vm_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+
+      private long incarnation_ ;
+      /**
+       * <code>int64 incarnation = 2;</code>
+       * @return The incarnation.
+       */
+      @java.lang.Override
+      public long getIncarnation() {
+        return incarnation_;
+      }
+      /**
+       * <code>int64 incarnation = 2;</code>
+       * @param value The incarnation to set.
+       * @return This builder for chaining.
+       */
+      public Builder setIncarnation(long value) {
+
+        incarnation_ = value;
+        bitField0_ |= 0x00000002;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>int64 incarnation = 2;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearIncarnation() {
+        bitField0_ = (bitField0_ & ~0x00000002);
+        incarnation_ = 0L;
+        onChanged();
+        return this;
+      }
+
+      private long sequence_ ;
+      /**
+       * <code>int64 sequence = 3;</code>
+       * @return The sequence.
+       */
+      @java.lang.Override
+      public long getSequence() {
+        return sequence_;
+      }
+      /**
+       * <code>int64 sequence = 3;</code>
+       * @param value The sequence to set.
+       * @return This builder for chaining.
+       */
+      public Builder setSequence(long value) {
+
+        sequence_ = value;
+        bitField0_ |= 0x00000004;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>int64 sequence = 3;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearSequence() {
+        bitField0_ = (bitField0_ & ~0x00000004);
+        sequence_ = 0L;
+        onChanged();
+        return this;
+      }
+
+      private java.lang.Object dataCentre_ = "";
+      /**
+       * <code>string data_centre = 4;</code>
+       * @return The dataCentre.
+       */
+      public java.lang.String getDataCentre() {
+        java.lang.Object ref = dataCentre_;
+        if (!(ref instanceof java.lang.String)) {
+          com.google.protobuf.ByteString bs =
+              (com.google.protobuf.ByteString) ref;
+          java.lang.String s = bs.toStringUtf8();
+          dataCentre_ = s;
+          return s;
+        } else {
+          return (java.lang.String) ref;
+        }
+      }
+      /**
+       * <code>string data_centre = 4;</code>
+       * @return The bytes for dataCentre.
+       */
+      public com.google.protobuf.ByteString
+          getDataCentreBytes() {
+        java.lang.Object ref = dataCentre_;
+        if (ref instanceof String) {
+          com.google.protobuf.ByteString b = 
+              com.google.protobuf.ByteString.copyFromUtf8(
+                  (java.lang.String) ref);
+          dataCentre_ = b;
+          return b;
+        } else {
+          return (com.google.protobuf.ByteString) ref;
+        }
+      }
+      /**
+       * <code>string data_centre = 4;</code>
+       * @param value The dataCentre to set.
+       * @return This builder for chaining.
+       */
+      public Builder setDataCentre(
+          java.lang.String value) {
+        if (value == null) { throw new NullPointerException(); }
+        dataCentre_ = value;
+        bitField0_ |= 0x00000008;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string data_centre = 4;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearDataCentre() {
+        dataCentre_ = getDefaultInstance().getDataCentre();
+        bitField0_ = (bitField0_ & ~0x00000008);
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string data_centre = 4;</code>
+       * @param value The bytes for dataCentre to set.
+       * @return This builder for chaining.
+       */
+      public Builder setDataCentreBytes(
+          com.google.protobuf.ByteString value) {
+        if (value == null) { throw new NullPointerException(); }
+        checkByteStringIsUtf8(value);
+        dataCentre_ = value;
+        bitField0_ |= 0x00000008;
+        onChanged();
+        return this;
+      }
+
+      private java.lang.Object callerAddress_ = "";
+      /**
+       * <code>string caller_address = 5;</code>
+       * @return The callerAddress.
+       */
+      public java.lang.String getCallerAddress() {
+        java.lang.Object ref = callerAddress_;
+        if (!(ref instanceof java.lang.String)) {
+          com.google.protobuf.ByteString bs =
+              (com.google.protobuf.ByteString) ref;
+          java.lang.String s = bs.toStringUtf8();
+          callerAddress_ = s;
+          return s;
+        } else {
+          return (java.lang.String) ref;
+        }
+      }
+      /**
+       * <code>string caller_address = 5;</code>
+       * @return The bytes for callerAddress.
+       */
+      public com.google.protobuf.ByteString
+          getCallerAddressBytes() {
+        java.lang.Object ref = callerAddress_;
+        if (ref instanceof String) {
+          com.google.protobuf.ByteString b = 
+              com.google.protobuf.ByteString.copyFromUtf8(
+                  (java.lang.String) ref);
+          callerAddress_ = b;
+          return b;
+        } else {
+          return (com.google.protobuf.ByteString) ref;
+        }
+      }
+      /**
+       * <code>string caller_address = 5;</code>
+       * @param value The callerAddress to set.
+       * @return This builder for chaining.
+       */
+      public Builder setCallerAddress(
+          java.lang.String value) {
+        if (value == null) { throw new NullPointerException(); }
+        callerAddress_ = value;
+        bitField0_ |= 0x00000010;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string caller_address = 5;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearCallerAddress() {
+        callerAddress_ = getDefaultInstance().getCallerAddress();
+        bitField0_ = (bitField0_ & ~0x00000010);
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string caller_address = 5;</code>
+       * @param value The bytes for callerAddress to set.
+       * @return This builder for chaining.
+       */
+      public Builder setCallerAddressBytes(
+          com.google.protobuf.ByteString value) {
+        if (value == null) { throw new NullPointerException(); }
+        checkByteStringIsUtf8(value);
+        callerAddress_ = value;
+        bitField0_ |= 0x00000010;
+        onChanged();
+        return this;
+      }
+
+      private java.lang.Object stateAddress_ = "";
+      /**
+       * <code>string state_address = 6;</code>
+       * @return The stateAddress.
+       */
+      public java.lang.String getStateAddress() {
+        java.lang.Object ref = stateAddress_;
+        if (!(ref instanceof java.lang.String)) {
+          com.google.protobuf.ByteString bs =
+              (com.google.protobuf.ByteString) ref;
+          java.lang.String s = bs.toStringUtf8();
+          stateAddress_ = s;
+          return s;
+        } else {
+          return (java.lang.String) ref;
+        }
+      }
+      /**
+       * <code>string state_address = 6;</code>
+       * @return The bytes for stateAddress.
+       */
+      public com.google.protobuf.ByteString
+          getStateAddressBytes() {
+        java.lang.Object ref = stateAddress_;
+        if (ref instanceof String) {
+          com.google.protobuf.ByteString b = 
+              com.google.protobuf.ByteString.copyFromUtf8(
+                  (java.lang.String) ref);
+          stateAddress_ = b;
+          return b;
+        } else {
+          return (com.google.protobuf.ByteString) ref;
+        }
+      }
+      /**
+       * <code>string state_address = 6;</code>
+       * @param value The stateAddress to set.
+       * @return This builder for chaining.
+       */
+      public Builder setStateAddress(
+          java.lang.String value) {
+        if (value == null) { throw new NullPointerException(); }
+        stateAddress_ = value;
+        bitField0_ |= 0x00000020;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string state_address = 6;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearStateAddress() {
+        stateAddress_ = getDefaultInstance().getStateAddress();
+        bitField0_ = (bitField0_ & ~0x00000020);
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string state_address = 6;</code>
+       * @param value The bytes for stateAddress to set.
+       * @return This builder for chaining.
+       */
+      public Builder setStateAddressBytes(
+          com.google.protobuf.ByteString value) {
+        if (value == null) { throw new NullPointerException(); }
+        checkByteStringIsUtf8(value);
+        stateAddress_ = value;
+        bitField0_ |= 0x00000020;
+        onChanged();
+        return this;
+      }
+
+      private boolean serving_ ;
+      /**
+       * <code>bool serving = 7;</code>
+       * @return The serving.
+       */
+      @java.lang.Override
+      public boolean getServing() {
+        return serving_;
+      }
+      /**
+       * <code>bool serving = 7;</code>
+       * @param value The serving to set.
+       * @return This builder for chaining.
+       */
+      public Builder setServing(boolean value) {
+
+        serving_ = value;
+        bitField0_ |= 0x00000040;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>bool serving = 7;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearServing() {
+        bitField0_ = (bitField0_ & ~0x00000040);
+        serving_ = false;
+        onChanged();
+        return this;
+      }
+
+      private boolean leaving_ ;
+      /**
+       * <code>bool leaving = 8;</code>
+       * @return The leaving.
+       */
+      @java.lang.Override
+      public boolean getLeaving() {
+        return leaving_;
+      }
+      /**
+       * <code>bool leaving = 8;</code>
+       * @param value The leaving to set.
+       * @return This builder for chaining.
+       */
+      public Builder setLeaving(boolean value) {
+
+        leaving_ = value;
+        bitField0_ |= 0x00000080;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>bool leaving = 8;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearLeaving() {
+        bitField0_ = (bitField0_ & ~0x00000080);
+        leaving_ = false;
+        onChanged();
+        return this;
+      }
+
+      private boolean storeReachable_ ;
+      /**
+       * <code>bool store_reachable = 9;</code>
+       * @return The storeReachable.
+       */
+      @java.lang.Override
+      public boolean getStoreReachable() {
+        return storeReachable_;
+      }
+      /**
+       * <code>bool store_reachable = 9;</code>
+       * @param value The storeReachable to set.
+       * @return This builder for chaining.
+       */
+      public Builder setStoreReachable(boolean value) {
+
+        storeReachable_ = value;
+        bitField0_ |= 0x00000100;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>bool store_reachable = 9;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearStoreReachable() {
+        bitField0_ = (bitField0_ & ~0x00000100);
+        storeReachable_ = false;
+        onChanged();
+        return this;
+      }
+
+      private long configuration_ ;
+      /**
+       * <code>int64 configuration = 10;</code>
+       * @return The configuration.
+       */
+      @java.lang.Override
+      public long getConfiguration() {
+        return configuration_;
+      }
+      /**
+       * <code>int64 configuration = 10;</code>
+       * @param value The configuration to set.
+       * @return This builder for chaining.
+       */
+      public Builder setConfiguration(long value) {
+
+        configuration_ = value;
+        bitField0_ |= 0x00000200;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>int64 configuration = 10;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearConfiguration() {
+        bitField0_ = (bitField0_ & ~0x00000200);
+        configuration_ = 0L;
+        onChanged();
+        return this;
+      }
+
+      private double capacity_ ;
+      /**
+       * <code>double capacity = 11;</code>
+       * @return The capacity.
+       */
+      @java.lang.Override
+      public double getCapacity() {
+        return capacity_;
+      }
+      /**
+       * <code>double capacity = 11;</code>
+       * @param value The capacity to set.
+       * @return This builder for chaining.
+       */
+      public Builder setCapacity(double value) {
+
+        capacity_ = value;
+        bitField0_ |= 0x00000400;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>double capacity = 11;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearCapacity() {
+        bitField0_ = (bitField0_ & ~0x00000400);
+        capacity_ = 0D;
+        onChanged();
+        return this;
+      }
+
+      private long age_ ;
+      /**
+       * <pre>
+       * Milliseconds since its state arrived at the delegate that received it directly.
+       * </pre>
+       *
+       * <code>int64 age = 12;</code>
+       * @return The age.
+       */
+      @java.lang.Override
+      public long getAge() {
+        return age_;
+      }
+      /**
+       * <pre>
+       * Milliseconds since its state arrived at the delegate that received it directly.
+       * </pre>
+       *
+       * <code>int64 age = 12;</code>
+       * @param value The age to set.
+       * @return This builder for chaining.
+       */
+      public Builder setAge(long value) {
+
+        age_ = value;
+        bitField0_ |= 0x00000800;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * Milliseconds since its state arrived at the delegate that received it directly.
+       * </pre>
+       *
+       * <code>int64 age = 12;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearAge() {
+        bitField0_ = (bitField0_ & ~0x00000800);
+        age_ = 0L;
+        onChanged();
+        return this;
+      }
+
+      // @@protoc_insertion_point(builder_scope:bilberryvalve.load.DaemonPresence)
+    }
+
+    // @@protoc_insertion_point(class_scope:bilberryvalve.load.DaemonPresence)
+    private static final io.bilberryvalve.wire.proto.LoadMessages.DaemonPresence DEFAULT_INSTANCE;
+    static {
+      DEFAULT_INSTANCE = new io.bilberryvalve.wire.proto.LoadMessages.DaemonPresence();
+    }
+
+    public static io.bilberryvalve.wire.proto.LoadMessages.DaemonPresence getDefaultInstance() {
+      return DEFAULT_INSTANCE;
+    }
+
+    private static final com.google.protobuf.Parser<DaemonPresence>
+        PARSER = new com.google.protobuf.AbstractParser<DaemonPresence>() {
+      @java.lang.Override
+      public DaemonPresence parsePartialFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws com.google.protobuf.InvalidProtocolBufferException {
+        Builder builder = newBuilder();
+        try {
+          builder.mergeFrom(input, extensionRegistry);
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.setUnfinishedMessage(builder.buildPartial());
+        } catch (com.google.protobuf.UninitializedMessageException e) {
+          throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+        } catch (java.io.IOException e) {
+          throw new com.google.protobuf.InvalidProtocolBufferException(e)
+              .setUnfinishedMessage(builder.buildPartial());
+        }
+        return builder.buildPartial();
+      }
+    };
+
+    public static com.google.protobuf.Parser<DaemonPresence> parser() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Parser<DaemonPresence> getParserForType() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public io.bilberryvalve.wire.proto.LoadMessages.DaemonPresence getDefaultInstanceForType() {
+      return DEFAULT_INSTANCE;
+    }
+
+  }
+
+  public interface PromptPartOrBuilder extends
+      // @@protoc_insertion_point(interface_extends:bilberryvalve.load.PromptPart)
+      com.google.protobuf.MessageOrBuilder {
+
+    /**
+     * <code>string part = 1;</code>
+     * @return The part.
+     */
+    java.lang.String getPart();
+    /**
+     * <code>string part = 1;</code>
+     * @return The bytes for part.
+     */
+    com.google.protobuf.ByteString
+        getPartBytes();
+
+    /**
+     * <code>repeated .bilberryvalve.load.PromptCrash crashes = 2;</code>
+     */
+    java.util.List<io.bilberryvalve.wire.proto.LoadMessages.PromptCrash> 
+        getCrashesList();
+    /**
+     * <code>repeated .bilberryvalve.load.PromptCrash crashes = 2;</code>
+     */
+    io.bilberryvalve.wire.proto.LoadMessages.PromptCrash getCrashes(int index);
+    /**
+     * <code>repeated .bilberryvalve.load.PromptCrash crashes = 2;</code>
+     */
+    int getCrashesCount();
+    /**
+     * <code>repeated .bilberryvalve.load.PromptCrash crashes = 2;</code>
+     */
+    java.util.List<? extends io.bilberryvalve.wire.proto.LoadMessages.PromptCrashOrBuilder> 
+        getCrashesOrBuilderList();
+    /**
+     * <code>repeated .bilberryvalve.load.PromptCrash crashes = 2;</code>
+     */
+    io.bilberryvalve.wire.proto.LoadMessages.PromptCrashOrBuilder getCrashesOrBuilder(
+        int index);
+
+    /**
+     * <pre>
+     * Age of the last answer to a prompt with the part; absent if there was none.
+     * </pre>
+     *
+     * <code>optional int64 answered_age = 3;</code>
+     * @return Whether the answeredAge field is set.
+     */
+    boolean hasAnsweredAge();
+    /**
+     * <pre>
+     * Age of the last answer to a prompt with the part; absent if there was none.
+     * </pre>
+     *
+     * <code>optional int64 answered_age = 3;</code>
+     * @return The answeredAge.
+     */
+    long getAnsweredAge();
+  }
+  /**
+   * <pre>
+   * What one daemon has seen of a prompt part. Ages are in milliseconds before the message.
+   * </pre>
+   *
+   * Protobuf type {@code bilberryvalve.load.PromptPart}
+   */
+  public static final class PromptPart extends
+      com.google.protobuf.GeneratedMessage implements
+      // @@protoc_insertion_point(message_implements:bilberryvalve.load.PromptPart)
+      PromptPartOrBuilder {
+  private static final long serialVersionUID = 0L;
+    static {
+      com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+        /* major= */ 4,
+        /* minor= */ 33,
+        /* patch= */ 4,
+        /* suffix= */ "",
+        "PromptPart");
+    }
+    // Use PromptPart.newBuilder() to construct.
+    private PromptPart(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+      super(builder);
+    }
+    private PromptPart() {
+      part_ = "";
+      crashes_ = java.util.Collections.emptyList();
+    }
+
+    public static final com.google.protobuf.Descriptors.Descriptor
+        getDescriptor() {
+      return io.bilberryvalve.wire.proto.LoadMessages.internal_static_bilberryvalve_load_PromptPart_descriptor;
+    }
+
+    @java.lang.Override
+    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+        internalGetFieldAccessorTable() {
+      return io.bilberryvalve.wire.proto.LoadMessages.internal_static_bilberryvalve_load_PromptPart_fieldAccessorTable
+          .ensureFieldAccessorsInitialized(
+              io.bilberryvalve.wire.proto.LoadMessages.PromptPart.class, io.bilberryvalve.wire.proto.LoadMessages.PromptPart.Builder.class);
+    }
+
+    private int bitField0_;
+    public static final int PART_FIELD_NUMBER = 1;
+    @SuppressWarnings("serial")
+    private volatile java.lang.Object part_ = "";
+    /**
+     * <code>string part = 1;</code>
+     * @return The part.
+     */
+    @java.lang.Override
+    public java.lang.String getPart() {
+      java.lang.Object ref = part_;
+      if (ref instanceof java.lang.String) {
+        return (java.lang.String) ref;
+      } else {
+        com.google.protobuf.ByteString bs = 
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        part_ = s;
+        return s;
+      }
+    }
+    /**
+     * <code>string part = 1;</code>
+     * @return The bytes for part.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString
+        getPartBytes() {
+      java.lang.Object ref = part_;
+      if (ref instanceof java.lang.String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        part_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+
+    public static final int CRASHES_FIELD_NUMBER = 2;
+    @SuppressWarnings("serial")
+    private java.util.List<io.bilberryvalve.wire.proto.LoadMessages.PromptCrash> crashes_;
+    /**
+     * <code>repeated .bilberryvalve.load.PromptCrash crashes = 2;</code>
+     */
+    @java.lang.Override
+    public java.util.List<io.bilberryvalve.wire.proto.LoadMessages.PromptCrash> getCrashesList() {
+      return crashes_;
+    }
+    /**
+     * <code>repeated .bilberryvalve.load.PromptCrash crashes = 2;</code>
+     */
+    @java.lang.Override
+    public java.util.List<? extends io.bilberryvalve.wire.proto.LoadMessages.PromptCrashOrBuilder> 
+        getCrashesOrBuilderList() {
+      return crashes_;
+    }
+    /**
+     * <code>repeated .bilberryvalve.load.PromptCrash crashes = 2;</code>
+     */
+    @java.lang.Override
+    public int getCrashesCount() {
+      return crashes_.size();
+    }
+    /**
+     * <code>repeated .bilberryvalve.load.PromptCrash crashes = 2;</code>
+     */
+    @java.lang.Override
+    public io.bilberryvalve.wire.proto.LoadMessages.PromptCrash getCrashes(int index) {
+      return crashes_.get(index);
+    }
+    /**
+     * <code>repeated .bilberryvalve.load.PromptCrash crashes = 2;</code>
+     */
+    @java.lang.Override
+    public io.bilberryvalve.wire.proto.LoadMessages.PromptCrashOrBuilder getCrashesOrBuilder(
+        int index) {
+      return crashes_.get(index);
+    }
+
+    public static final int ANSWERED_AGE_FIELD_NUMBER = 3;
+    private long answeredAge_ = 0L;
+    /**
+     * <pre>
+     * Age of the last answer to a prompt with the part; absent if there was none.
+     * </pre>
+     *
+     * <code>optional int64 answered_age = 3;</code>
+     * @return Whether the answeredAge field is set.
+     */
+    @java.lang.Override
+    public boolean hasAnsweredAge() {
+      return ((bitField0_ & 0x00000001) != 0);
+    }
+    /**
+     * <pre>
+     * Age of the last answer to a prompt with the part; absent if there was none.
+     * </pre>
+     *
+     * <code>optional int64 answered_age = 3;</code>
+     * @return The answeredAge.
+     */
+    @java.lang.Override
+    public long getAnsweredAge() {
+      return answeredAge_;
+    }
+
+    private byte memoizedIsInitialized = -1;
+    @java.lang.Override
+    public final boolean isInitialized() {
+      byte isInitialized = memoizedIsInitialized;
+      if (isInitialized == 1) return true;
+      if (isInitialized == 0) return false;
+
+      memoizedIsInitialized = 1;
+      return true;
+    }
+
+    @java.lang.Override
+    public void writeTo(com.google.protobuf.CodedOutputStream output)
+                        throws java.io.IOException {
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(part_)) {
+        com.google.protobuf.GeneratedMessage.writeString(output, 1, part_);
+      }
+      for (int i = 0; i < crashes_.size(); i++) {
+        output.writeMessage(2, crashes_.get(i));
+      }
+      if (((bitField0_ & 0x00000001) != 0)) {
+        output.writeInt64(3, answeredAge_);
+      }
+      getUnknownFields().writeTo(output);
+    }
+
+    @java.lang.Override
+    public int getSerializedSize() {
+      int size = memoizedSize;
+      if (size != -1) return size;
+
+      size = 0;
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(part_)) {
+        size += com.google.protobuf.GeneratedMessage.computeStringSize(1, part_);
+      }
+      for (int i = 0; i < crashes_.size(); i++) {
         size += com.google.protobuf.CodedOutputStream
           .computeMessageSize(2, crashes_.get(i));
       }
@@ -5933,6 +14077,36 @@
   private static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_bilberryvalve_load_DaemonState_fieldAccessorTable;
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_bilberryvalve_load_FleetMessage_descriptor;
+  private static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_bilberryvalve_load_FleetMessage_fieldAccessorTable;
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_bilberryvalve_load_StateDigest_descriptor;
+  private static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_bilberryvalve_load_StateDigest_fieldAccessorTable;
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_bilberryvalve_load_ContainedState_descriptor;
+  private static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_bilberryvalve_load_ContainedState_fieldAccessorTable;
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_bilberryvalve_load_DataCentreAge_descriptor;
+  private static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_bilberryvalve_load_DataCentreAge_fieldAccessorTable;
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_bilberryvalve_load_Roster_descriptor;
+  private static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_bilberryvalve_load_Roster_fieldAccessorTable;
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_bilberryvalve_load_DaemonPresence_descriptor;
+  private static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_bilberryvalve_load_DaemonPresence_fieldAccessorTable;
   private static final com.google.protobuf.Descriptors.Descriptor
     internal_static_bilberryvalve_load_PromptPart_descriptor;
   private static final 
@@ -5957,7 +14131,7 @@
       descriptor;
   static {
     java.lang.String[] descriptorData = {
-      "\n\nload.proto\022\022bilberryvalve.load\"\230\003\n\013Dae" +
+      "\n\nload.proto\022\022bilberryvalve.load\"\275\003\n\013Dae" +
       "monState\022\n\n\002vm\030\001 \001(\t\022\023\n\013incarnation\030\002 \001(" +
       "\003\022\020\n\010sequence\030\003 \001(\003\022\023\n\013data_centre\030\004 \001(\t" +
       "\022\026\n\016caller_address\030\005 \001(\t\022\025\n\rstate_addres" +
@@ -5968,15 +14142,41 @@
       "\030\n\020changing_runners\030\r \003(\t\0224\n\014prompt_part" +
       "s\030\016 \003(\0132\036.bilberryvalve.load.PromptPart\022" +
       "\023\n\013runner_list\030\017 \001(\003\022\025\n\rwithout_usage\030\020 " +
-      "\001(\010\"x\n\nPromptPart\022\014\n\004part\030\001 \001(\t\0220\n\007crash" +
-      "es\030\002 \003(\0132\037.bilberryvalve.load.PromptCras" +
-      "h\022\031\n\014answered_age\030\003 \001(\003H\000\210\001\001B\017\n\r_answere" +
-      "d_age\":\n\013PromptCrash\022\016\n\006prompt\030\001 \001(\006\022\013\n\003" +
-      "age\030\002 \001(\003\022\016\n\006runner\030\003 \001(\006\"l\n\013RunnerUsage" +
-      "\022\016\n\006runner\030\001 \001(\t\022\017\n\007running\030\002 \001(\005\022\024\n\014tok" +
-      "en_layers\030\003 \001(\003\022\017\n\007entered\030\004 \001(\005\022\025\n\runre" +
-      "ad_layers\030\005 \001(\003B+\n\033io.bilberryvalve.wire" +
-      ".protoB\014LoadMessagesb\006proto3"
+      "\001(\010\022\021\n\tstore_era\030\021 \001(\003\022\020\n\010capacity\030\022 \001(\001" +
+      "\"z\n\014FleetMessage\0221\n\006digest\030e \001(\0132\037.bilbe" +
+      "rryvalve.load.StateDigestH\000\022,\n\006roster\030f " +
+      "\001(\0132\032.bilberryvalve.load.RosterH\000B\t\n\007con" +
+      "tent\"\270\003\n\013StateDigest\022\n\n\002vm\030\001 \001(\t\022\023\n\013inca" +
+      "rnation\030\002 \001(\003\022\020\n\010sequence\030\003 \001(\003\022\023\n\013data_" +
+      "centre\030\004 \001(\t\022\034\n\024own_data_centre_only\030\005 \001" +
+      "(\010\022.\n\005usage\030\006 \003(\0132\037.bilberryvalve.load.R" +
+      "unnerUsage\022\024\n\014lost_runners\030\007 \003(\t\022\030\n\020chan" +
+      "ging_runners\030\010 \003(\t\0224\n\014prompt_parts\030\t \003(\013" +
+      "2\036.bilberryvalve.load.PromptPart\022\025\n\rconf" +
+      "iguration\030\n \001(\003\022\021\n\tstore_era\030\013 \001(\003\022\023\n\013ru" +
+      "nner_list\030\014 \001(\003\0225\n\tcontained\030\r \003(\0132\".bil" +
+      "berryvalve.load.ContainedState\0227\n\014data_c" +
+      "entres\030\016 \003(\0132!.bilberryvalve.load.DataCe" +
+      "ntreAge\"C\n\016ContainedState\022\n\n\002vm\030\001 \001(\t\022\023\n" +
+      "\013incarnation\030\002 \001(\003\022\020\n\010sequence\030\003 \001(\003\"1\n\r" +
+      "DataCentreAge\022\023\n\013data_centre\030\001 \001(\t\022\013\n\003ag" +
+      "e\030\002 \001(\003\"=\n\006Roster\0223\n\007daemons\030\001 \003(\0132\".bil" +
+      "berryvalve.load.DaemonPresence\"\370\001\n\016Daemo" +
+      "nPresence\022\n\n\002vm\030\001 \001(\t\022\023\n\013incarnation\030\002 \001" +
+      "(\003\022\020\n\010sequence\030\003 \001(\003\022\023\n\013data_centre\030\004 \001(" +
+      "\t\022\026\n\016caller_address\030\005 \001(\t\022\025\n\rstate_addre" +
+      "ss\030\006 \001(\t\022\017\n\007serving\030\007 \001(\010\022\017\n\007leaving\030\010 \001" +
+      "(\010\022\027\n\017store_reachable\030\t \001(\010\022\025\n\rconfigura" +
+      "tion\030\n \001(\003\022\020\n\010capacity\030\013 \001(\001\022\013\n\003age\030\014 \001(" +
+      "\003\"x\n\nPromptPart\022\014\n\004part\030\001 \001(\t\0220\n\007crashes" +
+      "\030\002 \003(\0132\037.bilberryvalve.load.PromptCrash\022" +
+      "\031\n\014answered_age\030\003 \001(\003H\000\210\001\001B\017\n\r_answered_" +
+      "age\":\n\013PromptCrash\022\016\n\006prompt\030\001 \001(\006\022\013\n\003ag" +
+      "e\030\002 \001(\003\022\016\n\006runner\030\003 \001(\006\"l\n\013RunnerUsage\022\016" +
+      "\n\006runner\030\001 \001(\t\022\017\n\007running\030\002 \001(\005\022\024\n\014token" +
+      "_layers\030\003 \001(\003\022\017\n\007entered\030\004 \001(\005\022\025\n\runread" +
+      "_layers\030\005 \001(\003B+\n\033io.bilberryvalve.wire.p" +
+      "rotoB\014LoadMessagesb\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -5987,21 +14187,57 @@
     internal_static_bilberryvalve_load_DaemonState_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_bilberryvalve_load_DaemonState_descriptor,
-        new java.lang.String[] { "Vm", "Incarnation", "Sequence", "DataCentre", "CallerAddress", "StateAddress", "Serving", "Configuration", "Usage", "Leaving", "StoreReachable", "LostRunners", "ChangingRunners", "PromptParts", "RunnerList", "WithoutUsage", });
-    internal_static_bilberryvalve_load_PromptPart_descriptor =
+        new java.lang.String[] { "Vm", "Incarnation", "Sequence", "DataCentre", "CallerAddress", "StateAddress", "Serving", "Configuration", "Usage", "Leaving", "StoreReachable", "LostRunners", "ChangingRunners", "PromptParts", "RunnerList", "WithoutUsage", "StoreEra", "Capacity", });
+    internal_static_bilberryvalve_load_FleetMessage_descriptor =
       getDescriptor().getMessageType(1);
+    internal_static_bilberryvalve_load_FleetMessage_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_bilberryvalve_load_FleetMessage_descriptor,
+        new java.lang.String[] { "Digest", "Roster", "Content", });
+    internal_static_bilberryvalve_load_StateDigest_descriptor =
+      getDescriptor().getMessageType(2);
+    internal_static_bilberryvalve_load_StateDigest_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_bilberryvalve_load_StateDigest_descriptor,
+        new java.lang.String[] { "Vm", "Incarnation", "Sequence", "DataCentre", "OwnDataCentreOnly", "Usage", "LostRunners", "ChangingRunners", "PromptParts", "Configuration", "StoreEra", "RunnerList", "Contained", "DataCentres", });
+    internal_static_bilberryvalve_load_ContainedState_descriptor =
+      getDescriptor().getMessageType(3);
+    internal_static_bilberryvalve_load_ContainedState_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_bilberryvalve_load_ContainedState_descriptor,
+        new java.lang.String[] { "Vm", "Incarnation", "Sequence", });
+    internal_static_bilberryvalve_load_DataCentreAge_descriptor =
+      getDescriptor().getMessageType(4);
+    internal_static_bilberryvalve_load_DataCentreAge_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_bilberryvalve_load_DataCentreAge_descriptor,
+        new java.lang.String[] { "DataCentre", "Age", });
+    internal_static_bilberryvalve_load_Roster_descriptor =
+      getDescriptor().getMessageType(5);
+    internal_static_bilberryvalve_load_Roster_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_bilberryvalve_load_Roster_descriptor,
+        new java.lang.String[] { "Daemons", });
+    internal_static_bilberryvalve_load_DaemonPresence_descriptor =
+      getDescriptor().getMessageType(6);
+    internal_static_bilberryvalve_load_DaemonPresence_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_bilberryvalve_load_DaemonPresence_descriptor,
+        new java.lang.String[] { "Vm", "Incarnation", "Sequence", "DataCentre", "CallerAddress", "StateAddress", "Serving", "Leaving", "StoreReachable", "Configuration", "Capacity", "Age", });
+    internal_static_bilberryvalve_load_PromptPart_descriptor =
+      getDescriptor().getMessageType(7);
     internal_static_bilberryvalve_load_PromptPart_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_bilberryvalve_load_PromptPart_descriptor,
         new java.lang.String[] { "Part", "Crashes", "AnsweredAge", });
     internal_static_bilberryvalve_load_PromptCrash_descriptor =
-      getDescriptor().getMessageType(2);
+      getDescriptor().getMessageType(8);
     internal_static_bilberryvalve_load_PromptCrash_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_bilberryvalve_load_PromptCrash_descriptor,
         new java.lang.String[] { "Prompt", "Age", "Runner", });
     internal_static_bilberryvalve_load_RunnerUsage_descriptor =
-      getDescriptor().getMessageType(3);
+      getDescriptor().getMessageType(9);
     internal_static_bilberryvalve_load_RunnerUsage_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_bilberryvalve_load_RunnerUsage_descriptor,
