Compute the delegates of a data centre from the present daemons

Cause: the relay of rows and the digests of states need the same delegates. Change: Delegates reads the present daemons of the state exchange. Result: compiles; nothing uses it yet.

--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/Gateway.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/Gateway.java
@@ -28,6 +28,7 @@
 import io.bilberryvalve.gateway.http.UpstreamPool;
 import io.bilberryvalve.gateway.layers.LayerOrders;
 import io.bilberryvalve.gateway.layers.LayerReconciler;
+import io.bilberryvalve.gateway.peer.Delegates;
 import io.bilberryvalve.gateway.peer.PeerState;
 import io.bilberryvalve.gateway.peer.StateExchange;
 import io.bilberryvalve.gateway.relay.RelayContext;
@@ -312,6 +313,14 @@
 		return this.stateExchange.isReader();
 	}
 
+	/**
+	 * Returns the delegates of the data centres.
+	 * @return a view that follows all changes
+	 */
+	public Delegates delegates() {
+		return this.stateExchange.delegates();
+	}
+
 	/**
 	 * Starts to listen for callers and for states of other gateways, registers this
 	 * gateway, and schedules the periodic tasks.
--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/peer/StateExchange.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/peer/StateExchange.java
@@ -117,6 +117,8 @@
 
 	private final PeerTable peers = new PeerTable();
 
+	private final Delegates delegates;
+
 	private LongConsumer onNewerConfiguration = (version) -> {
 	};
 
@@ -166,6 +168,7 @@
 		this.startedAt = clock.millis();
 		this.unreadableLoggedAt = this.startedAt - UNREADABLE_LOG_MILLIS;
 		this.versionLag = new VersionLag(clock);
+		this.delegates = new Delegates(local, this::presentPeers, this::knownCount);
 	}
 
 	/**
@@ -233,6 +236,14 @@
 		return this.targets.size() + 1;
 	}
 
+	/**
+	 * Returns the delegates of the data centres.
+	 * @return a view that follows all changes
+	 */
+	public Delegates delegates() {
+		return this.delegates;
+	}
+
 	/**
 	 * Returns whether this daemon is the leader: it reaches the store, and no other
 	 * daemon that is present, serves and reaches the store has a lesser name.
