Treat responses with an invalid status as malformed

Cause: a runner in trouble may answer with a status such as 000 or 600. The HTTP library accepts it, and the relay passed it on to the caller; the client of layer orders took 000 for a confirmation. Change: ResponseDecoder accepts three digits from 100 to 599 only, and StatusCheck does the same for the clients of /v1.

--- a/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/call/HttpApplicationClient.java
+++ b/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/call/HttpApplicationClient.java
@@ -13,6 +13,7 @@
 import io.bilberryvalve.model.Address;
 import io.bilberryvalve.model.ApplicationRunner;
 import io.bilberryvalve.platform.http.ResponseLimit;
+import io.bilberryvalve.platform.http.StatusCheck;
 import io.servicetalk.client.api.NoActiveHostException;
 import io.servicetalk.client.api.NoAvailableHostException;
 import io.servicetalk.http.api.HttpClient;
@@ -84,6 +85,7 @@
 		return HttpClients.forResolvedAddress(new InetSocketAddress(address.host(), address.port()))
 			.socketOption(ServiceTalkSocketOptions.CONNECT_TIMEOUT, (int) this.connectTimeout.toMillis())
 			.appendClientFilter(RetryingHttpRequesterFilter.disableAutoRetries())
+			.appendClientFilter(new StatusCheck())
 			.appendClientFilter(new ResponseLimit(MAX_RESULT_BYTES))
 			.build();
 	}
--- a/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/order/HttpEngineOrderClient.java
+++ b/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/order/HttpEngineOrderClient.java
@@ -18,6 +18,7 @@
 import io.bilberryvalve.model.ModelVersion;
 import io.bilberryvalve.model.Runner;
 import io.bilberryvalve.platform.http.ResponseLimit;
+import io.bilberryvalve.platform.http.StatusCheck;
 import io.bilberryvalve.policy.lease.FencingNumber;
 import io.servicetalk.http.api.HttpClient;
 import io.servicetalk.http.api.HttpRequest;
@@ -118,6 +119,7 @@
 		return HttpClients.forResolvedAddress(new InetSocketAddress(address.host(), address.port()))
 			.socketOption(ServiceTalkSocketOptions.CONNECT_TIMEOUT, (int) this.connectTimeout.toMillis())
 			.appendClientFilter(RetryingHttpRequesterFilter.disableAutoRetries())
+			.appendClientFilter(new StatusCheck())
 			.appendClientFilter(new ResponseLimit(MAX_ANSWER_BYTES))
 			.build();
 	}
--- a/bilberryvalve-daemon/src/test/java/io/bilberryvalve/daemon/call/HttpApplicationClientTests.java
+++ b/bilberryvalve-daemon/src/test/java/io/bilberryvalve/daemon/call/HttpApplicationClientTests.java
@@ -8,6 +8,7 @@
 import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 
@@ -82,6 +83,20 @@
 		}
 	}
 
+	// Guards against an answer with an invalid status that is passed on to the caller as
+	// the result of the call.
+	@Example
+	void reportsAnAnswerWithAnInvalidStatusAsLost() throws Exception {
+		for (String status : List.of("000", "0", "099", "600", "999", "2000", "-200", "2x0")) {
+			try (ServerSocket server = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+				serve(server, new CompletableFuture<>(),
+						"HTTP/1.1 " + status + " x\r\ncontent-type: text/plain\r\ncontent-length: 2\r\n\r\nok");
+				assertThat(send(server.getLocalPort(), Duration.ofSeconds(5))).as(status)
+					.isInstanceOf(ApplicationClient.Reply.Lost.class);
+			}
+		}
+	}
+
 	@Example
 	void reportsTruncatedAnswerAsLost() throws Exception {
 		try (ServerSocket server = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/http/ResponseDecoder.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/http/ResponseDecoder.java
@@ -1,12 +1,15 @@
 package io.bilberryvalve.gateway.http;
 
 import java.util.function.BooleanSupplier;
+import java.util.regex.Pattern;
 
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpResponseDecoder;
 
 /**
- * Decodes the responses on one connection to an upstream.
+ * Decodes the responses on one connection to an upstream. A status that is not a number
+ * from 100 to 599 makes the response malformed, since no caller could tell from it
+ * whether the request has run.
  */
 final class ResponseDecoder extends HttpResponseDecoder {
 
@@ -16,6 +19,8 @@
 
 	private static final int MAX_CHUNK_BYTES = 65536;
 
+	private static final Pattern STATUS = Pattern.compile("[1-5][0-9]{2}");
+
 	private final BooleanSupplier headRequested;
 
 	/**
@@ -28,6 +33,14 @@
 		this.headRequested = headRequested;
 	}
 
+	@Override
+	protected HttpMessage createMessage(String[] initialLine) {
+		if (!STATUS.matcher(initialLine[1]).matches()) {
+			throw new IllegalArgumentException("the status is no number from 100 to 599: " + initialLine[1]);
+		}
+		return super.createMessage(initialLine);
+	}
+
 	@Override
 	protected boolean isContentAlwaysEmpty(HttpMessage message) {
 		return this.headRequested.getAsBoolean() || super.isContentAlwaysEmpty(message);
--- a/bilberryvalve-platform/src/main/java/io/bilberryvalve/platform/http/FailoverHttpClient.java
+++ b/bilberryvalve-platform/src/main/java/io/bilberryvalve/platform/http/FailoverHttpClient.java
@@ -167,6 +167,7 @@
 		return HttpClients.forResolvedAddress(new InetSocketAddress(address.host(), address.port()))
 			.socketOption(ServiceTalkSocketOptions.CONNECT_TIMEOUT, (int) connectTimeout.toMillis())
 			.appendClientFilter(RetryingHttpRequesterFilter.disableAutoRetries())
+			.appendClientFilter(new StatusCheck())
 			.appendClientFilter(new ResponseLimit(MAX_ANSWER_BYTES))
 			.build();
 	}
