Send states through delegates in a large fleet

Cause: in a fleet of 101 VMs each daemon sent its state to all others, about 33,000 datagrams per second. Change: StateExchange keeps the socket; StateProtocol maps datagrams and the time to knowledge and messages. LoadTracker counts a digest in place of the reports of the daemons that it contains. Result: compiles; the tests of LoadTracker and RunnerAvailability pass.

--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/Gateway.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/Gateway.java
@@ -111,6 +111,8 @@
 	 */
 	private static final long ACCEPT_WHILE_LEAVING_MILLIS = 3000;
 
+	private static final double MILLIS_PER_SECOND = 1000;
+
 	private static final Duration SHUTDOWN_POLL_INTERVAL = Duration.ofMillis(50);
 
 	/** Shortest time in which the last responses are sent before the process exits. */
@@ -328,7 +330,11 @@
 	 */
 	public void start() {
 		this.server.listen(this.settings.callerAddress().host(), this.settings.callerAddress().port());
+		this.stateExchange.countMessages(metrics()::recordStateDatagrams);
 		this.stateExchange.start();
+		metrics().addGauge("bilberryvalve_state_digest_age_seconds",
+				"Age of the last digest of a delegate; 0 in a fleet without delegates",
+				() -> this.stateExchange.digestAgeMillis() / MILLIS_PER_SECOND);
 		this.loopMonitor.start(this.transport.loops(), metrics());
 		register();
 		EventLoop loop = this.transport.next();
--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/fleet/LoadTracker.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/fleet/LoadTracker.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.Predicate;
 
 import io.bilberryvalve.model.RunnerId;
 import io.bilberryvalve.policy.path.LoadSource;
@@ -30,9 +31,12 @@
 
 	private final Map<String, Report> reports = new ConcurrentHashMap<>();
 
-	/** Sum of all reports, kept up to date with each of them. */
+	/** Sum of all that counts, kept up to date with each report. */
 	private final Map<RunnerId, RunnerLoad> others = new HashMap<>();
 
+	/** Sums over several daemons, which replace the reports of these daemons. */
+	private List<Aggregate> aggregates = List.of();
+
 	/**
 	 * Creates a tracker without load.
 	 * @param clock monotonic clock
@@ -115,17 +119,65 @@
 	 * @param daemon name of the daemon
 	 * @param load load by its own requests, by identifier of the runner or link
 	 */
-	public synchronized void applyReport(String daemon, Map<RunnerId, RunnerLoad> load) {
-		Report previous = this.reports.put(daemon, new Report(this.clock.millis(), load));
-		Map<RunnerId, RunnerLoad> before = (previous != null) ? previous.load : Map.of();
-		load.forEach((runner, now) -> changeOthers(runner, before.getOrDefault(runner, RunnerLoad.NONE), now));
+	public void applyReport(String daemon, Map<RunnerId, RunnerLoad> load) {
+		applyReport(new DaemonLoad(daemon, 0, 0, load));
+	}
+
+	/**
+	 * Applies the report of another daemon, which replaces its previous one.
+	 * @param report load by its own requests
+	 */
+	public synchronized void applyReport(DaemonLoad report) {
+		Report previous = this.reports.get(report.daemon());
+		Map<RunnerId, RunnerLoad> before = (previous != null) ? previous.counted() : Map.of();
+		Report next = new Report(this.clock.millis(), report, !isAggregated(report.daemon()));
+		this.reports.put(report.daemon(), next);
+		replace(before, next.counted());
+	}
+
+	private boolean isAggregated(String daemon) {
+		return this.aggregates.stream().anyMatch((aggregate) -> aggregate.contains().test(daemon));
+	}
+
+	private void replace(Map<RunnerId, RunnerLoad> before, Map<RunnerId, RunnerLoad> after) {
+		after.forEach((runner, now) -> changeOthers(runner, before.getOrDefault(runner, RunnerLoad.NONE), now));
 		before.forEach((runner, gone) -> {
-			if (!load.containsKey(runner)) {
+			if (!after.containsKey(runner)) {
 				changeOthers(runner, gone, RunnerLoad.NONE);
 			}
 		});
 	}
 
+	/**
+	 * Sets the sums over several daemons that count in place of the reports of these
+	 * daemons. A report counts again once no sum contains its daemon.
+	 * @param next sums that contain no daemon twice, and not this one
+	 */
+	public synchronized void useAggregates(List<Aggregate> next) {
+		this.aggregates.forEach((aggregate) -> replace(aggregate.load(), Map.of()));
+		this.aggregates = List.copyOf(next);
+		this.aggregates.forEach((aggregate) -> replace(Map.of(), aggregate.load()));
+		this.reports.replaceAll((daemon, report) -> {
+			Report changed = new Report(report.millis, report.source, !isAggregated(daemon));
+			replace(report.counted(), changed.counted());
+			return changed;
+		});
+	}
+
+	/**
+	 * Returns the last reports of other daemons, including those that an aggregate
+	 * replaces.
+	 * @return the reports that have not expired
+	 */
+	public List<DaemonLoad> reports() {
+		long oldest = this.clock.millis() - REPORT_LIFETIME.toMillis();
+		return this.reports.values()
+			.stream()
+			.filter((report) -> report.millis >= oldest)
+			.map((report) -> report.source)
+			.toList();
+	}
+
 	/**
 	 * Removes reports that are too old. Call it a few times a second.
 	 */
@@ -134,7 +186,7 @@
 		this.reports.values().removeIf((report) -> {
 			boolean expired = report.millis < oldest;
 			if (expired) {
-				report.load.forEach((runner, gone) -> changeOthers(runner, gone, RunnerLoad.NONE));
+				replace(report.counted(), Map.of());
 			}
 			return expired;
 		});
@@ -157,7 +209,60 @@
 
 	}
 
-	private record Report(long millis, Map<RunnerId, RunnerLoad> load) {
+	/**
+	 * Load by the requests of one daemon, as it reported it.
+	 *
+	 * @param daemon name of the daemon
+	 * @param incarnation number of its start
+	 * @param sequence number of the report
+	 * @param load load by identifier of the runner or link
+	 */
+	public record DaemonLoad(String daemon, long incarnation, long sequence, Map<RunnerId, RunnerLoad> load) {
+
+		/**
+		 * Copies the load.
+		 * @param daemon name of the daemon
+		 * @param incarnation number of its start
+		 * @param sequence number of the report
+		 * @param load load by identifier of the runner or link
+		 */
+		public DaemonLoad {
+			load = Map.copyOf(load);
+		}
+
+	}
+
+	/**
+	 * Sum of the loads of several daemons.
+	 *
+	 * @param load load by identifier of the runner or link
+	 * @param contains accepts the names of the daemons that are part of the sum
+	 */
+	public record Aggregate(Map<RunnerId, RunnerLoad> load, Predicate<String> contains) {
+
+		/**
+		 * Copies the load.
+		 * @param load load by identifier of the runner or link
+		 * @param contains accepts the names of the daemons that are part of the sum
+		 */
+		public Aggregate {
+			load = Map.copyOf(load);
+		}
+
+	}
+
+	/**
+	 * Last report of a daemon.
+	 *
+	 * @param millis time at which it arrived
+	 * @param source the report
+	 * @param counts whether it counts, which it does not while an aggregate replaces it
+	 */
+	private record Report(long millis, DaemonLoad source, boolean counts) {
+
+		private Map<RunnerId, RunnerLoad> counted() {
+			return this.counts ? this.source.load() : Map.of();
+		}
 
 	}
 
--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/fleet/RunnerAvailability.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/fleet/RunnerAvailability.java
@@ -102,16 +102,47 @@
 	 * @param changing runners that it ordered to drop layers
 	 */
 	public void applyReport(String daemon, Set<RunnerId> lost, Set<RunnerId> changing) {
-		long oldest = this.clock.millis() - REPORT_LIFETIME_MILLIS;
-		this.reports.values().removeIf((report) -> report.at < oldest);
+		applyReport(daemon, lost, changing, REPORT_LIFETIME_MILLIS);
+	}
+
+	/**
+	 * Applies a report, which replaces the previous one of the same source.
+	 * @param source name of the daemon, or of the summary of several daemons
+	 * @param lost runners that were found lost
+	 * @param changing runners that were ordered to drop layers
+	 * @param lifetimeMillis time in milliseconds for which the report counts; shorter for
+	 * a summary, which contains reports of some age
+	 */
+	public void applyReport(String source, Set<RunnerId> lost, Set<RunnerId> changing, long lifetimeMillis) {
+		long now = this.clock.millis();
+		this.reports.values().removeIf((report) -> report.until < now);
 		if (lost.isEmpty() && changing.isEmpty()) {
-			this.reports.remove(daemon);
+			this.reports.remove(source);
 		}
 		else {
-			this.reports.put(daemon, new Report(this.clock.millis(), lost, changing));
+			this.reports.put(source, new Report(now, now + lifetimeMillis, lost, changing));
 		}
 	}
 
+	/**
+	 * Returns what some sources have reported lately.
+	 * @param sources accepts the names of the sources
+	 * @param maxAgeMillis largest age of a report in milliseconds
+	 * @return the runners in these reports
+	 */
+	public ReportedRunners reported(Predicate<String> sources, long maxAgeMillis) {
+		long oldest = this.clock.millis() - maxAgeMillis;
+		Set<RunnerId> lost = new HashSet<>();
+		Set<RunnerId> changing = new HashSet<>();
+		this.reports.forEach((source, report) -> {
+			if (report.at >= oldest && sources.test(source)) {
+				lost.addAll(report.lost);
+				changing.addAll(report.changing);
+			}
+		});
+		return new ReportedRunners(lost, changing);
+	}
+
 	/**
 	 * Sets the runners that this daemon ordered to drop layers. They refuse requests for
 	 * these layers although they are still listed with them.
@@ -156,10 +187,10 @@
 	}
 
 	private boolean isReported(RunnerId runner) {
-		long oldest = this.clock.millis() - REPORT_LIFETIME_MILLIS;
+		long now = this.clock.millis();
 		return !this.reports.isEmpty() && this.reports.values()
 			.stream()
-			.anyMatch((report) -> report.at >= oldest && report.lost.contains(runner));
+			.anyMatch((report) -> report.until >= now && report.lost.contains(runner));
 	}
 
 	/**
@@ -192,7 +223,7 @@
 	 */
 	public Predicate<RunnerId> usableRunners() {
 		long now = this.clock.millis();
-		Set<RunnerId> reported = reportedRunners(now - REPORT_LIFETIME_MILLIS);
+		Set<RunnerId> reported = reportedRunners(now);
 		return (runner) -> {
 			Failures record = this.failures.get(runner);
 			Loss loss = this.losses.get(runner);
@@ -201,10 +232,10 @@
 		};
 	}
 
-	private Set<RunnerId> reportedRunners(long oldest) {
+	private Set<RunnerId> reportedRunners(long now) {
 		Set<RunnerId> reported = new HashSet<>();
 		for (Report report : this.reports.values()) {
-			if (report.at >= oldest) {
+			if (report.until >= now) {
 				reported.addAll(report.lost);
 				reported.addAll(report.changing);
 			}
@@ -222,14 +253,35 @@
 
 	}
 
+	/**
+	 * Runners that other daemons reported.
+	 *
+	 * @param lost runners that they found lost
+	 * @param changing runners that they ordered to drop layers
+	 */
+	public record ReportedRunners(Set<RunnerId> lost, Set<RunnerId> changing) {
+
+		/**
+		 * Copies the runners.
+		 * @param lost runners that they found lost
+		 * @param changing runners that they ordered to drop layers
+		 */
+		public ReportedRunners {
+			lost = Set.copyOf(lost);
+			changing = Set.copyOf(changing);
+		}
+
+	}
+
 	/**
 	 * Report of another daemon.
 	 *
 	 * @param at time at which the report arrived, in milliseconds
+	 * @param until time up to which it counts
 	 * @param lost runners that it found lost
 	 * @param changing runners that it ordered to drop layers
 	 */
-	private record Report(long at, Set<RunnerId> lost, Set<RunnerId> changing) {
+	private record Report(long at, long until, Set<RunnerId> lost, Set<RunnerId> changing) {
 
 	}
 
--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/peer/Delegates.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/peer/Delegates.java
@@ -2,10 +2,14 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Comparator;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
+import java.util.TreeMap;
 import java.util.function.IntSupplier;
 import java.util.function.Supplier;
+import java.util.stream.Stream;
 
 import io.bilberryvalve.model.DataCentreId;
 import io.bilberryvalve.policy.membership.DelegateSelector;
@@ -53,6 +57,26 @@
 		return of(this.local.dataCentre());
 	}
 
+	/**
+	 * Returns the place of this daemon among the delegates of its data centre.
+	 * @return 0 for the first delegate; -1 if it is no delegate
+	 */
+	int place() {
+		return select(this.local.dataCentre()).indexOf(this.local.vm());
+	}
+
+	/**
+	 * Returns the names of the delegates of each data centre with a present daemon.
+	 * @return names of the VMs, the first delegate first, by data centre
+	 */
+	Map<DataCentreId, List<String>> names() {
+		Collection<PeerState> present = this.presentPeers.get();
+		Map<DataCentreId, List<String>> names = new TreeMap<>(Comparator.comparing(DataCentreId::value));
+		names.put(this.local.dataCentre(), select(this.local.dataCentre(), present));
+		present.forEach((peer) -> names.computeIfAbsent(peer.dataCentre(), (key) -> select(key, present)));
+		return names;
+	}
+
 	/**
 	 * Returns the delegates of a data centre, without this daemon.
 	 * @param dataCentre the data centre
@@ -72,16 +96,23 @@
 	}
 
 	private List<String> select(DataCentreId dataCentre, Collection<PeerState> present) {
+		boolean serves = this.local.serving().getAsBoolean() && !this.local.leaving().getAsBoolean();
+		List<DelegateSelector.Contender> serving = contenders(dataCentre, serves,
+				present.stream().filter((peer) -> peer.serving() && !peer.leaving()));
+		// Daemons that start or leave all at once still need the load of the others.
+		return DelegateSelector.select(serving.isEmpty() ? contenders(dataCentre, true, present.stream()) : serving);
+	}
+
+	private List<DelegateSelector.Contender> contenders(DataCentreId dataCentre, boolean self,
+			Stream<PeerState> peers) {
 		List<DelegateSelector.Contender> contenders = new ArrayList<>();
-		if (dataCentre.equals(this.local.dataCentre()) && this.local.serving().getAsBoolean()
-				&& !this.local.leaving().getAsBoolean()) {
-			contenders.add(new DelegateSelector.Contender(this.local.vm(), this.local.capacity()));
+		if (self && dataCentre.equals(this.local.dataCentre())) {
+			contenders.add(new DelegateSelector.Contender(this.local.vm(), Math.max(0, this.local.capacity())));
 		}
-		present.stream()
-			.filter((peer) -> peer.dataCentre().equals(dataCentre) && peer.serving() && !peer.leaving())
+		peers.filter((peer) -> peer.dataCentre().equals(dataCentre))
 			.map((peer) -> new DelegateSelector.Contender(peer.vm(), Math.max(0, peer.capacity())))
 			.forEach(contenders::add);
-		return DelegateSelector.select(contenders);
+		return contenders;
 	}
 
 }
--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/peer/PeerTable.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/peer/PeerTable.java
@@ -69,6 +69,23 @@
 		return true;
 	}
 
+	/**
+	 * Records that a message other than a state has arrived from a known daemon.
+	 * @param vm name of the VM of the daemon
+	 * @param incarnation number of its start
+	 * @param sequence number of the message
+	 * @param now arrival time in milliseconds
+	 * @return whether the message is newer than all others of the daemon
+	 */
+	boolean touch(String vm, long incarnation, long sequence, long now) {
+		PeerState known = this.states.get(vm);
+		if (known == null || known.incarnation() != incarnation || known.sequence() >= sequence) {
+			return false;
+		}
+		this.states.put(vm, known.heardAgain(sequence, now));
+		return true;
+	}
+
 	private boolean hasRoom(long now) {
 		if (this.states.size() >= MAX_DAEMONS) {
 			this.states.values().removeIf((state) -> now - state.receivedMillis() > RETENTION_MILLIS);
--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/peer/StateExchange.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/peer/StateExchange.java
@@ -3,33 +3,24 @@
 import java.net.InetSocketAddress;
 import java.time.Clock;
 import java.time.Duration;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
-import java.util.Set;
-import java.util.concurrent.ConcurrentHashMap;
+import java.util.OptionalLong;
+import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import java.util.function.LongConsumer;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
-import java.util.stream.Collectors;
 
-import com.google.protobuf.InvalidProtocolBufferException;
 import io.bilberryvalve.gateway.fleet.LoadTracker;
 import io.bilberryvalve.gateway.fleet.RunnerAvailability;
-import io.bilberryvalve.gateway.http.IpAddresses;
 import io.bilberryvalve.gateway.http.Transport;
 import io.bilberryvalve.model.Address;
 import io.bilberryvalve.model.DataCentreId;
-import io.bilberryvalve.model.RunnerId;
 import io.bilberryvalve.model.log.LogEvent;
 import io.bilberryvalve.model.task.GuardedTask;
 import io.bilberryvalve.platform.watch.StoreVersion;
-import io.bilberryvalve.policy.path.RunnerLoad;
 import io.bilberryvalve.policy.quarantine.PartQuarantine;
-import io.bilberryvalve.wire.proto.LoadMessages.DaemonState;
-import io.bilberryvalve.wire.proto.LoadMessages.RunnerUsage;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
@@ -42,8 +33,9 @@
 /**
  * Exchanges states with the other daemons. Several times a second this daemon sends a
  * datagram with its identity, the requests that it has at runners, and the runners that
- * are lost or change their layers. A lost datagram is made up for by the next one.
- * Daemons discover each other by the list in the store and by the datagrams themselves.
+ * are lost or change their layers. In a large fleet it sends them to delegates, which
+ * send sums of them. A lost datagram is made up for by the next one. Daemons discover
+ * each other by the list in the store and by the datagrams themselves.
  */
 public final class StateExchange {
 
@@ -53,94 +45,23 @@
 	 * Period of sending. It limits the time during which two daemons can grant the same
 	 * slot.
 	 */
-	private static final long SEND_PERIOD_MILLIS = 150;
-
-	/**
-	 * Shortest silence after which a daemon is absent, about seven lost datagrams in a
-	 * row. Callers are no longer directed to an absent daemon.
-	 */
-	private static final long MIN_ABSENT_MILLIS = 1100;
-
-	/**
-	 * Largest number of periods between two states to another data centre. Every second
-	 * one leaves out the usage of runners, which is the largest part, so that the loads
-	 * seen there can be twice as old.
-	 */
-	private static final int MAX_CROSS_PERIODS = 4;
-
-	/**
-	 * Number of known daemons for each period between two states to another data centre.
-	 */
-	private static final int DAEMONS_PER_CROSS_PERIOD = 7;
-
-	/**
-	 * Number of states from another data centre that may be lost in a row before their
-	 * sender is absent.
-	 */
-	private static final int TOLERATED_CROSS_LOSSES = 3;
-
-	/** Silence after which a daemon is considered to have ended. */
-	private static final long ENDED_AFTER_MILLIS = 2000;
-
-	/** Silence after which no more states are sent to a daemon. */
-	private static final long TARGET_RETENTION_MILLIS = 60_000;
-
-	/** Number of identifiers of runners that are kept; more than a fleet has. */
-	private static final int MAX_KNOWN_RUNNERS = 20_000;
-
-	/** Number of daemons that read the store often; one of them may fail at any time. */
-	private static final int READERS = 2;
-
-	/** Least time between two log lines on datagrams that are no states. */
-	private static final long UNREADABLE_LOG_MILLIS = 1000;
-
-	/** Number of periods between two states to an absent daemon. */
-	private static final int ABSENT_PERIODS = 8;
+	static final long SEND_PERIOD_MILLIS = 150;
 
 	private final Transport transport;
 
 	private final LocalState local;
 
-	private final LoadTracker loadTracker;
-
-	private final RunnerAvailability runnerAvailability;
-
-	private final PartQuarantine partQuarantine;
+	private final StateProtocol protocol;
 
 	private final Clock clock;
 
-	private final long incarnation;
-
-	private final long startedAt;
-
-	private final Map<Address, Long> targets = new ConcurrentHashMap<>();
-
-	private final PeerTable peers = new PeerTable();
-
-	private final Delegates delegates;
-
-	private LongConsumer onNewerConfiguration = (version) -> {
-	};
-
-	private Consumer<StoreVersion> onNewerRunnerList = (version) -> {
+	private MessageCounter messageCounter = (direction, kind, count) -> {
 	};
 
 	private @Nullable Channel channel;
 
-	private long sequence;
-
-	/**
-	 * Identifiers in received states, which name the same runners many times a second.
-	 * Confined to the event loop that receives states.
-	 */
-	private final Map<String, RunnerId> knownRunners = new HashMap<>();
-
-	private final VersionLag versionLag;
-
-	/** Number of datagrams that were no states; confined like {@link #knownRunners}. */
-	private long unreadableStates;
-
-	private long unreadableLoggedAt;
+	/** Whether urgent news are about to be sent; confined to the event loop. */
+	private boolean urgentScheduled;
 
 	/**
 	 * Creates an exchange without peers.
@@ -160,15 +81,17 @@
 			RunnerAvailability runnerAvailability, PartQuarantine partQuarantine, Clock clock, long incarnation) {
 		this.transport = transport;
 		this.local = local;
-		this.loadTracker = loadTracker;
-		this.runnerAvailability = runnerAvailability;
-		this.partQuarantine = partQuarantine;
 		this.clock = clock;
-		this.incarnation = incarnation;
-		this.startedAt = clock.millis();
-		this.unreadableLoggedAt = this.startedAt - UNREADABLE_LOG_MILLIS;
-		this.versionLag = new VersionLag(clock);
-		this.delegates = new Delegates(local, this::presentPeers, this::knownCount);
+		this.protocol = new StateProtocol(local, new SharedKnowledge(loadTracker, runnerAvailability, partQuarantine),
+				clock, incarnation);
+	}
+
+	/**
+	 * Sets what counts the datagrams.
+	 * @param counter counts datagrams that are sent or received
+	 */
+	public void countMessages(MessageCounter counter) {
+		this.messageCounter = counter;
 	}
 
 	/**
@@ -176,7 +99,7 @@
 	 * @param action receives the version, on the event loop that receives states
 	 */
 	public void onNewerConfiguration(LongConsumer action) {
-		this.onNewerConfiguration = action;
+		this.protocol.onNewerConfiguration(action);
 	}
 
 	/**
@@ -186,7 +109,7 @@
 	 * that receives states; it may run several times for one change
 	 */
 	public void onNewerRunnerList(Consumer<StoreVersion> action) {
-		this.onNewerRunnerList = action;
+		this.protocol.onNewerRunnerList(action);
 	}
 
 	/**
@@ -196,7 +119,7 @@
 	public void start() {
 		Address address = this.local.stateAddress();
 		ChannelFuture bound = this.transport.datagramBootstrap()
-			.handler(new StateReceiver())
+			.handler(new DatagramReceiver())
 			.bind(address.host(), address.port())
 			.awaitUninterruptibly();
 		if (!bound.isSuccess()) {
@@ -204,7 +127,7 @@
 					bound.cause());
 		}
 		this.channel = bound.channel();
-		GuardedTask.repeat(bound.channel().eventLoop(), "send-state", () -> send(false),
+		GuardedTask.repeat(bound.channel().eventLoop(), "send-state", this::sendPeriodic,
 				Duration.ofMillis(SEND_PERIOD_MILLIS));
 	}
 
@@ -213,18 +136,15 @@
 	 * @param address address on which a daemon may receive states
 	 */
 	public void addTarget(Address address) {
-		if (!address.equals(this.local.stateAddress()) && this.targets.size() < PeerTable.MAX_DAEMONS) {
-			this.targets.putIfAbsent(address, this.clock.millis());
-		}
+		this.protocol.directory().addTarget(address);
 	}
 
 	/**
-	 * Returns the daemons from which a state has arrived recently.
+	 * Returns the daemons from which a state has arrived recently, here or at a delegate.
 	 * @return their last states
 	 */
 	public List<PeerState> presentPeers() {
-		long oldest = this.clock.millis() - absentMillis();
-		return this.peers.all().stream().filter((peer) -> peer.receivedMillis() >= oldest).toList();
+		return this.protocol.directory().presentPeers();
 	}
 
 	/**
@@ -233,7 +153,7 @@
 	 * for this daemon
 	 */
 	public int knownCount() {
-		return this.targets.size() + 1;
+		return this.protocol.directory().knownCount();
 	}
 
 	/**
@@ -241,7 +161,7 @@
 	 * @return a view that follows all changes
 	 */
 	public Delegates delegates() {
-		return this.delegates;
+		return this.protocol.delegates();
 	}
 
 	/**
@@ -250,8 +170,7 @@
 	 * @return {@code true} if this daemon should do the work that one daemon does for all
 	 */
 	public boolean isLeader() {
-		return this.local.storeReachable().getAsBoolean() && presentPeers().stream()
-			.noneMatch((peer) -> peer.serving() && peer.storeReachable() && peer.vm().compareTo(this.local.vm()) < 0);
+		return this.protocol.directory().isLeader();
 	}
 
 	/**
@@ -261,9 +180,7 @@
 	 * @return {@code true} if fewer such daemons than needed have lesser names
 	 */
 	public boolean isReader() {
-		return presentPeers().stream()
-			.filter((peer) -> peer.serving() && peer.storeReachable() && peer.vm().compareTo(this.local.vm()) < 0)
-			.count() < READERS;
+		return this.protocol.directory().isReader();
 	}
 
 	/**
@@ -275,187 +192,100 @@
 	 * @return {@code true} if it no longer acts
 	 */
 	public boolean hasEnded(String vm, long start) {
-		if (vm.equals(this.local.vm())) {
-			return start != this.incarnation;
-		}
-		long now = this.clock.millis();
-		PeerState peer = this.peers.get(vm);
-		if (peer == null) {
-			return now - this.startedAt >= ENDED_AFTER_MILLIS;
-		}
-		return peer.incarnation() != start || !peer.serving() || !peer.storeReachable()
-				|| now - peer.receivedMillis() > ENDED_AFTER_MILLIS;
+		return this.protocol.directory().hasEnded(vm, start);
+	}
+
+	/**
+	 * Returns the age of the last digest of a delegate.
+	 * @return time in milliseconds, since the start if none has arrived; 0 in a fleet
+	 * without delegates
+	 */
+	public long digestAgeMillis() {
+		return this.protocol.digestAgeMillis();
 	}
 
 	/**
-	 * Sends the state now, in addition to the periodic states.
+	 * Sends the state now, in addition to the periodic states. In a fleet with delegates
+	 * it goes to the delegates, which pass on what is new.
 	 */
 	public void sendNow() {
-		Channel socket = this.channel;
-		if (socket != null) {
-			socket.eventLoop().execute(() -> send(false));
-		}
+		sendNow(false);
 	}
 
 	/**
 	 * Sends the state now to all daemons, including those that get every few states only.
+	 * In a fleet with delegates it goes to these, as with {@link #sendNow()}.
 	 */
 	public void sendNowToAll() {
-		Channel socket = this.channel;
-		if (socket != null) {
-			socket.eventLoop().execute(() -> send(true));
-		}
+		sendNow(true);
 	}
 
-	private void send(boolean toAll) {
+	private void sendNow(boolean toAll) {
 		Channel socket = this.channel;
-		if (socket == null) {
-			return;
+		if (socket != null) {
+			socket.eventLoop().execute(() -> {
+				write(this.protocol.sendNow(toAll));
+				scheduleUrgent();
+			});
 		}
-		this.loadTracker.removeExpired();
-		this.sequence++;
-		DaemonState state = buildState();
-		byte[] whole = state.toByteArray();
-		byte[] brief = state.toBuilder().clearUsage().setWithoutUsage(true).build().toByteArray();
-		long now = this.clock.millis();
-		this.targets.values().removeIf((heard) -> now - heard > TARGET_RETENTION_MILLIS);
-		Set<Address> near = sameDataCentreAddresses();
-		int crossEvery = crossDataCentrePeriods(this.targets.size());
-		this.targets.forEach((address, heard) -> {
-			int every = (now - heard >= absentMillis()) ? ABSENT_PERIODS : near.contains(address) ? 1 : crossEvery;
-			if (toAll || this.sequence % every == 0) {
-				boolean shortened = every > 1 && this.sequence / every % 2 != 0;
-				socket.write(new DatagramPacket(Unpooled.wrappedBuffer(shortened ? brief : whole),
-						new InetSocketAddress(address.host(), address.port())));
-			}
-		});
-		socket.flush();
-	}
-
-	private Set<Address> sameDataCentreAddresses() {
-		return this.peers.all()
-			.stream()
-			.filter((peer) -> peer.dataCentre().equals(this.local.dataCentre()))
-			.map(PeerState::stateAddress)
-			.collect(Collectors.toSet());
 	}
 
-	// Traffic between data centres grows with the square of the number of daemons, so
-	// each of them sends less often when there are many.
-	private static int crossDataCentrePeriods(int daemons) {
-		return Math.max(1, Math.min(MAX_CROSS_PERIODS, daemons / DAEMONS_PER_CROSS_PERIOD));
+	private void sendPeriodic() {
+		write(this.protocol.sendPeriodic());
+		scheduleUrgent();
 	}
 
-	private long absentMillis() {
-		return Math.max(MIN_ABSENT_MILLIS,
-				TOLERATED_CROSS_LOSSES * crossDataCentrePeriods(this.targets.size()) * SEND_PERIOD_MILLIS);
-	}
-
-	private DaemonState buildState() {
-		StoreVersion runnerList = this.local.runnerListVersion().get();
-		DaemonState.Builder builder = DaemonState.newBuilder()
-			.setVm(this.local.vm())
-			.setIncarnation(this.incarnation)
-			.setSequence(this.sequence)
-			.setDataCentre(this.local.dataCentre().value())
-			.setCallerAddress(this.local.callerAddress().toString())
-			.setStateAddress(this.local.stateAddress().toString())
-			.setServing(this.local.serving().getAsBoolean())
-			.setLeaving(this.local.leaving().getAsBoolean())
-			.setStoreReachable(this.local.storeReachable().getAsBoolean())
-			.setConfiguration(this.local.configurationVersion().getAsLong())
-			.setCapacity(this.local.capacity())
-			.setStoreEra(runnerList.era())
-			.setRunnerList(runnerList.version());
-		this.runnerAvailability.lostRunners().forEach((runner) -> builder.addLostRunners(runner.value()));
-		this.runnerAvailability.changingRunners().forEach((runner) -> builder.addChangingRunners(runner.value()));
-		this.loadTracker.ownLoads()
-			.forEach((runner,
-					usage) -> builder.addUsage(RunnerUsage.newBuilder()
-						.setRunner(runner.value())
-						.setRunning(usage.running())
-						.setTokenLayers(usage.tokenLayers())
-						.setEntered(usage.firstHops())
-						.setUnreadLayers(usage.prefillTokenLayers())));
-		this.partQuarantine.report().forEach((report) -> builder.addPromptParts(PartReportCodec.encode(report)));
-		return builder.build();
-	}
-
-	private void receive(byte[] bytes) {
-		try {
-			DaemonState state = DaemonState.parseFrom(bytes);
-			PeerState peer = new PeerState(state.getVm(), state.getIncarnation(), state.getSequence(),
-					new DataCentreId(state.getDataCentre()), IpAddresses.parse(state.getCallerAddress()),
-					IpAddresses.parse(state.getStateAddress()), state.getServing(), state.getLeaving(),
-					state.getStoreReachable(), state.getConfiguration(), runners(state.getLostRunnersList()),
-					runners(state.getChangingRunnersList()), state.getCapacity(), this.clock.millis());
-			if (accept(peer)) {
-				StoreVersion runnerList = new StoreVersion(state.getStoreEra(), state.getRunnerList());
-				if (this.local.runnerListVersion().get().isBefore(runnerList)) {
-					this.onNewerRunnerList.accept(runnerList);
-				}
-				if (!state.getWithoutUsage()) {
-					this.loadTracker.applyReport(peer.vm(), usage(state));
-				}
-				this.runnerAvailability.applyReport(peer.vm(), peer.lostRunners(), peer.changingRunners());
-				this.partQuarantine
-					.applyReports(state.getPromptPartsList().stream().map(PartReportCodec::decode).toList());
-			}
-		}
-		catch (InvalidProtocolBufferException | IllegalArgumentException ex) {
-			logUnreadable(ex);
+	private void scheduleUrgent() {
+		OptionalLong urgentAt = this.protocol.urgentAt();
+		Channel socket = this.channel;
+		if (urgentAt.isPresent() && !this.urgentScheduled && socket != null) {
+			this.urgentScheduled = true;
+			long delay = Math.max(0, urgentAt.getAsLong() - this.clock.millis());
+			socket.eventLoop().schedule(this::sendUrgent, delay, TimeUnit.MILLISECONDS);
 		}
 	}
 
-	private void logUnreadable(Exception cause) {
-		long now = this.clock.millis();
-		this.unreadableStates++;
-		if (now - this.unreadableLoggedAt >= UNREADABLE_LOG_MILLIS) {
-			this.unreadableLoggedAt = now;
-			LogEvent.of("state-unreadable")
-				.with("count", this.unreadableStates)
-				.with("cause", cause.getMessage())
-				.log(LOGGER, System.Logger.Level.WARNING);
+	private void sendUrgent() {
+		this.urgentScheduled = false;
+		if (this.protocol.urgentAt().isPresent()) {
+			write(this.protocol.sendUrgent());
 		}
 	}
 
-	private boolean accept(PeerState peer) {
-		PeerState previous = this.peers.get(peer.vm());
-		if (peer.vm().equals(this.local.vm()) || !this.peers.add(peer, absentMillis())) {
-			return false;
-		}
-		addTarget(peer.stateAddress());
-		this.targets.replace(peer.stateAddress(), peer.receivedMillis());
-		if (previous == null || previous.incarnation() != peer.incarnation() || previous.serving() != peer.serving()) {
-			LogEvent.of("peer-heard")
-				.with("vm", peer.vm())
-				.with("incarnation", peer.incarnation())
-				.with("serving", peer.serving())
-				.log(LOGGER, System.Logger.Level.INFO);
+	private void write(List<OutgoingMessage> messages) {
+		Channel socket = this.channel;
+		if (socket == null) {
+			return;
 		}
-		long version = this.local.configurationVersion().getAsLong();
-		this.versionLag.compare(peer.vm(), peer.configurationVersion(), version);
-		if (peer.configurationVersion() > version) {
-			this.onNewerConfiguration.accept(peer.configurationVersion());
+		for (OutgoingMessage message : messages) {
+			message.targets()
+				.forEach((address) -> socket.write(new DatagramPacket(Unpooled.wrappedBuffer(message.bytes()),
+						new InetSocketAddress(address.host(), address.port()))));
+			if (!message.targets().isEmpty()) {
+				this.messageCounter.count("sent", message.kind().label(), message.targets().size());
+			}
 		}
-		return true;
+		socket.flush();
 	}
 
-	private static Set<RunnerId> runners(List<String> names) {
-		return names.stream().map(RunnerId::new).collect(Collectors.toSet());
+	private void receive(byte[] bytes) {
+		MessageKind kind = this.protocol.receive(bytes);
+		this.messageCounter.count("received", kind.label(), 1);
+		scheduleUrgent();
 	}
 
-	private Map<RunnerId, RunnerLoad> usage(DaemonState state) {
-		Map<RunnerId, RunnerLoad> usage = new HashMap<>();
-		if (this.knownRunners.size() > MAX_KNOWN_RUNNERS) {
-			this.knownRunners.clear();
-		}
-		for (RunnerUsage entry : state.getUsageList()) {
-			RunnerId runner = this.knownRunners.computeIfAbsent(entry.getRunner(), RunnerId::new);
-			usage.put(runner, new RunnerLoad(entry.getRunning(), entry.getTokenLayers(), entry.getEntered(),
-					entry.getUnreadLayers()));
-		}
-		return usage;
+	/** Counts datagrams. */
+	@FunctionalInterface
+	public interface MessageCounter {
+
+		/**
+		 * Counts datagrams of one kind.
+		 * @param direction {@code sent} or {@code received}
+		 * @param kind {@code state}, {@code digest}, {@code roster} or {@code unreadable}
+		 * @param count number of datagrams
+		 */
+		void count(String direction, String kind, int count);
+
 	}
 
 	/**
@@ -480,7 +310,7 @@
 	}
 
 	/** Receives the datagrams of other daemons. */
-	private final class StateReceiver extends SimpleChannelInboundHandler<DatagramPacket> {
+	private final class DatagramReceiver extends SimpleChannelInboundHandler<DatagramPacket> {
 
 		@Override
 		protected void channelRead0(ChannelHandlerContext ctx, DatagramPacket packet) {
--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/report/Metrics.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/report/Metrics.java
@@ -61,6 +61,12 @@
 		.labelNames("notice")
 		.register(this.registry);
 
+	private final Counter stateDatagrams = Counter.builder()
+		.name("bilberryvalve_state_datagrams_total")
+		.help("Datagrams exchanged with other daemons by direction and kind")
+		.labelNames("direction", "kind")
+		.register(this.registry);
+
 	private final Histogram duration = histogram("bilberryvalve_request_seconds",
 			"Time from a request to the end of its response");
 
@@ -162,6 +168,16 @@
 		this.runnerNotices.labelValues(notice).inc();
 	}
 
+	/**
+	 * Records datagrams exchanged with other daemons.
+	 * @param direction {@code sent} or {@code received}
+	 * @param kind kind of their message
+	 * @param count number of datagrams
+	 */
+	public void recordStateDatagrams(String direction, String kind, int count) {
+		this.stateDatagrams.labelValues(direction, kind).inc(count);
+	}
+
 	/**
 	 * Returns all metrics as text.
 	 * @return the metrics in the Prometheus text format
