--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/peer/DelegateSender.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/peer/DelegateSender.java
@@ -36,7 +36,11 @@
 	/** Half of the period in which the delegate may send. */
 	private static final long TOLERANCE_MILLIS = StateExchange.SEND_PERIOD_MILLIS / 2;
 
-	/** Number of digests for each roster. */
+	/**
+	 * Number of digests for each roster to the own data centre. The few delegates of the
+	 * others get one with each digest, so that presence that passes two delegates is not
+	 * twice as old.
+	 */
 	private static final int DIGESTS_PER_ROSTER = 2;
 
 	private final LocalState local;
@@ -97,8 +101,9 @@
 		if (this.role.sendsDigests() && isDigestDue()) {
 			this.digestCount++;
 			messages.addAll(digests(true));
+			messages.addAll(rosters(otherDelegates(), true));
 			if (this.digestCount % DIGESTS_PER_ROSTER == 0) {
-				messages.addAll(rosters());
+				messages.addAll(rosters(members(), false));
 				return messages;
 			}
 		}
@@ -205,12 +210,6 @@
 		return messages;
 	}
 
-	private List<OutgoingMessage> rosters() {
-		List<OutgoingMessage> messages = new ArrayList<>(rosters(members(), false));
-		messages.addAll(rosters(otherDelegates(), true));
-		return messages;
-	}
-
 	private List<OutgoingMessage> rosters(List<Address> targets, boolean ownDataCentreOnly) {
 		if (targets.isEmpty()) {
 			return List.of();
--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/peer/PeerDirectory.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/peer/PeerDirectory.java
@@ -30,8 +30,8 @@
 
 	/**
 	 * Silence after which a daemon is absent in a fleet with delegates. The age of a
-	 * state that passes two delegates is up to 750 ms, and 300 ms more for each roster
-	 * that is lost.
+	 * state that passes two delegates is up to 750 ms, and up to 450 ms more if a roster
+	 * is lost.
 	 */
 	private static final long ROSTER_ABSENT_MILLIS = 1500;
 
