Read rows of the store from the delegates of the data centre

Cause: with 101 VMs each daemon called the store 2.7 times a second, since each one watches two tables. StoreReach keeps apart whether the store itself is reached. Without delegates the store is read as before.

--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/Gateway.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/Gateway.java
@@ -17,6 +17,8 @@
 import java.util.function.Consumer;
 import java.util.function.Predicate;
 
+import io.bilberryvalve.gateway.feed.ReaderRole;
+import io.bilberryvalve.gateway.feed.StoreReach;
 import io.bilberryvalve.gateway.fleet.FleetRegistry;
 import io.bilberryvalve.gateway.fleet.LoadTracker;
 import io.bilberryvalve.gateway.fleet.RunnerAvailability;
@@ -151,6 +153,8 @@
 
 	private final FleetRegistry fleetRegistry;
 
+	private final StoreReach storeReach = new StoreReach();
+
 	private final LoadTracker loadTracker;
 
 	private final RunnerAvailability runnerAvailability;
@@ -194,7 +198,7 @@
 		this.settings = settings;
 		this.clock = clock;
 		this.transport = transport;
-		this.tables = tables;
+		this.tables = this.storeReach.track(tables);
 		this.fleetRegistry = new FleetRegistry(clock);
 		this.loadTracker = new LoadTracker(clock);
 		RetryShare retryShare = new RetryShare(clock, settings.retryRatio(), settings.retrySlack(),
@@ -207,18 +211,23 @@
 		this.stateExchange = new StateExchange(transport,
 				new StateExchange.LocalState(settings.vm(), settings.dataCentre(), settings.callerAddress(),
 						settings.stateAddress(), settings.capacity(), this::isServing, () -> this.leaving,
-						this.fleetRegistry::isReachable, this::configurationVersion, () -> this.runnerListVersion),
+						this::reachesStore, this::configurationVersion, () -> this.runnerListVersion),
 				this.loadTracker, this.runnerAvailability, partQuarantine, clock, incarnation);
 		this.loopMonitor = new LoopMonitor(clock);
 		this.relayContext.useBacklogs(this.loopMonitor::backlog);
 		this.server = new CallerServer(transport, this::callerLimits, clock, new RelayHandler(this.relayContext));
 		LeaseCandidate candidate = new LeaseCandidate(settings.vm() + "/" + incarnation, LEASE_TIMES, clock,
 				new Random(incarnation), this::hasHolderEnded);
-		this.layerReconciler = new LayerReconciler(this.fleetRegistry, orderClient, tables,
-				new LeaseManager("layers", candidate, tables), clock, settings.runnerHeartbeat(),
+		this.layerReconciler = new LayerReconciler(this.fleetRegistry, orderClient, this.tables,
+				new LeaseManager("layers", candidate, this.tables), clock, settings.runnerHeartbeat(),
 				this.runnerAvailability::isLost, this.placement);
 	}
 
+	// With delegates, the list of runners may be fresh although the store is not reached.
+	private boolean reachesStore() {
+		return this.fleetRegistry.isReachable() && (!delegates().inUse() || this.storeReach.isReached());
+	}
+
 	// A holder that is not named like a gateway keeps the lease until it expires.
 	private boolean hasHolderEnded(String holder) {
 		int slash = holder.lastIndexOf('/');
@@ -310,7 +319,23 @@
 	 * @return {@code true} also if no other gateway is heard
 	 */
 	public boolean isReader() {
-		return this.stateExchange.isReader();
+		return delegates().inUse() ? delegates().isFirst() : this.stateExchange.isReader();
+	}
+
+	/**
+	 * Returns the role of this gateway among those that read rows of the store.
+	 * @return a view that follows all changes
+	 */
+	public ReaderRole readerRole() {
+		return ReaderRole.of(delegates());
+	}
+
+	/**
+	 * Returns the record of direct calls to the store.
+	 * @return the record, for calls that the gateway does not make itself
+	 */
+	public StoreReach storeReach() {
+		return this.storeReach;
 	}
 
 	/**
--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/fleet/ListedRunner.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/fleet/ListedRunner.java
@@ -40,7 +40,7 @@
 	 * @param other another entry
 	 * @return whether the entries differ at most in {@link #heartbeats()}
 	 */
-	boolean statesSameAs(ListedRunner other) {
+	public boolean statesSameAs(ListedRunner other) {
 		return equals(new ListedRunner(other.id, other.address, other.service, other.dataCentre, other.slots,
 				other.leaving, other.card, other.layers, other.startedMillis, this.heartbeats));
 	}
--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/peer/Delegates.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/peer/Delegates.java
@@ -45,6 +45,16 @@
 		return select(this.local.dataCentre()).contains(this.local.vm());
 	}
 
+	/**
+	 * Returns whether this daemon is the first delegate of its data centre.
+	 * @return {@code true} also if no other daemon of the data centre is heard and this
+	 * one serves
+	 */
+	public boolean isFirst() {
+		List<String> delegates = select(this.local.dataCentre());
+		return !delegates.isEmpty() && delegates.get(0).equals(this.local.vm());
+	}
+
 	/**
 	 * Returns the delegates of the data centre of this daemon, without this daemon.
 	 * @return their last states, the first delegate first
--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/report/Metrics.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/report/Metrics.java
@@ -61,6 +61,12 @@
 		.labelNames("notice")
 		.register(this.registry);
 
+	private final Counter rowReads = Counter.builder()
+		.name("bilberryvalve_row_reads_total")
+		.help("Reads of watched tables, by source (store or delegate) and by whether and why not they were used")
+		.labelNames("source", "result")
+		.register(this.registry);
+
 	private final Histogram duration = histogram("bilberryvalve_request_seconds",
 			"Time from a request to the end of its response");
 
@@ -162,6 +168,15 @@
 		this.runnerNotices.labelValues(notice).inc();
 	}
 
+	/**
+	 * Records a read of a watched table.
+	 * @param source {@code store} or {@code delegate}
+	 * @param result {@code used} or the reason why it was not used
+	 */
+	public void recordRowsRead(String source, String result) {
+		this.rowReads.labelValues(source, result).inc();
+	}
+
 	/**
 	 * Returns all metrics as text.
 	 * @return the metrics in the Prometheus text format
