--- a/bilberryvalve-gateway/src/test/java/io/bilberryvalve/gateway/feed/SimulatedTimer.java
+++ b/bilberryvalve-gateway/src/test/java/io/bilberryvalve/gateway/feed/SimulatedTimer.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.PriorityQueue;
+import java.util.concurrent.Callable;
 import java.util.concurrent.Delayed;
 import java.util.concurrent.FutureTask;
 import java.util.concurrent.ScheduledFuture;
@@ -42,6 +43,11 @@
 		return task;
 	}
 
+	@Override
+	public <V> ScheduledFuture<V> schedule(Callable<V> task, long delay, TimeUnit unit) {
+		throw new UnsupportedOperationException("tasks without a result only");
+	}
+
 	void advance(Duration time) {
 		long end = this.clock.millis() + time.toMillis();
 		while (!this.tasks.isEmpty() && this.tasks.peek().at <= end) {
