--- a/bilberryvalve-platform/src/main/java/io/bilberryvalve/platform/watch/RowMirror.java
+++ b/bilberryvalve-platform/src/main/java/io/bilberryvalve/platform/watch/RowMirror.java
@@ -50,6 +50,9 @@
 
 	private final Deque<TableFeed.Change> log = new ArrayDeque<>();
 
+	/** Version of the latest change in the log. */
+	private long latest;
+
 	private final Set<Waiter> waiters = new LinkedHashSet<>();
 
 	private StoreVersion version = StoreVersion.NONE;
@@ -87,6 +90,7 @@
 		update(() -> {
 			if (read.version().era() > this.version.era() || this.version.equals(StoreVersion.NONE)) {
 				this.log.clear();
+				this.latest = 0;
 				this.completeSince = read.version();
 				Set<String> present = new LinkedHashSet<>();
 				read.rows().forEach((row) -> present.add(row.key()));
@@ -201,6 +205,7 @@
 
 	private void append(TableFeed.Change change) {
 		this.log.add(change);
+		this.latest = Math.max(this.latest, change.row().version());
 		if (this.log.size() > MAX_CHANGES) {
 			TableFeed.Change dropped = this.log.remove();
 			this.completeSince = new StoreVersion(this.version.era(),
@@ -275,7 +280,7 @@
 		if (after.isBefore(this.completeSince)) {
 			return answer(Kind.HISTORY_GONE, List.of());
 		}
-		List<TableFeed.Change> changes = this.version.isBefore(after) ? List.of()
+		List<TableFeed.Change> changes = (this.version.isBefore(after) || this.latest <= after.version()) ? List.of()
 				: this.log.stream().filter((change) -> change.row().version() > after.version()).toList();
 		return (waited || !changes.isEmpty()) ? answer(Kind.CHANGES, changes) : null;
 	}
