Read whole tables again when the store was restored from a copy

Cause: a store that is restored from a copy assigns its versions again. A daemon kept reading changes after the version that it knew, so that it missed rows when the new versions were lower, and mixed rows when they were higher. Change: StoreEra holds the latest era that any response has stated. Runners that are missing from the first list of an era keep the grace period of an outage, and earlier entries in the copy change nothing. The row of a gateway and the layer template are written again. Fencing numbers contain the era and are derived from the version of the row that a grant replaces, and a lease write that is answered in another era than its read grants nothing.

--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/Gateway.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/Gateway.java
@@ -13,7 +13,6 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
-import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.Predicate;
 
@@ -42,12 +41,11 @@
 import io.bilberryvalve.model.RunnerId;
 import io.bilberryvalve.model.log.LogEvent;
 import io.bilberryvalve.model.task.GuardedTask;
-import io.bilberryvalve.platform.CommitResult;
 import io.bilberryvalve.platform.ReadResult;
 import io.bilberryvalve.platform.Row;
-import io.bilberryvalve.platform.RowOperation;
 import io.bilberryvalve.platform.TableService;
 import io.bilberryvalve.platform.lease.LeaseManager;
+import io.bilberryvalve.platform.watch.StoreEra;
 import io.bilberryvalve.platform.watch.StoreVersion;
 import io.bilberryvalve.policy.lease.LeaseCandidate;
 import io.bilberryvalve.policy.lease.LeaseTimes;
@@ -67,12 +65,6 @@
 
 	private static final System.Logger LOGGER = System.getLogger(Gateway.class.getName());
 
-	/**
-	 * Table through which gateways find each other; it maps names of VMs to the addresses
-	 * for states.
-	 */
-	private static final String TABLE = "gateways";
-
 	private static final int MAX_GATEWAYS = 5000;
 
 	/**
@@ -103,8 +95,6 @@
 	 */
 	private static final Duration LIST_INTERVAL = Duration.ofSeconds(30);
 
-	private static final long REGISTER_RETRY_MILLIS = 500;
-
 	/**
 	 * Time for which a leaving gateway still accepts all requests. Callers that refresh
 	 * their address list every second have left after three refreshes.
@@ -165,6 +155,8 @@
 
 	private final LayerReconciler layerReconciler;
 
+	private final GatewayRegistration registration;
+
 	private long progressCheckedAt;
 
 	private volatile StoreVersion runnerListVersion = StoreVersion.NONE;
@@ -183,6 +175,7 @@
 	 * @param transport event loops; the gateway does not close them
 	 * @param tables store for the registration of gateways, the lease and the layer
 	 * templates
+	 * @param storeEra latest era of the store, shared with all its clients
 	 * @param stallProbe asks runners for the cause of a stalled path
 	 * @param orderClient sends layer orders to engines
 	 * @param clock monotonic clock
@@ -190,7 +183,7 @@
 	 * higher number
 	 */
 	public Gateway(GatewaySettings settings, HeaderNames headerNames, Transport transport, TableService tables,
-			StallProbe stallProbe, LayerOrders orderClient, Clock clock, long incarnation) {
+			StoreEra storeEra, StallProbe stallProbe, LayerOrders orderClient, Clock clock, long incarnation) {
 		this.settings = settings;
 		this.clock = clock;
 		this.transport = transport;
@@ -215,8 +208,12 @@
 		LeaseCandidate candidate = new LeaseCandidate(settings.vm() + "/" + incarnation, LEASE_TIMES, clock,
 				new Random(incarnation), this::hasHolderEnded);
 		this.layerReconciler = new LayerReconciler(this.fleetRegistry, orderClient, tables,
-				new LeaseManager("layers", candidate, tables), clock, settings.runnerHeartbeat(),
+				new LeaseManager("layers", candidate, tables, storeEra), clock, settings.runnerHeartbeat(),
 				this.runnerAvailability::isLost, this.placement);
+		this.registration = new GatewayRegistration(settings.vm(), settings.stateAddress().toString(), tables, storeEra,
+				transport.control(), new Random(settings.vm().hashCode() + incarnation), this::listGateways);
+		metrics().addGauge("bilberryvalve_store_era", "Latest era that the store has stated, 0 if it states none",
+				storeEra::current);
 	}
 
 	// A holder that is not named like a gateway keeps the lease until it expires.
@@ -330,7 +327,7 @@
 		this.server.listen(this.settings.callerAddress().host(), this.settings.callerAddress().port());
 		this.stateExchange.start();
 		this.loopMonitor.start(this.transport.loops(), metrics());
-		register();
+		this.registration.start();
 		EventLoop loop = this.transport.next();
 		GuardedTask.repeat(this.transport.control(), "list-gateways", this::listGateways, LIST_INTERVAL);
 		GuardedTask.repeat(loop, "check-progress", this::checkProgress, PROGRESS_CHECK_INTERVAL);
@@ -339,22 +336,8 @@
 		GuardedTask.repeat(this.placement, "reconcile-layers", this::reconcileLayers, RECONCILE_INTERVAL);
 	}
 
-	private void register() {
-		this.tables
-			.commit(List
-				.of(new RowOperation.Put(TABLE, this.settings.vm(), null, this.settings.stateAddress().toString())))
-			.whenComplete((commit, failure) -> {
-				if (commit instanceof CommitResult.Committed) {
-					listGateways();
-				}
-				else {
-					this.transport.control().schedule(this::register, REGISTER_RETRY_MILLIS, TimeUnit.MILLISECONDS);
-				}
-			});
-	}
-
 	private void listGateways() {
-		this.tables.list(TABLE, "", MAX_GATEWAYS).thenAccept((fetched) -> {
+		this.tables.list(GatewayRegistration.TABLE, "", MAX_GATEWAYS).thenAccept((fetched) -> {
 			if (fetched instanceof ReadResult.Found<List<Row>> found) {
 				List<Address> addresses = found.value().stream().flatMap((row) -> parseAddress(row).stream()).toList();
 				this.listedGateways = addresses.size();
--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/fleet/EntryHistory.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/fleet/EntryHistory.java
@@ -3,8 +3,10 @@
 import java.time.Clock;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 import io.bilberryvalve.model.RunnerId;
 import io.bilberryvalve.model.log.LogEvent;
@@ -14,7 +16,9 @@
  * Decides whether an entry is newer than what is known of its runner. The store may
  * perform a write whose answer was lost seconds late, so that an entry overwrites a later
  * one or appears again after its removal. Entries are ordered by the start of the runner
- * and by their number since then. Not safe for use by several threads.
+ * and by their number since then. A store that is restored from a copy returns earlier
+ * entries of runners that are alive, and numbers that continue from these; see
+ * {@link #startEra}. Not safe for use by several threads.
  */
 final class EntryHistory {
 
@@ -60,12 +64,45 @@
 		if (entry.heartbeats() == 0) {
 			return accept(entry);
 		}
-		if (entry.heartbeats() < latest.heartbeats) {
+		if (entry.heartbeats() < latest.heartbeats || entry.heartbeats() == latest.restored) {
 			return rejectOutdated(latest, entry);
 		}
 		return (latest.removed && !entry.leaving()) ? judgeReturn(latest, entry) : accept(entry);
 	}
 
+	/**
+	 * Prepares for entries that are written after the store was restored from a copy. For
+	 * a runner that was listed and not leaving, each number above that of its entry in
+	 * the copy counts as new, or each number if the copy has no entry, because the runner
+	 * may continue from there. What is known of leaving and removed runners stays, so
+	 * that their earlier entries do not bring them back.
+	 * @param restored all entries of the first list that was read since the restore
+	 * @return runners whose entry in that list is not newer than the known one, and must
+	 * not replace it
+	 */
+	Set<RunnerId> startEra(Map<RunnerId, ListedRunner> restored) {
+		Set<RunnerId> older = new HashSet<>();
+		this.known.forEach((id, latest) -> {
+			ListedRunner entry = restored.get(id);
+			boolean sameStart = entry != null && entry.startedMillis() == latest.started;
+			boolean ends = latest.removed || latest.leaving;
+			if (sameStart && isOlder(latest, entry, ends)) {
+				older.add(id);
+			}
+			if (!ends) {
+				latest.restored = older.contains(id) ? entry.heartbeats() : 0;
+				latest.heartbeats = sameStart ? Math.min(latest.heartbeats, entry.heartbeats()) : 0;
+			}
+		});
+		return older;
+	}
+
+	// Entries without a number are not ordered; those of runners that are alive may be
+	// new.
+	private static boolean isOlder(Latest latest, ListedRunner entry, boolean ends) {
+		return (entry.heartbeats() == 0) ? ends && !entry.leaving() : entry.heartbeats() <= latest.heartbeats;
+	}
+
 	private Verdict accept(ListedRunner entry) {
 		this.known.put(entry.id(), new Latest(entry));
 		return Verdict.CURRENT;
@@ -181,6 +218,11 @@
 
 		private boolean removed;
 
+		private final boolean leaving;
+
+		/** Number of the entry in the copy of the store, 0 for none. */
+		private long restored;
+
 		/** The entry that came back after the removal and is not confirmed yet. */
 		private @Nullable ListedRunner returning;
 
@@ -193,6 +235,7 @@
 		Latest(ListedRunner entry) {
 			this.started = entry.startedMillis();
 			this.heartbeats = entry.heartbeats();
+			this.leaving = entry.leaving();
 		}
 
 	}
--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/fleet/FleetRegistry.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/fleet/FleetRegistry.java
@@ -6,6 +6,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.CopyOnWriteArrayList;
 
 import io.bilberryvalve.model.RunnerId;
@@ -17,7 +18,9 @@
  * disappear during an outage or shortly after it are kept for a grace period, because
  * they may have expired in the outage and are written again by runners that are alive. A
  * runner that has told this daemon that it leaves stays leaving until it starts again,
- * whatever its entry says. An entry that is older than a known one is ignored. Safe for
+ * whatever its entry says. An entry that is older than a known one is ignored. After a
+ * restore of the store from a copy, runners that are missing have the same grace period,
+ * and runners that have left do not come back with their entries in the copy. Safe for
  * use by several threads; {@link #snapshot()} never blocks.
  */
 public final class FleetRegistry {
@@ -138,6 +141,29 @@
 	 * @return whether the runners have changed
 	 */
 	public synchronized boolean replace(Map<RunnerId, ListedRunner> runners) {
+		return replace(runners, Set.of());
+	}
+
+	/**
+	 * Replaces all entries after the whole list has been read for the first time since
+	 * the store was restored from a copy. Entries of the copy that are older than the
+	 * known ones change nothing, until their runners write them again.
+	 * @param runners all entries of the list
+	 * @return whether the runners have changed
+	 */
+	public synchronized boolean replaceRestored(Map<RunnerId, ListedRunner> runners) {
+		this.reachableSince = this.clock.instant();
+		Set<RunnerId> older = this.history.startEra(runners);
+		LogEvent.of("runner-list-restored")
+			.with("runners", this.listed.size())
+			.with("missing", this.listed.keySet().stream().filter((id) -> !runners.containsKey(id)).count())
+			.with("older", older.size())
+			.log(LOGGER, System.Logger.Level.WARNING);
+		older.forEach(this.removalTimes::remove);
+		return replace(runners, older);
+	}
+
+	private boolean replace(Map<RunnerId, ListedRunner> runners, Set<RunnerId> older) {
 		boolean changed = !this.loaded;
 		for (RunnerId id : List.copyOf(this.listed.keySet())) {
 			if (!runners.containsKey(id)) {
@@ -145,7 +171,7 @@
 			}
 		}
 		for (ListedRunner runner : runners.values()) {
-			changed |= put(runner);
+			changed |= !older.contains(runner.id()) && put(runner);
 		}
 		this.loaded = true;
 		publishIf(changed);
--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/layers/LayerReconciler.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/layers/LayerReconciler.java
@@ -139,7 +139,7 @@
 		Optional<LayerTemplate> template = this.templates
 			.computeIfAbsent(service,
 					(name) -> new TemplateStore(name, this.tables, this.clock, this.heartbeat, this.searcher))
-			.template(engine, cards);
+			.template(engine, cards, grant.fencing().era());
 		if (template.isEmpty()) {
 			return;
 		}
--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/layers/TemplateStore.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/layers/TemplateStore.java
@@ -26,7 +26,9 @@
 /**
  * Keeps the layer template of one service in the store, so that each holder of the lease
  * uses the same template. The template is computed once all runners are listed, and again
- * when the number of cards has grown too much for it. Safe for use by several threads.
+ * when the number of cards has grown too much for it. In a new era of the store, the
+ * known template is written again if the store has lost it. Safe for use by several
+ * threads.
  */
 final class TemplateStore {
 
@@ -70,6 +72,9 @@
 
 	private @Nullable SizedTemplate current;
 
+	/** Latest era in which the store was found to hold the template. */
+	private long currentEra;
+
 	private int cards = -1;
 
 	private long unchangedSince;
@@ -90,16 +95,17 @@
 	 * Returns the template. Reads or computes one in the background if that is due.
 	 * @param engine performance of the engines
 	 * @param usable all usable cards of the service
+	 * @param era era of the store in which this daemon was granted the lease
 	 * @return the template, or empty before the first one is available
 	 */
-	synchronized Optional<LayerTemplate> template(EngineProfile engine, List<Card> usable) {
+	synchronized Optional<LayerTemplate> template(EngineProfile engine, List<Card> usable, long era) {
 		if (usable.size() != this.cards) {
 			this.cards = usable.size();
 			this.unchangedSince = this.clock.millis();
 		}
 		SizedTemplate known = this.current;
 		boolean due = !this.pending && !usable.isEmpty() && this.clock.millis() >= this.readAfter;
-		if (due && (known == null || known.isOutgrown(usable.size()))) {
+		if (due && (known == null || known.isOutgrown(usable.size()) || era > this.currentEra)) {
 			this.pending = true;
 			this.readAfter = this.clock.millis() + READ_INTERVAL_MILLIS;
 			this.tables.read(TABLE, this.service).thenAccept((fetched) -> onRead(engine, usable, fetched));
@@ -111,9 +117,17 @@
 		this.pending = false;
 		Row row = (fetched instanceof ReadResult.Found<Row> found) ? found.value() : null;
 		SizedTemplate known = (row != null) ? parse(row.value(), engine) : null;
+		SizedTemplate own = this.current;
+		if (own != null && !own.isOutgrown(usable.size()) && !(fetched instanceof ReadResult.Failed<Row>)
+				&& (known == null || known.cards < own.cards)) {
+			// The store was restored from a copy without the template.
+			this.pending = true;
+			commit(own, (row != null) ? row.version() : RowOperation.ABSENT);
+			return;
+		}
 		boolean settled = this.clock.millis() - this.unchangedSince >= this.settleMillis;
 		if (known != null && !known.isOutgrown(usable.size())) {
-			use(known);
+			use(known, ((ReadResult.Found<Row>) fetched).era());
 		}
 		else if (settled && !(fetched instanceof ReadResult.Failed<Row>)) {
 			long version = (row != null) ? row.version() : RowOperation.ABSENT;
@@ -138,20 +152,24 @@
 			this.pending = false;
 			return;
 		}
-		SizedTemplate next = new SizedTemplate(best, size);
+		commit(new SizedTemplate(best, size), version);
+	}
+
+	private void commit(SizedTemplate next, long version) {
 		this.tables.commit(List.of(new RowOperation.Put(TABLE, this.service, version, next.format())))
 			.thenAccept((commit) -> onCommit(next, commit));
 	}
 
 	private synchronized void onCommit(SizedTemplate next, CommitResult commit) {
 		this.pending = false;
-		if (commit instanceof CommitResult.Committed) {
-			use(next);
+		if (commit instanceof CommitResult.Committed committed) {
+			use(next, committed.era());
 		}
 	}
 
-	private void use(SizedTemplate next) {
+	private void use(SizedTemplate next, long era) {
 		this.current = next;
+		this.currentEra = era;
 		LogEvent.of("layer-template")
 			.with("service", this.service)
 			.with("template", next.format())
--- a/bilberryvalve-gateway/src/test/java/io/bilberryvalve/gateway/GatewayTests.java
+++ b/bilberryvalve-gateway/src/test/java/io/bilberryvalve/gateway/GatewayTests.java
@@ -34,6 +34,7 @@
 import io.bilberryvalve.platform.RowOperation;
 import io.bilberryvalve.platform.TableService;
 import io.bilberryvalve.platform.memory.InMemoryTableService;
+import io.bilberryvalve.platform.watch.StoreEra;
 import io.bilberryvalve.policy.placement.CardKind;
 import io.bilberryvalve.policy.placement.EngineProfile;
 import net.jqwik.api.Example;
@@ -61,7 +62,8 @@
 		GatewaySettings settings = new GatewaySettings("vm", new DataCentreId("a"), freeAddress(), freeAddress(), 1,
 				0.1, 10, Duration.ofSeconds(10), Duration.ofMillis(100), 1);
 		StallProbe probe = (first) -> CompletableFuture.completedFuture(new StallProbe.ProbeResult(false, List.of()));
-		return new Gateway(settings, HEADER_NAMES, transport, tables, probe, orders, new MonotonicClock(), 1);
+		return new Gateway(settings, HEADER_NAMES, transport, tables, new StoreEra(), probe, orders,
+				new MonotonicClock(), 1);
 	}
 
 	private static Address freeAddress() throws IOException {
--- a/bilberryvalve-platform/src/main/java/io/bilberryvalve/platform/CommitResult.java
+++ b/bilberryvalve-platform/src/main/java/io/bilberryvalve/platform/CommitResult.java
@@ -14,34 +14,54 @@
 	 *
 	 * @param versions version of each row after the transaction, in the order of the
 	 * operations
+	 * @param era era of the store in which it took effect, 0 if the service states none
 	 */
-	record Committed(List<Long> versions) implements CommitResult {
+	record Committed(List<Long> versions, long era) implements CommitResult {
 
 		/**
 		 * Copies the list.
 		 * @param versions version of each row
+		 * @param era era of the store
 		 */
 		public Committed {
 			versions = List.copyOf(versions);
 		}
 
+		/**
+		 * Creates the result of a service that states no era.
+		 * @param versions version of each row
+		 */
+		public Committed(List<Long> versions) {
+			this(versions, 0);
+		}
+
 	}
 
 	/**
 	 * The transaction had no effect, because rows had other versions than expected.
 	 *
 	 * @param rows the rows with another version than expected
+	 * @param era era of the store that responded, 0 if the service states none
 	 */
-	record Conflict(List<ConflictRow> rows) implements CommitResult {
+	record Conflict(List<ConflictRow> rows, long era) implements CommitResult {
 
 		/**
 		 * Copies the list.
 		 * @param rows the rows with another version than expected
+		 * @param era era of the store
 		 */
 		public Conflict {
 			rows = List.copyOf(rows);
 		}
 
+		/**
+		 * Creates the result of a service that states no era.
+		 * @param rows the rows with another version than expected
+		 */
+		public Conflict(List<ConflictRow> rows) {
+			this(rows, 0);
+		}
+
 	}
 
 	/**
--- a/bilberryvalve-platform/src/main/java/io/bilberryvalve/platform/StoreFailure.java
+++ b/bilberryvalve-platform/src/main/java/io/bilberryvalve/platform/StoreFailure.java
@@ -48,7 +48,13 @@
 		 * The connection failed after the request was sent, or the response is damaged;
 		 * the request may have taken effect.
 		 */
-		ANSWER_LOST
+		ANSWER_LOST,
+
+		/**
+		 * The response is from an earlier era of the store than one seen before and was
+		 * discarded; what the request did may have been lost when the store was restored.
+		 */
+		EARLIER_ERA
 
 	}
 
--- a/bilberryvalve-platform/src/main/java/io/bilberryvalve/platform/lease/LeaseManager.java
+++ b/bilberryvalve-platform/src/main/java/io/bilberryvalve/platform/lease/LeaseManager.java
@@ -13,6 +13,7 @@
 import io.bilberryvalve.platform.RowOperation;
 import io.bilberryvalve.platform.StoreFailure;
 import io.bilberryvalve.platform.TableService;
+import io.bilberryvalve.platform.watch.StoreEra;
 import io.bilberryvalve.policy.lease.FencingNumber;
 import io.bilberryvalve.policy.lease.Lease;
 import io.bilberryvalve.policy.lease.LeaseAction;
@@ -38,6 +39,8 @@
 
 	private final TableService tables;
 
+	private final StoreEra storeEra;
+
 	/**
 	 * Creates a manager of one lease.
 	 * @param key key of the row that holds the lease
@@ -45,6 +48,18 @@
 	 * @param tables service that holds the row
 	 */
 	public LeaseManager(String key, LeaseCandidate candidate, TableService tables) {
+		this(key, candidate, tables, new StoreEra());
+	}
+
+	/**
+	 * Creates a manager of one lease.
+	 * @param key key of the row that holds the lease
+	 * @param candidate state machine that decides on reads and writes
+	 * @param tables service that holds the row
+	 * @param storeEra latest era of the service, shared with its other clients
+	 */
+	public LeaseManager(String key, LeaseCandidate candidate, TableService tables, StoreEra storeEra) {
+		this.storeEra = storeEra;
 		this.key = key;
 		this.candidate = candidate;
 		this.tables = tables;
@@ -56,6 +71,7 @@
 	 */
 	public Optional<LeaseCandidate.Grant> grant() {
 		synchronized (this.candidate) {
+			this.candidate.storeEraSeen(this.storeEra.current());
 			return this.candidate.grant();
 		}
 	}
@@ -70,6 +86,7 @@
 	public void tick(boolean competes) {
 		LeaseAction action;
 		synchronized (this.candidate) {
+			this.candidate.storeEraSeen(this.storeEra.current());
 			action = this.candidate.tick(competes);
 		}
 		execute(action);
@@ -95,10 +112,11 @@
 		synchronized (this.candidate) {
 			if (result instanceof ReadResult.Found<Row> found) {
 				Row row = found.value();
-				return this.candidate.leaseRead(row.version(), decode(row.version(), row.value()));
+				return this.candidate.leaseRead(found.era(), row.version(),
+						decode(found.era(), row.version(), row.value()));
 			}
-			if (result instanceof ReadResult.Missing<Row>) {
-				return this.candidate.leaseRead(RowOperation.ABSENT, null);
+			if (result instanceof ReadResult.Missing<Row> missing) {
+				return this.candidate.leaseRead(missing.era(), RowOperation.ABSENT, null);
 			}
 			this.candidate.actionFailed();
 			return new LeaseAction.None();
@@ -108,12 +126,16 @@
 	private void onCommit(CommitResult commit) {
 		synchronized (this.candidate) {
 			if (commit instanceof CommitResult.Committed committed) {
-				this.candidate.writeCommitted(committed.versions().get(0));
+				long version = committed.versions().get(0);
+				if (!this.candidate.writeCommitted(committed.era(), version)) {
+					logOtherEra(committed.era(), version);
+				}
 			}
 			else if (commit instanceof CommitResult.Conflict conflict) {
 				CommitResult.ConflictRow row = conflict.rows().get(0);
 				String value = row.value();
-				this.candidate.writeConflicted(row.version(), (value != null) ? decode(row.version(), value) : null);
+				this.candidate.writeConflicted(conflict.era(), row.version(),
+						(value != null) ? decode(conflict.era(), row.version(), value) : null);
 			}
 			else if (commit instanceof CommitResult.Refused) {
 				this.candidate.actionFailed();
@@ -128,23 +150,31 @@
 		return JSON.createObjectNode().put("holder", lease.holder()).put("fencing", lease.fencing().value()).toString();
 	}
 
-	// Each grant to another holder writes the row, and each write raises its version, so
-	// that a fencing number is never above the version. A row that cannot be read counts
-	// as a released lease with the highest number that can have been granted.
-	private Lease decode(long version, String text) {
+	// A row that cannot be read counts as a released lease with the highest number that
+	// can have been granted.
+	private Lease decode(long era, long version, String text) {
 		try {
 			JsonNode node = JSON.readTree(text);
 			JsonNode fencing = node.path("fencing");
 			if (node.path("holder").isTextual() && fencing.canConvertToExactIntegral() && fencing.canConvertToLong()
-					&& fencing.longValue() >= 1 && fencing.longValue() <= version) {
+					&& FencingNumber.isPossible(fencing.longValue(), era, version)) {
 				return new Lease(node.path("holder").textValue(), new FencingNumber(fencing.longValue()));
 			}
-			logUnreadable(version, "no holder, or no fencing number up to the version");
+			logUnreadable(version, "no holder, or no fencing number up to the era and the version");
 		}
 		catch (JsonProcessingException ex) {
 			logUnreadable(version, ex.getOriginalMessage());
 		}
-		return new Lease("", new FencingNumber(Math.max(1, version)));
+		return new Lease("", FencingNumber.highest(era, Math.max(1, version)));
+	}
+
+	private void logOtherEra(long era, long version) {
+		LogEvent.of("lease-write-in-other-era")
+			.with("lease", this.key)
+			.with("era", era)
+			.with("known-era", this.storeEra.current())
+			.with("row-version", version)
+			.log(LOGGER, System.Logger.Level.WARNING);
 	}
 
 	private void logUnreadable(long version, String cause) {
--- a/bilberryvalve-platform/src/main/java/io/bilberryvalve/platform/memory/InMemoryTableService.java
+++ b/bilberryvalve-platform/src/main/java/io/bilberryvalve/platform/memory/InMemoryTableService.java
@@ -16,12 +16,15 @@
 import org.jspecify.annotations.Nullable;
 
 /**
- * Table service in memory with fault injection. Safe for use by several threads.
+ * Table service in memory with fault injection, which can be restored from a copy of its
+ * rows. Safe for use by several threads.
  */
 public final class InMemoryTableService implements TableService {
 
 	private final Map<String, TreeMap<String, Row>> tables = new HashMap<>();
 
+	private long era;
+
 	private final FaultInjector readFaults = new FaultInjector();
 
 	private final FaultInjector writeFaults = new FaultInjector();
@@ -81,6 +84,28 @@
 		return rows(table).size();
 	}
 
+	/**
+	 * Copies all rows.
+	 * @return the copy, which later writes do not change
+	 */
+	public synchronized Copy copy() {
+		Map<String, TreeMap<String, Row>> rows = new HashMap<>();
+		this.tables.forEach((table, content) -> rows.put(table, new TreeMap<>(content)));
+		return new Copy(rows);
+	}
+
+	/**
+	 * Replaces all rows by those of a copy and starts a new era. Requests that are
+	 * delayed or held take effect in the new era. The call is not counted and has no
+	 * fault.
+	 * @param copy copy of this service
+	 */
+	public synchronized void restore(Copy copy) {
+		this.tables.clear();
+		copy.tables.forEach((table, rows) -> this.tables.put(table, new TreeMap<>(rows)));
+		this.era++;
+	}
+
 	@Override
 	public CompletionStage<ReadResult<Row>> read(String table, String key) {
 		this.readCount.incrementAndGet();
@@ -106,7 +131,7 @@
 
 	private synchronized ReadResult<Row> fetch(String table, String key) {
 		Row row = rows(table).get(key);
-		return (row != null) ? new ReadResult.Found<>(row) : new ReadResult.Missing<>();
+		return (row != null) ? new ReadResult.Found<>(row, this.era) : new ReadResult.Missing<>(this.era);
 	}
 
 	private synchronized ReadResult<List<Row>> select(String table, String prefix, int limit) {
@@ -115,7 +140,7 @@
 			.stream()
 			.takeWhile((row) -> row.key().startsWith(prefix))
 			.limit(limit)
-			.toList());
+			.toList(), this.era);
 	}
 
 	private synchronized CommitResult run(List<RowOperation> operations) {
@@ -124,9 +149,9 @@
 			check(i, operations.get(i), conflicts);
 		}
 		if (!conflicts.isEmpty()) {
-			return new CommitResult.Conflict(conflicts);
+			return new CommitResult.Conflict(conflicts, this.era);
 		}
-		return new CommitResult.Committed(operations.stream().map(this::write).toList());
+		return new CommitResult.Committed(operations.stream().map(this::write).toList(), this.era);
 	}
 
 	private void check(int index, RowOperation operation, List<CommitResult.ConflictRow> conflicts) {
@@ -157,4 +182,17 @@
 		return this.tables.computeIfAbsent(table, (name) -> new TreeMap<>());
 	}
 
+	/**
+	 * Rows of a service at one time.
+	 */
+	public static final class Copy {
+
+		private final Map<String, TreeMap<String, Row>> tables;
+
+		private Copy(Map<String, TreeMap<String, Row>> tables) {
+			this.tables = tables;
+		}
+
+	}
+
 }
--- a/bilberryvalve-platform/src/main/java/io/bilberryvalve/platform/watch/TableWatcher.java
+++ b/bilberryvalve-platform/src/main/java/io/bilberryvalve/platform/watch/TableWatcher.java
@@ -22,11 +22,14 @@
  * Keeps a listener informed of the rows of a table. The watcher reads a snapshot and then
  * the changes after it, and reads a new snapshot when the store no longer has the history
  * that it needs. A snapshot with an older version than one seen before is discarded and
- * read again, since a store that recovers may return old rows. A snapshot that was read
- * in several parts may contain rows that are later than its version; older changes of
- * them are left out. Neither a read that throws nor a listener that throws stops the
- * watcher. State and listener are confined to the timer, which must run one task at a
- * time; {@link #start()} and {@link #refresh()} may be called from other threads.
+ * read again, since a store that recovers may return old rows. When any response of the
+ * store states a later era, whatever its table, the watcher abandons the read in progress
+ * and reads a snapshot, whose version replaces the known one even if its number is lower.
+ * Results of an earlier era are discarded. A snapshot that was read in several parts may
+ * contain rows that are later than its version; older changes of them are left out.
+ * Neither a read that throws nor a listener that throws stops the watcher. State and
+ * listener are confined to the timer, which must run one task at a time; {@link #start()}
+ * and {@link #refresh()} may be called from other threads.
  */
 public final class TableWatcher {
 
@@ -51,8 +54,19 @@
 
 	private final Listener listener;
 
+	private final StoreEra storeEra;
+
 	private StoreVersion version = StoreVersion.NONE;
 
+	/** Latest era for which a snapshot was read or is being read. */
+	private long startedEra;
+
+	/**
+	 * Number of the current sequence of reads; results and retries of earlier sequences
+	 * are dropped.
+	 */
+	private long sequence;
+
 	/**
 	 * Versions, by key, of rows in the last snapshot that are later than the snapshot
 	 * itself, until the changes up to them have been read.
@@ -84,6 +98,22 @@
 	 */
 	public TableWatcher(String table, TableFeed feed, ScheduledExecutorService timer, PollPace pace,
 			Listener listener) {
+		this(table, feed, timer, pace, listener, new StoreEra());
+	}
+
+	/**
+	 * Creates a watcher, which does nothing until {@link #start()}.
+	 * @param table name of the table
+	 * @param feed store of the table
+	 * @param timer runs the steps of the watcher and its listener, one at a time; owned
+	 * by the caller
+	 * @param pace decides how often the store is asked for changes
+	 * @param listener receives the rows, one call at a time
+	 * @param storeEra latest era of the store, shared with its other clients
+	 */
+	public TableWatcher(String table, TableFeed feed, ScheduledExecutorService timer, PollPace pace, Listener listener,
+			StoreEra storeEra) {
+		this.storeEra = storeEra;
 		this.table = table;
 		this.feed = feed;
 		this.timer = timer;
@@ -95,9 +125,47 @@
 	 * Starts to read the table. Must be called once.
 	 */
 	public void start() {
+		this.storeEra.onChange((era) -> this.timer.execute(() -> startEra(era)));
 		this.timer.execute(this::readSnapshot);
 	}
 
+	// Before the first snapshot there is nothing to replace, and its read states the era.
+	private void startEra(long era) {
+		if (this.loaded && recordEra(era)) {
+			restart();
+		}
+	}
+
+	// Returns whether the era is later than all those for which rows were read.
+	private boolean recordEra(long era) {
+		if (era <= this.startedEra) {
+			return false;
+		}
+		this.startedEra = era;
+		if (this.loaded) {
+			LogEvent.of("store-era-changed")
+				.with("table", this.table)
+				.with("era", era)
+				.with("known-era", this.version.era())
+				.with("version", this.version.version())
+				.log(LOGGER, System.Logger.Level.WARNING);
+		}
+		return true;
+	}
+
+	// Abandons the read in progress or scheduled.
+	private void restart() {
+		this.sequence++;
+		this.rowsAhead.clear();
+		this.backoffMillis = INITIAL_BACKOFF_MILLIS;
+		ScheduledFuture<?> scheduled = this.nextRead;
+		if (scheduled != null) {
+			scheduled.cancel(false);
+			this.nextRead = null;
+		}
+		readSnapshot();
+	}
+
 	/**
 	 * Reads a snapshot in addition to the changes. Callers use this when they learn that
 	 * the table has newer rows than the listener received. A call soon after another one
@@ -111,6 +179,7 @@
 		this.nextRefreshNanos = now + TimeUnit.MILLISECONDS.toNanos(MAX_BACKOFF_MILLIS);
 		read(() -> this.feed.snapshot(this.table), (result) -> {
 			if (result instanceof ReadResult.Found<TableFeed.Snapshot> found
+					&& this.storeEra.observe(found.value().version().era())
 					&& !found.value().version().isBefore(this.version)) {
 				notifyListener(() -> this.listener.onRefresh(found.value().rows()));
 			}
@@ -120,14 +189,23 @@
 	/**
 	 * Reads the changes up to a version now if the next read is scheduled for later.
 	 * Callers use this when they learn that the table has changed. Each version has an
-	 * effect once, so that a wrong one does not cause many reads.
+	 * effect once, so that a wrong one does not cause many reads. A version of a later
+	 * era causes the read of a snapshot, which shows whether the store has that era.
 	 * @param known version of the change
 	 */
 	public void catchUp(StoreVersion known) {
 		this.timer.execute(() -> {
 			ScheduledFuture<?> scheduled = this.nextRead;
-			if (this.version.isBefore(known) && this.caughtUp.isBefore(known) && scheduled != null
-					&& scheduled.cancel(false)) {
+			if (!this.version.isBefore(known) || !this.caughtUp.isBefore(known)) {
+				return;
+			}
+			if (known.era() > this.version.era()) {
+				if (this.loaded && known.era() > this.startedEra) {
+					this.caughtUp = known;
+					restart();
+				}
+			}
+			else if (scheduled != null && scheduled.cancel(false)) {
 				this.caughtUp = known;
 				readChanges();
 			}
@@ -135,7 +213,16 @@
 	}
 
 	private void readSnapshot() {
-		read(() -> this.feed.snapshot(this.table), this::handleSnapshot);
+		readInSequence(() -> this.feed.snapshot(this.table), this::handleSnapshot);
+	}
+
+	private <T> void readInSequence(Supplier<CompletionStage<ReadResult<T>>> call, Consumer<ReadResult<T>> handler) {
+		long current = this.sequence;
+		read(call, (result) -> {
+			if (current == this.sequence) {
+				handler.accept(result);
+			}
+		});
 	}
 
 	private <T> void read(Supplier<CompletionStage<ReadResult<T>>> call, Consumer<ReadResult<T>> handler) {
@@ -163,17 +250,15 @@
 			handleFailure(result, this::readSnapshot);
 			return;
 		}
-		if (found.value().version().isBefore(this.version)) {
-			LogEvent.of("store-answered-old-rows")
-				.with("table", this.table)
-				.with("version", found.value().version())
-				.with("known", this.version)
-				.log(LOGGER, System.Logger.Level.WARNING);
+		StoreVersion read = found.value().version();
+		if (!this.storeEra.observe(read.era()) || read.isBefore(this.version)) {
+			logOldRows(read);
 			retry(this::readSnapshot);
 			return;
 		}
+		recordEra(read.era());
 		recordAvailable();
-		this.version = found.value().version();
+		this.version = read;
 		this.rowsAhead.clear();
 		found.value()
 			.rows()
@@ -184,6 +269,15 @@
 		readChanges();
 	}
 
+	private void logOldRows(StoreVersion read) {
+		LogEvent.of("store-answered-old-rows")
+			.with("table", this.table)
+			.with("version", read)
+			.with("known", this.version)
+			.with("known-era", this.storeEra.current())
+			.log(LOGGER, System.Logger.Level.WARNING);
+	}
+
 	// Leaves out changes that are older than the row in the snapshot.
 	private List<TableFeed.Change> newerChanges(TableFeed.Changes read) {
 		List<TableFeed.Change> newer = read.changes().stream().filter((change) -> {
@@ -196,11 +290,22 @@
 
 	private void readChanges() {
 		this.nextRead = null;
-		read(() -> this.feed.changes(this.table, this.version, this.pace.longestWait()), this::handleChanges);
+		readInSequence(() -> this.feed.changes(this.table, this.version, this.pace.longestWait()), this::handleChanges);
 	}
 
 	private void handleChanges(ReadResult<TableFeed.Changes> result) {
 		if (result instanceof ReadResult.Found<TableFeed.Changes> found) {
+			long era = found.value().version().era();
+			if (!this.storeEra.observe(era)) {
+				logOldRows(found.value().version());
+				retry(this::readChanges);
+				return;
+			}
+			if (era > this.version.era()) {
+				// Numbers of the new era say nothing about the rows that are known.
+				startEra(era);
+				return;
+			}
 			recordAvailable();
 			if (this.version.isBefore(found.value().version())) {
 				this.version = found.value().version();
@@ -230,9 +335,10 @@
 	}
 
 	private void handleFailure(ReadResult<?> result, Runnable next) {
-		if (!this.unavailable) {
+		StoreFailure failure = (result instanceof ReadResult.Failed<?> known) ? known.failure() : null;
+		boolean late = failure != null && failure.kind() == StoreFailure.Kind.EARLIER_ERA;
+		if (!this.unavailable && !late) {
 			this.unavailable = true;
-			StoreFailure failure = (result instanceof ReadResult.Failed<?> known) ? known.failure() : null;
 			LogEvent.of("store-lost")
 				.with("table", this.table)
 				.with("version", this.version)
@@ -244,7 +350,12 @@
 	}
 
 	private void retry(Runnable next) {
-		this.timer.schedule(next, this.backoffMillis, TimeUnit.MILLISECONDS);
+		long current = this.sequence;
+		this.timer.schedule(() -> {
+			if (current == this.sequence) {
+				next.run();
+			}
+		}, this.backoffMillis, TimeUnit.MILLISECONDS);
 		this.backoffMillis = Math.min(MAX_BACKOFF_MILLIS, this.backoffMillis * 2);
 	}
 
--- a/bilberryvalve-policy/src/main/java/io/bilberryvalve/policy/lease/LeaseCandidate.java
+++ b/bilberryvalve-policy/src/main/java/io/bilberryvalve/policy/lease/LeaseCandidate.java
@@ -13,8 +13,10 @@
  * State machine with which one daemon competes for one lease, holds it and renews it. It
  * does not compare the clocks of different daemons: a candidate takes the lease over only
  * after it has seen the same row version for the whole lease duration on its own clock,
- * and the holder counts the duration from before it sent the write. An instance is not
- * safe for use by several threads.
+ * and the holder counts the duration from before it sent the write. A grant ends when the
+ * store has a later era than the one in which it was written, and a write whose response
+ * is from another era than the read before it grants nothing. An instance is not safe for
+ * use by several threads.
  */
 public final class LeaseCandidate {
 
@@ -36,6 +38,9 @@
 
 	private final Predicate<String> holderEnded;
 
+	/** Era of the store in which the version was read. */
+	private long era;
+
 	private long version = -1;
 
 	private @Nullable Lease lastSeen;
@@ -46,6 +51,9 @@
 
 	private Instant writeSentAt = Instant.MIN;
 
+	/** Era of the read on which the write in progress is based. */
+	private long writeEra;
+
 	private LeaseAction pending = NONE;
 
 	private boolean candidate;
@@ -93,6 +101,26 @@
 		return (now != null && this.clock.instant().isBefore(now.validUntil())) ? Optional.of(now) : Optional.empty();
 	}
 
+	/**
+	 * Handles that the store has an era. A later one than that of the last read or write
+	 * ends the grant, because the store may have lost it, and makes the next action a
+	 * read that is due at once.
+	 * @param storeEra latest era of the store that this daemon has seen
+	 */
+	public void storeEraSeen(long storeEra) {
+		if (storeEra > this.era) {
+			forget(storeEra);
+		}
+	}
+
+	private void forget(long storeEra) {
+		this.era = storeEra;
+		this.version = -1;
+		this.lastSeen = null;
+		this.grant = null;
+		this.nextActionAt = Instant.MIN;
+	}
+
 	/**
 	 * Requests a read, a renewal or a release if one is due and no action is in progress.
 	 * @param competes whether this daemon is a candidate for the lease
@@ -118,6 +146,7 @@
 
 	private LeaseAction write(Lease lease) {
 		this.writeSentAt = this.clock.instant();
+		this.writeEra = this.era;
 		return start(new LeaseAction.Write(this.version, lease));
 	}
 
@@ -128,26 +157,32 @@
 
 	/**
 	 * Handles the result of a read. A candidate renews its own lease and takes over one
-	 * that is absent, released, expired or held by a daemon that has ended.
+	 * that is absent, released, expired or held by a daemon that has ended. A grant of
+	 * its own that was written in an earlier era is replaced by a new one.
+	 * @param rowEra era of the response
 	 * @param rowVersion version of the row, 0 if the row does not exist
 	 * @param lease content of the row, or {@code null} if it does not exist
 	 * @return action to carry out
 	 */
-	public LeaseAction leaseRead(long rowVersion, @Nullable Lease lease) {
-		observe(rowVersion, lease);
+	public LeaseAction leaseRead(long rowEra, long rowVersion, @Nullable Lease lease) {
 		this.pending = NONE;
+		if (rowEra < this.era) {
+			return NONE;
+		}
+		observe(rowEra, rowVersion, lease);
 		scheduleNextAction(this.times.renewalInterval());
 		if (!this.candidate) {
 			return NONE;
 		}
 		if (lease == null) {
-			return write(new Lease(this.self, new FencingNumber(1)));
+			return write(new Lease(this.self, FencingNumber.replacing(rowEra, rowVersion, null)));
 		}
-		if (lease.holder().equals(this.self)) {
+		boolean own = lease.holder().equals(this.self);
+		if (own && lease.fencing().era() == rowEra) {
 			return write(lease);
 		}
-		if (lease.released() || expired() || this.holderEnded.test(lease.holder())) {
-			return write(new Lease(this.self, lease.fencing().next()));
+		if (own || lease.released() || expired() || this.holderEnded.test(lease.holder())) {
+			return write(new Lease(this.self, FencingNumber.replacing(rowEra, rowVersion, lease.fencing())));
 		}
 		return NONE;
 	}
@@ -156,7 +191,10 @@
 		return !this.clock.instant().isBefore(this.versionSeenSince.plus(this.times.duration()));
 	}
 
-	private void observe(long rowVersion, @Nullable Lease lease) {
+	private void observe(long rowEra, long rowVersion, @Nullable Lease lease) {
+		if (rowEra > this.era) {
+			forget(rowEra);
+		}
 		if (rowVersion != this.version) {
 			this.version = rowVersion;
 			this.versionSeenSince = this.clock.instant();
@@ -171,32 +209,45 @@
 	}
 
 	/**
-	 * Handles a write that took effect.
+	 * Handles a write that took effect. If its response is from another era than the read
+	 * before it, the version that it expected may have been another row, and the write
+	 * grants nothing.
+	 * @param rowEra era of the response
 	 * @param rowVersion new version of the row
+	 * @return whether the response was from the era of the read
 	 */
-	public void writeCommitted(long rowVersion) {
+	public boolean writeCommitted(long rowEra, long rowVersion) {
 		Lease lease = (this.pending instanceof LeaseAction.Write write) ? write.lease() : null;
-		observe(rowVersion, lease);
 		this.pending = NONE;
+		if (rowEra != this.writeEra || rowEra != this.era) {
+			forget(Math.max(rowEra, this.era));
+			return false;
+		}
+		observe(rowEra, rowVersion, lease);
 		scheduleNextAction(this.times.renewalInterval());
 		if (lease == null || lease.released()) {
-			return;
+			return true;
 		}
 		Instant until = this.writeSentAt.plus(this.times.duration()).minus(this.times.safetyMargin());
 		Grant now = this.grant;
 		Instant since = (now != null) ? now.learnedAt() : this.clock.instant();
 		this.grant = new Grant(lease.fencing(), since, until);
+		return true;
 	}
 
 	/**
 	 * Handles a write that had no effect because the row did not have the expected
 	 * version.
+	 * @param rowEra era of the response
 	 * @param rowVersion current version of the row, 0 if the row does not exist
 	 * @param lease current content of the row, or {@code null} if it does not exist
 	 */
-	public void writeConflicted(long rowVersion, @Nullable Lease lease) {
-		observe(rowVersion, lease);
+	public void writeConflicted(long rowEra, long rowVersion, @Nullable Lease lease) {
 		this.pending = NONE;
+		if (rowEra < this.era) {
+			return;
+		}
+		observe(rowEra, rowVersion, lease);
 		scheduleNextAction(this.times.renewalInterval());
 	}
 
