--- a/bilberryvalve-gateway/src/test/java/io/bilberryvalve/gateway/fleet/FleetRegistryTests.java
+++ b/bilberryvalve-gateway/src/test/java/io/bilberryvalve/gateway/fleet/FleetRegistryTests.java
@@ -267,4 +267,81 @@
 		assertThat(leaving()).isFalse();
 	}
 
+	// Guards against runners that vanish because the store was restored from a copy that
+	// lacks their entries.
+	@Example
+	void runnerMissingFromARestoredListStaysForTwoSeconds() {
+		this.registry.replace(Map.of(ID, runner(false, 1, 8)));
+		this.registry.replaceRestored(Map.of());
+		this.clock.advance(Duration.ofMillis(1900));
+		this.registry.removeExpired();
+		assertThat(listed()).isTrue();
+		this.clock.advance(Duration.ofMillis(100));
+		this.registry.removeExpired();
+		assertThat(listed()).isFalse();
+	}
+
+	// Guards against a live runner whose new entries are taken for late writes, because
+	// it continues from the number of its entry in the copy, or starts from 1 without
+	// one.
+	@Example
+	void entriesWrittenAgainWithLowerNumbersAreApplied() {
+		for (long restored : new long[] { 0, 5, 8 }) {
+			FleetRegistry fleet = new FleetRegistry(this.clock);
+			fleet.replace(Map.of(ID, runner(false, 1, 8)));
+			fleet.replaceRestored((restored > 0) ? Map.of(ID, runner(false, 1, restored)) : Map.of());
+			fleet.update(Map.of(ID, runner(true, 1, restored + 1)));
+			this.clock.advance(Duration.ofSeconds(3));
+			fleet.removeExpired();
+			assertThat(fleet.snapshot().find(ID).orElseThrow().leaving()).as("restored %d", restored).isTrue();
+		}
+	}
+
+	// Guards against layers of the past, which a runner may have given up since, taken
+	// from its entry in the copy.
+	@Example
+	void entryInTheCopyDoesNotReplaceANewerOne() {
+		ListedRunner before = new ListedRunner(ID, new Address("10.0.0.2", 80), "app", new DataCentreId("a"), 4, false,
+				null, null, 1, 5);
+		this.registry.replace(Map.of(ID, runner(false, 1, 8)));
+		this.registry.replaceRestored(Map.of(ID, before));
+		this.registry.replace(Map.of(ID, before));
+		this.registry.replaceRestored(Map.of(ID, before));
+		assertThat(this.registry.snapshot().find(ID).orElseThrow().address()).isEqualTo(new Address("10.0.0.1", 80));
+	}
+
+	// Guards against requests to runners that left after the copy was made.
+	@Example
+	void runnersThatHaveLeftStayLeftAfterARestore() {
+		for (long heartbeats : new long[] { 0, 8 }) {
+			FleetRegistry fleet = new FleetRegistry(this.clock);
+			fleet.replace(Map.of(ID, runner(false, 1, heartbeats)));
+			fleet.update(Collections.singletonMap(ID, null));
+			fleet.replaceRestored(Map.of(ID, runner(false, 1, heartbeats)));
+			this.clock.advance(Duration.ofSeconds(5));
+			fleet.removeExpired();
+			assertThat(fleet.snapshot().find(ID)).isEmpty();
+		}
+	}
+
+	// Guards against requests to a runner that leaves, whose entry in the copy does not
+	// say so.
+	@Example
+	void leavingRunnerStaysLeavingAfterARestore() {
+		this.registry.replace(Map.of(ID, runner(true, 1, 8)));
+		this.registry.replaceRestored(Map.of(ID, runner(false, 1, 5)));
+		assertThat(leaving()).isTrue();
+		this.registry.update(Map.of(ID, runner(false, 1, 7)));
+		assertThat(leaving()).isTrue();
+	}
+
+	// Guards against a new runner that stays unused because it has registered while the
+	// store was away.
+	@Example
+	void runnerThatIsNewInARestoredListIsListedAtOnce() {
+		this.registry.replace(Map.of());
+		assertThat(this.registry.replaceRestored(Map.of(ID, runner(false, 1, 1)))).isTrue();
+		assertThat(listed()).isTrue();
+	}
+
 }
--- a/bilberryvalve-gateway/src/test/java/io/bilberryvalve/gateway/layers/LayerReconcilerTests.java
+++ b/bilberryvalve-gateway/src/test/java/io/bilberryvalve/gateway/layers/LayerReconcilerTests.java
@@ -336,4 +336,22 @@
 		assertThat(this.runners.orders()).isEqualTo(orders);
 	}
 
+	// Guards against daemons that use different templates because the store has lost the
+	// one in use, or has an earlier one for fewer cards.
+	@Example
+	void templateLostInARestoreIsWrittenAgain() {
+		InMemoryTableService.Copy empty = this.tables.copy();
+		this.runners.list(cards(6));
+		run("one", Duration.ofSeconds(6));
+		String template = this.tables.row("layer-templates", "model").value();
+		this.tables.restore(empty);
+		run("one", Duration.ofSeconds(3));
+		assertThat(this.tables.row("layer-templates", "model").value()).isEqualTo(template);
+		this.tables.restore(empty);
+		this.tables.commit(List.of(new RowOperation.Put("layer-templates", "model", null, "cards=1,card:2")));
+		run("one", Duration.ofSeconds(3));
+		assertThat(this.tables.row("layer-templates", "model").value()).isEqualTo(template);
+		assertThat(complete()).isTrue();
+	}
+
 }
