Queue requests by class, team and deadline, at the measured rate of cost

Cause: the wait queue counted all waiting requests as ahead of a new one, assumed 50 ms between admissions before any were measured, and knew neither teams nor sizes. Change: classes by priority; within a class, start-time fair queueing between teams by the cost of admitted requests; within a team, the earliest deadline. A request is rejected only for the cost that is ahead of it, and only if no slot is free for it. One that was passed over for half of its time reserves the next capacity. The line of a rejected request names class, cost ahead and rate.

--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/relay/PendingReservation.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/relay/PendingReservation.java
@@ -4,7 +4,7 @@
 
 import io.bilberryvalve.model.RunnerId;
 import io.bilberryvalve.policy.path.RequestSize;
-import io.bilberryvalve.policy.queue.WaitQueue;
+import io.bilberryvalve.policy.queue.RequestDemand;
 import io.netty.channel.EventLoop;
 import org.jspecify.annotations.Nullable;
 
@@ -32,14 +32,12 @@
 	/**
 	 * Submits the request for slots, whose outcome may arrive during this call.
 	 * @param size expected number of tokens
-	 * @param priority rank in the queue; a lower number is served first
+	 * @param demand class, team, cost and wait limits
 	 * @param excluded runners to avoid
 	 * @param elsewhereOnly whether the excluded runners must not be used in any case
-	 * @param limits times until which it may wait
 	 */
-	void submit(RequestSize size, int priority, Set<RunnerId> excluded, boolean elsewhereOnly,
-			WaitQueue.WaitLimits limits) {
-		ReservationRequest request = new ReservationRequest(size, priority, excluded, elsewhereOnly, limits, this);
+	void submit(RequestSize size, RequestDemand demand, Set<RunnerId> excluded, boolean elsewhereOnly) {
+		ReservationRequest request = new ReservationRequest(size, demand, excluded, elsewhereOnly, this);
 		this.submitted = request;
 		this.queue.submit(request);
 	}
@@ -66,12 +64,12 @@
 	}
 
 	@Override
-	public void rejected(long retryMillis) {
+	public void rejected(ReservationRequest.Rejection rejection) {
 		if (!this.loop.inEventLoop()) {
-			this.loop.execute(() -> rejected(retryMillis));
+			this.loop.execute(() -> rejected(rejection));
 		}
 		else if (this.receiver.accepts(this)) {
-			this.receiver.rejected(retryMillis);
+			this.receiver.rejected(rejection);
 		}
 	}
 
@@ -93,9 +91,9 @@
 
 		/**
 		 * No slots will be free in time.
-		 * @param retryMillis time in milliseconds after which the caller should retry
+		 * @param rejection why, and when the caller should retry
 		 */
-		void rejected(long retryMillis);
+		void rejected(ReservationRequest.Rejection rejection);
 
 	}
 
--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/relay/RelayContext.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/relay/RelayContext.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.BooleanSupplier;
 import java.util.function.Function;
+import java.util.function.ToDoubleFunction;
 
 import io.bilberryvalve.gateway.fleet.FleetRegistry;
 import io.bilberryvalve.gateway.fleet.ListedRunner;
@@ -121,13 +122,21 @@
 		this.connectionPools = connectionPools;
 		fleetRegistry.onChange(this::fleetChanged);
 		this.metrics.addGauge("bilberryvalve_requests_active", "Requests in progress", this.active::size);
-		this.metrics.addGauge("bilberryvalve_requests_waiting", "Requests that wait for a place", this::waitingCount);
+		this.metrics.addGauge("bilberryvalve_requests_waiting", "Requests that wait for a place",
+				() -> sum(ReservationQueue::waitingCount));
+		this.metrics.addGauge("bilberryvalve_waiting_cost", "Estimated cost of the requests that wait for a place",
+				() -> sum(ReservationQueue::waitingCost));
+		this.metrics.addGauge("bilberryvalve_admitted_cost_per_second",
+				"Measured rate at which waiting cost is admitted", () -> sum(ReservationQueue::admittedCostPerSecond));
+		this.metrics.addGauge("bilberryvalve_reserving_requests",
+				"Passed over requests for which the next capacity is reserved",
+				() -> sum(ReservationQueue::reservedCount));
 		this.metrics.addGauge("bilberryvalve_runners", "Runners listed", () -> fleetRegistry.snapshot().all().size());
 		this.metrics.addGauge("bilberryvalve_configuration_version", "Configuration in force", this::version);
 	}
 
-	private double waitingCount() {
-		return this.queues.values().stream().mapToInt((serviceQueue) -> serviceQueue.queue.waitingCount()).sum();
+	private double sum(ToDoubleFunction<ReservationQueue> value) {
+		return this.queues.values().stream().mapToDouble((service) -> value.applyAsDouble(service.queue)).sum();
 	}
 
 	private double version() {
--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/relay/RelayedRequest.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/relay/RelayedRequest.java
@@ -259,13 +259,13 @@
 			}
 
 			@Override
-			public void rejected(long retryMillis) {
-				runSafely(() -> RelayedRequest.this.rejected(targetQueue, retryMillis));
+			public void rejected(ReservationRequest.Rejection rejection) {
+				runSafely(() -> RelayedRequest.this.rejected(targetQueue, rejection));
 			}
 
 		});
 		this.pending = next;
-		next.submit(decision.size(), priority, Set.copyOf(this.excluded), elsewhereOnly, waitLimits);
+		next.submit(decision.size(), decision.demand(priority, waitLimits), Set.copyOf(this.excluded), elsewhereOnly);
 	}
 
 	// With a backlog, the caller may have left while its request waited in the socket
@@ -324,10 +324,10 @@
 		return this.events >= ANSWERED_EVENTS;
 	}
 
-	private void rejected(ReservationQueue targetQueue, long retryMillis) {
+	private void rejected(ReservationQueue targetQueue, ReservationRequest.Rejection rejection) {
 		if (this.inProgress.isEmpty()) {
-			this.log.queueLength(targetQueue.waitingCount());
-			giveUp(retryMillis, "no place at the runners");
+			this.log.rejected(rejection, targetQueue.waitingCount());
+			giveUp(rejection.retryMillis(), "no place at the runners");
 		}
 	}
 
--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/relay/RequestLog.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/relay/RequestLog.java
@@ -10,6 +10,7 @@
 import io.bilberryvalve.model.RunnerId;
 import io.bilberryvalve.model.log.LogEvent;
 import io.bilberryvalve.policy.quarantine.PromptParts;
+import io.bilberryvalve.policy.queue.Refusal;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -34,6 +35,8 @@
 
 	private @Nullable Integer queueLength;
 
+	private ReservationRequest.@Nullable Rejection rejection;
+
 	private @Nullable Long retryAfterMillis;
 
 	private @Nullable Long waitMillis;
@@ -71,8 +74,15 @@
 		this.blamed.addAll(runners);
 	}
 
-	void queueLength(int length) {
+	/**
+	 * Records that the request got no slots.
+	 * @param cause what decided about it
+	 * @param length number of requests that wait
+	 */
+	void rejected(ReservationRequest.Rejection cause, int length) {
+		this.rejection = cause;
 		this.queueLength = length;
+		this.context.metrics().recordRefusal(cause.cause().label());
 	}
 
 	void retryAfter(long delayMillis) {
@@ -137,6 +147,7 @@
 
 	void ended(int status, String reason, int sends, @Nullable RunnerAttempt last, @Nullable String lastEvent) {
 		RouteTable table = this.context.table();
+		Refusal refusal = (this.rejection != null) ? this.rejection.refusal() : null;
 		Route known = this.route;
 		if (known != null) {
 			this.context.metrics().recordEnd(known.kind(), status, millis());
@@ -153,6 +164,10 @@
 			.with("wait", this.waitMillis)
 			.with("silent-attempts", (this.silentAttempts > 0) ? this.silentAttempts : null)
 			.with("line", this.queueLength)
+			.with("refusal", (this.rejection != null) ? this.rejection.cause().label() : null)
+			.with("class", (refusal != null) ? refusal.priority() : null)
+			.with("cost-ahead", (refusal != null) ? refusal.costAhead() : null)
+			.with("cost-per-second", (refusal != null) ? Math.round(refusal.costPerSecond()) : null)
 			.with("retry-after", this.retryAfterMillis)
 			.with("fleet-age", this.context.fleetRegistry().ageMillis())
 			.with("millis", millis())
--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/relay/ReservationQueue.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/relay/ReservationQueue.java
@@ -8,8 +8,11 @@
 import java.util.SplittableRandom;
 
 import io.bilberryvalve.gateway.fleet.LoadTracker;
+import io.bilberryvalve.gateway.relay.ReservationRequest.Cause;
+import io.bilberryvalve.gateway.relay.ReservationRequest.Rejection;
 import io.bilberryvalve.model.RunnerId;
 import io.bilberryvalve.policy.path.RequestSize;
+import io.bilberryvalve.policy.queue.Refusal;
 import io.bilberryvalve.policy.queue.RetryAfter;
 import io.bilberryvalve.policy.queue.WaitQueue;
 
@@ -38,10 +41,10 @@
 	private static final long CAPACITY_CHECK_INTERVAL_MILLIS = 50;
 
 	/**
-	 * Largest number of waiting requests that one dispatch tries; each try searches for a
-	 * path.
+	 * Largest number of waiting requests that one dispatch tries. Few of them search for
+	 * a path, see {@link SlotSearches}.
 	 */
-	private static final int MAX_DISPATCH_CANDIDATES = 6;
+	private static final int MAX_DISPATCH_CANDIDATES = 64;
 
 	private volatile CapacityAllocator allocator;
 
@@ -53,9 +56,12 @@
 
 	/**
 	 * Requests for backup attempts, which may fit nowhere while the silent runners still
-	 * have free slots for others. Guarded by the lock of {@link #waitQueue}.
+	 * have free slots for others. They avoid different runners, so that none of them
+	 * keeps the others waiting. Guarded by the lock of {@link #waitQueue}.
 	 */
-	private final WaitQueue<ReservationRequest> backupQueue = new WaitQueue<>();
+	private final WaitQueue<ReservationRequest> backupQueue = new WaitQueue<>(false);
+
+	private final SlotSearches searches = new SlotSearches();
 
 	private final RetryAfter retryAfter = new RetryAfter(new SplittableRandom());
 
@@ -78,7 +84,10 @@
 	 * @param next allocator for the same service
 	 */
 	void setAllocator(CapacityAllocator next) {
-		this.allocator = next;
+		synchronized (this.waitQueue) {
+			this.allocator = next;
+			this.searches.forget();
+		}
 	}
 
 	/**
@@ -87,27 +96,47 @@
 	 * @param request the request
 	 */
 	void submit(ReservationRequest request) {
-		Optional<Reservation> reservation;
-		long retryMillis = 0;
+		List<Runnable> outcomes = new ArrayList<>();
 		synchronized (this.waitQueue) {
-			WaitQueue<ReservationRequest> target = queueOf(request);
-			reservation = (target.size() == 0) ? reserve(request) : Optional.empty();
-			if (reservation.isEmpty()) {
-				long now = this.clock.millis();
-				retryMillis = missesCapacity(request, now) ? capacityRetryMillis(now)
-						: target.offer(request, request.priority(), now, request.waitLimits());
-				retryMillis = (retryMillis > 0) ? this.retryAfter.draw(retryMillis, recovering(now)) : 0;
-			}
+			submit(request, this.clock.millis(), outcomes);
+		}
+		outcomes.forEach(Runnable::run);
+	}
+
+	private void submit(ReservationRequest request, long now, List<Runnable> outcomes) {
+		WaitQueue<ReservationRequest> target = queueOf(request);
+		this.searches.start(now);
+		if (target.size() == 0 && grant(request, outcomes)) {
+			return;
 		}
-		if (reservation.isPresent()) {
-			request.receiver().granted(reservation.get());
+		if (missesCapacity(request, now)) {
+			rejectWithoutRunner(request, capacityRetryMillis(now), now, outcomes);
+			return;
 		}
-		else if (retryMillis > 0) {
-			request.receiver().rejected(retryMillis);
+		Optional<Refusal> refusal = target.offer(request, request.demand(), now);
+		if (refusal.isEmpty()) {
+			dispatchAll(now, outcomes);
+		}
+		else if (this.searches.isKnownToFail(request)) {
+			reject(request, Cause.EXPECTED_WAIT, refusal.get(), now, outcomes);
 		}
 		else {
-			dispatchWaiting();
+			submitRefused(request, target, now, outcomes);
+		}
+	}
+
+	// No request is rejected while slots are free for it, as when those ahead of it are
+	// too large for these slots.
+	private void submitRefused(ReservationRequest request, WaitQueue<ReservationRequest> target, long now,
+			List<Runnable> outcomes) {
+		dispatchAll(now, outcomes);
+		this.searches.start(now);
+		if (!target.isReservedBefore(request.demand()) && grant(request, outcomes)) {
+			target.charge(request.demand(), now);
+			return;
 		}
+		target.offer(request, request.demand(), now)
+			.ifPresent((refusal) -> reject(request, Cause.EXPECTED_WAIT, refusal, now, outcomes));
 	}
 
 	/**
@@ -123,7 +152,7 @@
 
 	// Returns whether no runner may be used until the request would be late.
 	private boolean missesCapacity(ReservationRequest request, long now) {
-		WaitQueue.WaitLimits limits = request.waitLimits();
+		WaitQueue.WaitLimits limits = request.demand().limits();
 		long available = availableAt(now);
 		return available > now && available > Math.min(limits.onTimeUntil(), limits.rejectAt());
 	}
@@ -147,9 +176,11 @@
 		return request.elsewhereOnly() ? this.backupQueue : this.waitQueue;
 	}
 
-	private Optional<Reservation> reserve(ReservationRequest request) {
-		return request.elsewhereOnly() ? this.allocator.reserveElsewhere(request.size(), request.excluded())
-				: this.allocator.reserve(request.size(), request.excluded());
+	// Returns whether slots were reserved. Their receiver is called outside the lock.
+	private boolean grant(ReservationRequest request, List<Runnable> outcomes) {
+		Optional<Reservation> reservation = this.searches.reserve(request, this.allocator);
+		reservation.ifPresent((reserved) -> outcomes.add(() -> request.receiver().granted(reserved)));
+		return reservation.isPresent();
 	}
 
 	/**
@@ -183,7 +214,7 @@
 	 */
 	boolean cancel(ReservationRequest request) {
 		synchronized (this.waitQueue) {
-			return queueOf(request).remove(request);
+			return queueOf(request).remove(request, this.clock.millis());
 		}
 	}
 
@@ -206,36 +237,43 @@
 	void dispatchWaiting() {
 		List<Runnable> outcomes = new ArrayList<>();
 		synchronized (this.waitQueue) {
-			long now = this.clock.millis();
-			dispatch(this.backupQueue, now, outcomes);
-			dispatch(this.waitQueue, now, outcomes);
+			this.searches.forget();
+			dispatchAll(this.clock.millis(), outcomes);
 		}
 		outcomes.forEach(Runnable::run);
 	}
 
+	private void dispatchAll(long now, List<Runnable> outcomes) {
+		dispatch(this.backupQueue, now, outcomes);
+		dispatch(this.waitQueue, now, outcomes);
+	}
+
 	private void dispatch(WaitQueue<ReservationRequest> queue, long now, List<Runnable> outcomes) {
+		if (queue.size() == 0) {
+			return;
+		}
 		for (ReservationRequest request : queue.expire(now)) {
-			reject(request, queue.retryAfterMillis(), now, outcomes);
+			reject(request, Cause.WAIT_LIMIT, queue.refusal(request.demand(), now), now, outcomes);
 		}
-		long available = (queue.size() > 0) ? availableAt(now) : now;
+		long available = availableAt(now);
 		if (available > now && available != CapacityAllocator.NEVER) {
-			for (ReservationRequest request : queue.expire(available)) {
-				reject(request, available - now, now, outcomes);
-			}
-		}
-		for (ReservationRequest request : queue.peek(now, MAX_DISPATCH_CANDIDATES)) {
-			Optional<Reservation> reservation = reserve(request);
-			if (reservation.isPresent()) {
-				queue.remove(request);
-				queue.recordAdmission(now);
-				outcomes.add(() -> request.receiver().granted(reservation.get()));
+			for (ReservationRequest request : queue.expireUntil(available)) {
+				rejectWithoutRunner(request, available - now, now, outcomes);
 			}
 		}
+		this.searches.start(now);
+		queue.dispatch(now, MAX_DISPATCH_CANDIDATES, (request) -> grant(request, outcomes));
+	}
+
+	private void reject(ReservationRequest request, Cause cause, Refusal refusal, long now, List<Runnable> outcomes) {
+		long retryMillis = this.retryAfter.draw(refusal, recovering(now));
+		outcomes.add(() -> request.receiver().rejected(new Rejection(cause, retryMillis, refusal)));
 	}
 
-	private void reject(ReservationRequest request, long expectedMillis, long now, List<Runnable> outcomes) {
-		long retryMillis = this.retryAfter.draw(expectedMillis, recovering(now));
-		outcomes.add(() -> request.receiver().rejected(retryMillis));
+	private void rejectWithoutRunner(ReservationRequest request, long availableMillis, long now,
+			List<Runnable> outcomes) {
+		long retryMillis = this.retryAfter.draw(availableMillis, recovering(now));
+		outcomes.add(() -> request.receiver().rejected(new Rejection(Cause.NO_RUNNER, retryMillis, null)));
 	}
 
 	private boolean recovering(long now) {
@@ -252,4 +290,22 @@
 		}
 	}
 
+	long waitingCost() {
+		synchronized (this.waitQueue) {
+			return this.waitQueue.cost() + this.backupQueue.cost();
+		}
+	}
+
+	double admittedCostPerSecond() {
+		synchronized (this.waitQueue) {
+			return this.waitQueue.costPerSecond();
+		}
+	}
+
+	int reservedCount() {
+		synchronized (this.waitQueue) {
+			return this.waitQueue.reservedCount();
+		}
+	}
+
 }
--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/relay/RoutingDecision.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/relay/RoutingDecision.java
@@ -8,6 +8,9 @@
 import io.bilberryvalve.gateway.route.Team;
 import io.bilberryvalve.policy.path.RequestSize;
 import io.bilberryvalve.policy.placement.EngineProfile;
+import io.bilberryvalve.policy.queue.RequestCost;
+import io.bilberryvalve.policy.queue.RequestDemand;
+import io.bilberryvalve.policy.queue.WaitQueue;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import org.jspecify.annotations.Nullable;
 
@@ -72,6 +75,18 @@
 			return (this.team != null) ? this.team.priority().orElse(this.route.priority()) : this.route.priority();
 		}
 
+		/**
+		 * Returns by what the request is queued. Its team is the one of the key of its
+		 * caller, so that callers cannot choose it.
+		 * @param queuePriority class in the queue; lower numbers are served first
+		 * @param limits how long the request may wait
+		 * @return class, team, estimated cost and limits
+		 */
+		RequestDemand demand(int queuePriority, WaitQueue.WaitLimits limits) {
+			String name = (this.team != null) ? this.team.name() : "";
+			return new RequestDemand(queuePriority, name, RequestCost.of(this.size), limits);
+		}
+
 	}
 
 	/**
--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/report/Metrics.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/report/Metrics.java
@@ -61,6 +61,12 @@
 		.labelNames("notice")
 		.register(this.registry);
 
+	private final Counter refusals = Counter.builder()
+		.name("bilberryvalve_wait_refusals_total")
+		.help("Requests that got no place at runners, by what decided it")
+		.labelNames("cause")
+		.register(this.registry);
+
 	private final Histogram duration = histogram("bilberryvalve_request_seconds",
 			"Time from a request to the end of its response");
 
@@ -162,6 +168,14 @@
 		this.runnerNotices.labelValues(notice).inc();
 	}
 
+	/**
+	 * Records a request that got no slots.
+	 * @param cause what decided it
+	 */
+	public void recordRefusal(String cause) {
+		this.refusals.labelValues(cause).inc();
+	}
+
 	/**
 	 * Returns all metrics as text.
 	 * @return the metrics in the Prometheus text format
--- a/bilberryvalve-policy/src/main/java/io/bilberryvalve/policy/queue/RetryAfter.java
+++ b/bilberryvalve-policy/src/main/java/io/bilberryvalve/policy/queue/RetryAfter.java
@@ -24,6 +24,21 @@
 	 */
 	private static final long MAX_REPAIR_MILLIS = 5000;
 
+	/** Shortest delay of a caller; an immediate retry would find no slot. */
+	private static final long MIN_DRAIN_MILLIS = 200;
+
+	/**
+	 * Longest drain time that is counted. With the largest jitter, the delay is 3 s, as
+	 * long as a burst.
+	 */
+	private static final long MAX_DRAIN_MILLIS = 2000;
+
+	/**
+	 * Drain time that is assumed before the rate of admissions was measured; the longest
+	 * wait of a stream.
+	 */
+	private static final long UNKNOWN_DRAIN_MILLIS = 1000;
+
 	private final RandomGenerator random;
 
 	/**
@@ -34,6 +49,18 @@
 		this.random = random;
 	}
 
+	/**
+	 * Draws the delay for a caller whose request would have waited too long: the expected
+	 * time in which the requests ahead of it in its class are served.
+	 * @param refusal what decided about the request
+	 * @param repairing whether lost capacity is being replaced at present
+	 * @return delay in milliseconds, from 200 to 3000 unless capacity is being replaced
+	 */
+	public long draw(Refusal refusal, boolean repairing) {
+		long drain = (refusal.costPerSecond() > 0) ? Math.round(refusal.expectedWaitMillis()) : UNKNOWN_DRAIN_MILLIS;
+		return draw(Math.max(MIN_DRAIN_MILLIS, Math.min(MAX_DRAIN_MILLIS, drain)), repairing);
+	}
+
 	/**
 	 * Draws the delay for one caller.
 	 * @param drainMillis expected time until the present queue has drained
--- a/bilberryvalve-policy/src/test/java/io/bilberryvalve/policy/queue/WaitQueueTests.java
+++ b/bilberryvalve-policy/src/test/java/io/bilberryvalve/policy/queue/WaitQueueTests.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Random;
 
 import net.jqwik.api.Example;
 
@@ -11,23 +12,32 @@
 
 	private final WaitQueue<String> queue = new WaitQueue<>();
 
+	private final RetryAfter retryAfter = new RetryAfter(new Random(1));
+
 	private static WaitQueue.WaitLimits until(long onTime, long giveUp) {
 		return new WaitQueue.WaitLimits(onTime, giveUp);
 	}
 
+	// Returns 0 if the request was added, otherwise the delay of its caller.
+	private long offer(String item, int priority, long now, WaitQueue.WaitLimits limits) {
+		return this.queue.offer(item, new RequestDemand(priority, "team", 1, limits), now)
+			.map((refusal) -> this.retryAfter.draw(refusal, false))
+			.orElse(0L);
+	}
+
 	// Guards against late requests that take the slots of requests that can still be
 	// answered on time.
 	@Example
 	void requestsThatCanBeOnTimeGoFirst() {
-		this.queue.offer("late", 1, 0, until(100, 2000));
-		this.queue.offer("fresh", 1, 150, until(450, 2000));
+		offer("late", 1, 0, until(100, 2000));
+		offer("fresh", 1, 150, until(450, 2000));
 		assertThat(this.queue.peek(200, 5)).containsExactly("fresh", "late");
 	}
 
 	@Example
 	void priorityPrecedesArrival() {
-		this.queue.offer("second", 1, 0, until(500, 2000));
-		this.queue.offer("first", 0, 10, until(500, 2000));
+		offer("second", 1, 0, until(500, 2000));
+		offer("first", 0, 10, until(500, 2000));
 		assertThat(this.queue.peek(20, 5)).containsExactly("first", "second");
 	}
 
@@ -38,15 +48,14 @@
 		List<Long> retries = new ArrayList<>();
 		for (int i = 0; i < 200; i++) {
 			long now = i * 5L;
-			long retry = this.queue.offer("request-" + i, 1, now, until(now + 300, now + 1000));
+			long retry = offer("request-" + i, 1, now, until(now + 300, now + 1000));
 			if (retry > 0) {
 				retries.add(retry);
 			}
 			if (i % 10 == 9) {
 				this.queue.expire(now);
 				String next = this.queue.peek(now, 1).get(0);
-				this.queue.remove(next);
-				this.queue.recordAdmission(now);
+				this.queue.dispatch(now, 1, next::equals);
 			}
 		}
 		assertThat(retries).hasSizeGreaterThan(100).allMatch((retry) -> retry >= 200 && retry <= 3000);
@@ -55,7 +64,7 @@
 
 	@Example
 	void requestIsRejectedWhenItsWaitLimitIsReached() {
-		this.queue.offer("request", 1, 0, until(100, 400));
+		offer("request", 1, 0, until(100, 400));
 		assertThat(this.queue.expire(399)).isEmpty();
 		assertThat(this.queue.expire(400)).containsExactly("request");
 		assertThat(this.queue.size()).isZero();
@@ -66,10 +75,10 @@
 	@Example
 	void requestsBehindTheFirstAreReturnedToo() {
 		for (int i = 0; i < 5; i++) {
-			this.queue.offer("request-" + i, 1, i, until(1000, 2000));
+			offer("request-" + i, 1, i, until(1000, 2000));
 		}
 		assertThat(this.queue.peek(10, 3)).containsExactly("request-0", "request-1", "request-2");
-		assertThat(this.queue.remove(this.queue.peek(10, 2).get(1))).isTrue();
+		assertThat(this.queue.remove(this.queue.peek(10, 2).get(1), 10)).isTrue();
 		assertThat(this.queue.peek(10, 3)).containsExactly("request-0", "request-2", "request-3");
 	}
 
