--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/relay/ReservationQueue.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/relay/ReservationQueue.java
@@ -257,7 +257,7 @@
 		}
 		long available = availableAt(now);
 		if (available > now && available != CapacityAllocator.NEVER) {
-			for (ReservationRequest request : queue.expireUntil(available)) {
+			for (ReservationRequest request : queue.expireUntil(available, now)) {
 				rejectWithoutRunner(request, available - now, now, outcomes);
 			}
 		}
--- a/bilberryvalve-policy/src/main/java/io/bilberryvalve/policy/queue/WaitQueue.java
+++ b/bilberryvalve-policy/src/main/java/io/bilberryvalve/policy/queue/WaitQueue.java
@@ -291,14 +291,12 @@
 	 */
 	public List<T> expire(long now) {
 		update(now);
-		List<T> expired = new ArrayList<>(expireUntil(now));
+		List<T> expired = new ArrayList<>();
+		expireUntil(now, now, expired);
 		double perMilli = this.rate.perMilli();
 		if (perMilli > 0 && now - this.lateCheckedAt >= LATE_CHECK_INTERVAL_MILLIS) {
 			this.lateCheckedAt = now;
-			findHopeless(now, perMilli).forEach((waiting) -> {
-				drop(waiting);
-				expired.add(waiting.item());
-			});
+			findHopeless(now, perMilli).forEach((waiting) -> expire(waiting, now, expired));
 		}
 		return expired;
 	}
@@ -326,23 +324,31 @@
 	/**
 	 * Removes the requests that may not wait until a time, as when no capacity will be
 	 * available before.
-	 * @param time time in milliseconds
+	 * @param until time in milliseconds
+	 * @param now present time in milliseconds
 	 * @return the removed requests, which the caller has to reject
 	 */
-	public List<T> expireUntil(long time) {
+	public List<T> expireUntil(long until, long now) {
 		List<T> expired = new ArrayList<>();
-		while (!this.byRejection.isEmpty() && time >= this.byRejection.first().demand().limits().rejectAt()) {
-			Waiting<T> waiting = this.byRejection.first();
-			drop(waiting);
-			expired.add(waiting.item());
-			if (waiting.wasHeld()) {
-				this.reservedInVainAt = waiting.demand().limits().rejectAt();
-				this.reservedInVainCost = waiting.demand().cost();
-			}
-		}
+		expireUntil(until, now, expired);
 		return expired;
 	}
 
+	private void expireUntil(long until, long now, List<T> expired) {
+		while (!this.byRejection.isEmpty() && until >= this.byRejection.first().demand().limits().rejectAt()) {
+			expire(this.byRejection.first(), now, expired);
+		}
+	}
+
+	private void expire(Waiting<T> waiting, long now, List<T> expired) {
+		drop(waiting);
+		expired.add(waiting.item());
+		if (waiting.wasHeld()) {
+			this.reservedInVainAt = now;
+			this.reservedInVainCost = waiting.demand().cost();
+		}
+	}
+
 	/**
 	 * Returns the length of the queue.
 	 * @return number of waiting requests, including late ones
--- a/bilberryvalve-policy/src/test/java/io/bilberryvalve/policy/queue/WaitQueueTests.java
+++ b/bilberryvalve-policy/src/test/java/io/bilberryvalve/policy/queue/WaitQueueTests.java
@@ -41,6 +41,24 @@
 		assertThat(this.queue.peek(20, 5)).containsExactly("first", "second");
 	}
 
+	// Guards against requests that become late although a slot in time was theirs: the
+	// later one of a team has less time.
+	@Example
+	void earliestDeadlineGoesFirstWithinATeam() {
+		offer("patient", 1, 0, until(900, 2000));
+		offer("hurried", 1, 10, until(300, 2000));
+		assertThat(this.queue.peek(20, 5)).containsExactly("hurried", "patient");
+		assertThat(this.queue.peek(300, 5)).containsExactly("patient", "hurried");
+	}
+
+	// Guards against streams that stop for their callers while new requests are served.
+	@Example
+	void resumedStreamsGoFirst() {
+		offer("urgent", 0, 0, until(100, 2000));
+		offer("resumed", -1, 10, until(5000, 1010));
+		assertThat(this.queue.peek(20, 5)).containsExactly("resumed", "urgent");
+	}
+
 	// A burst at ten times the rate of free slots: the queue stays short, and requests
 	// that could not be served within their limit are rejected on arrival.
 	@Example
