--- a/bilberryvalve-policy/src/main/java/io/bilberryvalve/policy/queue/Waiting.java
+++ b/bilberryvalve-policy/src/main/java/io/bilberryvalve/policy/queue/Waiting.java
@@ -39,8 +39,9 @@
 		this.item = item;
 		this.demand = demand;
 		this.sequence = sequence;
-		this.longestPassing = (Math.min(demand.limits().onTimeUntil(), demand.limits().rejectAt()) - now) / 2;
 		this.late = now >= demand.limits().onTimeUntil();
+		long useful = this.late ? Long.MAX_VALUE : demand.limits().onTimeUntil();
+		this.longestPassing = (Math.min(useful, demand.limits().rejectAt()) - now) / 2;
 	}
 
 	T item() {
--- a/bilberryvalve-policy/src/test/java/io/bilberryvalve/policy/queue/LoadPatternTests.java
+++ b/bilberryvalve-policy/src/test/java/io/bilberryvalve/policy/queue/LoadPatternTests.java
@@ -24,10 +24,11 @@
 	@Example
 	void urgentRequestsAreServedWhileOneKindJumps() {
 		QueueReplay replay = new QueueReplay(8);
-		replay.addStream(0, 8000, 19, Kind.of("urgent", 0));
-		replay.addStream(0, 2000, 60, Kind.of("jumping", 1));
-		replay.addStream(2000, 6000, 144, Kind.of("jumping", 1));
-		replay.addStream(6000, 8000, 60, Kind.of("jumping", 1));
+		Kind jumping = Kind.of("jumping", 1).withLimits(900, 1000);
+		replay.addStream(0, 8000, 19, Kind.of("urgent", 0).withLimits(150, 200));
+		replay.addStream(0, 2000, 60, jumping);
+		replay.addStream(2000, 6000, 144, jumping);
+		replay.addStream(6000, 8000, 60, jumping);
 		replay.run(10_000);
 		assertThat(replay.calls((call) -> call.isOf("urgent"))).allMatch(Call::isOnTime)
 			.allMatch((call) -> call.refusals() == 0);
--- a/bilberryvalve-policy/src/test/java/io/bilberryvalve/policy/queue/WaitQueueTests.java
+++ b/bilberryvalve-policy/src/test/java/io/bilberryvalve/policy/queue/WaitQueueTests.java
@@ -80,6 +80,17 @@
 		assertThat(this.queue.size()).isLessThan(30);
 	}
 
+	// Guards against late requests for which capacity is reserved at once.
+	@Example
+	void requestThatIsLateOnArrivalIsPassedOverForHalfOfItsWaitLimit() {
+		offer("large", 1, 1000, until(500, 2000));
+		for (int i = 0; i < 20; i++) {
+			offer("small" + i, 1, 1000, until(600, 3000));
+			List<String> granted = this.queue.dispatch(1000 + i * 50L, 1000, (item) -> item.startsWith("small"));
+			assertThat(granted).as("after %d ms", i * 50).hasSize((i < 10) ? 1 : 0);
+		}
+	}
+
 	@Example
 	void requestIsRejectedWhenItsWaitLimitIsReached() {
 		offer("request", 1, 0, until(100, 400));
