--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/report/Metrics.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/report/Metrics.java
@@ -73,6 +73,12 @@
 		.labelNames("source", "result")
 		.register(this.registry);
 
+	private final Counter refusals = Counter.builder()
+		.name("bilberryvalve_wait_refusals_total")
+		.help("Requests that got no place at runners, by what decided it")
+		.labelNames("cause")
+		.register(this.registry);
+
 	private final Histogram duration = histogram("bilberryvalve_request_seconds",
 			"Time from a request to the end of its response");
 
@@ -193,6 +199,14 @@
 		this.rowReads.labelValues(source, result).inc();
 	}
 
+	/**
+	 * Records a request that got no slots.
+	 * @param cause what decided it
+	 */
+	public void recordRefusal(String cause) {
+		this.refusals.labelValues(cause).inc();
+	}
+
 	/**
 	 * Returns all metrics as text.
 	 * @return the metrics in the Prometheus text format
