Avoid a runner for 250 ms after it refused a request

Cause: a refusal without a named cause changed nothing in the choice, so that the next request was sent to the same runner some milliseconds later. Change: RecentRefusals keeps the time of the last refusal of each runner. Paths leave such runners out if the others cover the model when idle; application runners if another one is usable.

--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/fleet/RunnerAvailability.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/fleet/RunnerAvailability.java
@@ -50,6 +50,8 @@
 
 	private final Map<String, Report> reports = new ConcurrentHashMap<>();
 
+	private final RecentRefusals refusals;
+
 	private volatile Set<RunnerId> changing = Set.of();
 
 	/**
@@ -58,6 +60,16 @@
 	 */
 	public RunnerAvailability(Clock clock) {
 		this.clock = clock;
+		this.refusals = new RecentRefusals(clock);
+	}
+
+	/**
+	 * Returns the runners that refused a request of this daemon recently. They still
+	 * count as usable.
+	 * @return the tracker of refusals
+	 */
+	public RecentRefusals refusals() {
+		return this.refusals;
 	}
 
 	/**
--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/relay/PathAllocator.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/relay/PathAllocator.java
@@ -13,6 +13,7 @@
 import io.bilberryvalve.gateway.fleet.ListedRunner;
 import io.bilberryvalve.gateway.fleet.LoadTracker;
 import io.bilberryvalve.gateway.fleet.ProgressTracker;
+import io.bilberryvalve.gateway.fleet.RecentRefusals;
 import io.bilberryvalve.gateway.fleet.RunnerAvailability;
 import io.bilberryvalve.gateway.fleet.RunnerPauses;
 import io.bilberryvalve.model.LayerRange;
@@ -68,10 +69,9 @@
 		FleetSnapshot fleet = this.fleetRegistry.snapshot();
 		List<LayerHolder> holders = holders(fleet);
 		Predicate<RunnerId> usable = usableRunners(fleet);
-		Optional<LayerPath> path = this.chooser.choose(holders, this.loadTracker, size,
-				usable.and((runner) -> !excluded.contains(runner)));
+		Optional<LayerPath> path = choose(holders, size, usable, excluded);
 		if (path.isEmpty() && !excluded.isEmpty()) {
-			path = this.chooser.choose(holders, this.loadTracker, size, usable);
+			path = choose(holders, size, usable, Set.of());
 		}
 		if (path.isEmpty() && !covers(holders, usable)) {
 			path = this.chooser.choose(holders, this.loadTracker, size,
@@ -83,11 +83,25 @@
 	@Override
 	public Optional<Reservation> reserveElsewhere(RequestSize size, Set<RunnerId> avoided) {
 		FleetSnapshot fleet = this.fleetRegistry.snapshot();
-		Predicate<RunnerId> usable = usableRunners(fleet);
-		return this.chooser
-			.choose(holders(fleet), this.loadTracker, size,
-					(runner) -> !avoided.contains(runner) && usable.test(runner))
-			.flatMap((path) -> reserve(fleet, path, size));
+		List<LayerHolder> holders = holders(fleet);
+		return choose(holders, size, usableRunners(fleet), avoided).flatMap((path) -> reserve(fleet, path, size));
+	}
+
+	// Leaves out the runners that refused a request recently if the others cover the
+	// model
+	// when idle. A request then waits for these, since a runner that has just refused one
+	// would most likely refuse the next one too.
+	private Optional<LayerPath> choose(List<LayerHolder> holders, RequestSize size, Predicate<RunnerId> usable,
+			Set<RunnerId> avoided) {
+		RecentRefusals refusals = this.runnerAvailability.refusals();
+		Predicate<RunnerId> permitted = usable.and((runner) -> !avoided.contains(runner));
+		if (!refusals.isAnyRecent()) {
+			return this.chooser.choose(holders, this.loadTracker, size, permitted);
+		}
+		Predicate<RunnerId> accepting = (runner) -> !refusals.isRecent(runner);
+		Optional<LayerPath> path = this.chooser.choose(holders, this.loadTracker, size, permitted.and(accepting));
+		return (path.isPresent() || covers(holders, usable.and(accepting))) ? path
+				: this.chooser.choose(holders, this.loadTracker, size, permitted);
 	}
 
 	@Override
--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/relay/RelayContext.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/relay/RelayContext.java
@@ -123,6 +123,8 @@
 		this.metrics.addGauge("bilberryvalve_requests_active", "Requests in progress", this.active::size);
 		this.metrics.addGauge("bilberryvalve_requests_waiting", "Requests that wait for a place", this::waitingCount);
 		this.metrics.addGauge("bilberryvalve_runners", "Runners listed", () -> fleetRegistry.snapshot().all().size());
+		this.metrics.addGauge("bilberryvalve_runners_refusing", "Runners that refused a request in the last 250 ms",
+				() -> runnerAvailability.refusals().count());
 		this.metrics.addGauge("bilberryvalve_configuration_version", "Configuration in force", this::version);
 	}
 
@@ -201,6 +203,7 @@
 
 	private void fleetChanged() {
 		this.progressTracker.retain(this.fleetRegistry.snapshot());
+		this.runnerAvailability.refusals().retain(this.fleetRegistry.snapshot());
 		runPendingStarts();
 		dispatchWaiting();
 	}
--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/relay/RunnerAllocator.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/relay/RunnerAllocator.java
@@ -18,7 +18,8 @@
 /**
  * Reserves slots at application runners, which serve a request alone. Chooses the runner
  * with the fewest requests in progress, counted over all daemons; among equals, one in
- * the data centre of this daemon.
+ * the data centre of this daemon. A runner that refused a request recently is used only
+ * if no other one is usable.
  */
 final class RunnerAllocator implements CapacityAllocator {
 
@@ -63,7 +64,11 @@
 		List<ListedRunner> trusted = candidates.stream()
 			.filter((runner) -> this.runnerAvailability.isUsable(runner.id()))
 			.toList();
-		return (trusted.isEmpty() ? candidates : trusted).stream()
+		List<ListedRunner> accepting = trusted.stream()
+			.filter((runner) -> !this.runnerAvailability.refusals().isRecent(runner.id()))
+			.toList();
+		List<ListedRunner> preferred = accepting.isEmpty() ? trusted : accepting;
+		return (preferred.isEmpty() ? candidates : preferred).stream()
 			.filter((runner) -> this.loadTracker.of(runner.id()).running() < Math.max(1, runner.slots()))
 			.min(Comparator.comparingInt((ListedRunner runner) -> this.loadTracker.of(runner.id()).running())
 				.thenComparing((runner) -> !runner.dataCentre().equals(this.localDataCentre)))
--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/relay/RunnerAttempt.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/relay/RunnerAttempt.java
@@ -284,6 +284,9 @@
 		if (address != null || status() == HttpResponseStatus.MISDIRECTED_REQUEST.code()) {
 			this.context.runnerAvailability().recordFailure(runner, "refused a request with " + status());
 		}
+		else {
+			this.context.runnerAvailability().refusals().record(runner, status());
+		}
 		return runner;
 	}
 
--- a/bilberryvalve-gateway/src/test/java/io/bilberryvalve/gateway/relay/RunnerAttemptTests.java
+++ b/bilberryvalve-gateway/src/test/java/io/bilberryvalve/gateway/relay/RunnerAttemptTests.java
@@ -22,6 +22,9 @@
 import io.bilberryvalve.policy.silence.RunnerSilence;
 import io.netty.channel.DefaultEventLoop;
 import io.netty.channel.EventLoop;
+import io.netty.handler.codec.http.DefaultHttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpVersion;
 import net.jqwik.api.Example;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -66,6 +69,29 @@
 		}
 	}
 
+	// Guards against a refusal that has no effect on the choice of the next runner.
+	@Example
+	void refusalOfTheRunnerIsRecorded() {
+		EventLoop loop = new DefaultEventLoop();
+		try {
+			ReservationQueue queue = this.context.reservationQueue(new Service("app", null));
+			Reservation reservation = new Reservation(List.of(RUNNER), null, new RequestSize(10, 10));
+			RunnerAttempt attempt = new RunnerAttempt(this.context, loop, queue, reservation, null, new Unused());
+			DefaultHttpResponse head = new DefaultHttpResponse(HttpVersion.HTTP_1_1,
+					HttpResponseStatus.SERVICE_UNAVAILABLE);
+			head.headers().set(RelayFixture.HEADER_NAMES.notRun(), "1");
+			attempt.onHead(head);
+			attempt.onEnd();
+			assertThat(this.context.runnerAvailability().refusals().isRecent(RUNNER.id())).isTrue();
+			assertThat(this.context.metrics().toPrometheusText()).contains("bilberryvalve_runners_refusing 1");
+			this.clock.advance(Duration.ofMillis(250));
+			assertThat(this.context.runnerAvailability().refusals().isRecent(RUNNER.id())).isFalse();
+		}
+		finally {
+			loop.shutdownGracefully();
+		}
+	}
+
 	/** Ignores the events of an attempt. */
 	private static final class Unused implements RunnerAttempt.Listener {
 
