Choose paths by the measured pace of runners

Cause: the choice took each runner to be as fast as its profile says, although runners become 3 to 12 times slower for seconds. Change: PaceEstimator compares the time between the events of streams with that of their paths. The limit of the prompt backlog ignores the estimate.

--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/fleet/ProgressTracker.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/fleet/ProgressTracker.java
@@ -8,12 +8,15 @@
 import java.util.concurrent.atomic.AtomicInteger;
 
 import io.bilberryvalve.model.RunnerId;
+import io.bilberryvalve.policy.path.LayerPath;
+import io.bilberryvalve.policy.path.PaceEstimator;
 import io.bilberryvalve.policy.silence.RunnerSilence;
+import org.jspecify.annotations.Nullable;
 
 /**
  * Tracks when each runner last produced an event for a stream of this daemon, and which
- * runners are suspected because their streams are silent. Safe for use by several threads
- * without locks.
+ * runners are suspected because their streams are silent. Also measures the pace of the
+ * streams. Safe for use by several threads.
  */
 public final class ProgressTracker {
 
@@ -27,6 +30,8 @@
 
 	private final Map<RunnerId, RunnerProgress> runners = new ConcurrentHashMap<>();
 
+	private final PaceEstimator paceEstimator;
+
 	private volatile long runningSince;
 
 	/**
@@ -35,17 +40,38 @@
 	 */
 	public ProgressTracker(Clock clock) {
 		this.clock = clock;
+		this.paceEstimator = new PaceEstimator(clock);
 		this.runningSince = clock.millis();
 	}
 
 	/**
-	 * Starts to track a stream that has had its first event.
+	 * Returns the estimates of how much slower runners are than their profile says.
+	 * @return the estimator, to which the tracked streams contribute
+	 */
+	public PaceEstimator paceEstimator() {
+		return this.paceEstimator;
+	}
+
+	/**
+	 * Starts to track a stream that has had its first event, without measuring its pace.
 	 * @param path runners on the path of the stream
 	 * @return progress of the stream, on which the caller records each further event
 	 */
 	public StreamProgress track(List<RunnerId> path) {
+		return track(path, null);
+	}
+
+	/**
+	 * Starts to track a stream that has had its first event.
+	 * @param path runners on the path of the stream
+	 * @param layerPath the same path with its expected times, or {@code null} if the pace
+	 * of the stream is not measured
+	 * @return progress of the stream, on which the caller records each further event
+	 */
+	public StreamProgress track(List<RunnerId> path, @Nullable LayerPath layerPath) {
 		StreamProgress stream = new StreamProgress(
-				path.stream().map((id) -> this.runners.computeIfAbsent(id, RunnerProgress::new)).toList());
+				path.stream().map((id) -> this.runners.computeIfAbsent(id, RunnerProgress::new)).toList(),
+				(layerPath != null) ? this.paceEstimator.track(layerPath) : null);
 		stream.path.forEach((progress) -> progress.streams.incrementAndGet());
 		stream.recordEvent();
 		return stream;
@@ -118,6 +144,7 @@
 	 */
 	public void retain(FleetSnapshot fleet) {
 		this.runners.keySet().removeIf((id) -> fleet.find(id).isEmpty());
+		this.paceEstimator.retain((id) -> fleet.find(id).isPresent());
 	}
 
 	/** Progress of all streams through one runner. */
@@ -148,16 +175,34 @@
 
 		private final List<RunnerProgress> path;
 
+		private final PaceEstimator.@Nullable StreamPace pace;
+
 		private boolean stopped;
 
-		private StreamProgress(List<RunnerProgress> path) {
+		private StreamProgress(List<RunnerProgress> path, PaceEstimator.@Nullable StreamPace pace) {
 			this.path = path;
+			this.pace = pace;
+		}
+
+		/**
+		 * Counts an event for the pace of the stream. Several events may arrive together,
+		 * after which {@link #recordEvent} is called once.
+		 */
+		public void countEvent() {
+			PaceEstimator.StreamPace current = this.pace;
+			if (current != null) {
+				current.recordEvent();
+			}
 		}
 
-		/** Records that an event has arrived. */
+		/** Records that one or more events have arrived. */
 		public void recordEvent() {
 			long now = ProgressTracker.this.clock.millis();
 			this.path.forEach((progress) -> progress.lastEventAt = now);
+			PaceEstimator.StreamPace current = this.pace;
+			if (current != null) {
+				current.update(now, ProgressTracker.this.runningSince);
+			}
 		}
 
 		/**
--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/relay/PathAllocator.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/relay/PathAllocator.java
@@ -21,6 +21,7 @@
 import io.bilberryvalve.policy.path.LayerHolder;
 import io.bilberryvalve.policy.path.LayerPath;
 import io.bilberryvalve.policy.path.LoadSource;
+import io.bilberryvalve.policy.path.PaceEstimator;
 import io.bilberryvalve.policy.path.PathChooser;
 import io.bilberryvalve.policy.path.RequestSize;
 import io.bilberryvalve.policy.placement.CardKind;
@@ -67,7 +68,7 @@
 	@Override
 	public Optional<Reservation> reserve(RequestSize size, Set<RunnerId> excluded) {
 		FleetSnapshot fleet = this.fleetRegistry.snapshot();
-		List<LayerHolder> holders = holders(fleet);
+		List<LayerHolder> holders = pacedHolders(fleet);
 		Predicate<RunnerId> usable = usableRunners(fleet);
 		Optional<LayerPath> path = choose(holders, size, usable, excluded);
 		if (path.isEmpty() && !excluded.isEmpty()) {
@@ -83,7 +84,7 @@
 	@Override
 	public Optional<Reservation> reserveElsewhere(RequestSize size, Set<RunnerId> avoided) {
 		FleetSnapshot fleet = this.fleetRegistry.snapshot();
-		List<LayerHolder> holders = holders(fleet);
+		List<LayerHolder> holders = pacedHolders(fleet);
 		return choose(holders, size, usableRunners(fleet), avoided).flatMap((path) -> reserve(fleet, path, size));
 	}
 
@@ -137,6 +138,7 @@
 		for (LayerPath.Hop hop : path.hops()) {
 			fleet.find(hop.runner()).ifPresent(runners::add);
 		}
+		this.progressTracker.paceEstimator().recordChoice(path);
 		Reservation reservation = new Reservation(runners, path, size);
 		this.loadTracker.add(reservation.resources(), size);
 		return Optional.of(reservation);
@@ -168,6 +170,17 @@
 			.orElse(NEVER);
 	}
 
+	// Returns the holders with the present estimates of their slowdown. Mostly no runner
+	// is
+	// slow, so that the cached list is used as it is.
+	private List<LayerHolder> pacedHolders(FleetSnapshot fleet) {
+		PaceEstimator estimator = this.progressTracker.paceEstimator();
+		List<LayerHolder> holders = holders(fleet);
+		return estimator.hasSlowRunners()
+				? holders.stream().map((holder) -> holder.withSlowdown(estimator.slowdown(holder.runner()))).toList()
+				: holders;
+	}
+
 	// Caches the holders per fleet snapshot: they depend only on the fleet, and each
 	// change of the fleet creates a new object.
 	private List<LayerHolder> holders(FleetSnapshot fleet) {
--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/relay/RelayContext.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/relay/RelayContext.java
@@ -125,6 +125,8 @@
 		this.metrics.addGauge("bilberryvalve_runners", "Runners listed", () -> fleetRegistry.snapshot().all().size());
 		this.metrics.addGauge("bilberryvalve_runners_refusing", "Runners that refused a request in the last 250 ms",
 				() -> runnerAvailability.refusals().count());
+		this.metrics.addGauge("bilberryvalve_runners_slow", "Engine runners that are slower than their profile says",
+				() -> this.progressTracker.paceEstimator().slowCount());
 		this.metrics.addGauge("bilberryvalve_configuration_version", "Configuration in force", this::version);
 	}
 
--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/relay/StallDetector.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/relay/StallDetector.java
@@ -72,14 +72,17 @@
 
 	/**
 	 * Counts the request as one of the streams of its runners, unless it is counted
-	 * already.
+	 * already. To be called for each event.
 	 * @param reservation runners that the stream passes
 	 * @param firstEvent whether the first event of the stream has arrived, at which the
 	 * longest silence restarts
 	 */
 	void trackStream(Reservation reservation, boolean firstEvent) {
 		if (this.stream == null) {
-			this.stream = this.context.progressTracker().track(reservation.runnerIds());
+			this.stream = this.context.progressTracker().track(reservation.runnerIds(), reservation.path());
+		}
+		else {
+			this.stream.countEvent();
 		}
 		if (firstEvent) {
 			this.longestSilence = 0;
--- a/bilberryvalve-gateway/src/test/java/io/bilberryvalve/gateway/fleet/ProgressTrackerTests.java
+++ b/bilberryvalve-gateway/src/test/java/io/bilberryvalve/gateway/fleet/ProgressTrackerTests.java
@@ -3,8 +3,10 @@
 import java.time.Duration;
 import java.util.List;
 
+import io.bilberryvalve.model.LayerRange;
 import io.bilberryvalve.model.RunnerId;
 import io.bilberryvalve.model.clock.ManualClock;
+import io.bilberryvalve.policy.path.LayerPath;
 import io.bilberryvalve.policy.silence.RunnerSilence;
 import net.jqwik.api.Example;
 
@@ -66,4 +68,35 @@
 		assertThat(this.tracker.isSuspected(TWO)).isFalse();
 	}
 
+	// Guards against estimates that ignore events which arrive together, and against
+	// samples that include a pause of this daemon.
+	@Example
+	void paceOfStreamsIsMeasured() {
+		LayerPath path = new LayerPath(List.of(new LayerPath.Hop(ONE, new LayerRange(0, 4), 50)), 100, 25, 50);
+		ProgressTracker.StreamProgress stream = this.tracker.track(List.of(ONE), path);
+		for (int i = 0; i < 10; i++) {
+			advance(100);
+			stream.countEvent();
+			stream.countEvent();
+			stream.recordEvent();
+		}
+		assertThat(this.tracker.paceEstimator().hasSlowRunners()).isFalse();
+		for (int i = 0; i < 10; i++) {
+			advance(200);
+			this.tracker.resetSilence();
+			advance(100);
+			stream.countEvent();
+			stream.recordEvent();
+		}
+		assertThat(this.tracker.paceEstimator().hasSlowRunners()).isFalse();
+		for (int i = 0; i < 10; i++) {
+			advance(150);
+			stream.countEvent();
+			stream.recordEvent();
+		}
+		assertThat(this.tracker.paceEstimator().slowdown(ONE)).isEqualTo(3);
+		this.tracker.retain(FleetSnapshot.EMPTY);
+		assertThat(this.tracker.paceEstimator().hasSlowRunners()).isFalse();
+	}
+
 }
--- a/bilberryvalve-policy/src/main/java/io/bilberryvalve/policy/path/LayerHolder.java
+++ b/bilberryvalve-policy/src/main/java/io/bilberryvalve/policy/path/LayerHolder.java
@@ -17,4 +17,14 @@
  */
 public record LayerHolder(RunnerId runner, LayerRange layers, DataCentreId dataCentre, CardKind card, double slowdown) {
 
+	/**
+	 * Returns this holder with another slowdown.
+	 * @param factor factor by which it is slower than the profile says
+	 * @return the holder, the same one if nothing changes
+	 */
+	public LayerHolder withSlowdown(double factor) {
+		return (factor == this.slowdown) ? this
+				: new LayerHolder(this.runner, this.layers, this.dataCentre, this.card, factor);
+	}
+
 }
--- a/bilberryvalve-policy/src/main/java/io/bilberryvalve/policy/path/PathChooser.java
+++ b/bilberryvalve-policy/src/main/java/io/bilberryvalve/policy/path/PathChooser.java
@@ -105,18 +105,23 @@
 		return !path.hops().stream().allMatch((hop) -> seen.add(hop.runner()));
 	}
 
-	private static LayerPath path(PartialPath end) {
+	private LayerPath path(PartialPath end) {
 		List<LayerPath.Hop> hops = new ArrayList<>();
+		int tokensPerEvent = Math.max(1, this.profile.tokensPerEvent());
 		double first = 0;
 		double token = 0;
+		double event = 0;
 		for (PartialPath partial = end; partial != null; partial = partial.previous) {
-			hops.add(new LayerPath.Hop(partial.candidate.holder.runner(), new LayerRange(partial.first, partial.end)));
+			LayerRange layers = new LayerRange(partial.first, partial.end);
+			double profileMillis = tokensPerEvent * partial.stepMillis() / partial.candidate.holder.slowdown();
+			hops.add(new LayerPath.Hop(partial.candidate.holder.runner(), layers, profileMillis));
 			double each = partial.stepMillis() + partial.transfer.tokenMillis;
 			first += partial.prefillMillis() + partial.transfer.prefillTokenMillis + each;
 			token += each;
+			event += profileMillis + tokensPerEvent * partial.transfer.tokenMillis;
 		}
 		Collections.reverse(hops);
-		return new LayerPath(hops, first, token);
+		return new LayerPath(hops, first, token, event);
 	}
 
 	/**
@@ -291,9 +296,11 @@
 			double batch = (this.load.running() + 1) * BATCH_FRACTION;
 			double context = (this.load.tokenLayers() / (double) held + size.totalTokens()) * BATCH_FRACTION;
 			this.stepMillis = holder.slowdown() * profile.stepMillis(holder.card(), 1, batch, context);
-			double tokenPrefillMillis = holder.slowdown() * profile.prefillMillis(holder.card(), 1, 1);
+			double tokenPrefillMillis = profile.prefillMillis(holder.card(), 1, 1);
+			// The limit of the backlog ignores the slowdown, so that an estimate changes
+			// the order of the paths only and refuses nothing.
 			double backlogMillis = tokenPrefillMillis * this.load.prefillTokenLayers();
-			this.prefillMillis = tokenPrefillMillis * size.promptTokens();
+			this.prefillMillis = holder.slowdown() * tokenPrefillMillis * size.promptTokens();
 			double capacity = profile.tokenCapacity(holder.card(), held) * MEMORY_FRACTION * held;
 			double free = capacity - this.load.tokenLayers();
 			double use = (capacity > 0) ? this.load.tokenLayers() / capacity : 1;
