--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/relay/RelayContext.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/relay/RelayContext.java
@@ -132,6 +132,10 @@
 				"Passed over requests for which the next capacity is reserved",
 				() -> sum(ReservationQueue::reservedCount));
 		this.metrics.addGauge("bilberryvalve_runners", "Runners listed", () -> fleetRegistry.snapshot().all().size());
+		this.metrics.addGauge("bilberryvalve_runners_refusing", "Runners that refused a request in the last 250 ms",
+				() -> runnerAvailability.refusals().count());
+		this.metrics.addGauge("bilberryvalve_runners_slow", "Engine runners that are slower than their profile says",
+				() -> this.progressTracker.paceEstimator().slowCount());
 		this.metrics.addGauge("bilberryvalve_configuration_version", "Configuration in force", this::version);
 	}
 
@@ -210,6 +214,7 @@
 
 	private void fleetChanged() {
 		this.progressTracker.retain(this.fleetRegistry.snapshot());
+		this.runnerAvailability.refusals().retain(this.fleetRegistry.snapshot());
 		runPendingStarts();
 		dispatchWaiting();
 	}
