Check that a lease is held again after restores and faults

Cause: the property on fencing numbers would pass without any grant. Change: after the faults, one daemon must hold the lease in the latest era.

--- a/bilberryvalve-platform/src/test/java/io/bilberryvalve/platform/lease/RestoredLeaseTests.java
+++ b/bilberryvalve-platform/src/test/java/io/bilberryvalve/platform/lease/RestoredLeaseTests.java
@@ -192,6 +192,12 @@
 				}
 			}
 		}
+		this.tables.writeFaults().clear();
+		this.tables.writeFaults().release();
+		run(Duration.ofSeconds(10), managers);
+		long latest = era;
+		assertThat(managers).as("a lease is held again after the faults")
+			.anyMatch((manager) -> manager.grant().filter((grant) -> grant.fencing().era() == latest).isPresent());
 	}
 
 }
