--- a/bilberryvalve-platform/src/main/java/io/bilberryvalve/platform/watch/TableWatcher.java
+++ b/bilberryvalve-platform/src/main/java/io/bilberryvalve/platform/watch/TableWatcher.java
@@ -1,8 +1,6 @@
 package io.bilberryvalve.platform.watch;
 
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.ScheduledExecutorService;
@@ -67,11 +65,7 @@
 	 */
 	private long sequence;
 
-	/**
-	 * Versions, by key, of rows in the last snapshot that are later than the snapshot
-	 * itself, until the changes up to them have been read.
-	 */
-	private final Map<String, Long> rowsAhead = new HashMap<>();
+	private final RowsAhead rowsAhead = new RowsAhead();
 
 	private boolean loaded;
 
@@ -259,12 +253,7 @@
 		recordEra(read.era());
 		recordAvailable();
 		this.version = read;
-		this.rowsAhead.clear();
-		found.value()
-			.rows()
-			.stream()
-			.filter((row) -> row.version() > this.version.version())
-			.forEach((row) -> this.rowsAhead.put(row.key(), row.version()));
+		this.rowsAhead.replace(found.value());
 		notifyListener(() -> this.listener.onSnapshot(found.value().rows(), found.value().version()));
 		readChanges();
 	}
@@ -278,16 +267,6 @@
 			.log(LOGGER, System.Logger.Level.WARNING);
 	}
 
-	// Leaves out changes that are older than the row in the snapshot.
-	private List<TableFeed.Change> newerChanges(TableFeed.Changes read) {
-		List<TableFeed.Change> newer = read.changes().stream().filter((change) -> {
-			Long known = this.rowsAhead.get(change.row().key());
-			return known == null || change.row().version() >= known;
-		}).toList();
-		this.rowsAhead.values().removeIf((known) -> known <= this.version.version());
-		return newer;
-	}
-
 	private void readChanges() {
 		this.nextRead = null;
 		readInSequence(() -> this.feed.changes(this.table, this.version, this.pace.longestWait()), this::handleChanges);
@@ -311,7 +290,7 @@
 				this.version = found.value().version();
 			}
 			if (!found.value().changes().isEmpty()) {
-				List<TableFeed.Change> newer = newerChanges(found.value());
+				List<TableFeed.Change> newer = this.rowsAhead.newer(found.value().changes(), this.version.version());
 				if (!newer.isEmpty()) {
 					notifyListener(() -> this.listener.onChanges(newer, found.value().version()));
 				}
