Weigh cached prefixes by age, free memory and wait

Change: PrefixRetention gives the probability that a prefix is still held, by age and free memory; up to three holders are weighed against runners drawn at random.

--- a/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/runner/ChainCandidates.java
+++ b/bilberryvalve-daemon/src/main/java/io/bilberryvalve/daemon/runner/ChainCandidates.java
@@ -1,12 +1,15 @@
 package io.bilberryvalve.daemon.runner;
 
 import java.util.List;
+import java.util.concurrent.ThreadLocalRandom;
 
 import io.bilberryvalve.model.RunnerId;
 import io.bilberryvalve.policy.chain.Chain;
 import io.bilberryvalve.policy.chain.ChainSet;
 import io.bilberryvalve.policy.chain.Stage;
+import io.bilberryvalve.policy.choice.CandidateSampler;
 import io.bilberryvalve.policy.choice.Candidates;
+import io.bilberryvalve.policy.choice.LoadReport;
 import io.bilberryvalve.policy.choice.PrefixHash;
 
 /**
@@ -28,6 +31,9 @@
 	 */
 	private static final double TYPICAL_REPLY_TOKENS = 64;
 
+	/** Largest number of holders of a prefix that are weighed for a request. */
+	private static final int MAX_PREFIX_HOLDERS = 3;
+
 	private final RunnerFleet fleet;
 
 	private final ChainSet set;
@@ -100,24 +106,34 @@
 			return 0;
 		}
 		Chain chain = this.set.chain(candidate);
-		int blocks = this.prefixHashes.size();
+		double blocks = this.prefixHashes.size();
 		double secondsPerToken = 0;
 		for (Stage stage : chain.stages()) {
 			RunnerId runner = stage.runner().id();
-			blocks = Math.min(blocks, this.fleet.prefixes().cachedBlocks(runner, this.prefixHashes));
+			blocks = Math.min(blocks,
+					this.fleet.prefixes().cachedBlocks(runner, this.prefixHashes, freeFraction(runner)));
 			secondsPerToken += stage.layers().size() / this.speeds.prefillLayersPerSecond(runner);
 		}
 		return blocks * PrefixHash.BLOCK_WORDS * secondsPerToken / TYPICAL_REPLY_TOKENS;
 	}
 
+	private double freeFraction(RunnerId runner) {
+		return this.fleet.loadEstimator().lastReport(runner).map(LoadReport::kvFreeFraction).orElse(1.0);
+	}
+
+	// The first runners found differ between requests, so that a prefix that many prompts
+	// begin with does not occupy the same chain.
 	@Override
 	public int[] prefixHolders() {
 		for (int i = this.prefixHashes.size() - 1; i >= 0; i--) {
-			for (RunnerId holder : this.fleet.prefixes().holders(this.prefixHashes.get(i))) {
-				int chain = this.set.startingAt(holder);
-				if (chain >= 0) {
-					return new int[] { chain };
-				}
+			int[] chains = this.fleet.prefixes()
+				.holders(this.prefixHashes.get(i))
+				.stream()
+				.mapToInt(this.set::startingAt)
+				.filter((chain) -> chain >= 0)
+				.toArray();
+			if (chains.length > 0) {
+				return CandidateSampler.few(chains, MAX_PREFIX_HOLDERS, ThreadLocalRandom.current());
 			}
 		}
 		return new int[0];
--- a/bilberryvalve-policy/src/main/java/io/bilberryvalve/policy/choice/CandidateSampler.java
+++ b/bilberryvalve-policy/src/main/java/io/bilberryvalve/policy/choice/CandidateSampler.java
@@ -5,7 +5,7 @@
 /**
  * Draws usable candidates at random.
  */
-final class CandidateSampler {
+public final class CandidateSampler {
 
 	/** Number of random draws before the candidates are scanned in order. */
 	private static final int MAX_DRAWS = 8;
@@ -37,6 +37,25 @@
 		return scan(candidates, random.nextInt(size));
 	}
 
+	/**
+	 * Takes a few of some candidates, which are neighbours from a random position on.
+	 * @param candidates positions of candidates
+	 * @param limit largest number to take, positive
+	 * @param random source of random numbers
+	 * @return the candidates themselves if there are no more than the limit
+	 */
+	public static int[] few(int[] candidates, int limit, RandomGenerator random) {
+		if (candidates.length <= limit) {
+			return candidates;
+		}
+		int start = random.nextInt(candidates.length);
+		int[] taken = new int[limit];
+		for (int i = 0; i < limit; i++) {
+			taken[i] = candidates[(start + i) % candidates.length];
+		}
+		return taken;
+	}
+
 	/**
 	 * Returns the first candidate that is usable at any health weight.
 	 * @param candidates candidates for one request
--- a/bilberryvalve-policy/src/main/java/io/bilberryvalve/policy/choice/PrefixIndex.java
+++ b/bilberryvalve-policy/src/main/java/io/bilberryvalve/policy/choice/PrefixIndex.java
@@ -16,15 +16,15 @@
 /**
  * Index of the prompt prefixes that each runner may have in its cache, built from cache
  * events that may arrive late or be lost. Each record expires, because the event that
- * would remove it may be lost; until then the runner is preferred without a benefit. The
- * size is bounded, and the oldest records are evicted first. Safe for use by several
- * threads.
+ * would remove it may be lost; until then it counts less the older it is and the less
+ * memory the runner has free. The size is bounded, and the oldest records are evicted
+ * first. Safe for use by several threads.
  */
 public final class PrefixIndex {
 
 	private final Clock clock;
 
-	private final Duration validity;
+	private final PrefixRetention retention;
 
 	private final int capacity;
 
@@ -42,7 +42,7 @@
 	 */
 	public PrefixIndex(Clock clock, Duration validity, int capacity) {
 		this.clock = clock;
-		this.validity = validity;
+		this.retention = new PrefixRetention(validity);
 		this.capacity = capacity;
 	}
 
@@ -86,20 +86,24 @@
 	}
 
 	/**
-	 * Returns how much of a prompt a runner may have in its cache.
+	 * Returns how much of a prompt a runner is expected to have in its cache.
 	 * @param runner runner to look up
 	 * @param hashes hashes of the prompt's prefixes, the shortest first
-	 * @return number of leading blocks of the prompt, from 0 to the number of hashes
+	 * @param freeFraction free part of the cache of the runner, 0 to 1
+	 * @return expected number of leading blocks of the prompt, from 0 to the number of
+	 * hashes
 	 */
-	public int cachedBlocks(RunnerId runner, List<String> hashes) {
-		Instant oldest = this.clock.instant().minus(this.validity);
-		for (int i = hashes.size(); i > 0; i--) {
+	public double cachedBlocks(RunnerId runner, List<String> hashes, double freeFraction) {
+		Instant now = this.clock.instant();
+		double most = 0;
+		for (int i = hashes.size(); i > most; i--) {
 			Instant since = this.holders.getOrDefault(hashes.get(i - 1), Map.of()).get(runner);
-			if (since != null && since.isAfter(oldest)) {
-				return i;
+			if (since != null) {
+				double held = this.retention.heldProbability(Duration.between(since, now), freeFraction);
+				most = Math.max(most, i * held);
 			}
 		}
-		return 0;
+		return most;
 	}
 
 	private void evictOldest() {
--- a/bilberryvalve-policy/src/test/java/io/bilberryvalve/policy/choice/RunnerChooserTests.java
+++ b/bilberryvalve-policy/src/test/java/io/bilberryvalve/policy/choice/RunnerChooserTests.java
@@ -88,9 +88,9 @@
 		ManualClock clock = new ManualClock();
 		PrefixIndex index = new PrefixIndex(clock, Duration.ofSeconds(10), 2);
 		index.recordStored(RUNNER, "a");
-		assertThat(index.cachedBlocks(RUNNER, List.of("a", "b"))).isEqualTo(1);
+		assertThat(index.cachedBlocks(RUNNER, List.of("a", "b"), 1)).isEqualTo(1);
 		clock.advance(Duration.ofSeconds(11));
-		assertThat(index.cachedBlocks(RUNNER, List.of("a", "b"))).isZero();
+		assertThat(index.cachedBlocks(RUNNER, List.of("a", "b"), 1)).isZero();
 		index.recordStored(RUNNER, "b");
 		index.recordStored(RUNNER, "c");
 		assertThat(index.holders("a")).isEmpty();
