--- a/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/peer/StateReceiver.java
+++ b/bilberryvalve-gateway/src/main/java/io/bilberryvalve/gateway/peer/StateReceiver.java
@@ -221,9 +221,8 @@
 	private void receive(StateDigest message) {
 		DataCentreId dataCentre = new DataCentreId(message.getDataCentre());
 		boolean near = dataCentre.equals(this.local.dataCentre());
-		// Digests of the own data centre are for its members, those of one data centre
-		// for
-		// the others.
+		// Digests of all data centres are for members of the sender's, and digests of one
+		// data centre are for the other ones.
 		if (message.getVm().equals(this.local.vm()) || near == message.getOwnDataCentreOnly()) {
 			return;
 		}
