Show that an order reaches a runner of another service at a reused address

Cause: orders do not name the runner for which they are meant, so that the one that has its address now carries them out.

--- a/review/kit-2/rig/Runner.java
+++ b/review/kit-2/rig/Runner.java
@@ -33,10 +33,17 @@
 
 	private volatile boolean listed;
 
+	private long lastBeat;
+
 	volatile boolean leaving;
 
 	Runner(Rig rig, Store store, String id, String service, String zone, int slots) throws IOException {
-		super(rig.ip());
+		this(rig, store, id, service, zone, slots, rig.ip());
+	}
+
+	Runner(Rig rig, Store store, String id, String service, String zone, int slots, String address)
+			throws IOException {
+		super(address);
 		this.rig = rig;
 		this.store = store;
 		this.id = id;
@@ -62,6 +69,7 @@
 
 	synchronized void beat() {
 		if (this.listed) {
+			this.lastBeat = Rig.now();
 			this.store.put("servers", this.id, "{\"Service\":\"" + this.service + "\",\"Address\":\"" + address()
 					+ "\",\"Zone\":\"" + this.zone + "\",\"Version\":\"v1\",\"Slots\":" + this.slots
 					+ ",\"State\":\"ready\",\"ColdRemainingMs\":0" + more() + ",\"born\":" + this.born + ",\"Seq\":"
@@ -73,6 +81,25 @@
 		return "";
 	}
 
+	/**
+	 * Crashes for good. The store removes the entry after three heartbeats of silence.
+	 */
+	void crash() throws IOException {
+		long end;
+		synchronized (this) {
+			this.listed = false;
+			end = this.lastBeat + 3 * Rig.HEARTBEAT_MS;
+		}
+		close();
+		Thread thread = new Thread(() -> {
+			Rig.sleepUntil(end);
+			this.store.remove("servers", this.id);
+			this.rig.note("the store has removed the entry of " + this.id);
+		});
+		thread.setDaemon(true);
+		thread.start();
+	}
+
 	/** Leaves without a report: its entry is removed, and it goes on serving. */
 	synchronized void removeEntry() {
 		this.leaving = true;
