Show that an added machine uses a runner that has left

Cause: a heartbeat that the store performs late lists a runner again after its removal, and a daemon that has not seen the runner before takes the entry at once.

--- a/review/kit-2/rig/Listener.java
+++ b/review/kit-2/rig/Listener.java
@@ -13,15 +13,11 @@
 
 	private final ServerSocket server;
 
-	final Set<Socket> open = ConcurrentHashMap.newKeySet();
+	private final Set<Socket> open = ConcurrentHashMap.newKeySet();
 
-	/** Listens on an IP address with any free port, or on IP:PORT. */
-	Listener(String address) throws IOException {
-		int colon = address.indexOf(':');
-		String ip = (colon < 0) ? address : address.substring(0, colon);
-		int port = (colon < 0) ? 0 : Integer.parseInt(address.substring(colon + 1));
+	Listener(String ip) throws IOException {
 		this.server = new ServerSocket();
-		this.server.bind(new InetSocketAddress(InetAddress.getByName(ip), port), 512);
+		this.server.bind(new InetSocketAddress(InetAddress.getByName(ip), 0), 512);
 		Thread thread = new Thread(this::accept, getClass().getSimpleName());
 		thread.setDaemon(true);
 		thread.start();
--- a/review/kit-2/rig/Runner.java
+++ b/review/kit-2/rig/Runner.java
@@ -5,19 +5,22 @@
 import java.io.InputStream;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Semaphore;
 import java.util.concurrent.atomic.AtomicInteger;
 
 /** An application runner. It lists itself in the store, and keeps to its slots. */
 class Runner extends Listener {
 
-	final Rig rig;
+	private static final int WORK_MS = 20;
+
+	private final Rig rig;
 
 	final String id;
 
-	final String service;
+	private final String service;
 
-	final int slots;
+	private final int slots;
 
 	private final String zone;
 
@@ -29,21 +32,17 @@
 
 	private final AtomicInteger beats = new AtomicInteger();
 
-	volatile int workMillis = 20;
-
 	private volatile boolean listed;
 
-	private long lastBeat;
+	/** Receives the time at which the next heartbeat is lost, or null to lose none. */
+	private CompletableFuture<Long> losing;
 
-	volatile boolean leaving;
+	private int performedAfterMillis;
 
-	Runner(Rig rig, Store store, String id, String service, String zone, int slots) throws IOException {
-		this(rig, store, id, service, zone, slots, rig.ip());
-	}
+	private volatile boolean leaving;
 
-	Runner(Rig rig, Store store, String id, String service, String zone, int slots, String address)
-			throws IOException {
-		super(address);
+	Runner(Rig rig, Store store, String id, String service, String zone, int slots) throws IOException {
+		super(rig.ip());
 		this.rig = rig;
 		this.store = store;
 		this.id = id;
@@ -67,37 +66,57 @@
 		return this;
 	}
 
-	synchronized void beat() {
-		if (this.listed) {
-			this.lastBeat = Rig.now();
-			this.store.put("servers", this.id, "{\"Service\":\"" + this.service + "\",\"Address\":\"" + address()
-					+ "\",\"Zone\":\"" + this.zone + "\",\"Version\":\"v1\",\"Slots\":" + this.slots
-					+ ",\"State\":\"ready\",\"ColdRemainingMs\":0" + more() + ",\"born\":" + this.born + ",\"Seq\":"
-					+ this.beats.incrementAndGet() + "}");
+	private synchronized void beat() {
+		CompletableFuture<Long> lost = this.losing;
+		this.losing = null;
+		if (!this.listed) {
+			return;
+		}
+		if (lost == null) {
+			this.store.put("servers", this.id, entry());
+		}
+		else {
+			lost.complete(loseBeat());
 		}
 	}
 
-	String more() {
-		return "";
+	private String entry() {
+		return "{\"Service\":\"" + this.service + "\",\"Address\":\"" + address()
+				+ "\",\"Zone\":\"" + this.zone + "\",\"Version\":\"v1\",\"Slots\":" + this.slots
+				+ ",\"State\":\"ready\",\"ColdRemainingMs\":0,\"born\":" + this.born + ",\"Seq\":"
+				+ this.beats.incrementAndGet() + "}";
 	}
 
 	/**
-	 * Crashes for good. The store removes the entry after three heartbeats of silence.
+	 * Makes the store lose the next heartbeat. It gets no answer, and the store performs
+	 * it later. The entry is then removed again after three heartbeats of silence.
+	 * @return the time of the heartbeat
 	 */
-	void crash() throws IOException {
-		long end;
+	long loseNextBeat(int performedAfterMillis) {
+		CompletableFuture<Long> lost = new CompletableFuture<>();
 		synchronized (this) {
-			this.listed = false;
-			end = this.lastBeat + 3 * Rig.HEARTBEAT_MS;
+			this.performedAfterMillis = performedAfterMillis;
+			this.losing = lost;
 		}
-		close();
+		return lost.join();
+	}
+
+	private long loseBeat() {
+		long at = Rig.now();
+		long performedAt = at + this.performedAfterMillis;
+		String written = entry();
+		this.rig.note("the store loses a heartbeat of " + this.id + ": " + written);
 		Thread thread = new Thread(() -> {
-			Rig.sleepUntil(end);
+			Rig.sleepUntil(performedAt);
+			this.store.put("servers", this.id, written);
+			this.rig.note("the store performs the lost heartbeat of " + this.id);
+			Rig.sleepUntil(performedAt + 3 * Rig.HEARTBEAT_MS);
 			this.store.remove("servers", this.id);
-			this.rig.note("the store has removed the entry of " + this.id);
+			this.rig.note("the store removes the entry of " + this.id + " again");
 		});
 		thread.setDaemon(true);
 		thread.start();
+		return at;
 	}
 
 	/** Leaves without a report: its entry is removed, and it goes on serving. */
@@ -115,7 +134,7 @@
 		}
 	}
 
-	void answer(Socket socket, Http.Message request) throws IOException {
+	private void answer(Socket socket, Http.Message request) throws IOException {
 		String attempt = request.header("X-Bilberryvalve-Attempt-Id");
 		String expected = request.header("X-Bilberryvalve-Expect-Instance");
 		String head = "X-Bilberryvalve-Served-By: " + this.id + "\r\nKeep-Alive: timeout=5\r\n"
@@ -137,8 +156,8 @@
 		}
 		try {
 			this.rig.note("runner " + this.id + " runs " + attempt);
-			ran(attempt, request);
-			Rig.sleepUntil(Rig.now() + this.workMillis);
+			ran(attempt);
+			Rig.sleepUntil(Rig.now() + WORK_MS);
 		}
 		finally {
 			this.free.release();
@@ -148,7 +167,8 @@
 				("answer to " + attempt).getBytes(StandardCharsets.UTF_8));
 	}
 
-	void ran(String attempt, Http.Message request) {
+	/** Called when a request begins to run. */
+	void ran(String attempt) {
 	}
 
 }
