End the daemons of a case that is ended by a signal

Cause: SIGTERM ended the script of a case, but not what it had started, until the case was over.

Measured: after SIGTERM in the middle of a run no daemon is left and the exit code is 2; one run with the disruption exits with 1, one without it with 0.

--- a/review/kit-2/run.sh
+++ b/review/kit-2/run.sh
@@ -10,7 +10,12 @@
   echo "build with the command of deploy/system.toml and review/build-2.sh first"
   exit 2
 fi
-timeout -k 3 112 java -Xmx1g -Drecord="$folder/record.txt" -Droot="$root" -cp "$root/target/review-2" "rig.$2"
+timeout -k 3 112 java -Xmx1g -Drecord="$folder/record.txt" -Droot="$root" -cp "$root/target/review-2" "rig.$2" &
+child=$!
+trap 'kill "$child" 2>/dev/null' TERM INT
+wait "$child"
 code=$?
+# A signal ends the first wait early.
+wait "$child" 2>/dev/null
 [ "$code" -le 1 ] || code=2
 exit "$code"
